Add the thin path from rollout to streamed request

Cause: the repository was empty. A request has to be served from start to finish by separate processes before any part can be improved.

The daemon runs as entry or agent. The agent fetches a version from the origin, verifies it, loads it into its engine and admits requests; the entry finds agents by heartbeat and relays checked response frames.

Ruled out: twirp for responses and chunks, because it does not stream.

This is the baseline for the swarm transfer.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+GO ?= go
+BIN := bin
+SKIP := $(shell scripts/known-red.sh)
+# Seed of the property tests in `make test`; `make fuzz` draws fresh ones.
+SEED ?= 1
+
+.PHONY: build test demo lint generate fuzz
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+	$(GO) build -C bench -o ../$(BIN)/ ./cmd/...
+
+demo: build
+	$(BIN)/gtbench demo $(DEMO_FLAGS)
+
+test: build
+	RAPID_SEED=$(SEED) $(GO) test -race -skip '$(SKIP)' ./...
+	RAPID_SEED=$(SEED) $(GO) test -C bench -race -skip '$(SKIP)' ./...
+
+lint:
+	scripts/lint.sh
+
+generate:
+	scripts/generate.sh
+
+# Runs the property tests with a fresh seed and more checks; the seed is printed so that a failure can be repeated.
+fuzz:
+	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
+	RAPID_SEED=$$seed RAPID_CHECKS=2000 $(GO) test -count=1 ./coordination/... ./state/...
--- /dev/null
+++ b/internal/layers/doc.go
@@ -0,0 +1,2 @@
+// Package layers checks the order of the project's layers.
+package layers
--- /dev/null
+++ b/internal/layers/layers_test.go
@@ -0,0 +1,75 @@
+package layers
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// layers lists the layers from bottom to top; a package imports only its own layer and those below.
+var layers = []string{"state", "coordination", "protocol", "transport"}
+
+const (
+	root   = "../.."
+	module = "github.com/guavatrestle/guavatrestle/"
+)
+
+// TestPackageImportsOnlyLowerLayers guards against an import from a lower layer to a higher one.
+func TestPackageImportsOnlyLowerLayers(t *testing.T) {
+	for rank, layer := range layers {
+		walkGoFiles(t, filepath.Join(root, layer), func(path, imported string) {
+			require.LessOrEqual(t, rankOf(imported), rank, "%s imports %s", path, imported)
+		})
+	}
+}
+
+// TestDecisionsImportNoIO guards against I/O, clocks and global randomness in decision logic.
+func TestDecisionsImportNoIO(t *testing.T) {
+	forbidden := []string{"net", "net/http", "os", "sync", "context", "github.com/alitto/pond/v2"}
+	walkGoFiles(t, filepath.Join(root, "coordination"), func(path, imported string) {
+		if !strings.HasSuffix(path, "_test.go") {
+			require.NotContains(t, forbidden, imported, "%s imports %s", path, imported)
+		}
+	})
+}
+
+func walkGoFiles(t *testing.T, dir string, visit func(path, imported string)) {
+	t.Helper()
+	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		for _, spec := range file.Imports {
+			imported, err := strconv.Unquote(spec.Path.Value)
+			if err != nil {
+				return err
+			}
+			visit(path, imported)
+		}
+		return nil
+	})
+	require.NoError(t, err)
+}
+
+func rankOf(imported string) int {
+	rest, ours := strings.CutPrefix(imported, module)
+	if !ours {
+		return -1
+	}
+	for rank, layer := range layers {
+		if rest == layer || strings.HasPrefix(rest, layer+"/") {
+			return rank
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/proptest/proptest.go
@@ -0,0 +1,44 @@
+// Package proptest gives property tests a fixed seed unless the environment names another.
+package proptest
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+const (
+	// seedVariable names the environment variable with the seed.
+	seedVariable = "RAPID_SEED"
+	// checksVariable names the environment variable with the number of checks per property.
+	checksVariable = "RAPID_CHECKS"
+	defaultSeed    = "1"
+)
+
+// Main runs the tests of a package that uses rapid; call it from TestMain.
+func Main(m *testing.M) {
+	if err := Configure(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// Configure sets rapid's seed and number of checks from the environment.
+func Configure() error {
+	seed := os.Getenv(seedVariable)
+	if seed == "" {
+		seed = defaultSeed
+	}
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		return err
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		return err
+	}
+	if checks := os.Getenv(checksVariable); checks != "" {
+		return flag.Set("rapid.checks", checks)
+	}
+	return nil
+}
--- /dev/null
+++ b/protocol/frame/frame.go
@@ -0,0 +1,151 @@
+// Package frame reads and writes the response frames between agent and entry.
+//
+// A response is Head, any number of Data and KeepAlive frames, and End; or a Refusal at any point.
+// The reader accepts a response as whole only when request ID, sequence, count and checksum match.
+package frame
+
+import (
+	"bufio"
+	"errors"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+// MaxFrameBytes bounds one frame.
+const MaxFrameBytes = 1 << 20
+
+// Writer writes the frames of one response.
+type Writer struct {
+	out        io.Writer
+	requestID  string
+	sequence   uint64
+	dataFrames uint64
+	checksum   *xxhash.Digest
+}
+
+// NewWriter returns a Writer for the response to requestID.
+func NewWriter(out io.Writer, requestID core.RequestID) *Writer {
+	return &Writer{out: out, requestID: string(requestID), checksum: xxhash.New()}
+}
+
+// Head writes the first frame.
+func (w *Writer) Head(head *wire.Head) error {
+	return w.write(&wire.Frame{Body: &wire.Frame_Head{Head: head}})
+}
+
+// Data writes part of the body.
+func (w *Writer) Data(payload []byte) error {
+	w.dataFrames++
+	_, _ = w.checksum.Write(payload)
+	return w.write(&wire.Frame{Body: &wire.Frame_Data{Data: &wire.Data{Payload: payload}}})
+}
+
+// KeepAlive shows the reader that the path works.
+func (w *Writer) KeepAlive() error {
+	return w.write(&wire.Frame{Body: &wire.Frame_KeepAlive{KeepAlive: &wire.KeepAlive{}}})
+}
+
+// End closes a whole response.
+func (w *Writer) End(grant *wire.Grant) error {
+	end := &wire.End{DataFrames: w.dataFrames, Checksum: w.checksum.Sum64(), Grant: grant}
+	return w.write(&wire.Frame{Body: &wire.Frame_End{End: end}})
+}
+
+// Refusal ends the response without a whole answer.
+func (w *Writer) Refusal(refusal *wire.Refusal) error {
+	return w.write(&wire.Frame{Body: &wire.Frame_Refusal{Refusal: refusal}})
+}
+
+func (w *Writer) write(f *wire.Frame) error {
+	f.RequestId = w.requestID
+	f.Sequence = w.sequence
+	w.sequence++
+	_, err := protodelim.MarshalTo(w.out, f)
+	if err != nil {
+		return protocol.Wrap(protocol.CodeUnavailable, err, "write response frame")
+	}
+	return nil
+}
+
+// Reader reads and checks the frames of one response.
+type Reader struct {
+	in         *bufio.Reader
+	requestID  string
+	sequence   uint64
+	dataFrames uint64
+	checksum   *xxhash.Digest
+	headSeen   bool
+}
+
+// NewReader returns a Reader for the response to requestID.
+func NewReader(in io.Reader, requestID core.RequestID) *Reader {
+	return &Reader{in: bufio.NewReader(in), requestID: string(requestID), checksum: xxhash.New()}
+}
+
+// Next returns the next frame; a frame that cannot belong to a whole response is an error.
+func (r *Reader) Next() (*wire.Frame, error) {
+	f := &wire.Frame{}
+	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
+	if err := options.UnmarshalFrom(r.in, f); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, protocol.Wrap(protocol.CodeIncomplete, err, "response ended before its last frame")
+		}
+		return nil, protocol.Wrap(protocol.CodeIncomplete, err, "read response frame")
+	}
+	if err := r.check(f); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func (r *Reader) check(f *wire.Frame) error {
+	if f.GetRequestId() != r.requestID {
+		return protocol.Errorf(protocol.CodeMalformed, "frame belongs to request %q, want %q", f.GetRequestId(), r.requestID)
+	}
+	if f.GetSequence() != r.sequence {
+		return protocol.Errorf(protocol.CodeMalformed, "frame has sequence %d, want %d", f.GetSequence(), r.sequence)
+	}
+	r.sequence++
+	return r.checkBody(f)
+}
+
+func (r *Reader) checkBody(f *wire.Frame) error {
+	switch body := f.GetBody().(type) {
+	case *wire.Frame_Head:
+		if r.headSeen {
+			return protocol.Errorf(protocol.CodeMalformed, "response has a second head frame")
+		}
+		r.headSeen = true
+	case *wire.Frame_Data:
+		if !r.headSeen {
+			return protocol.Errorf(protocol.CodeMalformed, "data frame before the head frame")
+		}
+		r.dataFrames++
+		_, _ = r.checksum.Write(body.Data.GetPayload())
+	case *wire.Frame_End:
+		return r.checkEnd(body.End)
+	case *wire.Frame_KeepAlive, *wire.Frame_Refusal:
+	default:
+		return protocol.Errorf(protocol.CodeMalformed, "frame has no known body")
+	}
+	return nil
+}
+
+func (r *Reader) checkEnd(end *wire.End) error {
+	if !r.headSeen {
+		return protocol.Errorf(protocol.CodeIncomplete, "end frame before the head frame")
+	}
+	if end.GetDataFrames() != r.dataFrames {
+		return protocol.Errorf(protocol.CodeIncomplete, "response has %d data frames, want %d", r.dataFrames, end.GetDataFrames())
+	}
+	if end.GetChecksum() != r.checksum.Sum64() {
+		return protocol.Errorf(protocol.CodeIncomplete, "response checksum does not match")
+	}
+	return nil
+}
--- /dev/null
+++ b/protocol/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform defines the interfaces to the systems outside guavatrestle and their messages.
+package platform
--- /dev/null
+++ b/state/config/config.go
@@ -0,0 +1,140 @@
+// Package config holds the static YAML settings of one guavatrestled process.
+package config
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+// Config is the static configuration of a guavatrestled process.
+type Config struct {
+	Role          core.Role          `yaml:"role" validate:"oneof=entry agent"`
+	Host          core.HostID        `yaml:"host" validate:"required"`
+	Region        core.Region        `yaml:"region" validate:"required"`
+	FailureDomain core.FailureDomain `yaml:"failure_domain" validate:"required"`
+	LogLevel      string             `yaml:"log_level" validate:"oneof=debug info warning error"`
+	Listen        Listen             `yaml:"listen"`
+	Platform      Platform           `yaml:"platform"`
+	Agent         *Agent             `yaml:"agent,omitempty" validate:"required_if=Role agent"`
+	Entry         *Entry             `yaml:"entry,omitempty" validate:"required_if=Role entry"`
+	// ShutdownTimeout bounds the graceful shutdown.
+	ShutdownTimeout time.Duration `yaml:"shutdown_timeout" validate:"gt=0"`
+	// Seed seeds random choices; 0 draws a fresh seed.
+	Seed uint64 `yaml:"seed"`
+}
+
+// Listen holds the listener addresses.
+type Listen struct {
+	// Control serves twirp, debug and health endpoints.
+	Control string `yaml:"control" validate:"hostname_port"`
+	// Data serves callers on an entry; calls and chunks on an agent.
+	Data string `yaml:"data" validate:"hostname_port"`
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	ObjectAPI    string `yaml:"object_api" validate:"url"`
+	HostList     string `yaml:"host_list" validate:"url"`
+	WeightSource string `yaml:"weight_source" validate:"omitempty,url"`
+	Namespace    string `yaml:"namespace" validate:"required"`
+	// HostListInterval is the time between reads of the host list.
+	HostListInterval time.Duration `yaml:"host_list_interval" validate:"gt=0"`
+}
+
+// Agent holds the settings of the agent role.
+type Agent struct {
+	Upstream core.Upstream `yaml:"upstream" validate:"required"`
+	// Engine is the base URL of the back end beside the agent.
+	Engine string `yaml:"engine" validate:"url"`
+	// ChunkMemoryBytes caps the chunks kept for peers.
+	ChunkMemoryBytes int64 `yaml:"chunk_memory_bytes" validate:"gt=0"`
+	// PollInterval is the time between reads of the engine's status.
+	PollInterval time.Duration `yaml:"poll_interval" validate:"gt=0"`
+	// Strategy selects how weights are fetched.
+	Strategy string `yaml:"strategy" validate:"oneof=swarm direct"`
+	// HostBytesPerSecond limits weight transfer on the host's link in each direction; 0 means no limit.
+	HostBytesPerSecond int64 `yaml:"host_bytes_per_second" validate:"gte=0"`
+	// OriginRegion names the region nearest to the weight source.
+	OriginRegion core.Region `yaml:"origin_region"`
+}
+
+// Entry holds the settings of the entry role.
+type Entry struct {
+	// AdminTokenHashes are BLAKE3-256 hashes of the operators' bearer tokens.
+	AdminTokenHashes []core.Digest `yaml:"admin_token_hashes" validate:"dive,len=64,hexadecimal"`
+	// MaxBodyBytes bounds a caller's request body.
+	MaxBodyBytes int64 `yaml:"max_body_bytes" validate:"gt=0"`
+	// RequestTimeout is the deadline of a request that names none.
+	RequestTimeout time.Duration `yaml:"request_timeout" validate:"gt=0"`
+	// StatusInterval is the time between heartbeats to agents.
+	StatusInterval time.Duration `yaml:"status_interval" validate:"gt=0"`
+}
+
+// Default returns the configuration that a file's settings are read over.
+func Default() Config {
+	return Config{
+		LogLevel:        "info",
+		ShutdownTimeout: 30 * time.Second,
+		Platform:        Platform{Namespace: "guavatrestle", HostListInterval: 2 * time.Second},
+	}
+}
+
+func defaultAgent() Agent {
+	return Agent{ChunkMemoryBytes: 1 << 30, PollInterval: 500 * time.Millisecond, Strategy: "swarm"}
+}
+
+func defaultEntry() Entry {
+	return Entry{MaxBodyBytes: 4 << 20, RequestTimeout: 60 * time.Second, StatusInterval: time.Second}
+}
+
+// Load reads, decodes and validates the file at path; unknown keys are errors.
+func Load(path string) (Config, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, eris.Wrap(err, "read configuration")
+	}
+	return Parse(path, body)
+}
+
+// Parse decodes and validates body; name appears in error messages.
+func Parse(name string, body []byte) (Config, error) {
+	cfg := Default()
+	agent, entry := defaultAgent(), defaultEntry()
+	cfg.Agent, cfg.Entry = &agent, &entry
+	if err := yaml.UnmarshalWithOptions(body, &cfg, yaml.DisallowUnknownField()); err != nil {
+		return Config{}, eris.New(describe(name, err))
+	}
+	dropOtherRole(&cfg)
+	if err := validator.New().Struct(cfg); err != nil {
+		return Config{}, eris.Errorf("%s: %v", name, err)
+	}
+	return cfg, nil
+}
+
+func dropOtherRole(cfg *Config) {
+	switch cfg.Role {
+	case core.RoleAgent:
+		cfg.Entry = nil
+	case core.RoleEntry:
+		cfg.Agent = nil
+	}
+}
+
+func describe(name string, err error) string {
+	var yamlErr yaml.Error
+	if eris.As(err, &yamlErr) {
+		tok := yamlErr.GetToken()
+		if tok != nil && tok.Position != nil {
+			return name + ":" + strconv.Itoa(tok.Position.Line) + ": " + yamlErr.GetMessage()
+		}
+	}
+	return name + ": " + strings.TrimSpace(err.Error())
+}
--- /dev/null
+++ b/state/core/doc.go
@@ -0,0 +1,2 @@
+// Package core holds the value types that every layer shares.
+package core
--- /dev/null
+++ b/state/settings/types.go
@@ -0,0 +1,87 @@
+package settings
+
+import "github.com/guavatrestle/guavatrestle/state/core"
+
+// TeamSettings is the body of /teams/<team>.
+type TeamSettings struct {
+	// TokenHashes are BLAKE3-256 hashes of the team's bearer tokens.
+	TokenHashes []core.Digest `json:"token_hashes" validate:"min=1,dive,len=64,hexadecimal"`
+	Limits      TeamLimits    `json:"limits"`
+	// Weight is the team's share in the fair queue.
+	Weight   int               `json:"weight" validate:"min=1,max=1000"`
+	Models   []ModelSettings   `json:"models" validate:"dive"`
+	Services []ServiceSettings `json:"services" validate:"dive"`
+	// FailureDomains lists the failure domains that may serve the team; empty means all.
+	FailureDomains []core.FailureDomain `json:"failure_domains,omitempty" validate:"dive,required"`
+}
+
+// TeamLimits bounds the requests of a team at each entry.
+type TeamLimits struct {
+	RequestsPerSecond float64 `json:"requests_per_second" validate:"gt=0"`
+	Burst             int     `json:"burst" validate:"min=1"`
+	QueueLength       int     `json:"queue_length" validate:"min=0,max=100000"`
+}
+
+// ModelSettings lets a team use a model that an upstream serves.
+type ModelSettings struct {
+	Name     core.Model    `json:"name" validate:"required"`
+	Upstream core.Upstream `json:"upstream" validate:"required"`
+	// VersionDigest pins a version; empty means the upstream's target or any complete version.
+	VersionDigest core.Digest `json:"version_digest,omitempty" validate:"omitempty,len=64,hexadecimal"`
+}
+
+// ServiceSettings lets a team call a plain service.
+type ServiceSettings struct {
+	Upstream core.Upstream `json:"upstream" validate:"required"`
+	// Repeatable says that calls of the service may be sent again.
+	Repeatable bool `json:"repeatable"`
+}
+
+// FailureDomainState says whether a failure domain takes new work.
+type FailureDomainState string
+
+// Failure domain states.
+const (
+	FailureDomainIn  FailureDomainState = "in"
+	FailureDomainOut FailureDomainState = "out"
+)
+
+// FailureDomainSettings is the body of /failure-domains/<name>.
+type FailureDomainSettings struct {
+	Region core.Region        `json:"region" validate:"required"`
+	State  FailureDomainState `json:"state" validate:"oneof=in out"`
+}
+
+// UpstreamKind is the kind of back end behind an upstream.
+type UpstreamKind string
+
+// Upstream kinds.
+const (
+	KindModel   UpstreamKind = "model"
+	KindService UpstreamKind = "service"
+)
+
+// UpstreamSettings is the body of /upstreams/<name>.
+type UpstreamSettings struct {
+	Kind UpstreamKind `json:"kind" validate:"oneof=model service"`
+	// Model, Target and Withdrawn apply to the kind model.
+	Model     core.Model    `json:"model,omitempty" validate:"required_if=Kind model"`
+	Target    *VersionRef   `json:"target,omitempty"`
+	Withdrawn []core.Digest `json:"withdrawn,omitempty" validate:"dive,len=64,hexadecimal"`
+	// ColdLimit is the number of requests in flight that a cold back end bears.
+	ColdLimit int `json:"cold_limit" validate:"min=1"`
+	// WarmLimit is the number of requests in flight that a warm back end bears.
+	WarmLimit int `json:"warm_limit" validate:"min=1,gtefield=ColdLimit"`
+	// WarmupCompletions is the number of completed requests that turn a cold back end warm.
+	WarmupCompletions int `json:"warmup_completions" validate:"min=0"`
+	// MinWarm is the number of back ends per failure domain that stay warm during a rollout.
+	MinWarm int `json:"min_warm" validate:"min=0"`
+	// ChecksFencing says that the engine refuses orders with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing,omitempty"`
+}
+
+// VersionRef names one immutable model version.
+type VersionRef struct {
+	Version string      `json:"version" validate:"required"`
+	Digest  core.Digest `json:"digest" validate:"len=64,hexadecimal"`
+}
--- /dev/null
+++ b/transport/daemon/agent.go
@@ -0,0 +1,140 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/coordination/admission"
+	protocolplatform "github.com/guavatrestle/guavatrestle/protocol/platform"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport/platform"
+	"github.com/guavatrestle/guavatrestle/transport/server"
+	"github.com/guavatrestle/guavatrestle/transport/upstream"
+	"github.com/guavatrestle/guavatrestle/transport/weights"
+)
+
+const (
+	// drainPoll is the time between looks at the requests in flight while the agent leaves.
+	drainPoll = 20 * time.Millisecond
+	// followInterval is the time between looks at the settings that the gate follows.
+	followInterval = 200 * time.Millisecond
+)
+
+// agent is the agent role.
+type agent struct {
+	*process
+	chunks  *table.Chunks
+	engine  protocolplatform.Engine
+	gate    *upstream.Gate
+	monitor *upstream.Monitor
+}
+
+func newAgent(p *process) (*agent, error) {
+	p.self.Upstream = p.cfg.Agent.Upstream
+	engine, err := platform.NewEngineClient(p.cfg.Agent.Engine, http.DefaultTransport)
+	if err != nil {
+		return nil, err
+	}
+	a := &agent{process: p, chunks: table.NewChunks(), engine: engine}
+	a.gate = upstream.NewGate(admission.Config{ColdLimit: 1, WarmLimit: 1}, p.now)
+	a.monitor = upstream.NewMonitor(engine, a.gate, p.cfg.Agent.PollInterval, p.log)
+	return a, nil
+}
+
+func (a *agent) start(ctx context.Context) (controlHandler, dataHandler http.Handler) {
+	a.loops.Go(func() { a.monitor.Run(ctx) })
+	a.loops.Go(func() { a.followSettings(ctx) })
+	if a.cfg.Platform.WeightSource != "" {
+		a.loops.Go(func() { a.rollout().Run(ctx) })
+	}
+	service := upstream.NewService(a.self, a.settings, a.chunks, a.gate)
+	controlMux := http.NewServeMux()
+	controlMux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(service))
+	server.AddDebug(controlMux, a.introspection(a))
+	dataMux := http.NewServeMux()
+	dataMux.Handle("POST /call", upstream.NewHandler(a.gate, a.engine, a.now, a.log))
+	dataMux.HandleFunc("GET /chunks/{digest}/{index}", a.serveChunk)
+	return controlMux, dataMux
+}
+
+func (a *agent) rollout() *weights.Rollout {
+	source := platform.NewWeightClient(a.cfg.Platform.WeightSource)
+	return weights.NewRollout(weights.RolloutParts{
+		Upstream: a.self.Upstream,
+		Settings: a.settings,
+		Chunks:   a.chunks,
+		Fetcher:  weights.NewFetcher(source, a.chunks),
+		Engine:   a.engine,
+		Gate:     a.gate,
+		Monitor:  a.monitor,
+		Interval: a.cfg.Agent.PollInterval,
+		Log:      a.log,
+	})
+}
+
+// followSettings applies changed settings to the gate.
+func (a *agent) followSettings(ctx context.Context) {
+	ticker := time.NewTicker(followInterval)
+	defer ticker.Stop()
+	for {
+		a.applySettings()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *agent) applySettings() {
+	tree := a.settings.Tree()
+	if spec, ok := tree.Upstreams[a.self.Upstream]; ok {
+		a.gate.Configure(admission.Config{
+			ColdLimit:         spec.ColdLimit,
+			WarmLimit:         spec.WarmLimit,
+			WarmupCompletions: spec.WarmupCompletions,
+		})
+	}
+	a.gate.SetInService(tree.InService(a.self.FailureDomain))
+}
+
+func (a *agent) serveChunk(w http.ResponseWriter, r *http.Request) {
+	index, err := strconv.Atoi(r.PathValue("index"))
+	if err != nil {
+		http.Error(w, "chunk index is not a number", http.StatusBadRequest)
+		return
+	}
+	data, ok := a.chunks.Get(core.Digest(r.PathValue("digest")), index)
+	if !ok {
+		http.Error(w, "chunk is not held", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(data)
+}
+
+func (a *agent) leave(ctx context.Context) {
+	a.gate.SetLeaving()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for a.gate.Snapshot().InFlight > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *agent) state() any { return a.gate.Snapshot() }
+
+func (a *agent) ready() (bool, string) {
+	if a.gate.Snapshot().BootID == "" {
+		return false, "the back end has not reported"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/transport/daemon/daemon.go
@@ -0,0 +1,145 @@
+// Package daemon puts the parts of a guavatrestled process together.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavatrestle/guavatrestle/state/config"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport/control"
+	"github.com/guavatrestle/guavatrestle/transport/platform"
+	"github.com/guavatrestle/guavatrestle/transport/server"
+)
+
+// process is what both roles share.
+type process struct {
+	cfg      config.Config
+	self     core.Host
+	store    *platform.ObjectClient
+	settings *table.Settings
+	members  *table.Members
+	random   *rand.Rand
+	now      func() time.Time
+	log      *logrus.Entry
+	loops    sync.WaitGroup
+}
+
+// role is the part of a process that differs between roles.
+type role interface {
+	// start starts the role's loops, which end with ctx, and returns the handlers of its listeners.
+	start(ctx context.Context) (control, data http.Handler)
+	// leave refuses new work and returns once all requests in flight have ended or ctx ends.
+	leave(ctx context.Context)
+	// state returns the role's part of the state dump.
+	state() any
+	// ready reports whether the role can do its job, and if not, why.
+	ready() (bool, string)
+}
+
+// Run runs a guavatrestled process until ctx ends, then shuts it down gracefully.
+func Run(ctx context.Context, cfg config.Config, log *logrus.Entry) error {
+	p := newProcess(cfg, log)
+	loopCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer p.loops.Wait()
+	defer stopLoops()
+	r, err := p.newRole()
+	if err != nil {
+		return err
+	}
+	controlHandler, dataHandler := r.start(loopCtx)
+	p.startLoops(loopCtx)
+	controlListener, err := server.Listen(cfg.Listen.Control, controlHandler)
+	if err != nil {
+		return err
+	}
+	dataListener, err := server.Listen(cfg.Listen.Data, dataHandler)
+	if err != nil {
+		_ = controlListener.Shutdown(ctx)
+		return err
+	}
+	log.WithField("control", controlListener.Addr()).WithField("data", dataListener.Addr()).Info("process started")
+	<-ctx.Done()
+	return p.shutdown(r, dataListener, controlListener)
+}
+
+func newProcess(cfg config.Config, log *logrus.Entry) *process {
+	seed := cfg.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return &process{
+		cfg: cfg,
+		self: core.Host{
+			ID:            cfg.Host,
+			Incarnation:   core.Incarnation(uuid.NewString()),
+			Role:          cfg.Role,
+			Region:        cfg.Region,
+			FailureDomain: cfg.FailureDomain,
+			ControlAddr:   cfg.Listen.Control,
+			DataAddr:      cfg.Listen.Data,
+			State:         core.HostLive,
+		},
+		store:    platform.NewObjectClient(cfg.Platform.ObjectAPI, cfg.Platform.Namespace),
+		settings: table.NewSettings(),
+		members:  table.NewMembers(),
+		random:   rand.New(rand.NewPCG(seed, 0)),
+		now:      time.Now,
+		log:      log,
+	}
+}
+
+func (p *process) newRole() (role, error) {
+	if p.cfg.Role == core.RoleAgent {
+		return newAgent(p)
+	}
+	return newEntry(p), nil
+}
+
+func (p *process) startLoops(ctx context.Context) {
+	hosts := platform.NewHostListClient(p.cfg.Platform.HostList)
+	p.loops.Go(func() { control.NewSettingsSync(p.store, p.settings, p.log).Run(ctx) })
+	p.loops.Go(func() {
+		control.NewHostRefresher(hosts, p.members, p.cfg.Platform.HostListInterval, p.log).Run(ctx)
+	})
+}
+
+// shutdown finishes all requests in flight before the listeners close.
+func (p *process) shutdown(r role, data, controlListener *server.Listener) error {
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.ShutdownTimeout)
+	defer cancel()
+	p.log.Info("process is leaving")
+	r.leave(ctx)
+	err := data.Shutdown(ctx)
+	if controlErr := controlListener.Shutdown(ctx); err == nil {
+		err = controlErr
+	}
+	p.log.Info("process stopped")
+	return err
+}
+
+func (p *process) introspection(r role) server.Introspection {
+	return server.Introspection{
+		State: func() any {
+			return State{
+				Self:     p.self,
+				Settings: redact(p.settings.Documents()),
+				Members:  p.members.List(),
+				Role:     r.state(),
+			}
+		},
+		Ready: func() (bool, string) {
+			if !p.settings.Loaded() {
+				return false, "no configuration yet"
+			}
+			return r.ready()
+		},
+	}
+}
--- /dev/null
+++ b/transport/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform implements the interfaces of protocol/platform over HTTP.
+package platform
--- /dev/null
+++ b/transport/platform/engine.go
@@ -0,0 +1,90 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/platform"
+)
+
+// Headers of a load order.
+const (
+	headerModel   = "Engine-Model"
+	headerDigest  = "Engine-Digest"
+	headerContent = "Engine-Content"
+	headerFencing = "Engine-Fencing-Token"
+)
+
+// statusTimeout bounds one status read; an engine that takes longer counts as a missed report.
+const statusTimeout = 2 * time.Second
+
+// EngineClient implements platform.Engine over HTTP.
+type EngineClient struct {
+	base   *url.URL
+	status *resty.Client
+	orders *resty.Client
+	calls  *http.Client
+}
+
+var _ platform.Engine = (*EngineClient)(nil)
+
+// NewEngineClient returns a client for the back end at baseURL that sends calls with the given transport.
+func NewEngineClient(baseURL string, calls http.RoundTripper) (*EngineClient, error) {
+	base, err := url.Parse(baseURL)
+	if err != nil {
+		return nil, eris.Wrap(err, "parse engine URL")
+	}
+	return &EngineClient{
+		base:   base,
+		status: resty.New().SetBaseURL(baseURL).SetTimeout(statusTimeout),
+		orders: resty.New().SetBaseURL(baseURL),
+		calls:  &http.Client{Transport: calls},
+	}, nil
+}
+
+// Status implements platform.Engine.
+func (c *EngineClient) Status(ctx context.Context) (platform.EngineStatus, error) {
+	var status platform.EngineStatus
+	resp, err := c.status.R().SetContext(ctx).SetResult(&status).Get("/engine/status")
+	if err := readError(resp, err); err != nil {
+		return platform.EngineStatus{}, err
+	}
+	return status, nil
+}
+
+// Load implements platform.Engine.
+func (c *EngineClient) Load(ctx context.Context, order platform.LoadOrder) error {
+	resp, err := c.orders.R().SetContext(ctx).
+		SetHeader(headerModel, string(order.Model)).
+		SetHeader(headerDigest, string(order.Digest)).
+		SetHeader(headerContent, string(order.Content)).
+		SetHeader(headerFencing, strconv.FormatUint(order.FencingToken, 10)).
+		SetHeader("Content-Length", strconv.FormatInt(order.Size, 10)).
+		SetHeader("Content-Type", "application/octet-stream").
+		SetBody(order.Weights).
+		Post("/engine/load")
+	if err != nil {
+		return protocol.Wrap(protocol.CodeOutcomeUnknown, err, "send load order")
+	}
+	if resp.StatusCode() == http.StatusConflict || resp.StatusCode() == http.StatusUnprocessableEntity {
+		return protocol.Errorf(protocol.CodeRefused, "engine refused the load order: %s", resp.String())
+	}
+	return statusError(resp, protocol.CodeOutcomeUnknown)
+}
+
+// Call implements platform.Engine.
+func (c *EngineClient) Call(ctx context.Context, request *http.Request) (*http.Response, error) {
+	out := request.Clone(ctx)
+	out.URL.Scheme = c.base.Scheme
+	out.URL.Host = c.base.Host
+	out.Host = c.base.Host
+	out.RequestURI = ""
+	return c.calls.Do(out)
+}
--- /dev/null
+++ b/transport/platform/objects.go
@@ -0,0 +1,232 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/platform"
+)
+
+const (
+	apiVersion = "guavatrestle.io/v1"
+	// callTimeout bounds one call of the object API; the API normally responds in milliseconds.
+	callTimeout = 3 * time.Second
+)
+
+type metadata struct {
+	Name            string            `json:"name"`
+	ResourceVersion string            `json:"resourceVersion,omitempty"`
+	Labels          map[string]string `json:"labels,omitempty"`
+}
+
+type resource struct {
+	APIVersion string          `json:"apiVersion"`
+	Kind       string          `json:"kind"`
+	Metadata   metadata        `json:"metadata"`
+	Spec       json.RawMessage `json:"spec"`
+}
+
+type resourceList struct {
+	Metadata metadata   `json:"metadata"`
+	Items    []resource `json:"items"`
+}
+
+type watchEvent struct {
+	Type   string   `json:"type"`
+	Object resource `json:"object"`
+}
+
+// ObjectClient implements platform.ObjectStore over the object API's REST conventions.
+type ObjectClient struct {
+	calls  *resty.Client
+	stream *resty.Client
+	root   string
+}
+
+var _ platform.ObjectStore = (*ObjectClient)(nil)
+
+// NewObjectClient returns a client for the object API at baseURL.
+func NewObjectClient(baseURL, namespace string) *ObjectClient {
+	return &ObjectClient{
+		calls:  resty.New().SetBaseURL(baseURL).SetTimeout(callTimeout),
+		stream: resty.New().SetBaseURL(baseURL),
+		root:   fmt.Sprintf("/apis/%s/namespaces/%s", apiVersion, namespace),
+	}
+}
+
+// Get implements platform.ObjectStore.
+func (c *ObjectClient) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	var out resource
+	resp, err := c.calls.R().SetContext(ctx).SetResult(&out).Get(c.path(kind, name))
+	if err := readError(resp, err); err != nil {
+		return platform.Object{}, err
+	}
+	return fromResource(kind, out), nil
+}
+
+// List implements platform.ObjectStore.
+func (c *ObjectClient) List(ctx context.Context, kind platform.Kind, selector string) (platform.ObjectList, error) {
+	var out resourceList
+	request := c.calls.R().SetContext(ctx).SetResult(&out)
+	if selector != "" {
+		request.SetQueryParam("labelSelector", selector)
+	}
+	resp, err := request.Get(c.path(kind, ""))
+	if err := readError(resp, err); err != nil {
+		return platform.ObjectList{}, err
+	}
+	list := platform.ObjectList{Version: out.Metadata.ResourceVersion}
+	for _, item := range out.Items {
+		list.Items = append(list.Items, fromResource(kind, item))
+	}
+	return list, nil
+}
+
+// Create implements platform.ObjectStore.
+func (c *ObjectClient) Create(ctx context.Context, object platform.Object) (platform.Object, error) {
+	var out resource
+	object.Version = ""
+	resp, err := c.calls.R().SetContext(ctx).SetBody(toResource(object)).SetResult(&out).Post(c.path(object.Kind, ""))
+	if err := writeError(resp, err); err != nil {
+		return platform.Object{}, err
+	}
+	return fromResource(object.Kind, out), nil
+}
+
+// Update implements platform.ObjectStore.
+func (c *ObjectClient) Update(ctx context.Context, object platform.Object) (platform.Object, error) {
+	var out resource
+	resp, err := c.calls.R().SetContext(ctx).SetBody(toResource(object)).SetResult(&out).
+		Put(c.path(object.Kind, object.Name))
+	if err := writeError(resp, err); err != nil {
+		return platform.Object{}, err
+	}
+	return fromResource(object.Kind, out), nil
+}
+
+// Delete implements platform.ObjectStore.
+func (c *ObjectClient) Delete(ctx context.Context, kind platform.Kind, name, version string) error {
+	body := map[string]any{"preconditions": map[string]string{"resourceVersion": version}}
+	resp, err := c.calls.R().SetContext(ctx).SetBody(body).Delete(c.path(kind, name))
+	return writeError(resp, err)
+}
+
+// Watch implements platform.ObjectStore.
+func (c *ObjectClient) Watch(ctx context.Context, kind platform.Kind, sinceVersion string) (<-chan platform.Event, error) {
+	resp, err := c.stream.R().SetContext(ctx).SetDoNotParseResponse(true).
+		SetQueryParam("watch", "true").SetQueryParam("resourceVersion", sinceVersion).Get(c.path(kind, ""))
+	if err := readError(resp, err); err != nil {
+		if resp != nil && resp.RawBody() != nil {
+			_ = resp.RawBody().Close()
+		}
+		return nil, err
+	}
+	events := make(chan platform.Event)
+	go func() {
+		defer close(events)
+		defer func() { _ = resp.RawBody().Close() }()
+		decoder := json.NewDecoder(resp.RawBody())
+		for {
+			var event watchEvent
+			if decoder.Decode(&event) != nil || event.Type == "ERROR" {
+				return
+			}
+			out := platform.Event{Type: platform.EventType(event.Type), Object: fromResource(kind, event.Object)}
+			select {
+			case events <- out:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return events, nil
+}
+
+func (c *ObjectClient) path(kind platform.Kind, name string) string {
+	if name == "" {
+		return c.root + "/" + string(kind)
+	}
+	return c.root + "/" + string(kind) + "/" + name
+}
+
+func toResource(o platform.Object) resource {
+	return resource{
+		APIVersion: apiVersion,
+		Kind:       kindNames[o.Kind],
+		Metadata:   metadata{Name: o.Name, ResourceVersion: o.Version, Labels: o.Labels},
+		Spec:       o.Spec,
+	}
+}
+
+func fromResource(kind platform.Kind, r resource) platform.Object {
+	return platform.Object{
+		Kind:    kind,
+		Name:    r.Metadata.Name,
+		Version: r.Metadata.ResourceVersion,
+		Labels:  r.Metadata.Labels,
+		Spec:    r.Spec,
+	}
+}
+
+var kindNames = map[platform.Kind]string{
+	platform.KindSetting:      "Setting",
+	platform.KindPermit:       "Permit",
+	platform.KindClaimSegment: "ClaimSegment",
+}
+
+// readError converts the result of a call that changes nothing.
+func readError(resp *resty.Response, err error) error {
+	if err != nil {
+		return protocol.Wrap(protocol.CodeUnavailable, err, "call the object API")
+	}
+	return statusError(resp, protocol.CodeUnavailable)
+}
+
+// writeError converts the result of a write, which may have taken effect unless the connection was refused.
+func writeError(resp *resty.Response, err error) error {
+	if err == nil {
+		return statusError(resp, protocol.CodeOutcomeUnknown)
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return protocol.Wrap(protocol.CodeUnavailable, err, "connect to the object API")
+	}
+	return protocol.Wrap(protocol.CodeOutcomeUnknown, err, "write to the object API")
+}
+
+func statusError(resp *resty.Response, serverFailure protocol.Code) error {
+	if resp.IsSuccess() {
+		return nil
+	}
+	code := serverFailure
+	switch resp.StatusCode() {
+	case http.StatusConflict:
+		code = protocol.CodeConflict
+	case http.StatusNotFound:
+		code = protocol.CodeNotFound
+	case http.StatusGone:
+		code = protocol.CodeExpired
+	case http.StatusTooManyRequests:
+		code = protocol.CodeRateLimited
+	}
+	e := protocol.Errorf(code, "object API returned status %d", resp.StatusCode())
+	e.RetryAfter = retryAfter(resp)
+	return e
+}
+
+func retryAfter(resp *resty.Response) time.Duration {
+	seconds, err := strconv.Atoi(resp.Header().Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/transport/upstream/status.go
@@ -0,0 +1,76 @@
+package upstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/table"
+)
+
+// grantTTL is the time for which a grant holds.
+const grantTTL = 3 * time.Second
+
+// Service implements the twirp service Agent.
+type Service struct {
+	host     core.Host
+	settings *table.Settings
+	chunks   *table.Chunks
+	gate     *Gate
+}
+
+var _ wire.Agent = (*Service)(nil)
+
+// NewService returns a Service.
+func NewService(host core.Host, settings *table.Settings, chunks *table.Chunks, gate *Gate) *Service {
+	return &Service{host: host, settings: settings, chunks: chunks, gate: gate}
+}
+
+// Status implements wire.Agent.
+func (s *Service) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+	gate := s.gate.Snapshot()
+	spec := s.settings.Tree().Upstreams[s.host.Upstream]
+	response := &wire.StatusResponse{
+		Host:        string(s.host.ID),
+		Incarnation: string(s.host.Incarnation),
+		Upstream:    string(s.host.Upstream),
+		Model:       string(spec.Model),
+		State:       stateToWire[gate.State],
+		InFlight:    uint32(gate.InFlight),
+		Limit:       uint32(gate.Limit),
+		Leaving:     gate.Leaving,
+		Grant: &wire.Grant{
+			Slots:     uint32(max(gate.Limit-gate.InFlight, 0)),
+			TtlMillis: uint32(grantTTL.Milliseconds()),
+		},
+	}
+	if gate.Complete {
+		response.VersionDigest = string(gate.Digest)
+	}
+	if spec.Target != nil {
+		held, total := s.chunks.Progress(spec.Target.Digest)
+		response.TargetDigest = string(spec.Target.Digest)
+		response.ChunksHeld = uint32(held)
+		response.ChunksTotal = uint32(total)
+	}
+	return response, nil
+}
+
+// Chunks implements wire.Agent.
+func (s *Service) Chunks(_ context.Context, request *wire.ChunksRequest) (*wire.ChunksResponse, error) {
+	digest := core.Digest(request.GetVersionDigest())
+	if !digest.Valid() {
+		return nil, twirp.InvalidArgumentError("version_digest", "is not a digest")
+	}
+	_, manifest, _ := s.chunks.Manifest(digest)
+	return &wire.ChunksResponse{Bitmap: s.chunks.Bitmap(digest), Manifest: manifest}, nil
+}
+
+var stateToWire = map[core.UpstreamState]wire.UpstreamState{
+	core.UpstreamCold:    wire.UpstreamState_UPSTREAM_STATE_COLD,
+	core.UpstreamWarming: wire.UpstreamState_UPSTREAM_STATE_WARMING,
+	core.UpstreamWarm:    wire.UpstreamState_UPSTREAM_STATE_WARM,
+}
