--- a/state/settings/tree.go
+++ b/state/settings/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -13,25 +14,32 @@
 	FailureDomains map[core.FailureDomain]FailureDomainSettings
 	Upstreams      map[core.Upstream]UpstreamSettings
 	tokens         map[core.Digest]core.Team
+	adminTokens    map[core.Digest]core.Team
 }
 
-// NewTree decodes documents; a document that does not decode is an error that names its path.
+// NewTree decodes documents; a document that does not decode is left out, and the error names its path.
+//
+// Unknown keys are ignored here, so that a process takes documents written by a newer release; they
+// are refused when an edit is accepted.
 func NewTree(documents []Document) (*Tree, error) {
 	t := &Tree{
 		Teams:          make(map[core.Team]TeamSettings),
 		FailureDomains: make(map[core.FailureDomain]FailureDomainSettings),
 		Upstreams:      make(map[core.Upstream]UpstreamSettings),
 		tokens:         make(map[core.Digest]core.Team),
+		adminTokens:    make(map[core.Digest]core.Team),
 	}
+	var failed []error
 	for _, doc := range documents {
 		if doc.Tombstone {
 			continue
 		}
 		if err := t.add(doc); err != nil {
-			return nil, err
+			failed = append(failed, err)
 		}
 	}
-	return t, nil
+	t.indexTokens()
+	return t, errors.Join(failed...)
 }
 
 // TeamByToken returns the team that owns a bearer token.
@@ -40,6 +48,12 @@
 	return team, ok
 }
 
+// TeamByAdminToken returns the team whose administrator holds a bearer token.
+func (t *Tree) TeamByAdminToken(token string) (core.Team, bool) {
+	team, ok := t.adminTokens[core.DigestOf([]byte(token))]
+	return team, ok
+}
+
 // InService reports whether a failure domain takes new work.
 func (t *Tree) InService(name core.FailureDomain) bool {
 	return t.FailureDomains[name].State != FailureDomainOut
@@ -57,7 +71,7 @@
 	}
 	switch kind {
 	case TeamPrefix:
-		return t.addTeam(core.Team(name), doc)
+		return decodeInto(doc, t.Teams, core.Team(name))
 	case FailureDomainPrefix:
 		return decodeInto(doc, t.FailureDomains, core.FailureDomain(name))
 	default:
@@ -65,14 +79,30 @@
 	}
 }
 
-func (t *Tree) addTeam(team core.Team, doc Document) error {
-	if err := decodeInto(doc, t.Teams, team); err != nil {
-		return err
+// indexTokens maps token hashes to teams. A hash that two teams hold belongs to neither: two edits
+// that raced may both have been accepted, and a token must not act for the wrong team.
+func (t *Tree) indexTokens() {
+	shared := make(map[core.Digest]bool)
+	owner := make(map[core.Digest]core.Team)
+	for team, spec := range t.Teams {
+		for _, hash := range spec.hashes() {
+			held, ok := owner[hash]
+			shared[hash] = shared[hash] || ok && held != team
+			owner[hash] = team
+		}
 	}
-	for _, hash := range t.Teams[team].TokenHashes {
-		t.tokens[hash] = team
+	for team, spec := range t.Teams {
+		index(t.tokens, shared, team, spec.TokenHashes)
+		index(t.adminTokens, shared, team, spec.AdminTokenHashes)
+	}
+}
+
+func index(into map[core.Digest]core.Team, shared map[core.Digest]bool, team core.Team, hashes []core.Digest) {
+	for _, hash := range hashes {
+		if !shared[hash] {
+			into[hash] = team
+		}
 	}
-	return nil
 }
 
 func decodeInto[K comparable, V any](doc Document, into map[K]V, key K) error {
--- a/state/settings/types.go
+++ b/state/settings/types.go
@@ -1,12 +1,18 @@
 package settings
 
-import "github.com/guavatrestle/guavatrestle/state/core"
+import (
+	"slices"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
 
 // TeamSettings is the body of /teams/<team>.
 type TeamSettings struct {
 	// TokenHashes are BLAKE3-256 hashes of the team's bearer tokens.
 	TokenHashes []core.Digest `json:"token_hashes" validate:"min=1,dive,len=64,hexadecimal"`
-	Limits      TeamLimits    `json:"limits"`
+	// AdminTokenHashes are BLAKE3-256 hashes of the bearer tokens with which the team edits its own document.
+	AdminTokenHashes []core.Digest `json:"admin_token_hashes,omitempty" validate:"dive,len=64,hexadecimal"`
+	Limits           TeamLimits    `json:"limits"`
 	// Weight is the team's share in the fair queue.
 	Weight   int               `json:"weight" validate:"min=1,max=1000"`
 	Models   []ModelSettings   `json:"models" validate:"dive"`
@@ -15,6 +21,11 @@
 	FailureDomains []core.FailureDomain `json:"failure_domains,omitempty" validate:"dive,required"`
 }
 
+// hashes returns the hashes of all tokens of the team.
+func (t TeamSettings) hashes() []core.Digest {
+	return slices.Concat(t.TokenHashes, t.AdminTokenHashes)
+}
+
 // TeamLimits bounds the requests of a team at each entry.
 type TeamLimits struct {
 	RequestsPerSecond float64 `json:"requests_per_second" validate:"gt=0"`
--- a/state/table/settings.go
+++ b/state/table/settings.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -9,10 +10,13 @@
 	"github.com/guavatrestle/guavatrestle/state/settings"
 )
 
-// Settings holds the settings documents in force, highest version per path.
+// Settings holds the settings documents, highest version per path, and the decoded tree in force.
 type Settings struct {
-	mu        sync.RWMutex
+	mu sync.RWMutex
+	// documents are the newest known, which peers get.
 	documents map[string]settings.Document
+	// decodable are the newest per path that this process can decode; the tree is built from them.
+	decodable map[string]settings.Document
 	tree      *settings.Tree
 	loaded    bool
 }
@@ -20,31 +24,38 @@
 // NewSettings returns an empty table.
 func NewSettings() *Settings {
 	tree, _ := settings.NewTree(nil)
-	return &Settings{documents: make(map[string]settings.Document), tree: tree}
+	return &Settings{
+		documents: make(map[string]settings.Document),
+		decodable: make(map[string]settings.Document),
+		tree:      tree,
+	}
 }
 
 // Merge takes over every document that is newer than the one held and returns those taken.
+//
+// A document that does not decode is taken, so that peers get it, but the last decodable version of
+// its path stays in force. The error names every such document.
 func (s *Settings) Merge(documents []settings.Document) ([]settings.Document, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := maps.Clone(s.documents)
 	var taken []settings.Document
+	var failed []error
 	for _, doc := range documents {
-		if held, ok := next[doc.Path]; ok && held.Version >= doc.Version {
+		if held, ok := s.documents[doc.Path]; ok && held.Version >= doc.Version {
 			continue
 		}
-		next[doc.Path] = doc
+		s.documents[doc.Path] = doc
 		taken = append(taken, doc)
+		if _, err := settings.NewTree([]settings.Document{doc}); err != nil {
+			failed = append(failed, err)
+			continue
+		}
+		s.decodable[doc.Path] = doc
 	}
-	if len(taken) == 0 {
-		return nil, nil
-	}
-	tree, err := settings.NewTree(slices.Collect(maps.Values(next)))
-	if err != nil {
-		return nil, err
+	if len(taken) > 0 {
+		s.tree, _ = settings.NewTree(slices.Collect(maps.Values(s.decodable)))
 	}
-	s.documents, s.tree = next, tree
-	return taken, nil
+	return taken, errors.Join(failed...)
 }
 
 // MarkLoaded records that the table holds a full configuration.
