Give the admin API roles, history, dry runs and settled writes

Cause: the admin API accepted and returned documents as they were: token hashes appeared in responses, a lost response to a write was reported as a failure, a conflict said nothing about the other edit, and only operators could edit.

The API now lists, reads, applies, retires, diffs and shows history, takes a failure domain out and in, and shows rollout status. Operators' tokens come from the process settings; a team's admin tokens are confined to the team's path and may not change limits, weight or failure domains. Each change leaves an audit line, each token has a rate limit, and token hashes are replaced by stand-ins that an edit may send back. A lost write is settled by its nonce.

Ruled out: reading other documents from memory for the checks. Memory lags, so a team that names an upstream created a moment ago would be refused.

Checked with `go test ./transport/admin` and `make demo`: both pass.

--- a/state/settings/shape.go
+++ b/state/settings/shape.go
@@ -9,6 +9,9 @@
 	"strings"
 )
 
+// maxInteger is the largest integer that a JSON number holds exactly.
+const maxInteger = 1 << 53
+
 // shapeProblems reports every key of value that type t does not have, and every value of the wrong JSON type.
 //
 // encoding/json stops at the first unknown key and ignores the case of keys, so it cannot report all of them.
@@ -81,7 +84,7 @@
 		want = "an integer"
 		var number float64
 		number, ok = value.(float64)
-		ok = ok && number == math.Trunc(number) && math.Abs(number) <= math.MaxInt32
+		ok = ok && number == math.Trunc(number) && math.Abs(number) <= maxInteger
 	default:
 		want = "a number"
 		_, ok = value.(float64)
--- a/state/settings/types.go
+++ b/state/settings/types.go
@@ -95,4 +95,6 @@
 type VersionRef struct {
 	Version string      `json:"version" validate:"required"`
 	Digest  core.Digest `json:"digest" validate:"len=64,hexadecimal"`
+	// Size is the size of the weights in bytes, shown in rollout status; 0 means not stated.
+	Size int64 `json:"size,omitempty" validate:"min=0"`
 }
--- /dev/null
+++ b/transport/admin/edit.go
@@ -0,0 +1,150 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+)
+
+const (
+	// maxEnvelopeBytes bounds a request body beyond the document's body.
+	maxEnvelopeBytes = 4 << 10
+	// maxDomainAttempts bounds how often a change of a failure domain's state is tried against racing edits.
+	maxDomainAttempts = 5
+)
+
+func (h *Handler) apply(c call) (any, error) {
+	var request api.ApplyRequest
+	if err := decodeBody(c, &request); err != nil {
+		return nil, err
+	}
+	edit := settings.Edit{Path: c.path, BaseVersion: request.BaseVersion, Body: request.Body}
+	return h.change(c, edit, request.DryRun)
+}
+
+// retire replaces a document with a tombstone. The query names the base version.
+func (h *Handler) retire(c call) (any, error) {
+	base, err := strconv.ParseUint(c.r.URL.Query().Get("base_version"), 10, 64)
+	if err != nil || base == 0 {
+		return nil, badRequest("want the query base_version with the version to retire")
+	}
+	edit := settings.Edit{Path: c.path, BaseVersion: base, Tombstone: true}
+	return h.change(c, edit, c.r.URL.Query().Get("dry_run") == "true")
+}
+
+// setFailureDomain changes only the state, so it is repeated on top of an edit that raced with it.
+func (h *Handler) setFailureDomain(c call) (any, error) {
+	var request api.FailureDomainChange
+	if err := decodeBody(c, &request); err != nil {
+		return nil, err
+	}
+	path := settings.FailureDomainPath(core.FailureDomain(c.r.PathValue("name")))
+	for range maxDomainAttempts {
+		current, err := h.editor.read(c.r.Context(), path)
+		if protocol.CodeOf(err) == protocol.CodeNotFound || err == nil && current.Tombstone {
+			return nil, notFound(path)
+		}
+		if err != nil {
+			return nil, err
+		}
+		body, changed, err := withState(current.Body, request.State)
+		if err != nil {
+			return nil, err
+		}
+		if !changed {
+			return api.ApplyResult{Document: settings.Redact(current.Document)}, nil
+		}
+		result, err := h.change(c, settings.Edit{Path: path, BaseVersion: current.Version, Body: body}, false)
+		var conflict *conflictError
+		if !errors.As(err, &conflict) {
+			return result, err
+		}
+	}
+	return nil, protocol.Errorf(protocol.CodeUnavailable, "other edits of %s were accepted %d times in between", path, maxDomainAttempts)
+}
+
+func withState(body json.RawMessage, state settings.FailureDomainState) (json.RawMessage, bool, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, false, protocol.Wrap(protocol.CodeMalformed, err, "decode failure domain")
+	}
+	value, err := json.Marshal(state)
+	if err != nil {
+		return nil, false, protocol.Wrap(protocol.CodeMalformed, err, "encode state")
+	}
+	if string(fields["state"]) == string(value) {
+		return body, false, nil
+	}
+	fields["state"] = value
+	out, err := json.Marshal(fields)
+	return out, true, err
+}
+
+// change checks an edit, writes it, records who made it, and puts it in force here.
+func (h *Handler) change(c call, edit settings.Edit, dryRun bool) (any, error) {
+	edit.Who, edit.RequestID = c.who.name(), c.id
+	p, err := h.editor.check(c.r.Context(), edit, c.who.mayChange)
+	if err != nil {
+		return nil, err
+	}
+	doc := p.next.Document
+	shown := settings.Redact(doc)
+	result := api.ApplyResult{
+		Document: shown,
+		DryRun:   dryRun,
+		Changes:  settings.Diff(settings.RedactBody(p.current.Body), shown.Body),
+	}
+	if dryRun {
+		return result, nil
+	}
+	err = h.editor.commit(c.r.Context(), p)
+	h.audit(c, doc, err)
+	if err != nil {
+		return nil, err
+	}
+	// The body was checked, so it decodes; a version that another process already spread is not an error.
+	_, _ = h.Settings.Merge([]settings.Document{doc})
+	h.Accepted(c.r.Context(), []settings.Document{doc})
+	return result, nil
+}
+
+func (h *Handler) audit(c call, doc settings.Document, err error) {
+	log := h.Log.WithFields(logrus.Fields{
+		"audit": true, "who": c.who.name(), "path": doc.Path, "version": doc.Version,
+		"retired": doc.Tombstone, "request_id": c.id,
+	})
+	if err != nil {
+		log.WithField("code", protocol.CodeOf(err)).WithError(err).Warn("settings edit not confirmed")
+		return
+	}
+	log.Info("settings edit accepted")
+}
+
+// mayChange reports what a principal may not change in a document.
+func (p principal) mayChange(current, edit settings.Document) settings.Problems {
+	if p.operator {
+		return nil
+	}
+	var from, to settings.TeamSettings
+	_ = json.Unmarshal(current.Body, &from)
+	_ = json.Unmarshal(edit.Body, &to)
+	return settings.CheckTeamAdminEdit(edit.Path, from, to)
+}
+
+func decodeBody(c call, into any) error {
+	body := http.MaxBytesReader(c.w, c.r.Body, settings.MaxBodyBytes+maxEnvelopeBytes)
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return badRequest("request body: %v", err)
+	}
+	return nil
+}
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 
 	"github.com/guavatrestle/guavatrestle/state/table"
-	"github.com/guavatrestle/guavatrestle/transport/admin"
 	entryhttp "github.com/guavatrestle/guavatrestle/transport/entry"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
@@ -38,7 +37,7 @@
 		Log:       e.log,
 	})
 	handler.Register(dataMux)
-	admin.NewHandler(e.store, e.settings, e.cfg.Entry.AdminTokenHashes, e.log).Register(dataMux)
+	e.newAdmin().Register(dataMux)
 	return controlMux, dataMux
 }
 
