Add the operators' command line

Cause: the admin API could only be used with hand-written HTTP requests.

guavatrestle applies, validates, compares and retires settings, takes failure domains out and in, shows rollouts, status and dumps, and computes manifests and token hashes. Faults of a file are shown as file:line: path: reason with exit status 2, also when the server found them; refusals exit with 1.

Ruled out: passing a token to `token hash` as an argument, because arguments show in process lists.

--- /dev/null
+++ b/transport/cli/cli_test.go
@@ -0,0 +1,170 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/internal/objecttest"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport/admin"
+)
+
+// fixture runs commands against an admin API over a store in memory.
+type fixture struct {
+	t   *testing.T
+	url string
+	dir string
+	in  string
+}
+
+func newFixture(t *testing.T) *fixture {
+	mux := http.NewServeMux()
+	log := logrus.New()
+	log.SetOutput(&bytes.Buffer{})
+	admin.NewHandler(admin.Parts{
+		Store: objecttest.New(), Settings: table.NewSettings(), Members: table.NewMembers(), Upstreams: table.NewUpstreams(),
+		TokenHashes: []core.Digest{core.DigestOf([]byte("op"))}, Now: time.Now, Log: logrus.NewEntry(log),
+	}).Register(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return &fixture{t: t, url: server.URL, dir: t.TempDir()}
+}
+
+func (f *fixture) run(args ...string) (status int, out, errOut string) {
+	var stdout, stderr bytes.Buffer
+	environment := map[string]string{envServer: f.url, envToken: "op"}
+	status = Main(context.Background(), args, Streams{In: strings.NewReader(f.in), Out: &stdout, Err: &stderr},
+		func(name string) string { return environment[name] })
+	return status, stdout.String(), stderr.String()
+}
+
+func (f *fixture) file(name, body string) string {
+	path := filepath.Join(f.dir, name)
+	require.NoError(f.t, os.WriteFile(path, []byte(body), 0o600))
+	return path
+}
+
+const domainFile = "path: /failure-domains/norte-a\nbody:\n  region: norte\n  state: in\n"
+
+// TestApplyReadEditApply guards against a document that cannot be read, edited and sent back.
+func TestApplyReadEditApply(t *testing.T) {
+	f := newFixture(t)
+	status, _, errOut := f.run("apply", "-f", f.file("d.yaml", domainFile))
+	require.Equal(t, exitOK, status, errOut)
+	_, out, _ := f.run("get", "/failure-domains/norte-a", "--yaml")
+	require.Contains(t, out, "base_version: 1")
+	status, _, errOut = f.run("apply", "-f", f.file("e.yaml", strings.Replace(out, "state: in", "state: out", 1)))
+	require.Equal(t, exitOK, status, errOut)
+	status, _, errOut = f.run("apply", "-f", f.file("e.yaml", out))
+	require.Equal(t, exitFailure, status, "an edit of an old version is accepted")
+	require.Contains(t, errOut, `state: "in" -> "out"`)
+	_, out, _ = f.run("diff", "/failure-domains/norte-a", "--json")
+	require.Contains(t, out, `"field": "state"`)
+	status, out, _ = f.run("domain", "in", "norte-a")
+	require.Equal(t, exitOK, status)
+	require.Contains(t, out, "version 3")
+	_, out, _ = f.run("history", "/failure-domains/norte-a")
+	require.Len(t, strings.Split(strings.TrimSpace(out), "\n"), 3)
+	status, _, errOut = f.run("retire", "/failure-domains/norte-a")
+	require.Equal(t, exitOK, status, errOut)
+}
+
+// TestBadFileNamesItsLine guards against a bad file that is reported without its place, or sent.
+func TestBadFileNamesItsLine(t *testing.T) {
+	f := newFixture(t)
+	name := f.file("t.yaml", `path: /teams/litoral
+body:
+  token_hashes: []
+  limits: {requests_per_second: 0, burst: 1, queue_length: 1}
+  weight: 1
+  wieght: 2
+  models:
+    - name: guava
+      upstream: none
+---
+path: /failure-domains/a
+bodi: {}
+`)
+	status, _, errOut := f.run("validate", "-f", name)
+	require.Equal(t, exitUsage, status)
+	require.Contains(t, errOut, name+`:12: unknown field "bodi"`)
+	first := f.file("first.yaml", strings.Split(mustRead(t, name), "---")[0])
+	for _, command := range []string{"validate", "apply"} {
+		status, _, errOut = f.run(command, "-f", first)
+		require.Equal(t, exitUsage, status, command)
+		require.Contains(t, errOut, first+":4: /teams/litoral: limits.requests_per_second: want more than 0")
+		require.Contains(t, errOut, first+":3: /teams/litoral: token_hashes: want at least 1")
+		require.Contains(t, errOut, first+":6: /teams/litoral: wieght: unknown key")
+	}
+}
+
+func mustRead(t *testing.T, name string) string {
+	body, err := os.ReadFile(name)
+	require.NoError(t, err)
+	return string(body)
+}
+
+// TestExitStatusTellsUsageFromFailure guards against scripts that cannot tell a wrong command from a refusal.
+func TestExitStatusTellsUsageFromFailure(t *testing.T) {
+	f := newFixture(t)
+	for _, args := range [][]string{{"nonsense"}, {"get"}, {"apply"}, {"apply", "-f", "/none.yaml"}, {"list", "--wrong"}, {"diff"}} {
+		status, _, _ := f.run(args...)
+		require.Equal(t, exitUsage, status, args)
+	}
+	for _, args := range [][]string{{"get", "/teams/none"}, {"domain", "out", "none"}, {"list", "--token", "wrong"}, {"list", "--server", "http://127.0.0.1:1"}} {
+		status, _, _ := f.run(args...)
+		require.Equal(t, exitFailure, status, args)
+	}
+	for _, args := range [][]string{{"status"}, {"dump"}, {"rollout", "status"}, {"list", "--json"}, {"version"}, {"completion", "bash"}} {
+		status, _, errOut := f.run(args...)
+		require.Equal(t, exitOK, status, "%v: %s", args, errOut)
+	}
+}
+
+// TestManifestMatchesCore guards against a manifest that agents reject.
+func TestManifestMatchesCore(t *testing.T) {
+	f := newFixture(t)
+	content := strings.Repeat("weights", 1000)
+	want, err := core.BuildManifest("guava", "v2", []byte(content), 1024)
+	require.NoError(t, err)
+	digest, err := want.Digest()
+	require.NoError(t, err)
+	out := filepath.Join(f.dir, "manifest.json")
+	status, text, errOut := f.run("manifest", f.file("w.bin", content), "--model", "guava", "--version", "v2", "--chunk-size", "1024", "--out", out)
+	require.Equal(t, exitOK, status, errOut)
+	require.Contains(t, text, string(digest))
+	_, err = core.ParseManifest([]byte(mustRead(t, out)), digest)
+	require.NoError(t, err)
+}
+
+// TestTokenHashReadsInput guards against a hash that includes the line end.
+func TestTokenHashReadsInput(t *testing.T) {
+	f := newFixture(t)
+	f.in = "secret\n"
+	_, out, _ := f.run("token", "hash")
+	require.Equal(t, string(core.DigestOf([]byte("secret")))+"\n", out)
+}
+
+// TestEveryCommandHasExamples guards against help without an example.
+func TestEveryCommandHasExamples(t *testing.T) {
+	var visit func(cmd *cobra.Command)
+	visit = func(cmd *cobra.Command) {
+		require.NotEmpty(t, cmd.Example, cmd.CommandPath())
+		for _, inner := range cmd.Commands() {
+			visit(inner)
+		}
+	}
+	visit((&app{}).root())
+}
