--- a/state/config/config.go
+++ b/state/config/config.go
@@ -2,15 +2,8 @@
 package config
 
 import (
-	"os"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
-	"github.com/rotisserie/eris"
-
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
@@ -25,6 +18,8 @@
 	Platform      Platform           `yaml:"platform"`
 	Agent         *Agent             `yaml:"agent,omitempty" validate:"required_if=Role agent"`
 	Entry         *Entry             `yaml:"entry,omitempty" validate:"required_if=Role entry"`
+	// Spread tunes how settings and membership spread.
+	Spread Spread `yaml:"spread"`
 	// ShutdownTimeout bounds the graceful shutdown.
 	ShutdownTimeout time.Duration `yaml:"shutdown_timeout" validate:"gt=0"`
 	// Seed seeds random choices; 0 draws a fresh seed.
@@ -49,6 +44,21 @@
 	HostListInterval time.Duration `yaml:"host_list_interval" validate:"gt=0"`
 }
 
+// Spread holds the settings of the spread of settings documents and membership.
+type Spread struct {
+	// ExchangeInterval is the mean time between digest exchanges of a process.
+	ExchangeInterval time.Duration `yaml:"exchange_interval" validate:"gt=0"`
+	// ExchangePeers is the number of random peers per exchange.
+	ExchangePeers int `yaml:"exchange_peers" validate:"min=1,max=8"`
+	// PushFanout is the number of processes that one process pushes a document to.
+	PushFanout int `yaml:"push_fanout" validate:"min=1,max=32"`
+	// Watchers is the number of processes per failure domain that watch the object API.
+	Watchers int `yaml:"watchers" validate:"min=1,max=8"`
+	// StartPeers is the number of peers whose settings a process takes before it is ready while the
+	// platform is down.
+	StartPeers int `yaml:"start_peers" validate:"min=1,max=8"`
+}
+
 // Agent holds the settings of the agent role.
 type Agent struct {
 	Upstream core.Upstream `yaml:"upstream" validate:"required"`
@@ -84,6 +94,13 @@
 		LogLevel:        "info",
 		ShutdownTimeout: 30 * time.Second,
 		Platform:        Platform{Namespace: "guavatrestle", HostListInterval: 2 * time.Second},
+		Spread: Spread{
+			ExchangeInterval: 1500 * time.Millisecond,
+			ExchangePeers:    2,
+			PushFanout:       8,
+			Watchers:         2,
+			StartPeers:       2,
+		},
 	}
 }
 
@@ -94,47 +111,3 @@
 func defaultEntry() Entry {
 	return Entry{MaxBodyBytes: 4 << 20, RequestTimeout: 60 * time.Second, StatusInterval: time.Second}
 }
-
-// Load reads, decodes and validates the file at path; unknown keys are errors.
-func Load(path string) (Config, error) {
-	body, err := os.ReadFile(path)
-	if err != nil {
-		return Config{}, eris.Wrap(err, "read configuration")
-	}
-	return Parse(path, body)
-}
-
-// Parse decodes and validates body; name appears in error messages.
-func Parse(name string, body []byte) (Config, error) {
-	cfg := Default()
-	agent, entry := defaultAgent(), defaultEntry()
-	cfg.Agent, cfg.Entry = &agent, &entry
-	if err := yaml.UnmarshalWithOptions(body, &cfg, yaml.DisallowUnknownField()); err != nil {
-		return Config{}, eris.New(describe(name, err))
-	}
-	dropOtherRole(&cfg)
-	if err := validator.New().Struct(cfg); err != nil {
-		return Config{}, eris.Errorf("%s: %v", name, err)
-	}
-	return cfg, nil
-}
-
-func dropOtherRole(cfg *Config) {
-	switch cfg.Role {
-	case core.RoleAgent:
-		cfg.Entry = nil
-	case core.RoleEntry:
-		cfg.Agent = nil
-	}
-}
-
-func describe(name string, err error) string {
-	var yamlErr yaml.Error
-	if eris.As(err, &yamlErr) {
-		tok := yamlErr.GetToken()
-		if tok != nil && tok.Position != nil {
-			return name + ":" + strconv.Itoa(tok.Position.Line) + ": " + yamlErr.GetMessage()
-		}
-	}
-	return name + ": " + strings.TrimSpace(err.Error())
-}
--- /dev/null
+++ b/state/config/parse.go
@@ -0,0 +1,212 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+// Environment variables that override the file.
+const (
+	// EnvHost overrides host, so that hosts of one kind can share a file.
+	EnvHost = "GUAVATRESTLE_HOST"
+	// EnvLogLevel overrides log_level.
+	EnvLogLevel = "GUAVATRESTLE_LOG_LEVEL"
+)
+
+// Load reads, decodes and validates the file at path, with overrides from the environment.
+func Load(path string) (Config, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, eris.Wrap(err, "read configuration")
+	}
+	return ParseWith(path, body, os.Getenv)
+}
+
+// Parse decodes and validates body without overrides; name appears in error messages.
+func Parse(name string, body []byte) (Config, error) {
+	return ParseWith(name, body, func(string) string { return "" })
+}
+
+// ParseWith decodes and validates body. Unknown keys are errors. The error lists every fault as
+// file:line: path: reason. getenv returns the value of an environment variable.
+func ParseWith(name string, body []byte, getenv func(string) string) (Config, error) {
+	cfg := Default()
+	agent, entry := defaultAgent(), defaultEntry()
+	cfg.Agent, cfg.Entry = &agent, &entry
+	root, err := rootNode(body)
+	if err != nil {
+		return Config{}, describe(name, err)
+	}
+	src := source{name: name, root: root}
+	if faults := src.durationFaults("", reflect.TypeFor[Config]()); len(faults) > 0 {
+		return Config{}, eris.New(strings.Join(faults, "\n"))
+	}
+	if err := yaml.NodeToValue(root, &cfg, yaml.DisallowUnknownField()); err != nil {
+		return Config{}, describe(name, err)
+	}
+	override(&cfg, getenv)
+	faults := src.otherRole(cfg.Role)
+	dropOtherRole(&cfg)
+	faults = append(faults, src.ruleFaults(cfg)...)
+	if len(faults) > 0 {
+		return Config{}, eris.New(strings.Join(faults, "\n"))
+	}
+	return cfg, nil
+}
+
+func rootNode(body []byte) (ast.Node, error) {
+	file, err := parser.ParseBytes(body, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return nil, eris.Errorf("want one YAML document, got %d", len(file.Docs))
+	}
+	return file.Docs[0].Body, nil
+}
+
+func override(cfg *Config, getenv func(string) string) {
+	if host := getenv(EnvHost); host != "" {
+		cfg.Host = core.HostID(host)
+	}
+	if level := getenv(EnvLogLevel); level != "" {
+		cfg.LogLevel = level
+	}
+}
+
+func dropOtherRole(cfg *Config) {
+	switch cfg.Role {
+	case core.RoleAgent:
+		cfg.Entry = nil
+	case core.RoleEntry:
+		cfg.Agent = nil
+	}
+}
+
+// source finds the places of settings in a file.
+type source struct {
+	name string
+	root ast.Node
+}
+
+// otherRole reports the section of a role that the process does not have.
+func (s source) otherRole(role core.Role) []string {
+	for section, owner := range map[string]core.Role{"agent": core.RoleAgent, "entry": core.RoleEntry} {
+		if _, ok := s.find(section); ok && role != owner {
+			return []string{fmt.Sprintf("%s: %s: does not apply to role %q", s.place(section), section, role)}
+		}
+	}
+	return nil
+}
+
+// durationFaults reports durations that are not written as such. The YAML library gives no line for
+// them, and takes a bare number as nanoseconds.
+func (s source) durationFaults(prefix string, t reflect.Type) []string {
+	var faults []string
+	for i := range t.NumField() {
+		kind, path := t.Field(i).Type, prefix+yamlKey(t.Field(i))
+		if kind.Kind() == reflect.Pointer {
+			kind = kind.Elem()
+		}
+		if kind.Kind() == reflect.Struct {
+			faults = append(faults, s.durationFaults(path+".", kind)...)
+			continue
+		}
+		node, ok := s.find(path)
+		if kind != reflect.TypeFor[time.Duration]() || !ok {
+			continue
+		}
+		if _, err := time.ParseDuration(node.GetToken().Value); err != nil {
+			faults = append(faults, fmt.Sprintf("%s: %s: want a duration such as 1500ms", s.place(path), path))
+		}
+	}
+	return faults
+}
+
+func yamlKey(f reflect.StructField) string {
+	key, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return key
+}
+
+func (s source) ruleFaults(cfg Config) []string {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(yamlKey)
+	var failed validator.ValidationErrors
+	if !errors.As(v.Struct(cfg), &failed) {
+		return nil
+	}
+	var faults []string
+	for _, f := range failed {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		faults = append(faults, fmt.Sprintf("%s: %s: %s", s.place(path), path, reason(f)))
+	}
+	return faults
+}
+
+func reason(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required", "required_if":
+		return "is required"
+	case "oneof":
+		return "want one of " + strings.Join(strings.Fields(f.Param()), ", ")
+	case "hostname_port":
+		return "want host:port"
+	case "url":
+		return "want a URL"
+	case "gt":
+		return "want more than " + f.Param()
+	case "gte", "min":
+		return "want at least " + f.Param()
+	case "max":
+		return "want at most " + f.Param()
+	case "len", "hexadecimal":
+		return "want a BLAKE3-256 hash in 64 hexadecimal digits"
+	default:
+		return "breaks the rule " + f.Tag()
+	}
+}
+
+// place returns file and line of a setting, or of the nearest section around it.
+func (s source) place(path string) string {
+	for at := path; at != ""; at = parentPath(at) {
+		if node, ok := s.find(at); ok {
+			return fmt.Sprintf("%s:%d", s.name, node.GetToken().Position.Line)
+		}
+	}
+	return s.name + ":1"
+}
+
+func (s source) find(path string) (ast.Node, bool) {
+	query, err := yaml.PathString("$." + path)
+	if err != nil {
+		return nil, false
+	}
+	node, err := query.FilterNode(s.root)
+	return node, err == nil && node != nil
+}
+
+func parentPath(path string) string {
+	return path[:max(strings.LastIndexAny(path, ".["), 0)]
+}
+
+func describe(name string, err error) error {
+	var parse yaml.Error
+	if errors.As(err, &parse) {
+		if tok := parse.GetToken(); tok != nil && tok.Position != nil {
+			return eris.Errorf("%s:%d: %s: %s", name, tok.Position.Line, tok.Value, parse.GetMessage())
+		}
+	}
+	return eris.Errorf("%s: %s", name, strings.TrimSpace(err.Error()))
+}
