Spread settings and membership between processes

Cause: every process listed and watched the object API and read the host list every two seconds, which at 2,500 nodes exceeds the platform's rates, and a process that started while the platform was down got no settings.

Two watchers per failure domain, the first in rendezvous order, watch and read the host list. They push along a tree of its own per path; the parent of a host that does not answer serves its children. Every process exchanges digests with random peers: one summary first, then bucket sums, then the versions in the buckets that differ. Spares probe the watchers and take over when one is cut off. A starting process needs the settings of two peers that hold a full configuration. Hosts spread as stamped records, and a process announces its own arrival and leaving.

Ruled out: a push to random peers, which sends each document several times to each process; new random peers each round, whose connections cost more than the exchanges.

Checked with `go test -race ./transport/control ./state/table` and `make demo`: both pass.

Conclusion: only watchers use the platform; the rest learn from peers.

--- /dev/null
+++ b/coordination/membership/rank.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+// watchSalt makes the order of watchers differ from other rendezvous choices.
+const watchSalt = "watch"
+
+// Rank returns the live hosts of a failure domain in rendezvous order for salt. Every process with the
+// same view gets the same order, and a host that comes or goes moves no other.
+func Rank(hosts []core.Host, domain core.FailureDomain, salt string) []core.Host {
+	var live []core.Host
+	for _, host := range hosts {
+		if host.FailureDomain == domain && host.State == core.HostLive {
+			live = append(live, host)
+		}
+	}
+	weight := func(h core.Host) uint64 { return xxhash.Sum64String(salt + "\x00" + string(h.ID)) }
+	slices.SortFunc(live, func(a, b core.Host) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
+	})
+	return live
+}
+
+// WatchOrder returns the hosts of a failure domain in the order in which they become watchers.
+func WatchOrder(hosts []core.Host, domain core.FailureDomain) []core.Host {
+	return Rank(hosts, domain, watchSalt)
+}
+
+// Position returns the index of a host in an order, or -1.
+func Position(order []core.Host, id core.HostID) int {
+	return slices.IndexFunc(order, func(h core.Host) bool { return h.ID == id })
+}
+
+// Roots returns the hosts to which a document is pushed first in a failure domain.
+func Roots(order []core.Host, fanout int) []core.Host {
+	return order[:min(fanout, len(order))]
+}
+
+// Children returns the hosts to which the host at position pushes on; together with the roots they form
+// a tree that reaches every host of the order once.
+func Children(order []core.Host, position, fanout int) []core.Host {
+	if position < 0 {
+		return nil
+	}
+	start := min((position+1)*fanout, len(order))
+	return order[start:min(start+fanout, len(order))]
+}
+
+// Sample returns up to n distinct hosts that keep reports true for, in random order.
+func Sample(hosts []core.Host, n int, random *rand.Rand, keep func(core.Host) bool) []core.Host {
+	var candidates []core.Host
+	for _, host := range hosts {
+		if keep(host) {
+			candidates = append(candidates, host)
+		}
+	}
+	random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return candidates[:min(n, len(candidates))]
+}
--- a/protocol/error.go
+++ b/protocol/error.go
@@ -62,3 +62,12 @@
 	}
 	return ""
 }
+
+// RetryAfterOf returns when to ask again according to err; 0 means that the other side gave no time.
+func RetryAfterOf(err error) time.Duration {
+	var e *Error
+	if eris.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -57,6 +57,9 @@
 	// StartPeers is the number of peers whose settings a process takes before it is ready while the
 	// platform is down.
 	StartPeers int `yaml:"start_peers" validate:"min=1,max=8"`
+	// Seeds are control addresses that a process asks for settings when it knows no peers, such as
+	// when the host list is down while it starts.
+	Seeds []string `yaml:"seeds,omitempty" validate:"dive,hostname_port"`
 }
 
 // Agent holds the settings of the agent role.
--- /dev/null
+++ b/state/table/members_test.go
@@ -0,0 +1,40 @@
+package table_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/table"
+)
+
+// TestRefusingHostTurnsSuspect guards against a host that the lagging list shows as live but that is down.
+func TestRefusingHostTurnsSuspect(t *testing.T) {
+	m := table.NewMembers()
+	host := core.Host{ID: "h", Incarnation: "1", State: core.HostLive}
+	m.Replace([]core.Host{host})
+	m.Refused("h")
+	require.Equal(t, core.HostSuspect, m.List()[0].State)
+	m.Replace([]core.Host{host})
+	require.Equal(t, core.HostSuspect, m.List()[0].State, "the list read again hides the refusal")
+	m.Heard("h", "1")
+	require.Equal(t, core.HostLive, m.List()[0].State)
+	m.Refused("h")
+	host.State = core.HostLeaving
+	m.Replace([]core.Host{host})
+	require.Equal(t, core.HostLeaving, m.List()[0].State)
+}
+
+// TestFreshProcessIsNewIncarnation guards against taking a fresh process for the one that left its address.
+func TestFreshProcessIsNewIncarnation(t *testing.T) {
+	m := table.NewMembers()
+	m.Replace([]core.Host{{ID: "h", Incarnation: "1", State: core.HostLeaving}})
+	m.Heard("h", "1")
+	require.Equal(t, core.HostLeaving, m.List()[0].State)
+	m.Heard("h", "2")
+	require.Equal(t, core.HostLive, m.List()[0].State)
+	require.Equal(t, core.Incarnation("2"), m.List()[0].Incarnation)
+	m.Heard("unknown", "1")
+	require.Len(t, m.List(), 1)
+}
--- /dev/null
+++ b/transport/control/service.go
@@ -0,0 +1,65 @@
+package control
+
+import (
+	"context"
+
+	"github.com/guavatrestle/guavatrestle/coordination/merge"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+var _ wire.Settings = (*Node)(nil)
+
+// Exchange implements wire.Settings.
+func (n *Node) Exchange(_ context.Context, request *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
+	n.Members.Heard(core.HostID(request.GetHost()), core.Incarnation(request.GetIncarnation()))
+	documents, members := n.items()
+	d := merge.Answer(documents, merge.Digest{
+		Summary: request.GetSummary(), Buckets: request.GetBuckets(), Items: versionsFromWire(request.GetVersions()),
+	})
+	m := merge.Answer(members, merge.Digest{
+		Summary: request.GetMembersSummary(), Buckets: request.GetMemberBuckets(), Items: stampsFromWire(request.GetMembers()),
+	})
+	reply := &wire.ExchangeResponse{
+		Host:              string(n.Self.ID),
+		Incarnation:       string(n.Self.Incarnation),
+		FailureDomain:     string(n.Self.FailureDomain),
+		Loaded:            n.Settings.Loaded(),
+		PlatformAgeMillis: n.platformAge(),
+		Equal:             d.Equal,
+		BucketSums:        d.Sums,
+		MembersEqual:      m.Equal,
+		MemberBucketSums:  m.Sums,
+		WantedMembers:     m.Want,
+	}
+	n.fill(reply, d, m)
+	return reply, nil
+}
+
+// fill adds the content that the requester lacks.
+func (n *Node) fill(reply *wire.ExchangeResponse, d, m merge.Reply) {
+	newer := merge.Documents(n.Settings.Documents()).At(d.Send, maxDocumentBytes)
+	reply.Newer = documentsToWire(newer)
+	for _, path := range d.Want {
+		reply.Wanted = append(reply.Wanted, &wire.PathVersion{Path: path})
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	records := n.view.At(m.Send, maxRecords)
+	reply.NewerMembers = recordsToWire(records)
+	reply.Partial = len(newer) < len(d.Send) || len(records) < len(m.Send)
+}
+
+// Push implements wire.Settings. What is new goes on to this process's children in the push tree.
+func (n *Node) Push(_ context.Context, request *wire.PushRequest) (*wire.PushResponse, error) {
+	if request.GetRepair() {
+		n.take(core.FailureDomain(request.GetFailureDomain()), request.GetDocuments(), request.GetMembers())
+		return &wire.PushResponse{}, nil
+	}
+	n.enqueue(job{
+		documents: n.takeDocuments(documentsFromWire(request.GetDocuments())),
+		members:   n.takeMembers(recordsFromWire(request.GetMembers())),
+		root:      core.FailureDomain(request.GetFailureDomain()) != n.Self.FailureDomain,
+	})
+	return &wire.PushResponse{}, nil
+}
--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -34,7 +34,6 @@
 }
 
 func newAgent(p *process) (*agent, error) {
-	p.self.Upstream = p.cfg.Agent.Upstream
 	engine, err := platform.NewEngineClient(p.cfg.Agent.Engine, http.DefaultTransport)
 	if err != nil {
 		return nil, err
@@ -54,6 +53,7 @@
 	service := upstream.NewService(a.self, a.settings, a.chunks, a.gate)
 	controlMux := http.NewServeMux()
 	controlMux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(service))
+	a.registerControl(controlMux)
 	server.AddDebug(controlMux, a.introspection(a))
 	dataMux := http.NewServeMux()
 	dataMux.Handle("POST /call", upstream.NewHandler(a.gate, a.engine, a.now, a.log))
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -26,6 +26,7 @@
 	store    *platform.ObjectClient
 	settings *table.Settings
 	members  *table.Members
+	control  *control.Node
 	random   *rand.Rand
 	now      func() time.Time
 	log      *logrus.Entry
@@ -98,17 +99,16 @@
 
 func (p *process) newRole() (role, error) {
 	if p.cfg.Role == core.RoleAgent {
+		p.self.Upstream = p.cfg.Agent.Upstream
+		p.control = p.newControl()
 		return newAgent(p)
 	}
+	p.control = p.newControl()
 	return newEntry(p), nil
 }
 
 func (p *process) startLoops(ctx context.Context) {
-	hosts := platform.NewHostListClient(p.cfg.Platform.HostList)
-	p.loops.Go(func() { control.NewSettingsSync(p.store, p.settings, p.log).Run(ctx) })
-	p.loops.Go(func() {
-		control.NewHostRefresher(hosts, p.members, p.cfg.Platform.HostListInterval, p.log).Run(ctx)
-	})
+	p.loops.Go(func() { p.control.Run(ctx) })
 }
 
 // shutdown finishes all requests in flight before the listeners close.
@@ -116,6 +116,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.ShutdownTimeout)
 	defer cancel()
 	p.log.Info("process is leaving")
+	p.control.Leave(ctx)
 	r.leave(ctx)
 	err := data.Shutdown(ctx)
 	if controlErr := controlListener.Shutdown(ctx); err == nil {
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -25,6 +25,7 @@
 	heartbeat := entryhttp.NewHeartbeat(e.self, e.members, e.upstreams, e.cfg.Entry.StatusInterval, e.now, e.log)
 	e.loops.Go(func() { heartbeat.Run(ctx) })
 	controlMux := http.NewServeMux()
+	e.registerControl(controlMux)
 	server.AddDebug(controlMux, e.introspection(e))
 	dataMux := http.NewServeMux()
 	handler := entryhttp.NewHandler(entryhttp.Parts{
