Hold calls back while the object API fails or limits the rate

Cause: each part of a process retried against the object API on its own, so an outage would end in calls from the whole fleet at once.

Ruled out: a fixed rate per process, which for 2,500 processes is either far too low for an entry that writes claims or too high in sum.

--- a/transport/platform/objects.go
+++ b/transport/platform/objects.go
@@ -50,6 +50,7 @@
 	calls  *resty.Client
 	stream *resty.Client
 	root   string
+	gate   *gate
 }
 
 var _ platform.ObjectStore = (*ObjectClient)(nil)
@@ -60,14 +61,18 @@
 		calls:  resty.New().SetBaseURL(baseURL).SetTimeout(callTimeout),
 		stream: resty.New().SetBaseURL(baseURL),
 		root:   fmt.Sprintf("/apis/%s/namespaces/%s", apiVersion, namespace),
+		gate:   newGate(),
 	}
 }
 
 // Get implements platform.ObjectStore.
 func (c *ObjectClient) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
 	var out resource
-	resp, err := c.calls.R().SetContext(ctx).SetResult(&out).Get(c.path(kind, name))
-	if err := readError(resp, err); err != nil {
+	err := c.gate.do("get", kind, func() error {
+		resp, err := c.calls.R().SetContext(ctx).SetResult(&out).Get(c.path(kind, name))
+		return readError(resp, err)
+	})
+	if err != nil {
 		return platform.Object{}, err
 	}
 	return fromResource(kind, out), nil
@@ -80,8 +85,11 @@
 	if selector != "" {
 		request.SetQueryParam("labelSelector", selector)
 	}
-	resp, err := request.Get(c.path(kind, ""))
-	if err := readError(resp, err); err != nil {
+	err := c.gate.do("list", kind, func() error {
+		resp, err := request.Get(c.path(kind, ""))
+		return readError(resp, err)
+	})
+	if err != nil {
 		return platform.ObjectList{}, err
 	}
 	list := platform.ObjectList{Version: out.Metadata.ResourceVersion}
@@ -95,8 +103,11 @@
 func (c *ObjectClient) Create(ctx context.Context, object platform.Object) (platform.Object, error) {
 	var out resource
 	object.Version = ""
-	resp, err := c.calls.R().SetContext(ctx).SetBody(toResource(object)).SetResult(&out).Post(c.path(object.Kind, ""))
-	if err := writeError(resp, err); err != nil {
+	err := c.gate.do("create", object.Kind, func() error {
+		resp, err := c.calls.R().SetContext(ctx).SetBody(toResource(object)).SetResult(&out).Post(c.path(object.Kind, ""))
+		return writeError(resp, err)
+	})
+	if err != nil {
 		return platform.Object{}, err
 	}
 	return fromResource(object.Kind, out), nil
@@ -105,9 +116,12 @@
 // Update implements platform.ObjectStore.
 func (c *ObjectClient) Update(ctx context.Context, object platform.Object) (platform.Object, error) {
 	var out resource
-	resp, err := c.calls.R().SetContext(ctx).SetBody(toResource(object)).SetResult(&out).
-		Put(c.path(object.Kind, object.Name))
-	if err := writeError(resp, err); err != nil {
+	err := c.gate.do("update", object.Kind, func() error {
+		resp, err := c.calls.R().SetContext(ctx).SetBody(toResource(object)).SetResult(&out).
+			Put(c.path(object.Kind, object.Name))
+		return writeError(resp, err)
+	})
+	if err != nil {
 		return platform.Object{}, err
 	}
 	return fromResource(object.Kind, out), nil
@@ -116,15 +130,21 @@
 // Delete implements platform.ObjectStore.
 func (c *ObjectClient) Delete(ctx context.Context, kind platform.Kind, name, version string) error {
 	body := map[string]any{"preconditions": map[string]string{"resourceVersion": version}}
-	resp, err := c.calls.R().SetContext(ctx).SetBody(body).Delete(c.path(kind, name))
-	return writeError(resp, err)
+	return c.gate.do("delete", kind, func() error {
+		resp, err := c.calls.R().SetContext(ctx).SetBody(body).Delete(c.path(kind, name))
+		return writeError(resp, err)
+	})
 }
 
 // Watch implements platform.ObjectStore.
 func (c *ObjectClient) Watch(ctx context.Context, kind platform.Kind, sinceVersion string) (<-chan platform.Event, error) {
-	resp, err := c.stream.R().SetContext(ctx).SetDoNotParseResponse(true).
-		SetQueryParam("watch", "true").SetQueryParam("resourceVersion", sinceVersion).Get(c.path(kind, ""))
-	if err := readError(resp, err); err != nil {
+	var resp *resty.Response
+	err := c.gate.do("watch", kind, func() (err error) {
+		resp, err = c.stream.R().SetContext(ctx).SetDoNotParseResponse(true).
+			SetQueryParam("watch", "true").SetQueryParam("resourceVersion", sinceVersion).Get(c.path(kind, ""))
+		return readError(resp, err)
+	})
+	if err != nil {
 		if resp != nil && resp.RawBody() != nil {
 			_ = resp.RawBody().Close()
 		}
