Test the spread, racing operators and membership by properties

They found that a host list that goes back to an older state made a process that had left live again; the view now remembers incarnations that left.

Ruled out: letting the record with the highest stamp win in that case. A reader of an old list gives it a new stamp.

--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -17,11 +17,19 @@
 	listed map[core.HostID]core.Host
 	// differs holds since when the list has disagreed with a record.
 	differs map[core.HostID]time.Time
+	// left holds when each incarnation was last known to be leaving. A list that goes back to an older
+	// state shows such a process as live, even after another one at its address.
+	left map[core.Incarnation]time.Time
 }
 
 // NewView returns a View that holds only the process itself.
 func NewView(self core.Host, now time.Time) *View {
-	v := &View{self: self, records: make(map[core.HostID]Record), differs: make(map[core.HostID]time.Time)}
+	v := &View{
+		self:    self,
+		records: make(map[core.HostID]Record),
+		differs: make(map[core.HostID]time.Time),
+		left:    make(map[core.Incarnation]time.Time),
+	}
 	v.records[self.ID] = Record{Host: self, Stamp: stampAfter(0, now)}
 	return v
 }
@@ -62,7 +70,7 @@
 // Take takes over the records that are newer and returns those that changed the view.
 //
 // A newer record about the process itself that is not what the process says is answered with a
-// still newer one, which is returned in its place.
+// still newer one, which is returned in its place. So is one that shows a leaving process as live.
 func (v *View) Take(records []Record, now time.Time) []Record {
 	var taken []Record
 	for _, record := range records {
@@ -70,10 +78,14 @@
 		if record.expired(now) || ok && !record.newer(held) {
 			continue
 		}
-		if record.Host.ID == v.self.ID && (record.Host != v.self || record.Gone) {
+		switch {
+		case record.Host.ID == v.self.ID && (record.Host != v.self || record.Gone):
 			record = Record{Host: v.self, Stamp: stampAfter(record.Stamp, now)}
+		case ok && v.lingers(held, record):
+			// A process that leaves never comes back; every process gives the same stamp here.
+			record = Record{Host: held.Host, Stamp: record.Stamp + 1, Gone: held.Gone}
 		}
-		v.records[record.Host.ID] = record
+		v.hold(record, now)
 		taken = append(taken, record)
 	}
 	v.prune(now)
@@ -84,7 +96,7 @@
 func (v *View) Leave(now time.Time) Record {
 	v.self.State = core.HostLeaving
 	record := Record{Host: v.self, Stamp: stampAfter(v.records[v.self.ID].Stamp, now)}
-	v.records[v.self.ID] = record
+	v.hold(record, now)
 	return record
 }
 
@@ -120,7 +132,7 @@
 	if ok && listed.Host.Incarnation == "" {
 		listed.Host.Incarnation = held.Host.Incarnation
 	}
-	if id == v.self.ID || ok && (agree(held, listed) || lingers(held, listed)) {
+	if id == v.self.ID || ok && (agree(held, listed) || v.lingers(held, listed)) {
 		delete(v.differs, id)
 		return nil
 	}
@@ -129,7 +141,7 @@
 	}
 	delete(v.differs, id)
 	listed.Stamp = listStamp(held.Stamp, now)
-	v.records[id] = listed
+	v.hold(listed, now)
 	return []Record{listed}
 }
 
@@ -137,10 +149,21 @@
 	return held.Gone == listed.Gone && (held.Gone || held.Host == listed.Host)
 }
 
-// lingers reports that the list still shows a process as live that has announced that it leaves.
-func lingers(held, listed Record) bool {
-	return !held.Gone && !listed.Gone && held.Host.State == core.HostLeaving &&
-		listed.Host.State == core.HostLive && held.Host.Incarnation == listed.Host.Incarnation
+// hold sets the record of a host.
+func (v *View) hold(record Record, now time.Time) {
+	v.records[record.Host.ID] = record
+	if record.Host.State == core.HostLeaving && record.Host.Incarnation != "" {
+		v.left[record.Host.Incarnation] = now
+	}
+}
+
+// lingers reports that other still shows a process as live that is known to be leaving or to have left.
+func (v *View) lingers(held, other Record) bool {
+	if other.Gone || other.Host.State != core.HostLive {
+		return false
+	}
+	_, left := v.left[other.Host.Incarnation]
+	return left || held.Host.State == core.HostLeaving && held.Host.Incarnation == other.Host.Incarnation
 }
 
 func (v *View) patienceEnded(id core.HostID, now time.Time) bool {
@@ -154,4 +177,5 @@
 
 func (v *View) prune(now time.Time) {
 	maps.DeleteFunc(v.records, func(_ core.HostID, record Record) bool { return record.expired(now) })
+	maps.DeleteFunc(v.left, func(_ core.Incarnation, at time.Time) bool { return now.Sub(at) > GoneKeep })
 }
--- /dev/null
+++ b/coordination/membership/view_test.go
@@ -0,0 +1,297 @@
+package membership_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavatrestle/guavatrestle/coordination/membership"
+	"github.com/guavatrestle/guavatrestle/coordination/merge"
+	"github.com/guavatrestle/guavatrestle/internal/proptest"
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+var ids = []core.HostID{"h0", "h1", "h2", "h3"}
+
+// cluster is a state machine of processes that start, leave and die, read a host list that lags, and
+// exchange records over a network that loses, repeats and reorders messages, in virtual time.
+//
+// The oracle is what the processes really are.
+type cluster struct {
+	now   time.Time
+	views map[core.HostID]*membership.View
+	truth map[core.HostID]core.Host
+	// lists are all states of the host list, oldest first, with the time at which each began.
+	lists []listing
+	runs  int
+	// network holds records under way to a host.
+	network []mail
+	// left holds the incarnations that each view has shown as leaving.
+	left map[*membership.View]map[core.Incarnation]bool
+}
+
+// listing is one state of the host list.
+type listing struct {
+	since time.Time
+	hosts []core.Host
+}
+
+// delay bounds how old a list may be that is read, and a message that arrives.
+const delay = time.Minute
+
+type mail struct {
+	sent    time.Time
+	to      core.HostID
+	records []membership.Record
+}
+
+func newCluster() *cluster {
+	c := &cluster{
+		now: time.Unix(1e6, 0), views: make(map[core.HostID]*membership.View), truth: make(map[core.HostID]core.Host),
+		left: make(map[*membership.View]map[core.Incarnation]bool),
+	}
+	for _, id := range ids {
+		c.start(id)
+	}
+	return c
+}
+
+func (c *cluster) start(id core.HostID) {
+	c.runs++
+	host := core.Host{ID: id, Incarnation: core.Incarnation(fmt.Sprint("run", c.runs)), FailureDomain: "a", ControlAddr: string(id), State: core.HostLive}
+	c.truth[id] = host
+	c.views[id] = membership.NewView(host, c.now)
+	c.left[c.views[id]] = make(map[core.Incarnation]bool)
+	c.list()
+}
+
+func (c *cluster) list() {
+	c.lists = append(c.lists, listing{since: c.now, hosts: slices.Collect(maps.Values(c.truth))})
+}
+
+func (c *cluster) running() []core.HostID { return slices.Sorted(maps.Keys(c.truth)) }
+
+func (c *cluster) anyRunning(t *rapid.T, label string) core.HostID {
+	return rapid.SampledFrom(c.running()).Draw(t, label)
+}
+
+// Restart lets a process die without notice and a fresh one start at its address.
+func (c *cluster) Restart(t *rapid.T) { c.start(rapid.SampledFrom(ids).Draw(t, "host")) }
+
+// Die lets a process die without notice.
+func (c *cluster) Die(t *rapid.T) {
+	if len(c.truth) < 2 {
+		return
+	}
+	id := c.anyRunning(t, "host")
+	delete(c.truth, id)
+	delete(c.views, id)
+	c.list()
+}
+
+// Leave lets a process announce that it leaves.
+func (c *cluster) Leave(t *rapid.T) {
+	id := c.anyRunning(t, "host")
+	record := c.views[id].Leave(c.now)
+	host := c.truth[id]
+	host.State = core.HostLeaving
+	c.truth[id] = host
+	c.list()
+	c.network = append(c.network, mail{sent: c.now, to: c.anyRunning(t, "to"), records: []membership.Record{record}})
+}
+
+// Read lets a process read a host list that may be old.
+func (c *cluster) Read(t *rapid.T) {
+	oldest := len(c.lists) - 1
+	for oldest > 0 && c.now.Sub(c.lists[oldest].since) < delay {
+		oldest--
+	}
+	at := rapid.IntRange(oldest, len(c.lists)-1).Draw(t, "list")
+	c.views[c.anyRunning(t, "host")].ReadList(c.lists[at].hosts, c.now)
+}
+
+// Send puts what one process holds and another may lack on the network.
+func (c *cluster) Send(t *rapid.T) {
+	from, to := c.anyRunning(t, "from"), c.anyRunning(t, "to")
+	c.network = append(c.network, mail{sent: c.now, to: to, records: c.views[from].At(keys(c.views[from].Items(c.now)), len(ids))})
+}
+
+// Deliver delivers any message, once or again.
+func (c *cluster) Deliver(t *rapid.T) {
+	c.network = slices.DeleteFunc(c.network, func(m mail) bool { return c.now.Sub(m.sent) > delay })
+	if len(c.network) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(c.network)-1).Draw(t, "message")
+	m := c.network[i]
+	if !rapid.Bool().Draw(t, "repeat") {
+		c.network = slices.Delete(c.network, i, i+1)
+	}
+	if view, ok := c.views[m.to]; ok {
+		view.Take(m.records, c.now)
+	}
+}
+
+// Wait lets time pass.
+func (c *cluster) Wait(t *rapid.T) {
+	c.now = c.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+}
+
+// Check compares each process's view with what the process itself is, and with what it has shown before.
+func (c *cluster) Check(t *rapid.T) {
+	for id, view := range c.views {
+		for _, host := range view.Hosts() {
+			if host.ID == id && host != c.truth[id] {
+				t.Fatalf("%s shows itself as %+v, is %+v", id, host, c.truth[id])
+			}
+			if host.State == core.HostLeaving {
+				c.left[view][host.Incarnation] = true
+			}
+			if host.State == core.HostLive && c.left[view][host.Incarnation] {
+				t.Fatalf("%s shows %s as live again after it was leaving", id, host.Incarnation)
+			}
+		}
+	}
+}
+
+// heal lets the list catch up, patience end and messages flow.
+func (c *cluster) heal(t *rapid.T) {
+	for range 3 {
+		c.now = c.now.Add(membership.ListPatience)
+		for _, id := range c.running() {
+			c.views[id].ReadList(c.lists[len(c.lists)-1].hosts, c.now)
+		}
+		for range 2 {
+			for _, from := range c.running() {
+				for _, to := range c.running() {
+					c.exchange(from, to)
+				}
+			}
+		}
+	}
+	want := slices.Collect(maps.Values(c.truth))
+	slices.SortFunc(want, func(a, b core.Host) int { return int(a.ID[1]) - int(b.ID[1]) })
+	for id, view := range c.views {
+		if got := view.Hosts(); !slices.Equal(got, want) {
+			t.Fatalf("%s shows %+v after messages flowed, want %+v", id, got, want)
+		}
+	}
+}
+
+func (c *cluster) exchange(from, to core.HostID) {
+	send, want := merge.Compare(c.views[from].Items(c.now), c.views[to].Items(c.now))
+	c.views[to].Take(c.views[from].At(send, len(ids)), c.now)
+	c.views[from].Take(c.views[to].At(want, len(ids)), c.now)
+}
+
+func keys(items []merge.Item) []string {
+	var out []string
+	for _, item := range items {
+		out = append(out, item.Key)
+	}
+	return out
+}
+
+// TestViewsConvergeOnTheTruth guards against a dead host that stays, a leaving process that turns live
+// again, and an old process taken for the fresh one at its address.
+func TestViewsConvergeOnTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster()
+		t.Repeat(rapid.StateMachineActions(c))
+		c.heal(t)
+		c.Check(t)
+	})
+}
+
+// TestLaggingListDoesNotUndoWhatIsKnown guards against a stale list that removes a host that has just started.
+func TestLaggingListDoesNotUndoWhatIsKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := core.Host{ID: "old", State: core.HostLive}
+	fresh := membership.NewView(core.Host{ID: "fresh", State: core.HostLive}, now)
+	reader := membership.NewView(core.Host{ID: "reader", State: core.HostLive}, now)
+	reader.Take(fresh.At([]string{"fresh"}, 1), now)
+	require.Len(t, reader.ReadList([]core.Host{old}, now), 1)
+	for range 10 {
+		require.Empty(t, reader.ReadList([]core.Host{old}, now))
+		now = now.Add(time.Second)
+	}
+	require.Len(t, reader.Hosts(), 3)
+}
+
+// TestListThatGoesBackRevivesNoProcess guards against a process that left and is live again after another
+// one at its address, because lists are read out of order.
+func TestListThatGoesBackRevivesNoProcess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := membership.NewView(core.Host{ID: "self", State: core.HostLive}, now)
+	first := core.Host{ID: "x", Incarnation: "run1", State: core.HostLive}
+	second := core.Host{ID: "x", Incarnation: "run2", State: core.HostLive}
+	leaving := second
+	leaving.State = core.HostLeaving
+	for _, host := range []core.Host{second, leaving, first, second} {
+		v.ReadList([]core.Host{host}, now)
+		now = now.Add(time.Second)
+	}
+	require.NotContains(t, v.Hosts(), second)
+}
+
+// TestGoneHostIsForgotten guards against records of gone hosts that pile up or come back from an old copy.
+func TestGoneHostIsForgotten(t *testing.T) {
+	now := time.Unix(1e6, 0)
+	v := membership.NewView(core.Host{ID: "self", State: core.HostLive}, now)
+	v.ReadList([]core.Host{{ID: "x", State: core.HostLive}}, now)
+	old := v.At([]string{"x"}, 1)
+	gone := v.ReadList(nil, now.Add(time.Second))
+	require.Len(t, gone, 1)
+	require.True(t, gone[0].Gone)
+	require.Empty(t, v.Take(old, now.Add(2*time.Second)))
+	later := now.Add(membership.GoneKeep + time.Minute)
+	require.Empty(t, v.Take(gone, later))
+	require.Len(t, v.Items(later), 1)
+}
+
+// TestRankMovesNoOtherHost guards against a rendezvous order that changes for hosts that stay, and a push
+// tree that misses or repeats a host.
+func TestRankMovesNoOtherHost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var hosts []core.Host
+		for i := range rapid.IntRange(1, 60).Draw(t, "hosts") {
+			hosts = append(hosts, core.Host{ID: core.HostID(fmt.Sprint("h", i)), FailureDomain: "a", State: core.HostLive})
+		}
+		fanout := rapid.IntRange(1, 8).Draw(t, "fanout")
+		order := membership.Rank(hosts, "a", "salt")
+		without := slices.DeleteFunc(slices.Clone(order), func(h core.Host) bool { return h.ID == "h0" })
+		if !slices.Equal(without, membership.Rank(hosts[1:], "a", "salt")) {
+			t.Fatal("a host that goes moves another")
+		}
+		reached := make(map[core.HostID]int)
+		for _, h := range membership.Roots(order, fanout) {
+			reached[h.ID]++
+		}
+		for i := range order {
+			for _, h := range membership.Children(order, i, fanout) {
+				reached[h.ID]++
+			}
+		}
+		for _, h := range hosts {
+			if reached[h.ID] != 1 {
+				t.Fatalf("%s is reached %d times", h.ID, reached[h.ID])
+			}
+		}
+	})
+}
+
+// TestSampleIsDistinctAndFiltered guards against a peer that is chosen twice or against the filter.
+func TestSampleIsDistinctAndFiltered(t *testing.T) {
+	hosts := []core.Host{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	got := membership.Sample(hosts, 5, rand.New(rand.NewPCG(1, 1)), func(h core.Host) bool { return h.ID != "b" })
+	require.Len(t, got, 2)
+	require.NotEqual(t, got[0].ID, got[1].ID)
+}
--- a/internal/objecttest/store.go
+++ b/internal/objecttest/store.go
@@ -35,6 +35,19 @@
 
 	// Next returns the fault of a call by its operation, such as "create"; nil means none. It may call the store.
 	Next func(operation string) Fault
+	// Wrote is told of each write that takes effect; nil means that nobody is.
+	Wrote func(object platform.Object)
+	// Stale reports whether a list answers with the state before the last write; nil means never.
+	Stale func() bool
+	// previous is the object that the last write replaced.
+	previous *replaced
+}
+
+// replaced is what the last write replaced.
+type replaced struct {
+	key     string
+	object  platform.Object
+	existed bool
 }
 
 var _ platform.ObjectStore = (*Store)(nil)
@@ -77,7 +90,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := platform.ObjectList{Version: s.version()}
-	for _, object := range s.objects {
+	stale := s.Stale != nil && s.previous != nil && s.Stale()
+	for k, object := range s.objects {
+		if stale && k == s.previous.key {
+			if !s.previous.existed {
+				continue
+			}
+			object = s.previous.object
+		}
 		if object.Kind == kind {
 			list.Items = append(list.Items, object)
 		}
@@ -152,7 +172,11 @@
 	if allowed(current, exists) {
 		s.sequence++
 		object.Version = s.version()
+		s.previous = &replaced{key: k, object: current, existed: exists}
 		s.objects[k] = object
+		if s.Wrote != nil {
+			s.Wrote(object)
+		}
 		s.notify(platform.Event{Type: event, Object: object})
 	} else if fault == None {
 		return platform.Object{}, protocol.Errorf(protocol.CodeConflict, "object %s has version %q", object.Name, current.Version)
--- a/transport/admin/admin_test.go
+++ b/transport/admin/admin_test.go
@@ -50,6 +50,13 @@
 		t: t, store: objecttest.New(), settings: table.NewSettings(), members: table.NewMembers(),
 		upstreams: table.NewUpstreams(), now: time.Unix(1000, 0),
 	}
+	r.useStore(r.store)
+	return r
+}
+
+// useStore builds the admin API over a store.
+func (r *rig) useStore(store *objecttest.Store) {
+	r.store = store
 	logger := logrus.New()
 	logger.SetOutput(&r.log)
 	logger.SetFormatter(&logrus.JSONFormatter{})
@@ -60,7 +67,6 @@
 		Now:         func() time.Time { return r.now }, Log: logrus.NewEntry(logger),
 	}).Register(mux)
 	r.handler = mux
-	return r
 }
 
 func (r *rig) call(token, method, path, body string) *httptest.ResponseRecorder {
