Secure listeners and peer connections with optional TLS

Cause: all traffic between processes was open, and anyone who reached a control listener could push settings.

Only health checks on the control listener need none; an entry's data listener serves callers, who have none. Files are read again when they change, and broken ones leave the last good ones in force. The command line takes --ca.

Ruled out: names of hosts in certificates. Processes are reached by IP address and hosts are replaced daily, so all certificates carry one name.

Conclusion: the listeners and the spread use TLS; the entry's connections to agents need the same transport.

--- a/state/config/config.go
+++ b/state/config/config.go
@@ -18,6 +18,8 @@
 	Platform      Platform           `yaml:"platform"`
 	Agent         *Agent             `yaml:"agent,omitempty" validate:"required_if=Role agent"`
 	Entry         *Entry             `yaml:"entry,omitempty" validate:"required_if=Role entry"`
+	// TLS secures all listeners and the connections between processes; without it nothing is encrypted.
+	TLS *TLS `yaml:"tls,omitempty"`
 	// Spread tunes how settings and membership spread.
 	Spread Spread `yaml:"spread"`
 	// ShutdownTimeout bounds the graceful shutdown.
@@ -34,6 +36,17 @@
 	Data string `yaml:"data" validate:"hostname_port"`
 }
 
+// TLS names the files for TLS; they are read again when they change.
+type TLS struct {
+	// Cert and Key are the PEM files of the process's certificate.
+	Cert string `yaml:"cert" validate:"required"`
+	Key  string `yaml:"key" validate:"required"`
+	// CA is the PEM file of the authorities that sign the certificates of processes.
+	CA string `yaml:"ca" validate:"required"`
+	// ServerName is the DNS name in the certificates of all processes.
+	ServerName string `yaml:"server_name" validate:"hostname"`
+}
+
 // Platform holds the addresses of the platform's services.
 type Platform struct {
 	ObjectAPI    string `yaml:"object_api" validate:"url"`
--- a/transport/cli/cli.go
+++ b/transport/cli/cli.go
@@ -43,6 +43,7 @@
 	getenv  func(string) string
 	server  string
 	token   string
+	ca      string
 	json    bool
 	timeout time.Duration
 }
@@ -97,6 +98,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&a.server, "server", "", "base URL of an entry (default $"+envServer+")")
 	flags.StringVar(&a.token, "token", "", "bearer token (default $"+envToken+")")
+	flags.StringVar(&a.ca, "ca", "", "PEM file of the authorities that sign the entry's certificate (default the system's)")
 	flags.BoolVar(&a.json, "json", false, "print JSON")
 	flags.DurationVar(&a.timeout, "timeout", defaultTimeout, "time limit of one call")
 	root.AddCommand(
--- a/transport/cli/client.go
+++ b/transport/cli/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 
 	"github.com/go-resty/resty/v2"
@@ -64,6 +65,12 @@
 		return nil, badInput{errors.New("no token: set --token or " + envToken)}
 	}
 	http := resty.New().SetBaseURL(strings.TrimSuffix(server, "/") + adminRoot).SetAuthToken(token).SetTimeout(a.timeout)
+	if a.ca != "" {
+		if _, err := os.Stat(a.ca); err != nil {
+			return nil, badInput{err}
+		}
+		http.SetRootCertificate(a.ca)
+	}
 	return &client{http: http}, nil
 }
 
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -82,7 +82,7 @@
 	logger.SetOutput(&bytes.Buffer{})
 	n := New(Parts{
 		Self: self, Config: config.Default().Spread, Settings: table.NewSettings(), Members: table.NewMembers(),
-		Store: f.store, Hosts: f.list, HostListInterval: time.Second, Client: server.Client(), Scheme: "http",
+		Store: f.store, Hosts: f.list, HostListInterval: time.Second, Client: server.Client(),
 		Random: rand.New(rand.NewPCG(1, uint64(len(f.nodes)))), Now: func() time.Time { return f.now },
 		Log: logrus.NewEntry(logger),
 	})
--- a/transport/control/node.go
+++ b/transport/control/node.go
@@ -44,8 +44,6 @@
 	HostListInterval time.Duration
 	// Client sends the calls to peers.
 	Client *http.Client
-	// Scheme is http or https.
-	Scheme string
 	// Random is used by the Node alone.
 	Random *rand.Rand
 	Now    func() time.Time
--- a/transport/control/push.go
+++ b/transport/control/push.go
@@ -136,7 +136,8 @@
 	return err
 }
 
-// peer returns a client for the control listener of a host.
+// peer returns a client for the control listener of a host. With TLS the client's transport takes the
+// http URL over TLS.
 func (n *Node) peer(host core.Host) wire.Settings {
-	return wire.NewSettingsProtobufClient(n.Scheme+"://"+host.ControlAddr, n.Client)
+	return wire.NewSettingsProtobufClient("http://"+host.ControlAddr, n.Client)
 }
--- a/transport/daemon/control.go
+++ b/transport/daemon/control.go
@@ -1,14 +1,17 @@
 package daemon
 
 import (
+	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/transport/admin"
 	"github.com/guavatrestle/guavatrestle/transport/control"
 	"github.com/guavatrestle/guavatrestle/transport/platform"
+	"github.com/guavatrestle/guavatrestle/transport/secure"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
 
@@ -22,8 +25,7 @@
 		Store:            p.store,
 		Hosts:            platform.NewHostListClient(p.cfg.Platform.HostList),
 		HostListInterval: p.cfg.Platform.HostListInterval,
-		Client:           &http.Client{Transport: peerTransport()},
-		Scheme:           "http",
+		Client:           &http.Client{Transport: p.peerTransport()},
 		Random:           rand.New(rand.NewPCG(p.random.Uint64(), p.random.Uint64())),
 		Now:              p.now,
 		Log:              p.log,
@@ -35,13 +37,45 @@
 const peerPingAfter = 10 * time.Second
 
 // peerTransport returns a transport that keeps one HTTP/2 connection per peer. Header compression
-// makes an idle exchange small.
-func peerTransport() *http.Transport {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
+// makes an idle exchange small. With TLS it also takes http URLs over TLS.
+func (p *process) peerTransport() http.RoundTripper {
 	settings := server.HTTP2()
 	settings.SendPingTimeout = peerPingAfter
-	return &http.Transport{Protocols: protocols, HTTP2: settings}
+	base := &http.Transport{HTTP2: settings}
+	if p.credentials != nil {
+		return p.credentials.Transport(base)
+	}
+	base.Protocols = &http.Protocols{}
+	base.Protocols.SetUnencryptedHTTP2(true)
+	return base
+}
+
+func (p *process) readCredentials() (err error) {
+	if p.cfg.TLS != nil {
+		p.credentials, err = secure.New(*p.cfg.TLS, p.now, p.log)
+	}
+	return err
+}
+
+// listenControl starts the control listener. With TLS all but health checks needs a client certificate.
+func (p *process) listenControl(handler http.Handler) (*server.Listener, error) {
+	if p.credentials == nil {
+		return server.Listen(p.cfg.Listen.Control, handler)
+	}
+	return server.ListenTLS(p.cfg.Listen.Control, server.RequirePeer(handler), p.credentials.Server(tls.VerifyClientCertIfGiven))
+}
+
+// listenData starts the data listener. With TLS an agent's needs a client certificate; an entry's serves
+// callers, who have none.
+func (p *process) listenData(handler http.Handler) (*server.Listener, error) {
+	if p.credentials == nil {
+		return server.Listen(p.cfg.Listen.Data, handler)
+	}
+	auth := tls.RequireAndVerifyClientCert
+	if p.cfg.Role == core.RoleEntry {
+		auth = tls.NoClientCert
+	}
+	return server.ListenTLS(p.cfg.Listen.Data, handler, p.credentials.Server(auth))
 }
 
 // registerControl adds the calls from other processes to mux.
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/guavatrestle/guavatrestle/state/table"
 	"github.com/guavatrestle/guavatrestle/transport/control"
 	"github.com/guavatrestle/guavatrestle/transport/platform"
+	"github.com/guavatrestle/guavatrestle/transport/secure"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
 
@@ -27,10 +28,12 @@
 	settings *table.Settings
 	members  *table.Members
 	control  *control.Node
-	random   *rand.Rand
-	now      func() time.Time
-	log      *logrus.Entry
-	loops    sync.WaitGroup
+	// credentials are nil without TLS.
+	credentials *secure.Credentials
+	random      *rand.Rand
+	now         func() time.Time
+	log         *logrus.Entry
+	loops       sync.WaitGroup
 }
 
 // role is the part of a process that differs between roles.
@@ -57,11 +60,11 @@
 	}
 	controlHandler, dataHandler := r.start(loopCtx)
 	p.startLoops(loopCtx)
-	controlListener, err := server.Listen(cfg.Listen.Control, controlHandler)
+	controlListener, err := p.listenControl(controlHandler)
 	if err != nil {
 		return err
 	}
-	dataListener, err := server.Listen(cfg.Listen.Data, dataHandler)
+	dataListener, err := p.listenData(dataHandler)
 	if err != nil {
 		_ = controlListener.Shutdown(ctx)
 		return err
@@ -98,6 +101,9 @@
 }
 
 func (p *process) newRole() (role, error) {
+	if err := p.readCredentials(); err != nil {
+		return nil, err
+	}
 	if p.cfg.Role == core.RoleAgent {
 		p.self.Upstream = p.cfg.Agent.Upstream
 		p.control = p.newControl()
--- /dev/null
+++ b/transport/secure/secure_test.go
@@ -0,0 +1,168 @@
+package secure_test
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/state/config"
+	"github.com/guavatrestle/guavatrestle/transport/secure"
+	"github.com/guavatrestle/guavatrestle/transport/server"
+)
+
+const serverName = "guavatrestle.internal"
+
+// authority signs certificates for tests.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Unix(0, 0), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	certificate, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return authority{certificate: certificate, key: key}
+}
+
+// write writes a certificate for name, its key and the authority into dir.
+func (a authority) write(t *testing.T, dir, name string, serial int64) config.TLS {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), DNSNames: []string{name}, NotBefore: time.Unix(0, 0), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(t, err)
+	cfg := config.TLS{
+		Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem"), ServerName: serverName,
+	}
+	writePEM(t, cfg.Cert, "CERTIFICATE", der)
+	writePEM(t, cfg.Key, "PRIVATE KEY", keyDER)
+	writePEM(t, cfg.CA, "CERTIFICATE", a.certificate.Raw)
+	changed := time.Unix(serial*1000, 0)
+	for _, file := range []string{cfg.Cert, cfg.Key, cfg.CA} {
+		require.NoError(t, os.Chtimes(file, changed, changed))
+	}
+	return cfg
+}
+
+func writePEM(t *testing.T, name, kind string, der []byte) {
+	require.NoError(t, os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+}
+
+// side is the credentials of one process with a clock that the test moves.
+type side struct {
+	*secure.Credentials
+	now time.Time
+}
+
+func newSide(t *testing.T, cfg config.TLS) *side {
+	s := &side{now: time.Now()}
+	logger := logrus.New()
+	logger.SetOutput(&bytes.Buffer{})
+	credentials, err := secure.New(cfg, func() time.Time { return s.now }, logrus.NewEntry(logger))
+	require.NoError(t, err)
+	s.Credentials = credentials
+	return s
+}
+
+func listen(t *testing.T, s *side, auth tls.ClientAuthType) string {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	l, err := server.ListenTLS("127.0.0.1:0", server.RequirePeer(handler), s.Server(auth))
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, l.Shutdown(t.Context())) })
+	return l.Addr()
+}
+
+// get sends a request over a fresh connection and returns the status and the server certificate's serial.
+func get(t *testing.T, s *side, addr, path string) (int, int64, error) {
+	base := &http.Transport{}
+	client := &http.Client{Transport: s.Transport(base)}
+	defer client.CloseIdleConnections()
+	response, err := client.Get("http://" + addr + path)
+	if err != nil {
+		return 0, 0, err
+	}
+	require.NoError(t, response.Body.Close())
+	return response.StatusCode, response.TLS.PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+// TestOnlyProcessesOfTheSystemConnect guards against a stranger that is taken for a process, on either side.
+func TestOnlyProcessesOfTheSystemConnect(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	process := newSide(t, ours.write(t, t.TempDir(), serverName, 1))
+	addr := listen(t, process, tls.RequireAndVerifyClientCert)
+	status, _, err := get(t, process, addr, "/twirp/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	stranger := newSide(t, theirs.write(t, t.TempDir(), serverName, 1))
+	_, _, err = get(t, stranger, addr, "/twirp/x")
+	require.Error(t, err, "a server of another authority is accepted")
+	_, _, err = get(t, process, listen(t, newSide(t, ours.write(t, t.TempDir(), "another.name", 1)), tls.NoClientCert), "/")
+	require.Error(t, err, "a certificate for another name is accepted")
+	skip := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+	_, err = skip.Get("https://" + addr + "/twirp/x")
+	require.Error(t, err, "a client without a certificate is accepted")
+}
+
+// TestControlListenerServesHealthWithoutCertificate guards against health checks that need a client
+// certificate, and against other endpoints that need none.
+func TestControlListenerServesHealthWithoutCertificate(t *testing.T) {
+	process := newSide(t, newAuthority(t).write(t, t.TempDir(), serverName, 1))
+	addr := listen(t, process, tls.VerifyClientCertIfGiven)
+	transport := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	for path, want := range map[string]int{"/readyz": 200, "/healthz": 200, "/debug/state": 403, "/twirp/x": 403} {
+		response, err := client.Get("https://" + addr + path)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, want, response.StatusCode, path)
+	}
+}
+
+// TestChangedCertificatesAreTaken guards against certificates that expire in a running process, and against
+// broken files that take the last good ones out of force.
+func TestChangedCertificatesAreTaken(t *testing.T) {
+	ours, dir := newAuthority(t), t.TempDir()
+	process := newSide(t, ours.write(t, dir, serverName, 1))
+	client := newSide(t, ours.write(t, t.TempDir(), serverName, 9))
+	addr := listen(t, process, tls.RequireAndVerifyClientCert)
+	cfg := ours.write(t, dir, serverName, 2)
+	process.now = process.now.Add(2 * time.Second)
+	_, serial, err := get(t, client, addr, "/")
+	require.NoError(t, err)
+	require.Equal(t, int64(2), serial)
+	require.NoError(t, os.WriteFile(cfg.Cert, []byte("broken"), 0o600))
+	process.now = process.now.Add(2 * time.Second)
+	_, serial, err = get(t, client, addr, "/")
+	require.NoError(t, err)
+	require.Equal(t, int64(2), serial)
+	_, err = secure.New(cfg, time.Now, logrus.NewEntry(logrus.New()))
+	require.Error(t, err, "a process starts with broken files")
+}
