Keep digests and the sorted member list between exchanges

Cause: an idle exchange of two processes with 2,500 hosts and 300 documents took 9.05 ms of wall time for both sides, most of it spent on sorting hosts and hashing records that had not changed.

The members table keeps its sorted list, and the node keeps the digest of the records, until something changes.

Ruled out: caching the documents in the same way.

--- a/coordination/merge/digest.go
+++ b/coordination/merge/digest.go
@@ -62,9 +62,15 @@
 
 // InBuckets returns the items in the given buckets.
 func InBuckets(items []Item, buckets []uint32) []Item {
+	var chosen [Buckets]bool
+	for _, bucket := range buckets {
+		if bucket < Buckets {
+			chosen[bucket] = true
+		}
+	}
 	var in []Item
 	for _, item := range items {
-		if slices.Contains(buckets, uint32(BucketOf(item.Key))) {
+		if chosen[BucketOf(item.Key)] {
 			in = append(in, item)
 		}
 	}
--- a/coordination/merge/exchange.go
+++ b/coordination/merge/exchange.go
@@ -12,11 +12,22 @@
 	Items   []Item
 }
 
-// Open returns the first request about items.
-func Open(items []Item) Digest {
-	return Digest{Summary: SumsOf(items).Summary()}
+// Held is what a process holds of one set of items, with its sums.
+type Held struct {
+	items   []Item
+	sums    Sums
+	summary uint64
 }
 
+// Hold computes the sums of items with distinct keys.
+func Hold(items []Item) Held {
+	sums := SumsOf(items)
+	return Held{items: items, sums: sums, summary: sums.Summary()}
+}
+
+// Open returns the first request.
+func (h Held) Open() Digest { return Digest{Summary: h.summary} }
+
 // Reply is the answer to a request.
 type Reply struct {
 	// Equal says that both sides hold the same versions.
@@ -29,28 +40,27 @@
 	Want []string
 }
 
-// Answer answers a request about items.
-func Answer(items []Item, request Digest) Reply {
-	if len(request.Buckets) > 0 {
-		send, want := Compare(InBuckets(items, request.Buckets), request.Items)
+// Answer answers a request.
+func (h Held) Answer(request Digest) Reply {
+	switch {
+	case len(request.Buckets) > 0:
+		send, want := Compare(InBuckets(h.items, request.Buckets), request.Items)
 		return Reply{Send: send, Want: want}
-	}
-	sums := SumsOf(items)
-	if sums.Summary() == request.Summary {
+	case h.summary == request.Summary:
 		return Reply{Equal: true}
+	default:
+		return Reply{Sums: h.sums[:]}
 	}
-	return Reply{Sums: sums[:]}
 }
 
 // Follow returns the second request, and false when the reply needs none.
-func Follow(items []Item, reply Reply) (Digest, bool) {
+func (h Held) Follow(reply Reply) (Digest, bool) {
 	if len(reply.Sums) == 0 {
 		return Digest{}, false
 	}
-	sums := SumsOf(items)
-	buckets := sums.Differing(reply.Sums)
+	buckets := h.sums.Differing(reply.Sums)
 	if len(buckets) == 0 {
 		return Digest{}, false
 	}
-	return Digest{Summary: sums.Summary(), Buckets: buckets, Items: InBuckets(items, buckets)}, true
+	return Digest{Summary: h.summary, Buckets: buckets, Items: InBuckets(h.items, buckets)}, true
 }
--- a/coordination/merge/spread_test.go
+++ b/coordination/merge/spread_test.go
@@ -123,7 +123,7 @@
 func (s *spread) Exchange(t *rapid.T) {
 	from, to := s.anyReplica(t, "from"), s.anyReplica(t, "to")
 	if from != to && !s.paused[from] {
-		opening := merge.Open(s.items(from))
+		opening := s.held(from).Open()
 		s.network = append(s.network, message{from: from, to: to, request: &opening})
 	}
 }
@@ -202,7 +202,7 @@
 			if pull {
 				from, to = to, from
 			}
-			opening := merge.Open(s.items(from))
+			opening := s.held(from).Open()
 			s.network = []message{{from: from, to: to, request: &opening}}
 			for len(s.network) > 0 {
 				m := s.network[0]
@@ -227,14 +227,14 @@
 func (s *spread) handle(t *rapid.T, m message) []message {
 	s.merge(t, m.to, m.documents)
 	if m.request != nil {
-		reply := merge.Answer(s.items(m.to), *m.request)
+		reply := s.held(m.to).Answer(*m.request)
 		return []message{{from: m.to, to: m.from, reply: &reply, documents: s.documents(m.to, reply.Send)}}
 	}
 	if m.reply == nil {
 		return nil
 	}
 	var out []message
-	if next, more := merge.Follow(s.items(m.to), *m.reply); more {
+	if next, more := s.held(m.to).Follow(*m.reply); more {
 		out = append(out, message{from: m.to, to: m.from, request: &next})
 	}
 	if wanted := s.documents(m.to, m.reply.Want); len(wanted) > 0 {
@@ -249,8 +249,8 @@
 	}
 }
 
-func (s *spread) items(i int) []merge.Item {
-	return merge.Documents(s.replicas[i].Documents()).Items()
+func (s *spread) held(i int) merge.Held {
+	return merge.Hold(merge.Documents(s.replicas[i].Documents()).Items())
 }
 
 func (s *spread) documents(i int, paths []string) []settings.Document {
@@ -278,10 +278,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		gen := rapid.MapOf(rapid.StringMatching(`[a-f]{1,2}`), rapid.Uint64Range(1, 3))
 		mine, theirs := gen.Draw(t, "mine"), gen.Draw(t, "theirs")
-		reply := merge.Answer(itemsOf(mine), merge.Open(itemsOf(theirs)))
-		next, more := merge.Follow(itemsOf(theirs), reply)
-		if more {
-			reply = merge.Answer(itemsOf(mine), next)
+		mineHeld, theirsHeld := merge.Hold(itemsOf(mine)), merge.Hold(itemsOf(theirs))
+		reply := mineHeld.Answer(theirsHeld.Open())
+		if next, more := theirsHeld.Follow(reply); more {
+			reply = mineHeld.Answer(next)
 		}
 		send, want := make(map[string]bool), make(map[string]bool)
 		for _, key := range reply.Send {
--- a/state/table/members.go
+++ b/state/table/members.go
@@ -11,10 +11,12 @@
 
 // Members holds the hosts that the process knows, from membership records and from its own connections.
 type Members struct {
-	mu    sync.RWMutex
+	mu    sync.Mutex
 	hosts map[core.HostID]core.Host
 	// seen holds what connections to a host have shown since its record last changed.
 	seen map[core.HostID]observation
+	// sorted caches List; nil after a change. At 2,500 hosts sorting takes longer than an exchange.
+	sorted []core.Host
 }
 
 // observation is what a connection to a host has shown.
@@ -43,6 +45,7 @@
 		}
 	}
 	m.hosts = next
+	m.sorted = nil
 }
 
 // Heard records that a process answered at a host's address. Another incarnation than the record's is a
@@ -50,24 +53,36 @@
 func (m *Members) Heard(id core.HostID, incarnation core.Incarnation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, ok := m.hosts[id]; ok {
-		m.seen[id] = observation{incarnation: incarnation}
-	}
+	m.observe(id, observation{incarnation: incarnation})
 }
 
 // Refused records that a host did not accept a connection or did not answer.
 func (m *Members) Refused(id core.HostID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, ok := m.hosts[id]; ok {
-		m.seen[id] = observation{incarnation: m.seen[id].incarnation, refused: true}
+	m.observe(id, observation{incarnation: m.seen[id].incarnation, refused: true})
+}
+
+// observe records an observation of a host that is known; the caller holds the lock.
+func (m *Members) observe(id core.HostID, o observation) {
+	if _, ok := m.hosts[id]; !ok || m.seen[id] == o {
+		return
 	}
+	m.seen[id] = o
+	m.sorted = nil
 }
 
 // List returns the hosts, sorted by ID. A host that refuses connections is suspect, unless it is leaving.
 func (m *Members) List() []core.Host {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sorted == nil {
+		m.sorted = m.list()
+	}
+	return slices.Clone(m.sorted)
+}
+
+func (m *Members) list() []core.Host {
 	hosts := slices.Collect(maps.Values(m.hosts))
 	for i := range hosts {
 		hosts[i] = m.seen[hosts[i].ID].apply(hosts[i])
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/membership"
 	"github.com/guavatrestle/guavatrestle/coordination/merge"
@@ -18,6 +19,9 @@
 	neighbourRounds = 10
 	// suspectOdds is one in how many rounds a suspect host is asked again.
 	suspectOdds = 4
+	// digestLifetime is the time after which the digest of member records is computed anew even without
+	// a change, because records of gone hosts expire.
+	digestLifetime = 10 * time.Second
 	// maxDocumentBytes bounds the documents in one message.
 	maxDocumentBytes = 512 << 10
 	// maxRecords bounds the member records in one message.
@@ -153,29 +157,34 @@
 	return n.send(ctx, b, true)
 }
 
-// items returns the versions of the documents and member records held.
-func (n *Node) items() (documents, members []merge.Item) {
-	documents = merge.Documents(n.Settings.Documents()).Items()
+// held returns the versions of the documents and member records held.
+func (n *Node) held() (documents, members merge.Held) {
+	documents = merge.Hold(merge.Documents(n.Settings.Documents()).Items())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return documents, n.view.Items(n.Now())
+	now := n.Now()
+	if !n.digestValid || now.Sub(n.digestAt) > digestLifetime {
+		n.digest = merge.Hold(n.view.Items(now))
+		n.digestAt, n.digestValid = now, true
+	}
+	return documents, n.digest
 }
 
 func (n *Node) opening() *wire.ExchangeRequest {
-	documents, members := n.items()
-	return n.request(merge.Open(documents), merge.Open(members))
+	documents, members := n.held()
+	return n.request(documents.Open(), members.Open())
 }
 
 // following returns the second request of an exchange, and false when there is nothing to ask.
 func (n *Node) following(reply *wire.ExchangeResponse) (*wire.ExchangeRequest, bool) {
-	documents, members := n.items()
-	d, moreDocuments := merge.Follow(documents, merge.Reply{Sums: reply.GetBucketSums()})
-	m, moreMembers := merge.Follow(members, merge.Reply{Sums: reply.GetMemberBucketSums()})
+	documents, members := n.held()
+	d, moreDocuments := documents.Follow(merge.Reply{Sums: reply.GetBucketSums()})
+	m, moreMembers := members.Follow(merge.Reply{Sums: reply.GetMemberBucketSums()})
 	if !moreDocuments {
-		d = merge.Open(documents)
+		d = documents.Open()
 	}
 	if !moreMembers {
-		m = merge.Open(members)
+		m = members.Open()
 	}
 	return n.request(d, m), moreDocuments || moreMembers
 }
--- a/transport/control/hosts.go
+++ b/transport/control/hosts.go
@@ -45,6 +45,7 @@
 	}
 	n.mu.Lock()
 	taken := n.view.ReadList(hosts, n.Now())
+	n.digestValid = n.digestValid && len(taken) == 0
 	n.hostsKnown = true
 	n.mu.Unlock()
 	if len(taken) == 0 {
--- a/transport/control/node.go
+++ b/transport/control/node.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/membership"
+	"github.com/guavatrestle/guavatrestle/coordination/merge"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/state/config"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -61,10 +62,14 @@
 	// started is when the process started; hostsKnown says that it has learnt of others since.
 	started    time.Time
 	hostsKnown bool
-	neighbours []core.HostID
-	rounds     int
-	start      startState
-	watch      watchState
+	// digest caches the versions of the records while digestValid.
+	digest      merge.Held
+	digestAt    time.Time
+	digestValid bool
+	neighbours  []core.HostID
+	rounds      int
+	start       startState
+	watch       watchState
 }
 
 // New returns a Node that knows only its own process.
@@ -100,6 +105,7 @@
 func (n *Node) Leave(ctx context.Context) {
 	n.mu.Lock()
 	record := n.view.Leave(n.Now())
+	n.digestValid = false
 	targets := membership.Sample(n.view.Hosts(), n.Config.PushFanout, n.Random, n.isPeer)
 	n.mu.Unlock()
 	n.publish()
@@ -115,6 +121,7 @@
 func (n *Node) publish() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.digestValid = false
 	n.Members.Replace(n.view.Hosts())
 }
 
@@ -125,6 +132,7 @@
 	}
 	n.mu.Lock()
 	taken := n.view.Take(records, n.Now())
+	n.digestValid = n.digestValid && len(taken) == 0
 	n.hostsKnown = n.hostsKnown || len(taken) > 0
 	n.mu.Unlock()
 	if len(taken) > 0 {
--- a/transport/control/service.go
+++ b/transport/control/service.go
@@ -13,11 +13,11 @@
 // Exchange implements wire.Settings.
 func (n *Node) Exchange(_ context.Context, request *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
 	n.Members.Heard(core.HostID(request.GetHost()), core.Incarnation(request.GetIncarnation()))
-	documents, members := n.items()
-	d := merge.Answer(documents, merge.Digest{
+	documents, members := n.held()
+	d := documents.Answer(merge.Digest{
 		Summary: request.GetSummary(), Buckets: request.GetBuckets(), Items: versionsFromWire(request.GetVersions()),
 	})
-	m := merge.Answer(members, merge.Digest{
+	m := members.Answer(merge.Digest{
 		Summary: request.GetMembersSummary(), Buckets: request.GetMemberBuckets(), Items: stampsFromWire(request.GetMembers()),
 	})
 	reply := &wire.ExchangeResponse{
@@ -38,6 +38,9 @@
 
 // fill adds the content that the requester lacks.
 func (n *Node) fill(reply *wire.ExchangeResponse, d, m merge.Reply) {
+	if len(d.Send)+len(d.Want)+len(m.Send) == 0 {
+		return
+	}
 	newer := merge.Documents(n.Settings.Documents()).At(d.Send, maxDocumentBytes)
 	reply.Newer = documentsToWire(newer)
 	for _, path := range d.Want {
