Share the member list and keep the digest of documents

Cause: an idle exchange with 2,500 hosts and 300 documents took 3.06 ms of processor time for both sides ((5.787+1.048-0.578-0.140) s over 2000 exchanges), most of it for copies of the member list and sorting documents.

The control loops read a shared list, and the digest of documents is kept until the tree in force changes.

Ruled out: returning the shared list from List, whose callers may sort it.

Measured with `-test.bench Idle -test.benchtime 200x` and `2200x`, user and system time, difference over 2000 exchanges: 0.28 ms for both sides, of which one process takes about half. At 2.7 exchanges a second that is about 0.04 % of a core.

--- a/state/table/members.go
+++ b/state/table/members.go
@@ -73,13 +73,16 @@
 }
 
 // List returns the hosts, sorted by ID. A host that refuses connections is suspect, unless it is leaving.
-func (m *Members) List() []core.Host {
+func (m *Members) List() []core.Host { return slices.Clone(m.Snapshot()) }
+
+// Snapshot returns the same as List without a copy; callers must not change it.
+func (m *Members) Snapshot() []core.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.sorted == nil {
 		m.sorted = m.list()
 	}
-	return slices.Clone(m.sorted)
+	return m.sorted
 }
 
 func (m *Members) list() []core.Host {
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -47,7 +47,7 @@
 // choosePeers returns the peers of the next round: random neighbours, the watchers that a spare looks
 // after, and now and then a suspect host. A process without peers asks the configured seeds.
 func (n *Node) choosePeers() []core.Host {
-	hosts := n.Members.List()
+	hosts := n.Members.Snapshot()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.renewNeighbours(hosts)
@@ -159,15 +159,21 @@
 
 // held returns the versions of the documents and member records held.
 func (n *Node) held() (documents, members merge.Held) {
-	documents = merge.Hold(merge.Documents(n.Settings.Documents()).Items())
+	tree := n.Settings.Tree()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	// Each change of the documents makes a new tree. Reading it first means that the cache is never
+	// newer than its key.
+	if tree != n.documentsTree {
+		n.documents = merge.Hold(merge.Documents(n.Settings.Documents()).Items())
+		n.documentsTree = tree
+	}
 	now := n.Now()
 	if !n.digestValid || now.Sub(n.digestAt) > digestLifetime {
 		n.digest = merge.Hold(n.view.Items(now))
 		n.digestAt, n.digestValid = now, true
 	}
-	return documents, n.digest
+	return n.documents, n.digest
 }
 
 func (n *Node) opening() *wire.ExchangeRequest {
--- a/transport/control/hosts.go
+++ b/transport/control/hosts.go
@@ -29,7 +29,7 @@
 	if n.isWatcher() {
 		return true
 	}
-	hosts := n.Members.List()
+	hosts := n.Members.Snapshot()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return len(membership.Sample(hosts, 1, n.Random, n.isPeer)) == 0
--- a/transport/control/node.go
+++ b/transport/control/node.go
@@ -66,10 +66,13 @@
 	digest      merge.Held
 	digestAt    time.Time
 	digestValid bool
-	neighbours  []core.HostID
-	rounds      int
-	start       startState
-	watch       watchState
+	// documents caches the versions of the documents while documentsTree is in force.
+	documents     merge.Held
+	documentsTree *settings.Tree
+	neighbours    []core.HostID
+	rounds        int
+	start         startState
+	watch         watchState
 }
 
 // New returns a Node that knows only its own process.
--- a/transport/control/start.go
+++ b/transport/control/start.go
@@ -32,7 +32,7 @@
 		return
 	}
 	id := core.HostID(reply.GetHost())
-	hosts := n.Members.List()
+	hosts := n.Members.Snapshot()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !reply.GetLoaded() {
--- a/transport/control/watch.go
+++ b/transport/control/watch.go
@@ -65,7 +65,7 @@
 	if !n.knowsHosts() {
 		return false
 	}
-	order := membership.WatchOrder(n.Members.List(), n.Self.FailureDomain)
+	order := membership.WatchOrder(n.Members.Snapshot(), n.Self.FailureDomain)
 	position := membership.Position(order, n.Self.ID)
 	first := min(n.Config.Watchers, len(order))
 	if position < first {
