--- a/transport/control/hosts.go
+++ b/transport/control/hosts.go
@@ -29,7 +29,7 @@
 	if n.isWatcher() {
 		return true
 	}
-	hosts := n.Members.List()
+	hosts := n.Members.Snapshot()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return len(membership.Sample(hosts, 1, n.Random, n.isPeer)) == 0
@@ -45,6 +45,7 @@
 	}
 	n.mu.Lock()
 	taken := n.view.ReadList(hosts, n.Now())
+	n.digestValid = n.digestValid && len(taken) == 0
 	n.hostsKnown = true
 	n.mu.Unlock()
 	if len(taken) == 0 {
--- a/transport/control/node.go
+++ b/transport/control/node.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/membership"
+	"github.com/guavatrestle/guavatrestle/coordination/merge"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/state/config"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -44,8 +45,6 @@
 	HostListInterval time.Duration
 	// Client sends the calls to peers.
 	Client *http.Client
-	// Scheme is http or https.
-	Scheme string
 	// Random is used by the Node alone.
 	Random *rand.Rand
 	Now    func() time.Time
@@ -63,10 +62,17 @@
 	// started is when the process started; hostsKnown says that it has learnt of others since.
 	started    time.Time
 	hostsKnown bool
-	neighbours []core.HostID
-	rounds     int
-	start      startState
-	watch      watchState
+	// digest caches the versions of the records while digestValid.
+	digest      merge.Held
+	digestAt    time.Time
+	digestValid bool
+	// documents caches the versions of the documents while documentsTree is in force.
+	documents     merge.Held
+	documentsTree *settings.Tree
+	neighbours    []core.HostID
+	rounds        int
+	start         startState
+	watch         watchState
 }
 
 // New returns a Node that knows only its own process.
@@ -102,6 +108,7 @@
 func (n *Node) Leave(ctx context.Context) {
 	n.mu.Lock()
 	record := n.view.Leave(n.Now())
+	n.digestValid = false
 	targets := membership.Sample(n.view.Hosts(), n.Config.PushFanout, n.Random, n.isPeer)
 	n.mu.Unlock()
 	n.publish()
@@ -117,6 +124,7 @@
 func (n *Node) publish() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.digestValid = false
 	n.Members.Replace(n.view.Hosts())
 }
 
@@ -127,6 +135,7 @@
 	}
 	n.mu.Lock()
 	taken := n.view.Take(records, n.Now())
+	n.digestValid = n.digestValid && len(taken) == 0
 	n.hostsKnown = n.hostsKnown || len(taken) > 0
 	n.mu.Unlock()
 	if len(taken) > 0 {
