Finish the admission gate as a pure state machine

Cause: the gate counted completions of requests that were admitted before the back end's last return to cold as warm-up of the new boot, forgot no report however old it was, admitted requests without a version on model upstreams, and offered every entry all free slots.

Change: Admit returns a ticket with the boot ID and the epoch, Confirm checks it right before the first byte leaves, Finish takes the outcome. The requests in flight are counted per boot ID, so that a boot that is seen again keeps its count. Offers splits the free slots over the entries seen in the last 3 s. A gate without settings admits nothing.

Ruled out: clearing the count on every return to cold (the same boot still runs those requests); clearing offers on a return to cold (the entries still hold them until they expire).

The oracle of the property test counts what reaches each boot of a modelled back end that restarts silently.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -1,4 +1,6 @@
 // Package admission decides which requests an agent lets through to its back end.
+//
+// The package is a pure state machine: every call takes the time and returns a decision.
 package admission
 
 import (
@@ -7,11 +9,15 @@
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
-// Config bounds the requests in flight.
+// Config bounds the requests in flight. The zero Config admits nothing.
 type Config struct {
 	ColdLimit         int
 	WarmLimit         int
 	WarmupCompletions int
+	// Versioned says that every request names the model version that must answer it. It is false for plain services.
+	Versioned bool
+	// MaxReportAge is the age at which the last report no longer identifies the back end; 0 means no bound.
+	MaxReportAge time.Duration
 }
 
 // Report is what the back end last said about itself.
@@ -19,36 +25,37 @@
 	BootID   string
 	Digest   core.Digest
 	Complete bool
+	// ReadAt is the time at which the read of this report started.
+	ReadAt time.Time
+}
+
+// Request is what admission needs to know about a request.
+type Request struct {
+	// Digest is the model version that must answer; it is empty for plain services.
+	Digest core.Digest
+	// Entry is the entry that sent the request; it is empty when the request does not say.
+	Entry core.HostID
 }
 
-// Reason says why a request was refused.
-type Reason string
+// Ticket is the proof of an admission, handed back when the request ends.
+type Ticket struct {
+	request Request
+	boot    string
+	epoch   uint64
+}
+
+// Outcome says how an admitted request ended.
+type Outcome int
 
-// Reasons of a refusal; all of them mean that the request was not run.
 const (
-	ReasonNone         Reason = ""
-	ReasonFull         Reason = "full"
-	ReasonVersion      Reason = "version"
-	ReasonLeaving      Reason = "leaving"
-	ReasonOutOfService Reason = "out_of_service"
-	ReasonUnidentified Reason = "unidentified"
-	ReasonLoading      Reason = "loading"
+	// OutcomeNeutral says nothing about the back end: the request was cancelled, refused or timed out.
+	OutcomeNeutral Outcome = iota
+	// OutcomeCompleted says that the back end answered the request whole.
+	OutcomeCompleted
+	// OutcomeBroken says that the connection was refused, reset or cut.
+	OutcomeBroken
 )
 
-// Snapshot is the gate's state for status reports and dumps.
-type Snapshot struct {
-	State     core.UpstreamState `json:"state"`
-	InFlight  int                `json:"in_flight"`
-	Limit     int                `json:"limit"`
-	BootID    string             `json:"boot_id"`
-	Digest    core.Digest        `json:"digest"`
-	Complete  bool               `json:"complete"`
-	Completed int                `json:"completed"`
-	Leaving   bool               `json:"leaving"`
-	InService bool               `json:"in_service"`
-	Loading   bool               `json:"loading"`
-}
-
 // Gate counts the requests in flight to one back end and refuses the excess.
 //
 // Gate is not safe for concurrent use; the owner serialises calls.
@@ -56,34 +63,42 @@
 	cfg        Config
 	report     Report
 	identified bool
-	completed  int
-	inFlight   int
-	leaving    bool
-	inService  bool
-	loading    bool
+	// epoch counts the returns to cold.
+	epoch uint64
+	// completed counts the completions of requests admitted in this epoch.
+	completed int
+	// inFlight counts requests by the boot ID they were admitted for, because a new boot starts empty.
+	inFlight  map[string]int
+	total     int
+	leaving   bool
+	inService bool
+	loading   bool
+	offers    *Offers
 }
 
 // New returns a cold gate that admits nothing before the first report.
 func New(cfg Config) *Gate {
-	return &Gate{cfg: cfg, inService: true}
+	return &Gate{cfg: cfg, inService: true, inFlight: make(map[string]int), offers: NewOffers()}
 }
 
 // Configure replaces the limits.
 func (g *Gate) Configure(cfg Config) { g.cfg = cfg }
 
-// Observe takes a report; a new boot ID returns the gate to cold.
-func (g *Gate) Observe(_ time.Time, report Report) {
+// Observe takes a report; a new boot ID or version returns the gate to cold.
+func (g *Gate) Observe(now time.Time, report Report) {
+	g.expireReport(now)
 	if !g.identified || report.BootID != g.report.BootID || report.Digest != g.report.Digest {
-		g.completed = 0
+		g.cool()
 	}
 	g.report = report
 	g.identified = true
+	g.expireReport(now)
 }
 
 // Doubt returns the gate to cold and admits nothing until the next report.
-func (g *Gate) Doubt(_ time.Time) {
+func (g *Gate) Doubt(time.Time) {
 	g.identified = false
-	g.completed = 0
+	g.cool()
 }
 
 // SetLeaving stops all new work for good.
@@ -91,77 +106,80 @@
 
 // SetInService starts or stops new work; a return to service starts cold.
 func (g *Gate) SetInService(inService bool) {
-	if inService && !g.inService {
-		g.completed = 0
+	if inService != g.inService {
+		g.cool()
 	}
 	g.inService = inService
 }
 
-// SetLoading marks that a load order runs.
+// SetLoading marks that a load order runs; its start and its end return the gate to cold.
 func (g *Gate) SetLoading(loading bool) {
 	g.loading = loading
-	g.completed = 0
+	g.cool()
 }
 
 // Admit counts a request in, or returns the reason of its refusal.
-func (g *Gate) Admit(_ time.Time, digest core.Digest) Reason {
-	switch {
-	case g.leaving:
-		return ReasonLeaving
-	case !g.inService:
-		return ReasonOutOfService
-	case g.loading:
-		return ReasonLoading
-	case !g.identified:
-		return ReasonUnidentified
-	case digest != "" && (!g.report.Complete || digest != g.report.Digest):
-		return ReasonVersion
-	case g.inFlight >= g.limit():
-		return ReasonFull
+func (g *Gate) Admit(now time.Time, request Request) (Ticket, Reason) {
+	g.expireReport(now)
+	if reason := g.refusal(request); reason != ReasonNone {
+		return Ticket{}, reason
 	}
-	g.inFlight++
-	return ReasonNone
+	boot := g.report.BootID
+	g.inFlight[boot]++
+	g.total++
+	g.offers.Use(now, request.Entry)
+	return Ticket{request: request, boot: boot, epoch: g.epoch}, ReasonNone
 }
 
-// Finish counts a request out; completed says that the back end answered it.
-func (g *Gate) Finish(_ time.Time, completed bool) {
-	g.inFlight--
-	if completed {
-		g.completed++
+// Confirm checks an admission right before the first byte of the request leaves.
+//
+// A ticket from before the last return to cold is admitted again or refused. After a refusal the ticket is void.
+func (g *Gate) Confirm(now time.Time, ticket Ticket) (Ticket, Reason) {
+	g.expireReport(now)
+	if ticket.epoch == g.epoch {
+		return ticket, ReasonNone
 	}
+	g.release(ticket)
+	return g.Admit(now, ticket.request)
 }
 
-// Snapshot returns the gate's state.
-func (g *Gate) Snapshot() Snapshot {
-	return Snapshot{
-		State:     g.state(),
-		InFlight:  g.inFlight,
-		Limit:     g.limit(),
-		BootID:    g.report.BootID,
-		Digest:    g.report.Digest,
-		Complete:  g.report.Complete,
-		Completed: g.completed,
-		Leaving:   g.leaving,
-		InService: g.inService,
-		Loading:   g.loading,
+// Finish counts a request out.
+func (g *Gate) Finish(now time.Time, ticket Ticket, outcome Outcome) {
+	g.release(ticket)
+	switch {
+	case outcome == OutcomeCompleted && ticket.epoch == g.epoch:
+		g.completed++
+	case outcome == OutcomeBroken && ticket.boot == g.report.BootID:
+		g.Doubt(now)
 	}
 }
 
-func (g *Gate) state() core.UpstreamState {
-	switch {
-	case g.completed >= g.cfg.WarmupCompletions && g.identified:
-		return core.UpstreamWarm
-	case g.completed > 0:
-		return core.UpstreamWarming
-	default:
-		return core.UpstreamCold
+// Offer grants entry a share of the free slots until the grant expires.
+func (g *Gate) Offer(now time.Time, entry core.HostID) core.Grant {
+	g.expireReport(now)
+	return g.offers.Offer(now, entry, g.openLimit()-g.inFlight[g.report.BootID])
+}
+
+// Entries returns the entries that asked for an offer lately.
+func (g *Gate) Entries(now time.Time) []core.HostID { return g.offers.Entries(now) }
+
+func (g *Gate) release(ticket Ticket) {
+	g.total--
+	g.inFlight[ticket.boot]--
+	if g.inFlight[ticket.boot] <= 0 {
+		delete(g.inFlight, ticket.boot)
 	}
 }
 
-func (g *Gate) limit() int {
-	if g.cfg.WarmupCompletions <= 0 || g.completed >= g.cfg.WarmupCompletions {
-		return g.cfg.WarmLimit
+// cool starts a new epoch without completed work.
+func (g *Gate) cool() {
+	g.epoch++
+	g.completed = 0
+}
+
+// expireReport treats a report that is too old as missed.
+func (g *Gate) expireReport(now time.Time) {
+	if g.identified && g.cfg.MaxReportAge > 0 && now.Sub(g.report.ReadAt) > g.cfg.MaxReportAge {
+		g.Doubt(now)
 	}
-	span := g.cfg.WarmLimit - g.cfg.ColdLimit
-	return g.cfg.ColdLimit + span*g.completed/g.cfg.WarmupCompletions
 }
--- /dev/null
+++ b/coordination/admission/main_test.go
@@ -0,0 +1,9 @@
+package admission_test
+
+import (
+	"testing"
+
+	"github.com/guavatrestle/guavatrestle/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -10,6 +10,7 @@
 	protocolplatform "github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
 	"github.com/guavatrestle/guavatrestle/state/table"
 	"github.com/guavatrestle/guavatrestle/transport/platform"
 	"github.com/guavatrestle/guavatrestle/transport/server"
@@ -40,7 +41,7 @@
 		return nil, err
 	}
 	a := &agent{process: p, chunks: table.NewChunks(), engine: engine}
-	a.gate = upstream.NewGate(admission.Config{ColdLimit: 1, WarmLimit: 1}, p.now)
+	a.gate = upstream.NewGate(admission.Config{}, p.now)
 	a.monitor = upstream.NewMonitor(engine, a.gate, p.cfg.Agent.PollInterval, p.log)
 	return a, nil
 }
@@ -97,11 +98,18 @@
 			ColdLimit:         spec.ColdLimit,
 			WarmLimit:         spec.WarmLimit,
 			WarmupCompletions: spec.WarmupCompletions,
+			Versioned:         spec.Kind == settings.KindModel,
+			MaxReportAge:      a.maxReportAge(),
 		})
 	}
 	a.gate.SetInService(tree.InService(a.self.FailureDomain))
 }
 
+// maxReportAge allows for one slow status read and one missed one.
+func (a *agent) maxReportAge() time.Duration {
+	return platform.StatusTimeout + 2*a.cfg.Agent.PollInterval
+}
+
 func (a *agent) serveChunk(w http.ResponseWriter, r *http.Request) {
 	index, err := strconv.Atoi(r.PathValue("index"))
 	if err != nil {
--- a/transport/platform/engine.go
+++ b/transport/platform/engine.go
@@ -22,8 +22,8 @@
 	headerFencing = "Engine-Fencing-Token"
 )
 
-// statusTimeout bounds one status read; an engine that takes longer counts as a missed report.
-const statusTimeout = 2 * time.Second
+// StatusTimeout bounds one status read; an engine that takes longer counts as a missed report.
+const StatusTimeout = 2 * time.Second
 
 // EngineClient implements platform.Engine over HTTP.
 type EngineClient struct {
@@ -43,7 +43,7 @@
 	}
 	return &EngineClient{
 		base:   base,
-		status: resty.New().SetBaseURL(baseURL).SetTimeout(statusTimeout),
+		status: resty.New().SetBaseURL(baseURL).SetTimeout(StatusTimeout),
 		orders: resty.New().SetBaseURL(baseURL),
 		calls:  &http.Client{Transport: calls},
 	}, nil
--- a/transport/upstream/gate.go
+++ b/transport/upstream/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/admission"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
@@ -14,11 +15,16 @@
 	mu   sync.Mutex
 	gate *admission.Gate
 	now  func() time.Time
+	// idle is closed while no request is in flight.
+	idle   chan struct{}
+	isIdle bool
 }
 
 // NewGate returns a Gate that reads the time from now.
 func NewGate(cfg admission.Config, now func() time.Time) *Gate {
-	return &Gate{gate: admission.New(cfg), now: now}
+	idle := make(chan struct{})
+	close(idle)
+	return &Gate{gate: admission.New(cfg), now: now, idle: idle, isIdle: true}
 }
 
 // Configure replaces the limits.
@@ -64,22 +70,69 @@
 }
 
 // Admit counts a request in, or returns the reason of its refusal.
-func (g *Gate) Admit(digest core.Digest) admission.Reason {
+func (g *Gate) Admit(request admission.Request) (admission.Ticket, admission.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.gate.Admit(g.now(), digest)
+	ticket, reason := g.gate.Admit(g.now(), request)
+	g.updateIdle()
+	return ticket, reason
+}
+
+// Confirm checks an admission right before the first byte of the request leaves.
+func (g *Gate) Confirm(ticket admission.Ticket) (admission.Ticket, admission.Reason) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	confirmed, reason := g.gate.Confirm(g.now(), ticket)
+	g.updateIdle()
+	return confirmed, reason
 }
 
 // Finish counts a request out.
-func (g *Gate) Finish(completed bool) {
+func (g *Gate) Finish(ticket admission.Ticket, outcome admission.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Finish(g.now(), ticket, outcome)
+	g.updateIdle()
+}
+
+// Offer grants entry a share of the free slots.
+func (g *Gate) Offer(entry core.HostID) *wire.Grant {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	grant := g.gate.Offer(now, entry)
+	return &wire.Grant{Slots: uint32(grant.Slots), TtlMillis: uint32(grant.Expires.Sub(now).Milliseconds())}
+}
+
+// Entries returns the entries that asked for an offer lately.
+func (g *Gate) Entries() []core.HostID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gate.Finish(g.now(), completed)
+	return g.gate.Entries(g.now())
+}
+
+// Idle returns a channel that is closed once no request is in flight.
+func (g *Gate) Idle() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.idle
 }
 
 // Snapshot returns the gate's state.
 func (g *Gate) Snapshot() admission.Snapshot {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.gate.Snapshot()
+	return g.gate.Snapshot(g.now())
+}
+
+// updateIdle replaces the idle channel when the first request comes in and closes it when the last one ends.
+func (g *Gate) updateIdle() {
+	busy := g.gate.Snapshot(g.now()).InFlight > 0
+	switch {
+	case busy && g.isIdle:
+		g.idle = make(chan struct{})
+	case !busy && !g.isIdle:
+		close(g.idle)
+	}
+	g.isIdle = !busy
 }
--- a/transport/upstream/handler.go
+++ b/transport/upstream/handler.go
@@ -47,14 +47,16 @@
 	}
 	ctx, cancel := withDeadline(r.Context(), r.Header.Get(api.HeaderDeadline))
 	defer cancel()
-	reason := h.gate.Admit(core.Digest(r.Header.Get(api.HeaderVersionDigest)))
+	ticket, reason := h.gate.Admit(admission.Request{Digest: core.Digest(r.Header.Get(api.HeaderVersionDigest))})
 	if reason != admission.ReasonNone {
 		_ = out.Refusal(notRun(reason))
 		return
 	}
-	completed := false
-	defer func() { h.gate.Finish(completed) }()
-	completed = h.forward(ctx, out, r, body)
+	outcome := admission.OutcomeNeutral
+	defer func() { h.gate.Finish(ticket, outcome) }()
+	if h.forward(ctx, out, r, body) {
+		outcome = admission.OutcomeCompleted
+	}
 }
 
 func (h *Handler) forward(ctx context.Context, out *frame.Writer, r *http.Request, body []byte) bool {
--- a/transport/upstream/monitor.go
+++ b/transport/upstream/monitor.go
@@ -39,6 +39,7 @@
 
 // Poll reads the status once; a failed read puts the back end in doubt.
 func (m *Monitor) Poll(ctx context.Context) {
+	started := m.gate.now()
 	status, err := m.engine.Status(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -47,5 +48,5 @@
 		}
 		return
 	}
-	m.gate.Observe(admission.Report{BootID: status.BootID, Digest: status.Digest, Complete: status.Complete})
+	m.gate.Observe(admission.Report{BootID: status.BootID, Digest: status.Digest, Complete: status.Complete, ReadAt: started})
 }
--- a/transport/upstream/status.go
+++ b/transport/upstream/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -11,9 +10,6 @@
 	"github.com/guavatrestle/guavatrestle/state/table"
 )
 
-// grantTTL is the time for which a grant holds.
-const grantTTL = 3 * time.Second
-
 // Service implements the twirp service Agent.
 type Service struct {
 	host     core.Host
@@ -30,7 +26,7 @@
 }
 
 // Status implements wire.Agent.
-func (s *Service) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+func (s *Service) Status(_ context.Context, request *wire.StatusRequest) (*wire.StatusResponse, error) {
 	gate := s.gate.Snapshot()
 	spec := s.settings.Tree().Upstreams[s.host.Upstream]
 	response := &wire.StatusResponse{
@@ -42,10 +38,7 @@
 		InFlight:    uint32(gate.InFlight),
 		Limit:       uint32(gate.Limit),
 		Leaving:     gate.Leaving,
-		Grant: &wire.Grant{
-			Slots:     uint32(max(gate.Limit-gate.InFlight, 0)),
-			TtlMillis: uint32(grantTTL.Milliseconds()),
-		},
+		Grant:       s.gate.Offer(core.HostID(request.GetHost())),
 	}
 	if gate.Complete {
 		response.VersionDigest = string(gate.Digest)
