Bound frames at the writer and end responses once

Cause: a writer could send a frame over the reader's limit, and neither side refused frames after the last one. Nothing tested that a damaged response is refused.

Change: the writer refuses a frame over MaxFrameBytes without a trace in sequence, count or checksum; reader and writer refuse whatever follows End or Refusal. FuzzReader and a rapid test damage responses.

Ruled out: splitting large payloads in the writer; the agent's copy buffer of 32 KiB already keeps frames small.

Each check was removed once (go test ./protocol/frame):

* request ID or sequence: a damaged response was accepted
* count: TestRenumberedResponseIsNeverWhole/no_data fails
* checksum: .../payload fails; second head: .../two_heads fails
* unknown body: .../no_known_body fails
* reader or writer end: TestNothingFollowsTheLastFrame fails
* writer bound: TestWriterRefusesFramesThatNoReaderAccepts fails

--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
@@ -27,6 +28,8 @@
 	sequence   uint64
 	dataFrames uint64
 	checksum   *xxhash.Digest
+	// ended says that the last frame was written.
+	ended bool
 }
 
 // NewWriter returns a Writer for the response to requestID.
@@ -41,9 +44,12 @@
 
 // Data writes part of the body.
 func (w *Writer) Data(payload []byte) error {
+	if err := w.write(&wire.Frame{Body: &wire.Frame_Data{Data: &wire.Data{Payload: payload}}}); err != nil {
+		return err
+	}
 	w.dataFrames++
 	_, _ = w.checksum.Write(payload)
-	return w.write(&wire.Frame{Body: &wire.Frame_Data{Data: &wire.Data{Payload: payload}}})
+	return nil
 }
 
 // KeepAlive shows the reader that the path works.
@@ -54,20 +60,31 @@
 // End closes a whole response.
 func (w *Writer) End(grant *wire.Grant) error {
 	end := &wire.End{DataFrames: w.dataFrames, Checksum: w.checksum.Sum64(), Grant: grant}
-	return w.write(&wire.Frame{Body: &wire.Frame_End{End: end}})
+	err := w.write(&wire.Frame{Body: &wire.Frame_End{End: end}})
+	w.ended = true
+	return err
 }
 
 // Refusal ends the response without a whole answer.
 func (w *Writer) Refusal(refusal *wire.Refusal) error {
-	return w.write(&wire.Frame{Body: &wire.Frame_Refusal{Refusal: refusal}})
+	err := w.write(&wire.Frame{Body: &wire.Frame_Refusal{Refusal: refusal}})
+	w.ended = true
+	return err
 }
 
+// write sends one frame. After a failed write the response is over, because part of a frame may have left.
 func (w *Writer) write(f *wire.Frame) error {
+	if w.ended {
+		return protocol.Errorf(protocol.CodeMalformed, "frame after the last frame of the response")
+	}
 	f.RequestId = w.requestID
 	f.Sequence = w.sequence
+	if size := proto.Size(f); size > MaxFrameBytes {
+		return protocol.Errorf(protocol.CodeMalformed, "frame has %d bytes, more than %d", size, MaxFrameBytes)
+	}
 	w.sequence++
-	_, err := protodelim.MarshalTo(w.out, f)
-	if err != nil {
+	if _, err := protodelim.MarshalTo(w.out, f); err != nil {
+		w.ended = true
 		return protocol.Wrap(protocol.CodeUnavailable, err, "write response frame")
 	}
 	return nil
@@ -81,6 +98,7 @@
 	dataFrames uint64
 	checksum   *xxhash.Digest
 	headSeen   bool
+	ended      bool
 }
 
 // NewReader returns a Reader for the response to requestID.
@@ -89,7 +107,20 @@
 }
 
 // Next returns the next frame; a frame that cannot belong to a whole response is an error.
+//
+// After End, Refusal or an error every further call is an error.
 func (r *Reader) Next() (*wire.Frame, error) {
+	if r.ended {
+		return nil, protocol.Errorf(protocol.CodeMalformed, "the response has already ended")
+	}
+	f, err := r.next()
+	if err != nil || f.GetEnd() != nil || f.GetRefusal() != nil {
+		r.ended = true
+	}
+	return f, err
+}
+
+func (r *Reader) next() (*wire.Frame, error) {
 	f := &wire.Frame{}
 	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
 	if err := options.UnmarshalFrom(r.in, f); err != nil {
--- /dev/null
+++ b/protocol/frame/frame_test.go
@@ -0,0 +1,192 @@
+package frame_test
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/guavatrestle/guavatrestle/internal/proptest"
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/frame"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(testingM{m})
+}
+
+// testingM sets the seed of the property tests before the tests run.
+type testingM struct{ *testing.M }
+
+func (m testingM) Run() int {
+	if err := proptest.Configure(); err != nil {
+		panic(err)
+	}
+	return m.M.Run()
+}
+
+// response returns the frames of a whole response, each encoded on its own.
+func response(t require.TestingT, id core.RequestID, payloads [][]byte) [][]byte {
+	var frames [][]byte
+	var out bytes.Buffer
+	w := frame.NewWriter(&out, id)
+	take := func(err error) {
+		require.NoError(t, err)
+		frames = append(frames, slices.Clone(out.Bytes()))
+		out.Reset()
+	}
+	take(w.Head(&wire.Head{Status: 200}))
+	for _, payload := range payloads {
+		take(w.Data(payload))
+		take(w.KeepAlive())
+	}
+	take(w.End(nil))
+	return frames
+}
+
+// read returns the body and whether the reader accepted the response as whole.
+func read(stream []byte, id core.RequestID) (body []byte, whole bool) {
+	r := frame.NewReader(bytes.NewReader(stream), id)
+	for {
+		f, err := r.Next()
+		if err != nil || f.GetRefusal() != nil {
+			return body, false
+		}
+		body = append(body, f.GetData().GetPayload()...)
+		if f.GetEnd() != nil {
+			return body, true
+		}
+	}
+}
+
+// TestDamagedResponseIsNeverWhole guards against dropped, doubled, swapped, foreign and truncated frames.
+func TestDamagedResponseIsNeverWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		payloads := rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 1, 40), 1, 8).Draw(t, "payloads")
+		frames := response(t, "mine", payloads)
+		body, whole := read(bytes.Join(frames, nil), "mine")
+		require.True(t, whole, "an undamaged response is whole")
+		require.Equal(t, bytes.Join(payloads, nil), body)
+
+		i := rapid.IntRange(0, len(frames)-1).Draw(t, "i")
+		j := rapid.IntRange(0, len(frames)-2).Draw(t, "j")
+		damaged := slices.Clone(frames)
+		switch rapid.SampledFrom([]string{"drop", "double", "swap", "foreign", "truncate"}).Draw(t, "damage") {
+		case "drop":
+			damaged = slices.Delete(damaged, i, i+1)
+		case "double":
+			damaged = slices.Insert(damaged, j, damaged[j])
+		case "swap":
+			damaged[j], damaged[j+1] = damaged[j+1], damaged[j]
+		case "foreign":
+			damaged[i] = response(t, "other", payloads)[i]
+		case "truncate":
+			damaged[i] = damaged[i][:rapid.IntRange(0, len(damaged[i])-1).Draw(t, "length")]
+			damaged = damaged[:i+1]
+		}
+		_, whole = read(bytes.Join(damaged, nil), "mine")
+		require.False(t, whole, "a damaged response was accepted")
+	})
+}
+
+// TestRenumberedResponseIsNeverWhole guards against content that changed behind right sequence numbers.
+func TestRenumberedResponseIsNeverWhole(t *testing.T) {
+	const data, keepAlive, emptyData = 1, 2, 3
+	frames := response(t, "mine", [][]byte{[]byte("first"), {}})
+	for name, c := range map[string]struct {
+		frame  int
+		change func(*wire.Frame)
+	}{
+		"payload":       {data, func(f *wire.Frame) { f.GetData().Payload = []byte("FIRST") }},
+		"no data":       {emptyData, func(f *wire.Frame) { f.Body = &wire.Frame_KeepAlive{KeepAlive: &wire.KeepAlive{}} }},
+		"no known body": {keepAlive, func(f *wire.Frame) { f.Body = nil }},
+		"two heads":     {keepAlive, func(f *wire.Frame) { f.Body = &wire.Frame_Head{Head: &wire.Head{}} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &wire.Frame{}
+			require.NoError(t, protodelim.UnmarshalFrom(bytes.NewReader(frames[c.frame]), f))
+			c.change(f)
+			var out bytes.Buffer
+			_, err := protodelim.MarshalTo(&out, f)
+			require.NoError(t, err)
+			damaged := slices.Clone(frames)
+			damaged[c.frame] = out.Bytes()
+			_, whole := read(bytes.Join(damaged, nil), "mine")
+			require.False(t, whole)
+		})
+	}
+}
+
+// TestNothingFollowsTheLastFrame guards against frames after the end of a response, on both sides.
+func TestNothingFollowsTheLastFrame(t *testing.T) {
+	var out bytes.Buffer
+	w := frame.NewWriter(&out, "mine")
+	require.NoError(t, w.Head(&wire.Head{Status: 200}))
+	require.NoError(t, w.End(nil))
+	require.Equal(t, protocol.CodeMalformed, protocol.CodeOf(w.KeepAlive()))
+	r := frame.NewReader(&out, "mine")
+	for range 2 {
+		_, err := r.Next()
+		require.NoError(t, err)
+	}
+	_, err := r.Next()
+	require.Equal(t, protocol.CodeMalformed, protocol.CodeOf(err))
+}
+
+// TestWriterRefusesFramesThatNoReaderAccepts guards against a frame over the limit that ends the response at the entry.
+func TestWriterRefusesFramesThatNoReaderAccepts(t *testing.T) {
+	var out bytes.Buffer
+	w := frame.NewWriter(&out, "mine")
+	require.NoError(t, w.Head(&wire.Head{Status: 200}))
+	require.Equal(t, protocol.CodeMalformed, protocol.CodeOf(w.Data(make([]byte, frame.MaxFrameBytes))))
+	require.NoError(t, w.Data([]byte("small")))
+	require.NoError(t, w.End(nil))
+	body, whole := read(out.Bytes(), "mine")
+	require.True(t, whole, "the response goes on without the refused frame")
+	require.Equal(t, "small", string(body))
+}
+
+// FuzzReader guards against panics, and against a stream accepted as whole whose frames do not form a response.
+func FuzzReader(f *testing.F) {
+	whole := bytes.Join(response(f, "mine", [][]byte{[]byte("first"), []byte("second")}), nil)
+	f.Add(whole)
+	f.Add(whole[:len(whole)-3])
+	f.Add(append(slices.Clone(whole), whole...))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		body, whole := read(stream, "mine")
+		if !whole {
+			return
+		}
+		require.Equal(t, decodeAll(t, stream), body)
+	})
+}
+
+// decodeAll decodes a stream that the reader accepted, without its checks of order, and makes them afresh.
+func decodeAll(t *testing.T, stream []byte) []byte {
+	var body []byte
+	in := bytes.NewReader(stream)
+	var sequence, dataFrames uint64
+	for {
+		f := &wire.Frame{}
+		require.NoError(t, protodelim.UnmarshalFrom(in, f))
+		require.Equal(t, "mine", f.GetRequestId())
+		require.Equal(t, sequence, f.GetSequence())
+		require.LessOrEqual(t, proto.Size(f), frame.MaxFrameBytes)
+		sequence++
+		switch part := f.GetBody().(type) {
+		case *wire.Frame_Data:
+			dataFrames++
+			body = append(body, part.Data.GetPayload()...)
+		case *wire.Frame_End:
+			require.Equal(t, dataFrames, part.End.GetDataFrames())
+			return body
+		}
+	}
+}
