Identify the back end before a request leaves on a new connection

Cause: a back end that restarted between two status reads got the full warm load; every transport error was reported as unknown, even a refused connection; net/http repeated requests on its own when a reused connection broke, including a DELETE or POST without a body, and http.Client followed redirects that resend a body; a response without a length counted as whole when its connection was cut; a silent back end held its request until the deadline.

Change: upstream.Transport marks each connection with its place in a sequence of openings and status reads. A request leaves only after a successful status read that started later, and after Gate.Confirm. Each write is recorded first, so that not_run is said only when no write was tried, and a second connection for a request that may have left refuses to write. Status reads use a new connection each and reach the gate in order. The handler sends keep-alive frames, ends a silent response as unknown, cancels the back end's request when the entry goes away and passes the deadline on. End and Refusal carry a grant.

Ruled out: httptrace.WroteHeaders as the sign that a byte left (it fires after the flush; a failed flush may have sent bytes); a client of our own (net/http does the rest right); doubt about a back end that is silent in one response (the connection is replaced, and the new one is identified).

Each guard was removed once (go test ./transport/upstream):

* identity not checked, or admission not confirmed: "8" is not less than or equal to "2", requests in flight at a cold back end
* resend allowed: TestNothingIsSentTwice/GET_ fails
* writes not recorded: TestBrokenResponseIsNeverWhole fails, cut in the head
* body error or missing length taken as the end: the same test gets an End
* no progress deadline, entry's cancellation not passed on: the test waits for ever (10 s limit)
* no keep-alive: "0" is not positive
* failure is no doubt, cancel counts as doubt: the gate's state differs

The removal of the UTF-8 repair of messages was not caught: net/http quotes what it reports.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -183,3 +183,9 @@
 		g.Doubt(now)
 	}
 }
+
+// Digest returns the model version that the request was admitted for.
+func (t Ticket) Digest() core.Digest { return t.request.Digest }
+
+// Entry returns the entry that sent the request.
+func (t Ticket) Entry() core.HostID { return t.request.Entry }
--- a/protocol/api/api.go
+++ b/protocol/api/api.go
@@ -18,6 +18,8 @@
 	HeaderPath          = "Gt-Path"
 	HeaderIdempotent    = "Gt-Idempotent"
 	HeaderAttempt       = "Gt-Attempt"
+	// HeaderEntry names the entry that sends the request, so that its grant is counted as used.
+	HeaderEntry = "Gt-Entry"
 )
 
 // HeaderIdempotencyKey is the caller's header that names a call to run at most once.
--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -30,18 +30,20 @@
 	*process
 	chunks  *table.Chunks
 	engine  protocolplatform.Engine
+	calls   *upstream.Transport
 	gate    *upstream.Gate
 	monitor *upstream.Monitor
 }
 
 func newAgent(p *process) (*agent, error) {
 	p.self.Upstream = p.cfg.Agent.Upstream
-	engine, err := platform.NewEngineClient(p.cfg.Agent.Engine, http.DefaultTransport)
+	a := &agent{process: p, chunks: table.NewChunks(), gate: upstream.NewGate(admission.Config{}, p.now)}
+	a.calls = upstream.NewTransport(a.gate)
+	engine, err := platform.NewEngineClient(p.cfg.Agent.Engine, a.calls)
 	if err != nil {
 		return nil, err
 	}
-	a := &agent{process: p, chunks: table.NewChunks(), engine: engine}
-	a.gate = upstream.NewGate(admission.Config{}, p.now)
+	a.engine = engine
 	a.monitor = upstream.NewMonitor(engine, a.gate, p.cfg.Agent.PollInterval, p.log)
 	return a, nil
 }
@@ -57,7 +59,13 @@
 	controlMux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(service))
 	server.AddDebug(controlMux, a.introspection(a))
 	dataMux := http.NewServeMux()
-	dataMux.Handle("POST /call", upstream.NewHandler(a.gate, a.engine, a.now, a.log))
+	dataMux.Handle("POST /call", upstream.NewHandler(upstream.HandlerParts{
+		Gate:    a.gate,
+		Monitor: a.monitor,
+		Engine:  a.engine,
+		Timing:  upstream.DefaultTiming(),
+		Log:     a.log,
+	}))
 	dataMux.HandleFunc("GET /chunks/{digest}/{index}", a.serveChunk)
 	return controlMux, dataMux
 }
--- a/transport/platform/engine.go
+++ b/transport/platform/engine.go
@@ -30,7 +30,7 @@
 	base   *url.URL
 	status *resty.Client
 	orders *resty.Client
-	calls  *http.Client
+	calls  http.RoundTripper
 }
 
 var _ platform.Engine = (*EngineClient)(nil)
@@ -43,12 +43,21 @@
 	}
 	return &EngineClient{
 		base:   base,
-		status: resty.New().SetBaseURL(baseURL).SetTimeout(StatusTimeout),
+		status: statusClient(baseURL),
 		orders: resty.New().SetBaseURL(baseURL),
-		calls:  &http.Client{Transport: calls},
+		calls:  calls,
 	}, nil
 }
 
+// statusClient opens a connection for each read: on a kept connection a process that no longer accepts connections
+// could report an old boot ID after its successor has taken over the address.
+func statusClient(baseURL string) *resty.Client {
+	return resty.New().
+		SetTransport(&http.Transport{DisableKeepAlives: true}).
+		SetBaseURL(baseURL).
+		SetTimeout(StatusTimeout)
+}
+
 // Status implements platform.Engine.
 func (c *EngineClient) Status(ctx context.Context) (platform.EngineStatus, error) {
 	var status platform.EngineStatus
@@ -80,11 +89,18 @@
 }
 
 // Call implements platform.Engine.
+//
+// It follows no redirect and gives the transport no way to read the body twice, so that nothing is sent again.
 func (c *EngineClient) Call(ctx context.Context, request *http.Request) (*http.Response, error) {
 	out := request.Clone(ctx)
 	out.URL.Scheme = c.base.Scheme
 	out.URL.Host = c.base.Host
 	out.Host = c.base.Host
 	out.RequestURI = ""
-	return c.calls.Do(out)
+	out.GetBody = nil
+	response, err := c.calls.RoundTrip(out)
+	if err != nil {
+		return nil, protocol.Wrap(protocol.CodeUnavailable, err, "send request to the back end")
+	}
+	return response, nil
 }
--- a/transport/upstream/gate.go
+++ b/transport/upstream/gate.go
@@ -15,6 +15,8 @@
 	mu   sync.Mutex
 	gate *admission.Gate
 	now  func() time.Time
+	// identity orders connections and status reads; it has its own synchronisation.
+	identity identity
 	// idle is closed while no request is in flight.
 	idle   chan struct{}
 	isIdle bool
--- a/transport/upstream/handler.go
+++ b/transport/upstream/handler.go
@@ -1,9 +1,7 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -18,124 +16,104 @@
 )
 
 const (
-	// copyBufferBytes is the most that one data frame carries.
-	copyBufferBytes = 32 << 10
-	// fullRetryAfter is the time after which a full back end may have room.
-	fullRetryAfter = 200 * time.Millisecond
+	// defaultKeepAlive is half the time after which HTTP/2 pings find a silent connection.
+	defaultKeepAlive = 2 * time.Second
+	// defaultProgress leaves time for the first byte of a response that is generated whole before it is sent.
+	defaultProgress = 30 * time.Second
+	// lastFrameTime is the time after the deadline in which the last frame may still be written.
+	lastFrameTime = time.Second
 )
 
+// Timing holds the times that bound a quiet response.
+type Timing struct {
+	// KeepAlive is the time without a byte from the back end after which the entry gets a keep-alive frame.
+	KeepAlive time.Duration
+	// Progress is the time without a byte from the back end after which the request ends as unknown.
+	Progress time.Duration
+}
+
+// DefaultTiming returns the timing of an agent in service.
+func DefaultTiming() Timing { return Timing{KeepAlive: defaultKeepAlive, Progress: defaultProgress} }
+
+// HandlerParts are the parts that a Handler works with.
+type HandlerParts struct {
+	Gate    *Gate
+	Monitor *Monitor
+	Engine  platform.Engine
+	Timing  Timing
+	Log     *logrus.Entry
+}
+
 // Handler serves POST /call.
 type Handler struct {
-	gate   *Gate
-	engine platform.Engine
-	now    func() time.Time
-	log    *logrus.Entry
+	parts HandlerParts
 }
 
 // NewHandler returns a Handler.
-func NewHandler(gate *Gate, engine platform.Engine, now func() time.Time, log *logrus.Entry) *Handler {
-	return &Handler{gate: gate, engine: engine, now: now, log: log}
-}
+func NewHandler(parts HandlerParts) *Handler { return &Handler{parts: parts} }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := core.RequestID(r.Header.Get(api.HeaderRequestID))
-	out := frame.NewWriter(flushWriter{w}, id)
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	defer h.limitWrites(w, r.Header.Get(api.HeaderDeadline))()
+	out := frame.NewWriter(flushWriter{w}, core.RequestID(r.Header.Get(api.HeaderRequestID)))
+	end := h.serve(w, r, out)
+	if end.gone {
 		return
 	}
-	ctx, cancel := withDeadline(r.Context(), r.Header.Get(api.HeaderDeadline))
-	defer cancel()
-	ticket, reason := h.gate.Admit(admission.Request{Digest: core.Digest(r.Header.Get(api.HeaderVersionDigest))})
-	if reason != admission.ReasonNone {
-		_ = out.Refusal(notRun(reason))
-		return
-	}
-	outcome := admission.OutcomeNeutral
-	defer func() { h.gate.Finish(ticket, outcome) }()
-	if h.forward(ctx, out, r, body) {
-		outcome = admission.OutcomeCompleted
+	grant := h.parts.Gate.Offer(core.HostID(r.Header.Get(api.HeaderEntry)))
+	if err := end.write(out, grant); err != nil {
+		h.parts.Log.WithError(err).WithField("request_id", r.Header.Get(api.HeaderRequestID)).Debug("write last frame")
 	}
 }
 
-func (h *Handler) forward(ctx context.Context, out *frame.Writer, r *http.Request, body []byte) bool {
-	request, err := upstreamRequest(ctx, r, body)
-	if err != nil {
-		_ = out.Refusal(&wire.Refusal{Code: api.CodeBadRequest, Message: err.Error(), Run: wire.Run_RUN_NOT_RUN})
-		return false
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, out *frame.Writer) ending {
+	body, refusal := readBody(w, r)
+	if refusal != nil {
+		return refused(refusal)
 	}
-	response, err := h.engine.Call(ctx, request)
-	if err != nil {
-		h.gate.Doubt()
-		_ = out.Refusal(&wire.Refusal{Code: api.CodeUpstreamFailed, Message: err.Error(), Run: wire.Run_RUN_UNKNOWN})
-		return false
-	}
-	defer func() { _ = response.Body.Close() }()
-	return h.copyResponse(out, response)
-}
-
-func (h *Handler) copyResponse(out *frame.Writer, response *http.Response) bool {
-	head := &wire.Head{
-		Status:        uint32(response.StatusCode),
-		ContentType:   response.Header.Get("Content-Type"),
-		VersionDigest: string(h.gate.Snapshot().Digest),
+	ctx, cancel := withDeadline(r.Context(), r.Header.Get(api.HeaderDeadline))
+	defer cancel()
+	if ctx.Err() != nil {
+		return interrupted(ctx, false)
 	}
-	if out.Head(head) != nil {
-		return false
+	request, err := upstreamRequest(ctx, r, body)
+	if err != nil {
+		return refused(&wire.Refusal{Code: api.CodeBadRequest, Message: err.Error(), Run: wire.Run_RUN_NOT_RUN})
 	}
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := response.Body.Read(buffer)
-		if n > 0 && out.Data(buffer[:n]) != nil {
-			return false
-		}
-		if err == io.EOF {
-			return out.End(nil) == nil
-		}
-		if err != nil {
-			h.gate.Doubt()
-			_ = out.Refusal(&wire.Refusal{Code: api.CodeResponseCut, Message: err.Error(), Run: wire.Run_RUN_UNKNOWN})
-			return false
-		}
+	ticket, reason := h.parts.Gate.Admit(admissionRequest(r))
+	if reason != admission.ReasonNone {
+		return refused(notRun(reason))
 	}
+	return h.run(ctx, out, request, ticket)
 }
 
-func upstreamRequest(ctx context.Context, r *http.Request, body []byte) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, r.Header.Get(api.HeaderMethod), r.Header.Get(api.HeaderPath), bytes.NewReader(body))
-	if err != nil {
-		return nil, err
+// run carries an admitted request to its end and counts it out.
+func (h *Handler) run(ctx context.Context, out *frame.Writer, request *http.Request, ticket admission.Ticket) ending {
+	e := &exchange{
+		out:     out,
+		engine:  h.parts.Engine,
+		timing:  h.parts.Timing,
+		digest:  ticket.Digest(),
+		attempt: &attempt{gate: h.parts.Gate, monitor: h.parts.Monitor, ticket: ticket},
 	}
-	request.Header.Set("Content-Type", r.Header.Get("Content-Type"))
-	request.Header.Set(api.HeaderRequestID, r.Header.Get(api.HeaderRequestID))
-	return request, nil
+	end := ending{outcome: admission.OutcomeNeutral}
+	defer func() { e.attempt.finish(end.outcome) }()
+	end = e.run(ctx, request)
+	return end
 }
 
-func withDeadline(ctx context.Context, value string) (context.Context, context.CancelFunc) {
+// limitWrites bounds writes to an entry that went silent over HTTP/1.1, where no ping finds out; it returns the undo.
+func (h *Handler) limitWrites(w http.ResponseWriter, value string) func() {
 	deadline, err := time.Parse(time.RFC3339Nano, value)
 	if err != nil {
-		return context.WithCancel(ctx)
-	}
-	return context.WithDeadline(ctx, deadline)
-}
-
-func notRun(reason admission.Reason) *wire.Refusal {
-	refusal := &wire.Refusal{
-		Code:    api.CodeNoCapacity,
-		Message: "the agent admits no request: " + string(reason),
-		Run:     wire.Run_RUN_NOT_RUN,
+		return func() {}
 	}
-	switch reason {
-	case admission.ReasonLeaving:
-		refusal.Code = api.CodeLeaving
-	case admission.ReasonOutOfService:
-		refusal.Code = api.CodeOutOfService
-	case admission.ReasonVersion:
-		refusal.Code = api.CodeVersionMismatch
-	default:
-		refusal.RetryAfterMillis = uint32(fullRetryAfter.Milliseconds())
+	controller := http.NewResponseController(w)
+	if now := h.parts.Gate.now(); deadline.Before(now) {
+		deadline = now
 	}
-	return refusal
+	_ = controller.SetWriteDeadline(deadline.Add(lastFrameTime))
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
 }
 
 // flushWriter flushes after every write, so that each frame reaches the entry at once.
--- /dev/null
+++ b/transport/upstream/harness_test.go
@@ -0,0 +1,175 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/guavatrestle/guavatrestle/coordination/admission"
+	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/protocol/frame"
+	"github.com/guavatrestle/guavatrestle/protocol/platform"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	transportplatform "github.com/guavatrestle/guavatrestle/transport/platform"
+	"github.com/guavatrestle/guavatrestle/transport/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patient is a timing that no test reaches.
+var patient = upstream.Timing{KeepAlive: time.Minute, Progress: time.Minute}
+
+// backEnd is a back end whose answers a test chooses and which counts the runs of each request.
+type backEnd struct {
+	*httptest.Server
+	mu   sync.Mutex
+	boot string
+	runs map[string]int
+	busy int
+	peak int
+}
+
+func newBackEnd(boot string, answer http.HandlerFunc) *backEnd {
+	b := &backEnd{boot: boot, runs: make(map[string]int)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /engine/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(platform.EngineStatus{BootID: b.boot})
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		b.enter(r.Header.Get(api.HeaderRequestID))
+		defer b.exit()
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer(w, r)
+	})
+	b.Server = httptest.NewUnstartedServer(mux)
+	return b
+}
+
+func (b *backEnd) enter(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[id]++
+	b.busy++
+	b.peak = max(b.peak, b.busy)
+}
+
+func (b *backEnd) exit() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.busy--
+}
+
+func (b *backEnd) count(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+// agentUnderTest is the request path of an agent.
+type agentUnderTest struct {
+	gate    *upstream.Gate
+	monitor *upstream.Monitor
+	server  *httptest.Server
+	client  *http.Client
+}
+
+func newAgent(t *testing.T, url string, timing upstream.Timing) *agentUnderTest {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	gate := upstream.NewGate(admission.Config{ColdLimit: 2, WarmLimit: 8, WarmupCompletions: 2}, time.Now)
+	transport := upstream.NewTransport(gate)
+	engine, err := transportplatform.NewEngineClient(url, transport)
+	require.NoError(t, err)
+	a := &agentUnderTest{gate: gate, monitor: upstream.NewMonitor(engine, gate, time.Minute, logrus.NewEntry(log))}
+	a.server = httptest.NewServer(upstream.NewHandler(upstream.HandlerParts{
+		Gate: gate, Monitor: a.monitor, Engine: engine, Timing: timing, Log: logrus.NewEntry(log),
+	}))
+	a.client = a.server.Client()
+	t.Cleanup(func() {
+		a.server.Close()
+		transport.CloseIdleConnections()
+	})
+	return a
+}
+
+// outcome is what the entry sees of one request.
+type outcome struct {
+	body       string
+	end        *wire.End
+	refusal    *wire.Refusal
+	keepAlives int
+	err        error
+}
+
+func (a *agentUnderTest) call(ctx context.Context, id, method, body string) outcome {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, a.server.URL, bytes.NewBufferString(body))
+	if err != nil {
+		return outcome{err: err}
+	}
+	request.Header.Set(api.HeaderRequestID, id)
+	request.Header.Set(api.HeaderMethod, method)
+	request.Header.Set(api.HeaderPath, "/work")
+	request.Header.Set(api.HeaderEntry, "entry-1")
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set(api.HeaderDeadline, deadline.Format(time.RFC3339Nano))
+	}
+	response, err := a.client.Do(request)
+	if err != nil {
+		return outcome{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readFrames(frame.NewReader(response.Body, core.RequestID(id)))
+}
+
+func newReader(in io.Reader) *frame.Reader { return frame.NewReader(in, "") }
+
+func readFrames(in *frame.Reader) outcome {
+	var o outcome
+	for o.end == nil && o.refusal == nil && o.err == nil {
+		f, err := in.Next()
+		switch body := f.GetBody().(type) {
+		case *wire.Frame_Data:
+			o.body += string(body.Data.GetPayload())
+		case *wire.Frame_KeepAlive:
+			o.keepAlives++
+		}
+		o.end, o.refusal, o.err = f.GetEnd(), f.GetRefusal(), err
+	}
+	return o
+}
+
+// hijack ends the connection after writing raw bytes.
+func hijack(raw string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, raw)
+		_ = conn.Close()
+	}
+}
+
+func answerOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }
+
+// listen returns a listener on addr, which a back end that was just closed may have used.
+func listen(t *testing.T, addr string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	return l
+}
