Drain the agent and apply settings changes at once

Cause: an agent that left stopped as soon as its requests had ended, whether or not the entries knew, so that an entry could lose a request on a closing connection. It looked at its settings every 200 ms and at its requests in flight every 20 ms. It admitted work before it had a full configuration, that is, before it knew whether its failure domain was out.

Change: Gate.Leave refuses new work, waits for the last request, and then until each entry seen in the last 3 s has read a status that says leaving, at most 2 s. Only then do the listeners close, control last. The agent follows Settings.View and opens the gate only on a full configuration that has a document of its upstream.

Ruled out: a fixed pause before the listeners close (it slows every stop and proves nothing).

Each guard was removed once (go test ./transport/daemon, -run Leave ./transport/upstream):

* not waiting for requests: a request is in flight; in the daemon the test does not end in 15 s
* not waiting for entries, one entry is enough, or entries not recorded as told: entry-2 does not know yet, or Leave does not end
* no time limit for entries: all goroutines in bubble are blocked
* gate not closed by leaving, failure domain not applied, part of the settings applied: the daemon's tests do not end in 15 s

Conclusion: go test -race ./transport/... passes; make demo as before. A stop still takes up to about 1 s when an HTTP/2 connection is open, because net/http waits 1 s after it announced the end of the connection.

--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -18,13 +18,6 @@
 	"github.com/guavatrestle/guavatrestle/transport/weights"
 )
 
-const (
-	// drainPoll is the time between looks at the requests in flight while the agent leaves.
-	drainPoll = 20 * time.Millisecond
-	// followInterval is the time between looks at the settings that the gate follows.
-	followInterval = 200 * time.Millisecond
-)
-
 // agent is the agent role.
 type agent struct {
 	*process
@@ -85,32 +78,37 @@
 	})
 }
 
-// followSettings applies changed settings to the gate.
+// followSettings applies each change of the settings to the gate at once.
 func (a *agent) followSettings(ctx context.Context) {
-	ticker := time.NewTicker(followInterval)
-	defer ticker.Stop()
 	for {
-		a.applySettings()
+		view := a.settings.View()
+		if view.Loaded {
+			a.applySettings(view.Tree)
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-view.Changed:
 		}
 	}
 }
 
-func (a *agent) applySettings() {
-	tree := a.settings.Tree()
-	if spec, ok := tree.Upstreams[a.self.Upstream]; ok {
-		a.gate.Configure(admission.Config{
-			ColdLimit:         spec.ColdLimit,
-			WarmLimit:         spec.WarmLimit,
-			WarmupCompletions: spec.WarmupCompletions,
-			Versioned:         spec.Kind == settings.KindModel,
-			MaxReportAge:      a.maxReportAge(),
-		})
-	}
+// applySettings closes the gate before it opens it, so that no request slips in between. Without a document of its
+// upstream the agent admits nothing.
+func (a *agent) applySettings(tree *settings.Tree) {
 	a.gate.SetInService(tree.InService(a.self.FailureDomain))
+	spec, ok := tree.Upstreams[a.self.Upstream]
+	if !ok {
+		a.gate.Configure(admission.Config{})
+		return
+	}
+	a.gate.Configure(admission.Config{
+		ColdLimit:         spec.ColdLimit,
+		WarmLimit:         spec.WarmLimit,
+		WarmupCompletions: spec.WarmupCompletions,
+		Versioned:         spec.Kind == settings.KindModel,
+		MaxReportAge:      a.maxReportAge(),
+	})
 }
 
 // maxReportAge allows for one slow status read and one missed one.
@@ -134,16 +132,8 @@
 }
 
 func (a *agent) leave(ctx context.Context) {
-	a.gate.SetLeaving()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for a.gate.Snapshot().InFlight > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	a.gate.Leave(ctx)
+	a.calls.CloseIdleConnections()
 }
 
 func (a *agent) state() any { return a.gate.Snapshot() }
--- /dev/null
+++ b/transport/daemon/agent_test.go
@@ -0,0 +1,222 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/protocol/frame"
+	"github.com/guavatrestle/guavatrestle/protocol/platform"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/config"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+	"github.com/guavatrestle/guavatrestle/transport/server"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testUpstream = "pedidos"
+	testDomain   = "sur-a"
+)
+
+// running is an agent with open listeners beside a back end that a test steers.
+type running struct {
+	*agent
+	control, data *server.Listener
+	client        *http.Client
+	// arrived receives one element per request at the back end; release ends them all.
+	arrived, release chan struct{}
+}
+
+func runAgent(t *testing.T) *running {
+	t.Helper()
+	r := &running{arrived: make(chan struct{}, 8), release: make(chan struct{})}
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/engine/status" {
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(platform.EngineStatus{BootID: "a"})
+			return
+		}
+		r.arrived <- struct{}{}
+		<-r.release
+		_, _ = io.WriteString(w, "done")
+	}))
+	t.Cleanup(engine.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := config.Default()
+	cfg.Role, cfg.Host, cfg.FailureDomain = core.RoleAgent, "agent-1", testDomain
+	cfg.Agent = &config.Agent{Upstream: testUpstream, Engine: engine.URL, PollInterval: 5 * time.Millisecond}
+	var err error
+	r.agent, err = newAgent(newProcess(cfg, logrus.NewEntry(log)))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	control, data := r.start(ctx)
+	r.control, err = server.Listen("127.0.0.1:0", control)
+	require.NoError(t, err)
+	r.data, err = server.Listen("127.0.0.1:0", data)
+	require.NoError(t, err)
+	r.client = &http.Client{Transport: &http.Transport{Protocols: onlyHTTP2()}}
+	t.Cleanup(func() {
+		cancel()
+		r.loops.Wait()
+		r.calls.CloseIdleConnections()
+		r.client.CloseIdleConnections()
+	})
+	return r
+}
+
+func onlyHTTP2() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+func (r *running) apply(t *testing.T, version uint64, state settings.FailureDomainState) {
+	t.Helper()
+	upstream, err := json.Marshal(settings.UpstreamSettings{Kind: settings.KindService, ColdLimit: 2, WarmLimit: 4, WarmupCompletions: 2})
+	require.NoError(t, err)
+	domain, err := json.Marshal(settings.FailureDomainSettings{State: state})
+	require.NoError(t, err)
+	_, err = r.settings.Merge([]settings.Document{
+		{Path: settings.UpstreamPath(testUpstream), Version: 1, Body: upstream},
+		{Path: settings.FailureDomainPath(testDomain), Version: version, Body: domain},
+	})
+	require.NoError(t, err)
+}
+
+// call sends a request and returns its last frame.
+func (r *running) call(id string) (*wire.Frame, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+r.data.Addr()+"/call", bytes.NewBufferString("order"))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(api.HeaderRequestID, id)
+	request.Header.Set(api.HeaderMethod, http.MethodPost)
+	request.Header.Set(api.HeaderPath, "/work")
+	response, err := r.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	in := frame.NewReader(response.Body, core.RequestID(id))
+	for {
+		f, err := in.Next()
+		if err != nil || f.GetEnd() != nil || f.GetRefusal() != nil {
+			return f, err
+		}
+	}
+}
+
+func (r *running) status(t *testing.T) *wire.StatusResponse {
+	t.Helper()
+	client := wire.NewAgentProtobufClient("http://"+r.control.Addr(), r.client)
+	status, err := client.Status(t.Context(), &wire.StatusRequest{Host: "entry-1"})
+	require.NoError(t, err)
+	return status
+}
+
+// await asks for the status until it holds; the test's own time limit bounds the wait.
+func (r *running) await(t *testing.T, holds func(*wire.StatusResponse) bool) {
+	t.Helper()
+	for !holds(r.status(t)) {
+		require.NoError(t, t.Context().Err())
+	}
+}
+
+// stop shuts the agent down, and an entry reads its status once while it leaves.
+func (r *running) stop(t *testing.T) {
+	t.Helper()
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.shutdown(r.agent, r.data, r.control) }()
+	r.await(t, (*wire.StatusResponse).GetLeaving)
+	require.NoError(t, <-stopped)
+}
+
+func isOpen(s *wire.StatusResponse) bool   { return s.GetLimit() > 0 }
+func isClosed(s *wire.StatusResponse) bool { return s.GetLimit() == 0 }
+
+// TestLeavingAgentAnswersUntilTheLastRequestEnds guards against a shutdown that cuts off a request or its status.
+func TestLeavingAgentAnswersUntilTheLastRequestEnds(t *testing.T) {
+	r := runAgent(t)
+	r.apply(t, 1, settings.FailureDomainIn)
+	r.settings.MarkLoaded()
+	r.await(t, isOpen)
+	last := make(chan *wire.Frame, 1)
+	go func() {
+		f, _ := r.call("r1")
+		last <- f
+	}()
+	<-r.arrived
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.shutdown(r.agent, r.data, r.control) }()
+	r.await(t, (*wire.StatusResponse).GetLeaving)
+	require.EqualValues(t, 1, r.status(t).GetInFlight())
+	f, err := r.call("r2")
+	require.NoError(t, err)
+	require.Equal(t, wire.Run_RUN_NOT_RUN, f.GetRefusal().GetRun())
+	require.Equal(t, api.CodeLeaving, f.GetRefusal().GetCode())
+	require.Empty(t, stopped, "the agent stopped before its last request ended")
+	close(r.release)
+	require.NotNil(t, (<-last).GetEnd())
+	require.NoError(t, <-stopped)
+	require.Empty(t, r.arrived, "a request refused as not run reached the back end")
+}
+
+// TestEntriesLearnOfLeavingBeforeTheListenerCloses guards against requests lost on a listener that closes unannounced.
+func TestEntriesLearnOfLeavingBeforeTheListenerCloses(t *testing.T) {
+	r := runAgent(t)
+	r.apply(t, 1, settings.FailureDomainIn)
+	r.settings.MarkLoaded()
+	r.await(t, isOpen)
+	r.stop(t)
+}
+
+// TestFailureDomainOutClosesTheGate guards against new work after operators took the failure domain out.
+func TestFailureDomainOutClosesTheGate(t *testing.T) {
+	r := runAgent(t)
+	close(r.release)
+	r.apply(t, 1, settings.FailureDomainIn)
+	r.settings.MarkLoaded()
+	r.await(t, isOpen)
+	for range 2 {
+		f, err := r.call("warm-up")
+		require.NoError(t, err)
+		require.NotNil(t, f.GetEnd())
+	}
+	require.Equal(t, wire.UpstreamState_UPSTREAM_STATE_WARM, r.status(t).GetState())
+	r.apply(t, 2, settings.FailureDomainOut)
+	r.await(t, isClosed)
+	f, err := r.call("r1")
+	require.NoError(t, err)
+	require.Equal(t, api.CodeOutOfService, f.GetRefusal().GetCode())
+	require.Equal(t, wire.Run_RUN_NOT_RUN, f.GetRefusal().GetRun())
+	r.apply(t, 3, settings.FailureDomainIn)
+	r.await(t, isOpen)
+	require.Equal(t, wire.UpstreamState_UPSTREAM_STATE_COLD, r.status(t).GetState())
+	r.stop(t)
+}
+
+// TestPartOfTheSettingsOpensNoGate guards against work in a failure domain whose document has not arrived yet.
+func TestPartOfTheSettingsOpensNoGate(t *testing.T) {
+	r := runAgent(t)
+	r.apply(t, 1, settings.FailureDomainIn)
+	r.monitor.Poll(t.Context())
+	f, err := r.call("r1")
+	require.NoError(t, err)
+	require.Equal(t, wire.Run_RUN_NOT_RUN, f.GetRefusal().GetRun())
+	require.Empty(t, r.arrived)
+	r.stop(t)
+}
--- a/transport/upstream/gate.go
+++ b/transport/upstream/gate.go
@@ -20,13 +20,15 @@
 	// idle is closed while no request is in flight.
 	idle   chan struct{}
 	isIdle bool
+
+	announcement announcement
 }
 
 // NewGate returns a Gate that reads the time from now.
 func NewGate(cfg admission.Config, now func() time.Time) *Gate {
 	idle := make(chan struct{})
 	close(idle)
-	return &Gate{gate: admission.New(cfg), now: now, idle: idle, isIdle: true}
+	return &Gate{gate: admission.New(cfg), now: now, idle: idle, isIdle: true, announcement: newAnnouncement()}
 }
 
 // Configure replaces the limits.
@@ -50,13 +52,6 @@
 	g.gate.Doubt(g.now())
 }
 
-// SetLeaving stops all new work.
-func (g *Gate) SetLeaving() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.gate.SetLeaving()
-}
-
 // SetInService starts or stops new work.
 func (g *Gate) SetInService(inService bool) {
 	g.mu.Lock()
--- a/transport/upstream/status.go
+++ b/transport/upstream/status.go
@@ -28,6 +28,9 @@
 // Status implements wire.Agent.
 func (s *Service) Status(_ context.Context, request *wire.StatusRequest) (*wire.StatusResponse, error) {
 	gate := s.gate.Snapshot()
+	if gate.Leaving {
+		defer s.gate.Told(core.HostID(request.GetHost()))
+	}
 	spec := s.settings.Tree().Upstreams[s.host.Upstream]
 	response := &wire.StatusResponse{
 		Host:        string(s.host.ID),
