Merge agent admission, drain and lock order assertions

The shutdown refuses new work while the process announces to its peers that it is leaving, so a slow peer does not keep the gate open.

--- a/state/table/members.go
+++ b/state/table/members.go
@@ -4,14 +4,13 @@
 	"maps"
 	"slices"
 	"strings"
-	"sync"
 
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
 // Members holds the hosts that the process knows, from membership records and from its own connections.
 type Members struct {
-	mu    sync.Mutex
+	mu    mutex[rankMembers]
 	hosts map[core.HostID]core.Host
 	// seen holds what connections to a host have shown since its record last changed.
 	seen map[core.HostID]observation
--- a/state/table/settings.go
+++ b/state/table/settings.go
@@ -5,20 +5,31 @@
 	"maps"
 	"slices"
 	"strings"
-	"sync"
 
 	"github.com/guavatrestle/guavatrestle/state/settings"
 )
 
 // Settings holds the settings documents, highest version per path, and the decoded tree in force.
 type Settings struct {
-	mu sync.RWMutex
+	mu mutex[rankSettings]
 	// documents are the newest known, which peers get.
 	documents map[string]settings.Document
 	// decodable are the newest per path that this process can decode; the tree is built from them.
 	decodable map[string]settings.Document
 	tree      *settings.Tree
 	loaded    bool
+	// changed is closed on each change and replaced by a fresh channel.
+	changed chan struct{}
+}
+
+// SettingsView is the state of the table at one moment.
+type SettingsView struct {
+	// Tree holds the decoded settings in force; it must not be changed.
+	Tree *settings.Tree
+	// Loaded says that the table holds a full configuration.
+	Loaded bool
+	// Changed is closed once the view is no longer current.
+	Changed <-chan struct{}
 }
 
 // NewSettings returns an empty table.
@@ -28,6 +39,7 @@
 		documents: make(map[string]settings.Document),
 		decodable: make(map[string]settings.Document),
 		tree:      tree,
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -54,6 +66,7 @@
 	}
 	if len(taken) > 0 {
 		s.tree, _ = settings.NewTree(slices.Collect(maps.Values(s.decodable)))
+		s.notify()
 	}
 	return taken, errors.Join(failed...)
 }
@@ -62,7 +75,24 @@
 func (s *Settings) MarkLoaded() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.loaded {
+		return
+	}
 	s.loaded = true
+	s.notify()
+}
+
+// View returns the settings in force together with the notice of their next change, so that no change is missed.
+func (s *Settings) View() SettingsView {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return SettingsView{Tree: s.tree, Loaded: s.loaded, Changed: s.changed}
+}
+
+// notify wakes everyone who waits for a change; the caller holds the lock.
+func (s *Settings) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // Loaded reports whether the table holds a full configuration.
--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -10,6 +10,7 @@
 	protocolplatform "github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
 	"github.com/guavatrestle/guavatrestle/state/table"
 	"github.com/guavatrestle/guavatrestle/transport/platform"
 	"github.com/guavatrestle/guavatrestle/transport/server"
@@ -17,29 +18,24 @@
 	"github.com/guavatrestle/guavatrestle/transport/weights"
 )
 
-const (
-	// drainPoll is the time between looks at the requests in flight while the agent leaves.
-	drainPoll = 20 * time.Millisecond
-	// followInterval is the time between looks at the settings that the gate follows.
-	followInterval = 200 * time.Millisecond
-)
-
 // agent is the agent role.
 type agent struct {
 	*process
 	chunks  *table.Chunks
 	engine  protocolplatform.Engine
+	calls   *upstream.Transport
 	gate    *upstream.Gate
 	monitor *upstream.Monitor
 }
 
 func newAgent(p *process) (*agent, error) {
-	engine, err := platform.NewEngineClient(p.cfg.Agent.Engine, http.DefaultTransport)
+	a := &agent{process: p, chunks: table.NewChunks(), gate: upstream.NewGate(admission.Config{}, p.now)}
+	a.calls = upstream.NewTransport(a.gate)
+	engine, err := platform.NewEngineClient(p.cfg.Agent.Engine, a.calls)
 	if err != nil {
 		return nil, err
 	}
-	a := &agent{process: p, chunks: table.NewChunks(), engine: engine}
-	a.gate = upstream.NewGate(admission.Config{ColdLimit: 1, WarmLimit: 1}, p.now)
+	a.engine = engine
 	a.monitor = upstream.NewMonitor(engine, a.gate, p.cfg.Agent.PollInterval, p.log)
 	return a, nil
 }
@@ -56,7 +52,13 @@
 	a.registerControl(controlMux)
 	server.AddDebug(controlMux, a.introspection(a))
 	dataMux := http.NewServeMux()
-	dataMux.Handle("POST /call", upstream.NewHandler(a.gate, a.engine, a.now, a.log))
+	dataMux.Handle("POST /call", upstream.NewHandler(upstream.HandlerParts{
+		Gate:    a.gate,
+		Monitor: a.monitor,
+		Engine:  a.engine,
+		Timing:  upstream.DefaultTiming(),
+		Log:     a.log,
+	}))
 	dataMux.HandleFunc("GET /chunks/{digest}/{index}", a.serveChunk)
 	return controlMux, dataMux
 }
@@ -76,30 +78,42 @@
 	})
 }
 
-// followSettings applies changed settings to the gate.
+// followSettings applies each change of the settings to the gate at once.
 func (a *agent) followSettings(ctx context.Context) {
-	ticker := time.NewTicker(followInterval)
-	defer ticker.Stop()
 	for {
-		a.applySettings()
+		view := a.settings.View()
+		if view.Loaded {
+			a.applySettings(view.Tree)
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-view.Changed:
 		}
 	}
 }
 
-func (a *agent) applySettings() {
-	tree := a.settings.Tree()
-	if spec, ok := tree.Upstreams[a.self.Upstream]; ok {
-		a.gate.Configure(admission.Config{
-			ColdLimit:         spec.ColdLimit,
-			WarmLimit:         spec.WarmLimit,
-			WarmupCompletions: spec.WarmupCompletions,
-		})
-	}
+// applySettings closes the gate before it opens it, so that no request slips in between. Without a document of its
+// upstream the agent admits nothing.
+func (a *agent) applySettings(tree *settings.Tree) {
 	a.gate.SetInService(tree.InService(a.self.FailureDomain))
+	spec, ok := tree.Upstreams[a.self.Upstream]
+	if !ok {
+		a.gate.Configure(admission.Config{})
+		return
+	}
+	a.gate.Configure(admission.Config{
+		ColdLimit:         spec.ColdLimit,
+		WarmLimit:         spec.WarmLimit,
+		WarmupCompletions: spec.WarmupCompletions,
+		Versioned:         spec.Kind == settings.KindModel,
+		MaxReportAge:      a.maxReportAge(),
+	})
+}
+
+// maxReportAge allows for one slow status read and one missed one.
+func (a *agent) maxReportAge() time.Duration {
+	return platform.StatusTimeout + 2*a.cfg.Agent.PollInterval
 }
 
 func (a *agent) serveChunk(w http.ResponseWriter, r *http.Request) {
@@ -118,16 +132,8 @@
 }
 
 func (a *agent) leave(ctx context.Context) {
-	a.gate.SetLeaving()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for a.gate.Snapshot().InFlight > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	a.gate.Leave(ctx)
+	a.calls.CloseIdleConnections()
 }
 
 func (a *agent) state() any { return a.gate.Snapshot() }
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -122,8 +122,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.ShutdownTimeout)
 	defer cancel()
 	p.log.Info("process is leaving")
-	p.control.Leave(ctx)
+	var announced sync.WaitGroup
+	announced.Go(func() { p.control.Leave(ctx) })
 	r.leave(ctx)
+	announced.Wait()
 	err := data.Shutdown(ctx)
 	if controlErr := controlListener.Shutdown(ctx); err == nil {
 		err = controlErr
