Route by grants, distance and a bounded subset of agents

Cause: an entry asked every agent for its status each interval, ignored grants, and learned of a leaving or full agent only from the next heartbeat.

An agent is now a candidate by its limit and its grant; a report or a grant is corrected by the requests that the entry itself started or ended since. An agent that said it is leaving stays so within its incarnation, because a report that was on its way can arrive later. The subset is chosen by rendezvous hash per upstream and failure domain with the largest size that fits 32 agents, and the interval stretches so that heartbeats stay under 2000 B/s.

Ruled out: counting grants down per request without giving slots back on completion; a warm agent would serve only one grant per heartbeat.

--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -4,6 +4,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
@@ -13,6 +14,8 @@
 	Upstream core.Upstream
 	// Digest is the version wanted; empty means any.
 	Digest core.Digest
+	// NeedsVersion says that only an agent with a complete version can serve the request.
+	NeedsVersion bool
 	// FailureDomains lists the failure domains that may serve the request; empty means all.
 	FailureDomains []core.FailureDomain
 	// Exclude lists hosts already tried.
@@ -21,31 +24,36 @@
 
 // Snapshot is the state that a decision is made on.
 type Snapshot struct {
+	Now       time.Time
 	Agents    []core.AgentStatus
 	InService func(core.FailureDomain) bool
 	Own       core.FailureDomain
+	OwnRegion core.Region
 }
 
-// Choose returns the agent for a request by power of two choices, own failure domain first.
+// tiers are the classes of distance: own failure domain, own region, elsewhere.
+const tiers = 3
+
+// Choose returns the agent for a request by power of two choices among the nearest agents with a free slot.
 func Choose(snapshot Snapshot, request Request, random *rand.Rand) (core.AgentStatus, bool) {
-	var own, others []core.AgentStatus
+	var byTier [tiers][]core.AgentStatus
 	for _, agent := range snapshot.Agents {
-		if !eligible(snapshot, request, agent) {
-			continue
-		}
-		if agent.Host.FailureDomain == snapshot.Own {
-			own = append(own, agent)
+		if !Eligible(snapshot, request, agent) || !free(snapshot.Now, agent) {
 			continue
 		}
-		others = append(others, agent)
+		tier := snapshot.tier(agent.Host)
+		byTier[tier] = append(byTier[tier], agent)
 	}
-	if chosen, ok := pickOfTwo(own, random); ok {
-		return chosen, true
+	for _, agents := range byTier {
+		if chosen, ok := pickOfTwo(agents, random); ok {
+			return chosen, true
+		}
 	}
-	return pickOfTwo(others, random)
+	return core.AgentStatus{}, false
 }
 
-func eligible(snapshot Snapshot, request Request, agent core.AgentStatus) bool {
+// Eligible reports whether an agent may serve a request, whether or not it has a free slot now.
+func Eligible(snapshot Snapshot, request Request, agent core.AgentStatus) bool {
 	switch {
 	case agent.Host.Upstream != request.Upstream:
 		return false
@@ -53,26 +61,52 @@
 		return false
 	case !snapshot.InService(agent.Host.FailureDomain):
 		return false
+	case request.NeedsVersion && agent.VersionDigest == "":
+		return false
 	case request.Digest != "" && agent.VersionDigest != request.Digest:
 		return false
 	case len(request.FailureDomains) > 0 && !slices.Contains(request.FailureDomains, agent.Host.FailureDomain):
 		return false
-	case slices.Contains(request.Exclude, agent.Host.ID):
+	}
+	return !slices.Contains(request.Exclude, agent.Host.ID)
+}
+
+// free reports whether an agent has a slot. A grant in force always counts; without one only a warm agent takes work,
+// because the limit of a cold one may have fallen since the last report.
+func free(now time.Time, agent core.AgentStatus) bool {
+	if agent.InFlight >= agent.Limit {
 		return false
 	}
-	return agent.InFlight < agent.Limit
+	if now.Before(agent.Grant.Expires) {
+		return agent.Grant.Slots > 0
+	}
+	return agent.State == core.UpstreamWarm
+}
+
+func (s Snapshot) tier(host core.Host) int {
+	switch {
+	case host.FailureDomain == s.Own:
+		return 0
+	case host.Region == s.OwnRegion:
+		return 1
+	default:
+		return 2
+	}
 }
 
 func pickOfTwo(agents []core.AgentStatus, random *rand.Rand) (core.AgentStatus, bool) {
-	if len(agents) == 0 {
+	switch len(agents) {
+	case 0:
 		return core.AgentStatus{}, false
+	case 1:
+		return agents[0], true
 	}
-	a := agents[random.IntN(len(agents))]
-	b := agents[random.IntN(len(agents))]
-	if load(b) < load(a) {
-		return b, true
+	first := random.IntN(len(agents))
+	second := (first + 1 + random.IntN(len(agents)-1)) % len(agents)
+	if load(agents[second]) < load(agents[first]) {
+		return agents[second], true
 	}
-	return a, true
+	return agents[first], true
 }
 
 func load(agent core.AgentStatus) float64 {
--- /dev/null
+++ b/coordination/routing/routing_test.go
@@ -0,0 +1,226 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavatrestle/guavatrestle/coordination/routing"
+	"github.com/guavatrestle/guavatrestle/internal/proptest"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/table"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+var (
+	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	domains = []core.FailureDomain{"centro-a", "centro-b", "sur-a"}
+	regions = map[core.FailureDomain]core.Region{"centro-a": "centro", "centro-b": "centro", "sur-a": "sur"}
+)
+
+const (
+	agents   = 4
+	upstream = "guava-llm"
+)
+
+// routingModel is the oracle: what the entry was told, kept as plain facts per agent.
+type routingModel struct {
+	table  *table.Upstreams
+	random *rand.Rand
+	now    time.Time
+	out    map[core.FailureDomain]bool
+	told   map[core.HostID]*facts
+	own    map[core.HostID]int
+}
+
+type facts struct {
+	run       int
+	leaving   bool
+	limit     int
+	version   core.Digest
+	slots     int
+	slotsEnd  time.Time
+	sentSince int
+	warm      bool
+}
+
+func hostOf(i int) core.Host {
+	domain := domains[i%len(domains)]
+	return core.Host{ID: core.HostID(fmt.Sprintf("agent-%d", i)), Role: core.RoleAgent, Upstream: upstream, FailureDomain: domain, Region: regions[domain]}
+}
+
+func (m *routingModel) report(t *rapid.T) {
+	i := rapid.IntRange(0, agents-1).Draw(t, "agent")
+	host := hostOf(i)
+	old := m.told[host.ID]
+	next := &facts{
+		limit: rapid.IntRange(0, 4).Draw(t, "limit"), warm: rapid.Bool().Draw(t, "warm"),
+		version: rapid.SampledFrom([]core.Digest{"v1", "", "v1", "v2", "v1"}).Draw(t, "version"),
+		slots:   rapid.IntRange(0, 3).Draw(t, "slots"), slotsEnd: m.now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "ttl")) * time.Second),
+	}
+	if old != nil {
+		next.run, next.leaving = old.run, old.leaving
+		if rapid.IntRange(0, 3).Draw(t, "restarted") == 3 {
+			next.run, next.leaving = old.run+1, false
+		}
+	}
+	state := core.UpstreamCold
+	if next.warm {
+		state = core.UpstreamWarm
+	}
+	// The report never says leaving: it stands for one that was on its way when the agent began to leave.
+	m.table.Set(core.AgentStatus{
+		Host: host, Incarnation: incarnation(next.run), VersionDigest: next.version, State: state, Limit: next.limit,
+		InFlight: m.own[host.ID], Grant: core.Grant{Slots: next.slots, Expires: next.slotsEnd},
+	})
+	m.told[host.ID] = next
+}
+
+func incarnation(run int) core.Incarnation { return core.Incarnation(fmt.Sprint(run)) }
+
+func (m *routingModel) refuse(t *rapid.T) {
+	id := hostOf(rapid.IntRange(0, agents-1).Draw(t, "agent")).ID
+	told := m.told[id]
+	if told == nil {
+		return
+	}
+	if rapid.IntRange(0, 2).Draw(t, "leaving") == 0 {
+		m.table.MarkLeaving(id, incarnation(told.run))
+		told.leaving = true
+		return
+	}
+	m.table.SetGrant(id, incarnation(told.run), table.BlockedGrant(m.now.Add(time.Second)))
+	told.slots, told.slotsEnd, told.sentSince = 0, m.now.Add(time.Second), 0
+}
+
+func (m *routingModel) toggle(t *rapid.T) {
+	domain := rapid.SampledFrom(domains).Draw(t, "domain")
+	m.out[domain] = !m.out[domain]
+}
+
+func (m *routingModel) finish(t *rapid.T) {
+	id := hostOf(rapid.IntRange(0, agents-1).Draw(t, "agent")).ID
+	if m.own[id] == 0 {
+		return
+	}
+	m.table.Finish(id)
+	m.own[id]--
+	if told := m.told[id]; told != nil {
+		told.sentSince--
+	}
+}
+
+func (m *routingModel) choose(t *rapid.T) {
+	want := rapid.SampledFrom([]core.Digest{"", "v1"}).Draw(t, "want")
+	snapshot := routing.Snapshot{
+		Now: m.now, Agents: m.table.List(), Own: domains[0], OwnRegion: regions[domains[0]],
+		InService: func(d core.FailureDomain) bool { return !m.out[d] },
+	}
+	request := routing.Request{Upstream: upstream, Digest: want, NeedsVersion: true}
+	agent, ok := routing.Choose(snapshot, request, m.random)
+	usable := m.usable(want)
+	if !ok {
+		require.Empty(t, usable, "no agent was chosen although some are usable")
+		return
+	}
+	require.Contains(t, usable, agent.Host.ID, "chosen agent is not usable")
+	for _, id := range usable {
+		require.LessOrEqual(t, distance(agent.Host.ID), distance(id), "request went past %s", id)
+	}
+	m.table.Start(agent.Host.ID)
+	m.own[agent.Host.ID]++
+	m.told[agent.Host.ID].sentSince++
+}
+
+// distance ranks a host by its place: this failure domain, this region, elsewhere.
+func distance(id core.HostID) int {
+	return map[core.HostID]int{"agent-0": 0, "agent-1": 1, "agent-2": 2, "agent-3": 0}[id]
+}
+
+// usable lists the agents that may get a request, by the rules as the design page words them.
+func (m *routingModel) usable(want core.Digest) []core.HostID {
+	var ids []core.HostID
+	for i := range agents {
+		host := hostOf(i)
+		told := m.told[host.ID]
+		if told == nil || told.leaving || m.out[host.FailureDomain] || told.version == "" || want != "" && told.version != want {
+			continue
+		}
+		granted := told.warm
+		if m.now.Before(told.slotsEnd) {
+			granted = told.slots-max(0, told.sentSince) > 0
+		}
+		if granted && m.own[host.ID] < told.limit {
+			ids = append(ids, host.ID)
+		}
+	}
+	return ids
+}
+
+// TestNoRequestGoesWhereTheEntryKnowsItMustNot guards against requests to agents that are leaving, full, cold without a
+// grant, on another version or in a failure domain that is out, and against needless spill-over.
+func TestNoRequestGoesWhereTheEntryKnowsItMustNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &routingModel{
+			table: table.NewUpstreams(), random: rand.New(rand.NewPCG(1, 2)), now: start,
+			out: map[core.FailureDomain]bool{}, told: map[core.HostID]*facts{}, own: map[core.HostID]int{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"report": m.report, "refuse": m.refuse, "toggle": m.toggle, "finish": m.finish, "choose": m.choose,
+			"choose again": m.choose,
+			"wait":         func(*rapid.T) { m.now = m.now.Add(500 * time.Millisecond) },
+		})
+	})
+}
+
+// TestSubsetIsBoundedAtFleetSize guards against heartbeats over the bandwidth that a node has for control.
+func TestSubsetIsBoundedAtFleetSize(t *testing.T) {
+	const fleet, failureDomains, upstreams, entries = 6700, 11, 2, 200
+	var hosts []core.Host
+	for i := range fleet {
+		hosts = append(hosts, core.Host{
+			ID: core.HostID(fmt.Sprintf("agent-%d", i)), Role: core.RoleAgent,
+			Upstream: core.Upstream(fmt.Sprint(i % upstreams)), FailureDomain: core.FailureDomain(fmt.Sprint(i % failureDomains)),
+		})
+	}
+	users := make(map[core.HostID]int)
+	for e := range entries {
+		subset := routing.Subset(core.HostID(fmt.Sprintf("entry-%d", e)), hosts, routing.MaxAgents)
+		require.LessOrEqual(t, len(subset), routing.MaxAgents)
+		require.Len(t, subset, failureDomains*upstreams, "every upstream and failure domain has an agent")
+		interval := routing.Interval(time.Second, len(subset))
+		require.LessOrEqual(t, float64(len(subset)*routing.HeartbeatBytes)/interval.Seconds(), float64(routing.HeartbeatBytesPerSecond))
+		for _, host := range subset {
+			users[host.ID]++
+		}
+	}
+	for id, n := range users {
+		require.LessOrEqual(t, n, 12, "agent %s is in too many subsets for an even spread", id)
+	}
+}
+
+// TestSubsetKeepsAllAgentsOfASmallFleet guards against an entry that leaves capacity unused at today's sizes.
+func TestSubsetKeepsAllAgentsOfASmallFleet(t *testing.T) {
+	var hosts []core.Host
+	for i := range 14 {
+		hosts = append(hosts, hostOf(i))
+	}
+	require.Len(t, routing.Subset("entry-1", hosts, routing.MaxAgents), 14)
+	require.ElementsMatch(t, routing.Subset("entry-1", hosts[1:], routing.MaxAgents), without(routing.Subset("entry-1", hosts, routing.MaxAgents), hosts[0].ID),
+		"the subset of the other hosts changes when one leaves")
+}
+
+func without(hosts []core.Host, id core.HostID) []core.Host {
+	var rest []core.Host
+	for _, host := range hosts {
+		if host.ID != id {
+			rest = append(rest, host)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/coordination/routing/subset.go
@@ -0,0 +1,100 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+const (
+	// MaxAgents bounds the agents that an entry sends heartbeats to over all upstreams and failure domains.
+	MaxAgents = 32
+	// HeartbeatBytes is an upper bound of the bytes of one status call and its response on an open HTTP/2 connection.
+	HeartbeatBytes = 640
+	// HeartbeatBytesPerSecond is the rate that heartbeats of one entry stay under.
+	HeartbeatBytesPerSecond = 2000
+)
+
+// group is one upstream in one failure domain.
+type group struct {
+	upstream core.Upstream
+	domain   core.FailureDomain
+}
+
+// ranked is a host with its rendezvous weight for one entry.
+type ranked struct {
+	host   core.Host
+	weight uint64
+}
+
+// Subset returns the agents that entry self uses: of each upstream and failure domain the first k by rendezvous hash,
+// where k is the largest number that keeps the whole within limit, and at least 1.
+func Subset(self core.HostID, hosts []core.Host, limit int) []core.Host {
+	groups := rankedGroups(self, hosts)
+	k := perGroup(groups, limit)
+	var chosen []core.Host
+	for _, members := range groups {
+		for _, r := range members[:min(k, len(members))] {
+			chosen = append(chosen, r.host)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b core.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return chosen
+}
+
+// Interval returns the time between two heartbeats to the same agent: base, or longer when agents are so many that
+// heartbeats would exceed HeartbeatBytesPerSecond.
+func Interval(base time.Duration, agents int) time.Duration {
+	needed := time.Duration(agents) * HeartbeatBytes * time.Second / HeartbeatBytesPerSecond
+	return max(base, needed)
+}
+
+func rankedGroups(self core.HostID, hosts []core.Host) map[group][]ranked {
+	groups := make(map[group][]ranked)
+	for _, host := range hosts {
+		if host.Role != core.RoleAgent {
+			continue
+		}
+		g := group{upstream: host.Upstream, domain: host.FailureDomain}
+		groups[g] = append(groups[g], ranked{host: host, weight: rendezvous(string(self), string(host.ID))})
+	}
+	for _, members := range groups {
+		slices.SortFunc(members, func(a, b ranked) int {
+			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.host.ID, b.host.ID))
+		})
+	}
+	return groups
+}
+
+func perGroup(groups map[group][]ranked, limit int) int {
+	largest := 0
+	for _, members := range groups {
+		largest = max(largest, len(members))
+	}
+	for k := largest; k > 1; k-- {
+		if total(groups, k) <= limit {
+			return k
+		}
+	}
+	return 1
+}
+
+func total(groups map[group][]ranked, k int) int {
+	sum := 0
+	for _, members := range groups {
+		sum += min(k, len(members))
+	}
+	return sum
+}
+
+func rendezvous(key, node string) uint64 {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(key)
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.WriteString(node)
+	return hash.Sum64()
+}
