Give callers whole responses and bounded retries at the entry

Cause: a response was passed on frame by frame, so a cut one could not be retried and a stream could end with [DONE] before its End was checked; the HTTP/2 transport could resend an empty body after GOAWAY; a silent path held its request until the deadline; a request without a free slot was refused at once, and no team had a limit.

Responses other than event streams are held back up to 4 MiB until End is checked. Streams pass on whole events, [DONE] only after End, and end with an error event and an aborted connection when they are not whole. The request body has no GetBody and is never http.NoBody, so the transport cannot send it again. A path without a frame for 10 s is retired. Requests pass the team's bucket and the fair queue of their upstream.

Ruled out: closing the silent connection itself, because other streams on it may still end well; they have their own progress deadline.

Heartbeat: 334 B each above TCP (go test -run HeartbeatStays -v ./transport/entry).

Guards removed once each (go test ./transport/entry): single-use body: "request was sent again"; path retired: "silent connection was used again"; retry rule: TestNonRepeatableCallIsSentOnce fails; [DONE] held: body contains [DONE]; abort: "connection ended as if the response were whole"; hold-back: "200" is not greater than "500"; leaving noted from a refusal: "12" is not less than or equal to "1"; progress reset, rate, queue wake-up, queue expiry, caller's timeout, failure domain out, request ID of frames: the test of each fails.

--- a/coordination/routing/subset.go
+++ b/coordination/routing/subset.go
@@ -13,7 +13,8 @@
 const (
 	// MaxAgents bounds the agents that an entry sends heartbeats to over all upstreams and failure domains.
 	MaxAgents = 32
-	// HeartbeatBytes is an upper bound of the bytes of one status call and its response on an open HTTP/2 connection.
+	// HeartbeatBytes is an upper bound of the bytes of one status call and its response on an open HTTP/2 connection:
+	// 334 measured above TCP with all fields at their usual length, and six packets' headers.
 	HeartbeatBytes = 640
 	// HeartbeatBytesPerSecond is the rate that heartbeats of one entry stay under.
 	HeartbeatBytesPerSecond = 2000
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -30,6 +30,7 @@
 	dataMux := http.NewServeMux()
 	handler := entryhttp.NewHandler(entryhttp.Parts{
 		Config:    *e.cfg.Entry,
+		Tuning:    entryhttp.DefaultTuning(),
 		Self:      e.self,
 		Settings:  e.settings,
 		Upstreams: e.upstreams,
@@ -38,6 +39,10 @@
 		Log:       e.log,
 	})
 	handler.Register(dataMux)
+	e.loops.Go(func() {
+		defer handler.Close()
+		handler.Run(ctx)
+	})
 	admin.NewHandler(e.store, e.settings, e.cfg.Entry.AdminTokenHashes, e.log).Register(dataMux)
 	return controlMux, dataMux
 }
--- /dev/null
+++ b/transport/entry/attempt.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/coordination/retry"
+	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/protocol/frame"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/transport"
+)
+
+// errNoProgress ends a try on which no frame arrived for the progress timeout.
+var errNoProgress = errors.New("no frame arrived within the progress timeout")
+
+// attempt is one try of a call at one agent.
+type attempt struct {
+	call   call
+	agent  core.AgentStatus
+	number int
+	// connected is set once the request had a connection, after which a byte of it may have left.
+	connected atomic.Bool
+	// refused is set when the agent ended the request by a Refusal frame.
+	refused bool
+}
+
+// singleUseBody is a request body that http.Transport cannot rewind: without GetBody it never sends a request again
+// after reading from the body, neither on a reused connection nor after GOAWAY or REFUSED_STREAM.
+type singleUseBody struct {
+	remaining []byte
+}
+
+// Read implements io.Reader.
+func (b *singleUseBody) Read(p []byte) (int, error) {
+	if len(b.remaining) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.remaining)
+	b.remaining = b.remaining[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (b *singleUseBody) Close() error { return nil }
+
+// send runs one try; it returns nil once the caller has the whole response.
+func (h *Handler) send(ctx context.Context, out responder, a *attempt) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	used := h.pool.acquire(a.agent.Host.DataAddr)
+	defer h.pool.release(used)
+	progress := time.AfterFunc(h.tuning.ProgressTimeout, func() { cancel(errNoProgress) })
+	defer progress.Stop()
+	response, err := h.roundTrip(ctx, used, a)
+	if err == nil {
+		defer func() { _ = response.Body.Close() }()
+		in := frame.NewReader(response.Body, a.call.id)
+		err = h.relay(out, a, in, func() { progress.Reset(h.tuning.ProgressTimeout) })
+	}
+	if err != nil && errors.Is(context.Cause(ctx), errNoProgress) {
+		h.pool.retire(used)
+		return transport.Errorf(http.StatusBadGateway, api.CodeUpstreamFailed, a.run(),
+			"no frame from agent %s for %s", a.agent.Host.ID, h.tuning.ProgressTimeout)
+	}
+	return err
+}
+
+func (h *Handler) roundTrip(ctx context.Context, used *path, a *attempt) (*http.Response, error) {
+	request, err := a.request(ctx)
+	if err != nil {
+		return nil, transport.Errorf(http.StatusBadRequest, api.CodeBadRequest, api.RunNotRun, "build request: %v", err)
+	}
+	response, err := used.transport.RoundTrip(request)
+	if err != nil {
+		return nil, a.sendError(ctx, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, transport.Errorf(http.StatusBadGateway, api.CodeUpstreamFailed, api.RunUnknown,
+			"agent returned status %d without frames", response.StatusCode)
+	}
+	return response, nil
+}
+
+func (a *attempt) request(ctx context.Context) (*http.Request, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	url := "http://" + a.agent.Host.DataAddr + "/call"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, &singleUseBody{remaining: a.call.body})
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(a.call.body))
+	a.setHeaders(request.Header)
+	return request, nil
+}
+
+func (a *attempt) setHeaders(header http.Header) {
+	c := a.call
+	header.Set("Content-Type", c.contentType)
+	header.Set(api.HeaderRequestID, string(c.id))
+	header.Set(api.HeaderDeadline, c.deadline.Format(time.RFC3339Nano))
+	header.Set(api.HeaderTeam, string(c.team))
+	header.Set(api.HeaderModel, string(c.model))
+	header.Set(api.HeaderVersionDigest, string(a.agent.VersionDigest))
+	header.Set(api.HeaderMethod, c.method)
+	header.Set(api.HeaderPath, c.path)
+	header.Set(api.HeaderIdempotent, strconv.FormatBool(c.repeatable))
+	header.Set(api.HeaderAttempt, strconv.Itoa(a.number))
+}
+
+// sendError converts an error before the first frame.
+func (a *attempt) sendError(ctx context.Context, err error) error {
+	run := a.run()
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return transport.Errorf(http.StatusGatewayTimeout, api.CodeDeadline, run, "no response before the deadline")
+	case run == api.RunNotRun:
+		return transport.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, run, "connect to agent: %v", err).
+			WithRetryAfter(capacityRetryAfter)
+	default:
+		return transport.Errorf(http.StatusBadGateway, api.CodeUpstreamFailed, run, "send to agent: %v", err)
+	}
+}
+
+// run says what is certain about a try without an answer: without a connection no byte left, so the call did not run.
+func (a *attempt) run() api.Run {
+	if a.connected.Load() {
+		return api.RunUnknown
+	}
+	return api.RunNotRun
+}
+
+// failure describes how the try ended for the retry decision.
+func (a *attempt) failure(err *transport.Error, started bool) retry.Failure {
+	return retry.Failure{
+		Sent:    a.connected.Load(),
+		NotRun:  err.Run == api.RunNotRun && (a.refused || !a.connected.Load()),
+		Started: started,
+	}
+}
--- a/transport/entry/call.go
+++ b/transport/entry/call.go
@@ -1,10 +1,19 @@
 package entry
 
 import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/routing"
+	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+	"github.com/guavatrestle/guavatrestle/transport"
 )
 
 // call is one caller's request on its way through the entry.
@@ -18,6 +27,132 @@
 	contentType string
 	body        []byte
 	deadline    time.Time
+	weight      int
+	queueLength int
+	// key is the caller's idempotency key, empty when there is none.
+	key string
 	// repeatable says that the call may be sent again after its first byte has left.
 	repeatable bool
+	// claimed says that the key is claimed for this call.
+	claimed bool
+}
+
+// modelCall reads a request for a model. Completions change nothing, so they are repeatable.
+func (h *Handler) modelCall(w http.ResponseWriter, r *http.Request, id core.RequestID) (call, error) {
+	c, team, err := h.newCall(w, r, id)
+	if err != nil {
+		return c, err
+	}
+	var body struct {
+		Model core.Model `json:"model"`
+	}
+	if err := json.Unmarshal(c.body, &body); err != nil {
+		return c, badRequest("body is not valid JSON: %v", err)
+	}
+	for _, m := range team.Models {
+		if m.Name != body.Model {
+			continue
+		}
+		c.model = m.Name
+		c.repeatable = true
+		c.route = routing.Request{
+			Upstream:       m.Upstream,
+			Digest:         m.VersionDigest,
+			NeedsVersion:   true,
+			FailureDomains: team.FailureDomains,
+		}
+		return c, nil
+	}
+	return c, transport.Errorf(http.StatusNotFound, api.CodeUnknownModel, api.RunNotRun, "team %q has no model %q", c.team, body.Model)
+}
+
+// serviceCall reads a request for a plain service, whose settings say whether its calls are repeatable.
+func (h *Handler) serviceCall(w http.ResponseWriter, r *http.Request, id core.RequestID) (call, error) {
+	c, team, err := h.newCall(w, r, id)
+	if err != nil {
+		return c, err
+	}
+	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix), "/")
+	c.path = "/" + path
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	for _, s := range team.Services {
+		if string(s.Upstream) != name {
+			continue
+		}
+		c.repeatable = s.Repeatable
+		c.route = routing.Request{Upstream: s.Upstream, FailureDomains: team.FailureDomains}
+		return c, nil
+	}
+	return c, transport.Errorf(http.StatusNotFound, api.CodeUnknownUpstream, api.RunNotRun, "team %q has no service %q", c.team, name)
+}
+
+func (h *Handler) newCall(w http.ResponseWriter, r *http.Request, id core.RequestID) (call, settings.TeamSettings, error) {
+	c := call{
+		id:          id,
+		method:      r.Method,
+		path:        r.URL.Path,
+		contentType: r.Header.Get("Content-Type"),
+		key:         r.Header.Get(api.HeaderIdempotencyKey),
+	}
+	tree := h.settings.Tree()
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	name, ok := tree.TeamByToken(token)
+	if !ok {
+		return c, settings.TeamSettings{}, transport.Errorf(http.StatusUnauthorized, api.CodeUnauthorized, api.RunNotRun, "no team has this bearer token")
+	}
+	team := tree.Teams[name]
+	c.team, c.weight, c.queueLength = name, team.Weight, team.Limits.QueueLength
+	timeout, err := h.timeout(r.Header.Get(headerTimeout))
+	if err != nil {
+		return c, team, err
+	}
+	c.deadline = h.now().Add(timeout)
+	if err := checkKey(c.key); err != nil {
+		return c, team, err
+	}
+	if err := h.checkRate(name, team.Limits); err != nil {
+		return c, team, err
+	}
+	c.body, err = h.readBody(w, r)
+	return c, team, err
+}
+
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, transport.Errorf(http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge, api.RunNotRun, "body is larger than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, badRequest("read body: %v", err)
+	}
+	return body, nil
+}
+
+// timeout returns the caller's time limit, which cannot exceed the configured one.
+func (h *Handler) timeout(header string) (time.Duration, error) {
+	if header == "" {
+		return h.cfg.RequestTimeout, nil
+	}
+	seconds, err := strconv.ParseFloat(header, 64)
+	if err != nil || !(seconds > 0) {
+		return 0, badRequest("%s is %q, want a positive number of seconds", headerTimeout, header)
+	}
+	if seconds >= h.cfg.RequestTimeout.Seconds() {
+		return h.cfg.RequestTimeout, nil
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+func checkKey(key string) error {
+	if len(key) > maxKeyBytes {
+		return badRequest("%s is longer than %d bytes", api.HeaderIdempotencyKey, maxKeyBytes)
+	}
+	return nil
+}
+
+func badRequest(format string, args ...any) error {
+	return transport.Errorf(http.StatusBadRequest, api.CodeBadRequest, api.RunNotRun, format, args...)
 }
--- /dev/null
+++ b/transport/entry/dispatch.go
@@ -0,0 +1,258 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/coordination/limits"
+	"github.com/guavatrestle/guavatrestle/coordination/routing"
+	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+	"github.com/guavatrestle/guavatrestle/transport"
+)
+
+// dispatchInterval is the time between two looks at the queues without an event, which find grants that took effect
+// by time and requests that waited for too long.
+const dispatchInterval = 50 * time.Millisecond
+
+// dispatcher holds the teams' buckets and one fair queue per upstream.
+type dispatcher struct {
+	mu      sync.Mutex
+	buckets map[core.Team]*limits.Bucket
+	queues  map[core.Upstream]*upstreamQueue
+	lastID  limits.ItemID
+}
+
+type upstreamQueue struct {
+	fair    *limits.Queue
+	waiters map[limits.ItemID]*waiter
+}
+
+// waiter is a request that waits for a slot; the result channel has room for its one result.
+type waiter struct {
+	route  routing.Request
+	class  string
+	result chan reservation
+}
+
+// reservation is a slot at an agent or the reason that there is none.
+type reservation struct {
+	agent core.AgentStatus
+	err   error
+}
+
+func newDispatcher() *dispatcher {
+	return &dispatcher{
+		buckets: make(map[core.Team]*limits.Bucket),
+		queues:  make(map[core.Upstream]*upstreamQueue),
+	}
+}
+
+// checkRate takes a token from the team's bucket.
+func (h *Handler) checkRate(team core.Team, limit settings.TeamLimits) error {
+	d, now := h.dispatch, h.now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	bucket, ok := d.buckets[team]
+	if !ok {
+		bucket = limits.NewBucket(now, limit.RequestsPerSecond, limit.Burst)
+		d.buckets[team] = bucket
+	}
+	bucket.Configure(now, limit.RequestsPerSecond, limit.Burst)
+	if wait, ok := bucket.Take(now); !ok {
+		return transport.Errorf(http.StatusTooManyRequests, api.CodeTeamLimit, api.RunNotRun,
+			"team %q is over its limit of %g requests a second", team, limit.RequestsPerSecond).WithRetryAfter(wait)
+	}
+	return nil
+}
+
+// acquire waits in the fair queue for a slot at an agent. The caller ends the reservation with Finish.
+func (h *Handler) acquire(ctx context.Context, c call) (core.AgentStatus, error) {
+	if !h.anyEligible(c.route) {
+		return core.AgentStatus{}, noCapacity("no agent of upstream %q can serve the request", c.route.Upstream)
+	}
+	id, waiting, err := h.enqueue(c)
+	if err != nil {
+		return core.AgentStatus{}, err
+	}
+	select {
+	case result := <-waiting.result:
+		return result.agent, result.err
+	case <-ctx.Done():
+		h.abandon(c.route.Upstream, id, waiting)
+		return core.AgentStatus{}, waitError(ctx)
+	}
+}
+
+func (h *Handler) anyEligible(request routing.Request) bool {
+	snapshot := h.snapshot()
+	for _, agent := range h.upstreams.List() {
+		if routing.Eligible(snapshot, request, agent) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Handler) enqueue(c call) (limits.ItemID, *waiter, error) {
+	d := h.dispatch
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastID++
+	queue := d.queue(c.route.Upstream, h.tuning)
+	waiting := &waiter{route: c.route, class: class(c.route), result: make(chan reservation, 1)}
+	if queue.fair.Len() == 0 {
+		if agent, ok := h.choose(c.route); ok {
+			waiting.result <- reservation{agent: agent}
+			return d.lastID, waiting, nil
+		}
+	}
+	item := limits.Item{ID: d.lastID, Team: c.team, Weight: c.weight, Length: c.queueLength, Deadline: c.deadline}
+	if reason, after := queue.fair.Push(h.now(), item); reason != limits.ReasonNone {
+		return 0, nil, queueError(c, reason, after)
+	}
+	queue.waiters[d.lastID] = waiting
+	h.serveQueue(queue)
+	return d.lastID, waiting, nil
+}
+
+// abandon takes a request out of the queue; a slot that it got at the same moment is returned.
+func (h *Handler) abandon(upstream core.Upstream, id limits.ItemID, waiting *waiter) {
+	d := h.dispatch
+	d.mu.Lock()
+	if queue := d.queues[upstream]; queue != nil {
+		queue.fair.Cancel(id)
+		delete(queue.waiters, id)
+	}
+	d.mu.Unlock()
+	select {
+	case result := <-waiting.result:
+		if result.err == nil {
+			h.upstreams.Finish(result.agent.Host.ID)
+		}
+	default:
+	}
+}
+
+// Run gives slots to queued requests as capacity returns, until ctx ends.
+func (h *Handler) Run(ctx context.Context) {
+	ticker := time.NewTicker(dispatchInterval)
+	defer ticker.Stop()
+	for {
+		changed := h.upstreams.Changed()
+		h.sweep()
+		h.dropOldPaths()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// dropOldPaths closes connections to agents that are no longer known.
+func (h *Handler) dropOldPaths() {
+	listed := make(map[string]bool)
+	for _, agent := range h.upstreams.List() {
+		listed[agent.Host.DataAddr] = true
+	}
+	h.pool.keep(listed)
+}
+
+func (h *Handler) sweep() {
+	teams := h.settings.Tree().Teams
+	d := h.dispatch
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for team := range d.buckets {
+		if _, ok := teams[team]; !ok {
+			delete(d.buckets, team)
+		}
+	}
+	for upstream, queue := range d.queues {
+		h.serveQueue(queue)
+		h.expireQueue(upstream, queue)
+		if queue.fair.Len() == 0 {
+			delete(d.queues, upstream)
+		}
+	}
+}
+
+// serveQueue gives free slots to requests in fair order. A class of requests that found no agent is skipped, so that
+// requests for one version do not hold back those for another.
+func (h *Handler) serveQueue(queue *upstreamQueue) {
+	full := make(map[string]bool)
+	for _, id := range queue.fair.Order() {
+		waiting := queue.waiters[id]
+		if full[waiting.class] {
+			continue
+		}
+		agent, ok := h.choose(waiting.route)
+		if !ok {
+			full[waiting.class] = true
+			continue
+		}
+		queue.fair.Served(h.now(), id)
+		delete(queue.waiters, id)
+		waiting.result <- reservation{agent: agent}
+	}
+}
+
+func (h *Handler) expireQueue(upstream core.Upstream, queue *upstreamQueue) {
+	now := h.now()
+	for _, id := range queue.fair.Expire(now) {
+		waiting := queue.waiters[id]
+		delete(queue.waiters, id)
+		waiting.result <- reservation{err: transport.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.RunNotRun,
+			"no agent of upstream %q had a free slot in time", upstream).WithRetryAfter(queue.fair.RetryAfter(now))}
+	}
+}
+
+func (d *dispatcher) queue(upstream core.Upstream, tuning Tuning) *upstreamQueue {
+	queue, ok := d.queues[upstream]
+	if !ok {
+		cfg := limits.QueueConfig{MaxWait: tuning.MaxQueueWait, MinService: tuning.MinServiceTime}
+		queue = &upstreamQueue{fair: limits.NewQueue(cfg), waiters: make(map[limits.ItemID]*waiter)}
+		d.queues[upstream] = queue
+	}
+	return queue
+}
+
+// class names the requests that the same agents can serve.
+func class(route routing.Request) string {
+	parts := []string{string(route.Digest)}
+	for _, domain := range route.FailureDomains {
+		parts = append(parts, string(domain))
+	}
+	parts = append(parts, "")
+	for _, host := range route.Exclude {
+		parts = append(parts, string(host))
+	}
+	return strings.Join(parts, "\x00")
+}
+
+func queueError(c call, reason limits.Reason, after time.Duration) error {
+	if reason == limits.ReasonTeamQueue {
+		return transport.Errorf(http.StatusTooManyRequests, api.CodeTeamLimit, api.RunNotRun,
+			"team %q has %d requests waiting for upstream %q", c.team, c.queueLength, c.route.Upstream).WithRetryAfter(after)
+	}
+	return noCapacity("upstream %q cannot serve the request before its deadline", c.route.Upstream).WithRetryAfter(after)
+}
+
+func noCapacity(format string, args ...any) *transport.Error {
+	return transport.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.RunNotRun, format, args...).
+		WithRetryAfter(capacityRetryAfter)
+}
+
+func waitError(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return transport.Errorf(http.StatusGatewayTimeout, api.CodeDeadline, api.RunNotRun, "the deadline passed before the request was sent")
+	}
+	return transport.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.RunNotRun, "the caller has gone")
+}
--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -1,160 +1,144 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
-	"strconv"
+	"slices"
 	"time"
 
+	"github.com/guavatrestle/guavatrestle/coordination/retry"
 	"github.com/guavatrestle/guavatrestle/coordination/routing"
 	"github.com/guavatrestle/guavatrestle/protocol/api"
-	"github.com/guavatrestle/guavatrestle/protocol/frame"
-	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/transport"
 )
 
-const (
-	// maxAttempts bounds the agents that one request is offered to.
-	maxAttempts = 4
-	// capacityRetryAfter is the time after which capacity may be free again.
-	capacityRetryAfter = time.Second
-)
-
-// run sends a call to agents until one takes it, and passes the response on.
+// run sends a call to agents until one answers it, and passes the response on.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, c call) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	for attempt := range maxAttempts {
-		agent, ok := h.choose(c.route)
-		if !ok {
-			break
-		}
-		err := h.try(ctx, w, c, agent, attempt)
-		if err == nil {
-			return
-		}
-		var refusal *transport.Error
-		if !errors.As(err, &refusal) || refusal.Run != api.RunNotRun {
-			transport.WriteError(w, c.id, err)
-			return
-		}
-		c.route.Exclude = append(c.route.Exclude, agent.Host.ID)
-	}
-	transport.WriteError(w, c.id, transport.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.RunNotRun,
-		"no agent of upstream %q has capacity", c.route.Upstream).WithRetryAfter(capacityRetryAfter))
+	out := &callerResponse{w: w, maxBuffer: h.tuning.MaxBufferedBytes}
+	h.respond(out, c, h.forward(ctx, out, c))
 }
 
-func (h *Handler) choose(request routing.Request) (core.AgentStatus, bool) {
-	snapshot := routing.Snapshot{
-		Agents:    h.upstreams.List(),
-		InService: h.settings.Tree().InService,
-		Own:       h.self.FailureDomain,
+// respond tells the caller about a call that ended without a whole response.
+func (h *Handler) respond(out *callerResponse, c call, err error) {
+	if err == nil {
+		return
 	}
-	h.randomMu.Lock()
-	defer h.randomMu.Unlock()
-	return routing.Choose(snapshot, request, h.random)
-}
-
-// try sends the call to one agent. It returns nil once the response has started.
-func (h *Handler) try(ctx context.Context, w http.ResponseWriter, c call, agent core.AgentStatus, attempt int) error {
-	h.upstreams.Start(agent.Host.ID)
-	defer h.upstreams.Finish(agent.Host.ID)
-	request, err := agentRequest(ctx, c, agent, attempt)
-	if err != nil {
-		return transport.Errorf(http.StatusBadRequest, api.CodeBadRequest, api.RunNotRun, "build request: %v", err)
-	}
-	response, err := h.agents.Do(request)
-	if err != nil {
-		return sendError(err)
+	failed := asError(err)
+	h.log.WithField("request", c.id).WithField("team", c.team).WithField("code", failed.Code).
+		WithField("run", failed.Run).WithError(failed).Info("request not answered")
+	if out.started() {
+		out.abort(c, failed)
 	}
-	defer func() { _ = response.Body.Close() }()
-	return h.relay(w, c, frame.NewReader(response.Body, c.id))
+	transport.WriteError(out.w, c.id, failed)
 }
 
-// relay copies frames to the caller. A response that is not whole ends the caller's connection abruptly.
-func (h *Handler) relay(w http.ResponseWriter, c call, in *frame.Reader) error {
-	started := false
-	for {
-		f, err := in.Next()
+// forward tries a call at one agent after the other as far as its kind and the retry budget allow.
+//
+// An outcome that was unknown once stays unknown: a later refusal does not undo an earlier try that may have run.
+func (h *Handler) forward(ctx context.Context, out responder, c call) error {
+	h.chance.request()
+	run := api.RunNotRun
+	var last *transport.Error
+	for number := 0; ; number++ {
+		agent, err := h.acquire(ctx, c)
+		if err != nil && run != api.RunNotRun {
+			return withRun(last, run)
+		}
 		if err != nil {
-			return abortOrReturn(started, transport.Errorf(http.StatusBadGateway, api.CodeResponseCut, api.RunUnknown, "read response: %v", err))
+			return err
 		}
-		switch body := f.GetBody().(type) {
-		case *wire.Frame_Head:
-			started = true
-			writeHead(w, c, body.Head)
-		case *wire.Frame_Data:
-			_, _ = w.Write(body.Data.GetPayload())
-			_ = http.NewResponseController(w).Flush()
-		case *wire.Frame_Refusal:
-			return abortOrReturn(started, refusalError(body.Refusal))
-		case *wire.Frame_End:
+		a := &attempt{call: c, agent: agent, number: number}
+		err = h.try(ctx, out, a)
+		if err == nil {
 			return nil
 		}
+		last = asError(err)
+		if last.Run != api.RunNotRun {
+			run = api.RunUnknown
+		}
+		if !h.mayRetry(ctx, a, last, out.started()) {
+			return withRun(last, run)
+		}
+		c.route.Exclude = exclude(c.route.Exclude, a, last)
 	}
 }
 
-func abortOrReturn(started bool, err error) error {
-	if started {
-		// The status line is already sent: ending the connection is the only way to show that the response is not whole.
-		panic(http.ErrAbortHandler)
+func (h *Handler) try(ctx context.Context, out responder, a *attempt) error {
+	defer h.upstreams.Finish(a.agent.Host.ID)
+	return h.send(ctx, out, a)
+}
+
+// mayRetry decides about one more try and waits for the pause before it.
+func (h *Handler) mayRetry(ctx context.Context, a *attempt, failed *transport.Error, started bool) bool {
+	kind := retry.Call{Repeatable: a.call.repeatable, Claimed: a.call.claimed}
+	if !retry.Allowed(kind, a.failure(failed, started)) || a.number+1 >= h.tuning.Retry.MaxAttempts {
+		return false
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	pause, ok := h.chance.retry(a.number)
+	if !ok {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
-	return err
 }
 
-func writeHead(w http.ResponseWriter, c call, head *wire.Head) {
-	w.Header().Set("Content-Type", head.GetContentType())
-	w.Header().Set("X-Request-Id", string(c.id))
-	if head.GetVersionDigest() != "" {
-		w.Header().Set("X-Model-Digest", head.GetVersionDigest())
+// exclude keeps later tries off a host that failed. A host that was only full stays a candidate: its grant says when.
+func exclude(hosts []core.HostID, a *attempt, failed *transport.Error) []core.HostID {
+	if a.refused && failed.Code == api.CodeNoCapacity {
+		return hosts
 	}
-	w.WriteHeader(int(head.GetStatus()))
+	return append(slices.Clone(hosts), a.agent.Host.ID)
 }
 
-func agentRequest(ctx context.Context, c call, agent core.AgentStatus, attempt int) (*http.Request, error) {
-	url := "http://" + agent.Host.DataAddr + "/call"
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(c.body)))
-	if err != nil {
-		return nil, err
+// choose reserves a slot at an agent; the caller ends the reservation with Finish.
+func (h *Handler) choose(request routing.Request) (core.AgentStatus, bool) {
+	snapshot := h.snapshot()
+	h.chooseMu.Lock()
+	defer h.chooseMu.Unlock()
+	snapshot.Agents = h.upstreams.List()
+	agent, ok := routing.Choose(snapshot, request, h.random)
+	if ok {
+		h.upstreams.Start(agent.Host.ID)
 	}
-	request.ContentLength = int64(len(c.body))
-	header := request.Header
-	header.Set("Content-Type", c.contentType)
-	header.Set(api.HeaderRequestID, string(c.id))
-	header.Set(api.HeaderDeadline, c.deadline.Format(time.RFC3339Nano))
-	header.Set(api.HeaderTeam, string(c.team))
-	header.Set(api.HeaderModel, string(c.model))
-	header.Set(api.HeaderVersionDigest, string(agent.VersionDigest))
-	header.Set(api.HeaderMethod, c.method)
-	header.Set(api.HeaderPath, c.path)
-	header.Set(api.HeaderIdempotent, strconv.FormatBool(c.repeatable))
-	header.Set(api.HeaderAttempt, strconv.Itoa(attempt))
-	return request, nil
+	return agent, ok
 }
 
-func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return transport.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.RunNotRun, "connect to agent: %v", err)
+func (h *Handler) snapshot() routing.Snapshot {
+	return routing.Snapshot{
+		Now:       h.now(),
+		InService: h.settings.Tree().InService,
+		Own:       h.self.FailureDomain,
+		OwnRegion: h.self.Region,
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		return transport.Errorf(http.StatusGatewayTimeout, api.CodeDeadline, api.RunUnknown, "no response before the deadline")
+}
+
+// withRun returns err with a run state that is no more certain than run.
+func withRun(err error, run api.Run) error {
+	failed := asError(err)
+	if run == api.RunNotRun || failed.Run != api.RunNotRun {
+		return failed
 	}
-	return transport.Errorf(http.StatusBadGateway, api.CodeUpstreamFailed, api.RunUnknown, "send to agent: %v", err)
+	failed.Run = run
+	return failed
 }
 
-func refusalError(r *wire.Refusal) error {
-	status := http.StatusBadGateway
-	run := api.RunUnknown
-	if r.GetRun() == wire.Run_RUN_NOT_RUN {
-		status = http.StatusServiceUnavailable
-		run = api.RunNotRun
+func asError(err error) *transport.Error {
+	var failed *transport.Error
+	if errors.As(err, &failed) {
+		return failed
 	}
-	after := time.Duration(r.GetRetryAfterMillis()) * time.Millisecond
-	return transport.Errorf(status, r.GetCode(), run, "%s", r.GetMessage()).WithRetryAfter(after)
+	return transport.Errorf(http.StatusInternalServerError, api.CodeUpstreamFailed, api.RunUnknown, "%v", err)
 }
--- a/transport/entry/heartbeat.go
+++ b/transport/entry/heartbeat.go
@@ -4,11 +4,13 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/guavatrestle/guavatrestle/coordination/routing"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/table"
@@ -21,33 +23,44 @@
 	heartbeatTimeout = time.Second
 )
 
-// Heartbeat asks agents for their status at an interval.
+// Heartbeat asks a bounded subset of the agents for their status at an interval.
+//
+// The calls share HTTP/2 connections, whose header compression keeps a heartbeat small.
 type Heartbeat struct {
 	self      core.Host
 	members   *table.Members
 	upstreams *table.Upstreams
+	transport *http.Transport
 	client    *http.Client
 	interval  time.Duration
 	now       func() time.Time
 	log       *logrus.Entry
+
+	mu sync.Mutex
+	// due holds when each agent of the subset is asked next.
+	due map[core.HostID]time.Time
 }
 
 // NewHeartbeat returns a Heartbeat.
 func NewHeartbeat(self core.Host, members *table.Members, upstreams *table.Upstreams, interval time.Duration, now func() time.Time, log *logrus.Entry) *Heartbeat {
+	connections := newAgentTransport()
 	return &Heartbeat{
 		self:      self,
 		members:   members,
 		upstreams: upstreams,
-		client:    &http.Client{Timeout: heartbeatTimeout},
+		transport: connections,
+		client:    &http.Client{Transport: connections, Timeout: heartbeatTimeout},
 		interval:  interval,
 		now:       now,
 		log:       log,
+		due:       make(map[core.HostID]time.Time),
 	}
 }
 
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeat) Run(ctx context.Context) {
 	pool := pond.NewPool(heartbeatWorkers)
+	defer h.transport.CloseIdleConnections()
 	defer pool.StopAndWait()
 	ticker := time.NewTicker(h.interval)
 	defer ticker.Stop()
@@ -61,20 +74,47 @@
 	}
 }
 
+// round asks the agents that are due and forgets those that are no longer in the subset.
 func (h *Heartbeat) round(ctx context.Context, pool pond.Pool) {
+	subset := routing.Subset(h.self.ID, h.members.List(), routing.MaxAgents)
+	interval := routing.Interval(h.interval, len(subset))
+	listed := make(map[core.HostID]bool, len(subset))
 	group := pool.NewGroup()
-	listed := make(map[core.HostID]bool)
-	for _, host := range h.members.List() {
-		if host.Role != core.RoleAgent {
-			continue
-		}
+	for _, host := range subset {
 		listed[host.ID] = true
-		group.Submit(func() { h.ask(ctx, host) })
+		h.upstreams.SetHostState(host.ID, host.State)
+		if h.takeDue(host.ID, interval) {
+			group.Submit(func() { h.ask(ctx, host) })
+		}
 	}
 	_ = group.Wait()
-	for _, agent := range h.upstreams.List() {
-		if !listed[agent.Host.ID] {
-			h.upstreams.Remove(agent.Host.ID)
+	h.forget(listed)
+}
+
+// takeDue reports whether an agent is due and sets when it is due next.
+func (h *Heartbeat) takeDue(id core.HostID, interval time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	if now.Before(h.due[id]) {
+		return false
+	}
+	// Half a tick is taken off so that a tick that comes early does not skip a turn.
+	h.due[id] = now.Add(interval - h.interval/2)
+	return true
+}
+
+func (h *Heartbeat) forget(listed map[core.HostID]bool) {
+	for _, id := range h.upstreams.IDs() {
+		if !listed[id] {
+			h.upstreams.Remove(id)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id := range h.due {
+		if !listed[id] {
+			delete(h.due, id)
 		}
 	}
 }
@@ -84,12 +124,20 @@
 	response, err := client.Status(ctx, &wire.StatusRequest{Host: string(h.self.ID), Incarnation: string(h.self.Incarnation)})
 	if err != nil {
 		h.upstreams.Remove(host.ID)
+		h.askSoon(host.ID)
 		h.log.WithError(err).WithField("agent", host.ID).Debug("heartbeat failed")
 		return
 	}
 	h.upstreams.Set(statusFromWire(host, response, h.now()))
 }
 
+// askSoon makes an agent that did not answer due at the next tick.
+func (h *Heartbeat) askSoon(id core.HostID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.due, id)
+}
+
 func statusFromWire(host core.Host, r *wire.StatusResponse, now time.Time) core.AgentStatus {
 	return core.AgentStatus{
 		Host:          host,
@@ -112,6 +160,9 @@
 }
 
 func grantFromWire(g *wire.Grant, now time.Time) core.Grant {
+	if g == nil {
+		return core.Grant{}
+	}
 	return core.Grant{
 		Slots:   int(g.GetSlots()),
 		Expires: now.Add(time.Duration(g.GetTtlMillis()) * time.Millisecond),
--- /dev/null
+++ b/transport/entry/refusals_test.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/protocol/frame"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+)
+
+// TestRefusalsBeforeTheCallSayNotRun guards against refusals with a wrong status or run state or without a request ID.
+func TestRefusalsBeforeTheCallSayNotRun(t *testing.T) {
+	h := newHarness(t, nil)
+	for name, c := range map[string]struct {
+		path, body string
+		header     []string
+		status     int
+		code       string
+	}{
+		"unknown token":   {modelPath, modelBody, []string{"Authorization", "Bearer other"}, http.StatusUnauthorized, api.CodeUnauthorized},
+		"unknown model":   {modelPath, `{"model":"other"}`, nil, http.StatusNotFound, api.CodeUnknownModel},
+		"unknown service": {"/services/other/x", "", nil, http.StatusNotFound, api.CodeUnknownUpstream},
+		"oversize body":   {modelPath, strings.Repeat("x", maxBody+1), nil, http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge},
+		"bad JSON":        {modelPath, `{"model":`, nil, http.StatusBadRequest, api.CodeBadRequest},
+		"bad timeout":     {modelPath, modelBody, []string{headerTimeout, "soon"}, http.StatusBadRequest, api.CodeBadRequest},
+		"NaN timeout":     {modelPath, modelBody, []string{headerTimeout, "NaN"}, http.StatusBadRequest, api.CodeBadRequest},
+		"long key":        {orderPath, "", []string{api.HeaderIdempotencyKey, strings.Repeat("k", maxKeyBytes+1)}, http.StatusBadRequest, api.CodeBadRequest},
+		"no agent":        {modelPath, modelBody, nil, http.StatusServiceUnavailable, api.CodeNoCapacity},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := h.post(c.path, c.body, c.header...)
+			require.Equal(t, c.status, got.status, got.body)
+			require.Equal(t, c.code, got.refusal.Code)
+			require.Equal(t, api.RunNotRun, got.refusal.Run)
+			require.NotEmpty(t, got.refusal.RequestID)
+			require.Equal(t, got.refusal.RequestID, got.header.Get(headerRequestID))
+			if c.status == http.StatusServiceUnavailable {
+				requireRetryAfter(t, got)
+			}
+		})
+	}
+}
+
+func requireRetryAfter(t *testing.T, got answer) {
+	t.Helper()
+	seconds, err := strconv.Atoi(got.header.Get("Retry-After"))
+	require.NoError(t, err, "refusal has no Retry-After")
+	require.Positive(t, seconds)
+}
+
+// TestTeamOverItsRateGets429 guards against a team that uses more than its limit.
+func TestTeamOverItsRateGets429(t *testing.T) {
+	h := newHarness(t, nil)
+	h.agent("agent-1", "guava-llm", 4, whole)
+	h.team(settings.TeamLimits{RequestsPerSecond: 0.001, Burst: 1, QueueLength: 1})
+	require.Equal(t, http.StatusOK, h.post(modelPath, modelBody).status)
+	got := h.post(modelPath, modelBody)
+	require.Equal(t, http.StatusTooManyRequests, got.status)
+	require.Equal(t, api.CodeTeamLimit, got.refusal.Code)
+	require.Equal(t, api.RunNotRun, got.refusal.Run)
+	requireRetryAfter(t, got)
+}
+
+// blocked returns a script that answers once release is closed, and a channel that gets a value for each call.
+func blocked(release <-chan struct{}) (script, <-chan struct{}) {
+	arrived := make(chan struct{}, 16)
+	return func(out *frame.Writer, w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		select {
+		case <-release:
+			whole(out, w, r)
+		case <-r.Context().Done():
+		}
+	}, arrived
+}
+
+// TestFullUpstreamRefusesWithNotRun guards against a request that is held although no slot becomes free, and against a
+// queue that exceeds the team's bound.
+func TestFullUpstreamRefusesWithNotRun(t *testing.T) {
+	h := newHarness(t, func(c *Tuning) { c.MaxQueueWait = 100 * time.Millisecond })
+	release := make(chan struct{})
+	answer, arrived := blocked(release)
+	h.agent("agent-1", "guava-llm", 1, answer)
+	first := make(chan int, 1)
+	go func() { first <- h.post(modelPath, modelBody).status }()
+	<-arrived
+	got := h.post(modelPath, modelBody)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, api.RunNotRun, got.refusal.Run)
+	requireRetryAfter(t, got)
+	h.team(settings.TeamLimits{RequestsPerSecond: 100, Burst: 100, QueueLength: 0})
+	got = h.post(modelPath, modelBody)
+	require.Equal(t, http.StatusTooManyRequests, got.status)
+	requireRetryAfter(t, got)
+	close(release)
+	require.Equal(t, http.StatusOK, <-first)
+}
+
+// TestQueuedRequestRunsWhenASlotReturns guards against a queue that is not woken.
+func TestQueuedRequestRunsWhenASlotReturns(t *testing.T) {
+	h := newHarness(t, func(c *Tuning) { c.MaxQueueWait = 10 * time.Second })
+	release := make(chan struct{})
+	answer, arrived := blocked(release)
+	h.agent("agent-1", "guava-llm", 1, answer)
+	results := make(chan int, 2)
+	for range 2 {
+		go func() { results <- h.post(modelPath, modelBody).status }()
+	}
+	<-arrived
+	require.Eventually(t, func() bool { return h.queued("guava-llm") == 1 }, 5*time.Second, time.Millisecond)
+	close(release)
+	require.Equal(t, http.StatusOK, <-results)
+	require.Equal(t, http.StatusOK, <-results)
+}
+
+func (h *harness) queued(upstream string) int {
+	d := h.handler.dispatch
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, queue := range d.queues {
+		if string(name) == upstream {
+			return queue.fair.Len()
+		}
+	}
+	return 0
+}
+
+// TestDeadlineGives504 guards against a call that runs past the caller's own time limit.
+func TestDeadlineGives504(t *testing.T) {
+	h := newHarness(t, nil)
+	answer, _ := blocked(nil)
+	h.agent("agent-1", "guava-llm", 1, answer)
+	got := h.post(modelPath, modelBody, headerTimeout, "0.2")
+	require.Equal(t, http.StatusGatewayTimeout, got.status, got.body)
+	require.Equal(t, api.CodeDeadline, got.refusal.Code)
+	require.Equal(t, api.RunUnknown, got.refusal.Run)
+}
+
+// TestCallerThatGoesCancelsTheCall guards against work for a caller that no longer waits.
+func TestCallerThatGoesCancelsTheCall(t *testing.T) {
+	h := newHarness(t, nil)
+	arrived, cancelled := make(chan struct{}), make(chan struct{})
+	agent := h.agent("agent-1", "guava-llm", 1, func(_ *frame.Writer, _ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan answer, 1)
+	go func() { done <- h.postContext(ctx, modelPath, modelBody) }()
+	<-arrived
+	cancel()
+	<-cancelled
+	require.Error(t, (<-done).err)
+	require.Equal(t, 1, agent.count(), "cancelled call was sent again")
+}
