Claim idempotency keys in a log of segments per shard

Cause: a non-repeatable call with an Idempotency-Key was sent like any other, so a caller that asked again could run it twice.

A claim is a record in a shard's log; the object API's conditional create puts segments in one order. The owner of a shard by rendezvous hash batches the records of all entries; an entry that cannot reach it writes itself. A lost response is settled by reading the segment back and comparing its nonce. Each segment names the one before it: a writer whose view is so old that its next sequence was deleted finds the segment before it gone or another, and reads the log again. The newest segment is never deleted.

--- /dev/null
+++ b/transport/claims/service_test.go
@@ -0,0 +1,129 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/coordination/claims"
+	"github.com/guavatrestle/guavatrestle/protocol/platform"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/table"
+)
+
+// lockedStore counts the creates of one entry on a store that several share.
+type lockedStore struct {
+	*fakeStore
+	mu      *sync.Mutex
+	creates int
+}
+
+func (s *lockedStore) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fakeStore.Get(ctx, kind, name)
+}
+
+func (s *lockedStore) List(ctx context.Context, kind platform.Kind, selector string) (platform.ObjectList, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fakeStore.List(ctx, kind, selector)
+}
+
+func (s *lockedStore) Create(ctx context.Context, object platform.Object) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.creates++
+	return s.fakeStore.Create(ctx, object)
+}
+
+// testEntry is an entry's claim service behind its control listener.
+type testEntry struct {
+	service *Service
+	store   *lockedStore
+	server  *httptest.Server
+}
+
+func startEntries(t *testing.T, n int) []testEntry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	shared, mu := newFakeStore(), &sync.Mutex{}
+	members := table.NewMembers()
+	var entries []testEntry
+	var hosts []core.Host
+	for i := range n {
+		cfg := DefaultConfig()
+		cfg.WritesPerSecond = 1000
+		e := testEntry{store: &lockedStore{fakeStore: shared, mu: mu}}
+		host := core.Host{ID: core.HostID(fmt.Sprintf("entry-%d", i)), Role: core.RoleEntry, State: core.HostLive}
+		e.service = New(Parts{Config: cfg, Self: host, Store: e.store, Members: members, Now: time.Now, Log: logrus.NewEntry(log)})
+		e.server = httptest.NewServer(wire.NewClaimsServer(NewServer(e.service)))
+		host.ControlAddr = e.server.Listener.Addr().String()
+		hosts = append(hosts, host)
+		entries = append(entries, e)
+		t.Cleanup(func() {
+			e.service.Close()
+			e.server.Close()
+		})
+	}
+	members.Replace(hosts)
+	return entries
+}
+
+// TestOwnerBatchesAndOthersWriteWithoutIt guards against more writes than needed, and against claims that depend on the
+// owner of a shard.
+func TestOwnerBatchesAndOthersWriteWithoutIt(t *testing.T) {
+	ctx := context.Background()
+	entries := startEntries(t, 2)
+	key := claims.Key("")
+	for i := 0; entries[0].service.owner(shardIndex(key)).ID != "entry-1" || key == ""; i++ {
+		key = KeyOf("litoral", "pedidos", fmt.Sprint(i))
+	}
+	deadline := time.Now().Add(time.Minute)
+	first := entries[0].service.NewClaim(key, hash("a"), deadline)
+	outcome, _, err := entries[0].service.Claim(ctx, first)
+	require.NoError(t, err)
+	require.Equal(t, claims.Granted, outcome)
+	require.NoError(t, entries[0].service.Settle(ctx, first, claims.OpDone, &claims.Result{Status: 201, Body: []byte("booked")}))
+	require.Zero(t, entries[0].store.creates, "entry wrote itself although the owner answers")
+	entries[1].server.Close()
+	outcome, result, err := entries[0].service.Claim(ctx, entries[0].service.NewClaim(key, hash("a"), deadline))
+	require.NoError(t, err)
+	require.Equal(t, claims.Done, outcome)
+	require.Equal(t, "booked", string(result.Body))
+	outcome, _, err = entries[0].service.Claim(ctx, entries[0].service.NewClaim(key, hash("b"), deadline))
+	require.NoError(t, err)
+	require.Equal(t, claims.Mismatch, outcome)
+}
+
+// TestConcurrentClaimsOfOneKeyAreGrantedOnce guards against two holders of one key in one batch or over two entries.
+func TestConcurrentClaimsOfOneKeyAreGrantedOnce(t *testing.T) {
+	entries := startEntries(t, 2)
+	granted := make(chan claims.Outcome, 40)
+	var callers sync.WaitGroup
+	for i := range cap(granted) {
+		callers.Go(func() {
+			s := entries[i%2].service
+			outcome, _, err := s.Claim(context.Background(), s.NewClaim(KeyOf("litoral", "pedidos", "k"), hash("a"), time.Now().Add(time.Minute)))
+			if err == nil {
+				granted <- outcome
+			}
+		})
+	}
+	callers.Wait()
+	close(granted)
+	count := make(map[claims.Outcome]int)
+	for outcome := range granted {
+		count[outcome]++
+	}
+	require.Equal(t, map[claims.Outcome]int{claims.Granted: 1, claims.InProgress: 39}, count)
+	require.LessOrEqual(t, entries[0].store.creates+entries[1].store.creates, 2, "claims were not batched")
+}
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"sync/atomic"
 
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/table"
 	"github.com/guavatrestle/guavatrestle/transport/admin"
+	claimlog "github.com/guavatrestle/guavatrestle/transport/claims"
 	entryhttp "github.com/guavatrestle/guavatrestle/transport/entry"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
@@ -25,7 +27,20 @@
 func (e *entry) start(ctx context.Context) (controlHandler, dataHandler http.Handler) {
 	heartbeat := entryhttp.NewHeartbeat(e.self, e.members, e.upstreams, e.cfg.Entry.StatusInterval, e.now, e.log)
 	e.loops.Go(func() { heartbeat.Run(ctx) })
+	claims := claimlog.New(claimlog.Parts{
+		Config:  claimlog.DefaultConfig(),
+		Self:    e.self,
+		Store:   e.store,
+		Members: e.members,
+		Now:     e.now,
+		Log:     e.log,
+	})
+	e.loops.Go(func() {
+		defer claims.Close()
+		claims.Run(ctx)
+	})
 	controlMux := http.NewServeMux()
+	controlMux.Handle(wire.ClaimsPathPrefix, wire.NewClaimsServer(claimlog.NewServer(claims)))
 	server.AddDebug(controlMux, e.introspection(e))
 	dataMux := http.NewServeMux()
 	handler := entryhttp.NewHandler(entryhttp.Parts{
@@ -34,6 +49,7 @@
 		Self:      e.self,
 		Settings:  e.settings,
 		Upstreams: e.upstreams,
+		Claims:    claims,
 		Random:    e.random,
 		Now:       e.now,
 		Log:       e.log,
--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -31,6 +31,7 @@
 	pool      *connPool
 	chance    *chance
 	dispatch  *dispatcher
+	claims    Claims
 	now       func() time.Time
 	log       *logrus.Entry
 
@@ -46,6 +47,7 @@
 	Self      core.Host
 	Settings  *table.Settings
 	Upstreams *table.Upstreams
+	Claims    Claims
 	Random    *rand.Rand
 	Now       func() time.Time
 	Log       *logrus.Entry
@@ -62,6 +64,7 @@
 		pool:      newConnPool(),
 		chance:    newChance(p.Tuning.Retry, rand.New(rand.NewPCG(p.Random.Uint64(), 0))),
 		dispatch:  newDispatcher(),
+		claims:    p.Claims,
 		random:    rand.New(rand.NewPCG(p.Random.Uint64(), 1)),
 		now:       p.Now,
 		log:       p.Log,
@@ -95,6 +98,10 @@
 		transport.WriteError(w, id, err)
 		return
 	}
+	if c.key != "" && !c.repeatable {
+		h.runClaimed(w, r, c)
+		return
+	}
 	h.run(w, r, c)
 }
 
