--- a/state/config/config.go
+++ b/state/config/config.go
@@ -64,6 +64,9 @@
 	HostBytesPerSecond int64 `yaml:"host_bytes_per_second" validate:"gte=0"`
 	// OriginRegion names the region nearest to the weight source.
 	OriginRegion core.Region `yaml:"origin_region"`
+	// Transfer and Activation have defaults for every field.
+	Transfer   *Transfer   `yaml:"transfer,omitempty" validate:"required"`
+	Activation *Activation `yaml:"activation,omitempty" validate:"required"`
 }
 
 // Entry holds the settings of the entry role.
@@ -88,7 +91,14 @@
 }
 
 func defaultAgent() Agent {
-	return Agent{ChunkMemoryBytes: 1 << 30, PollInterval: 500 * time.Millisecond, Strategy: "swarm"}
+	transfer, activation := DefaultTransfer(), DefaultActivation()
+	return Agent{
+		ChunkMemoryBytes: 1 << 30,
+		PollInterval:     500 * time.Millisecond,
+		Strategy:         "swarm",
+		Transfer:         &transfer,
+		Activation:       &activation,
+	}
 }
 
 func defaultEntry() Entry {
