Fetch chunks by plan and load under fenced permits

Cause: the agent read every chunk from the origin one after the other, and loaded whenever it had a version, with no bound on hosts that load at once.

The fetcher carries out the plan with worker pools, token buckets per link and upload slots; chunk responses carry the sender's bitmap, and manifests travel only on request. Leases in a Permit object carry no times: a holder counts from before its write, others from after they saw it. The load drains requests in flight, renews the lease, and reads the engine's report back.

Ruled out: expiry times in the lease, because host clocks need not agree.

--- a/coordination/transfer/rank.go
+++ b/coordination/transfer/rank.go
@@ -70,15 +70,22 @@
 	return before < cohort(waited, cfg.TakeOver)
 }
 
-// ManifestPeers returns up to limit peers to ask for the manifest, in ranked order from offset on.
-func ManifestPeers(cfg Config, self core.Host, hosts []core.Host, digest core.Digest, offset, limit int) []core.Host {
+// ManifestPeers returns up to limit peers to ask for the manifest, from offset on in an order that
+// starts with the own region and differs between hosts, so that no host is asked by all others.
+func ManifestPeers(self core.Host, hosts []core.Host, offset, limit int) []core.Host {
 	var peers []core.Host
 	for _, host := range hosts {
 		if host.ID != self.ID && eligible(self, host) {
 			peers = append(peers, host)
 		}
 	}
-	sortBy(peers, func(a, b core.Host) bool { return cfg.originRanksBefore(digest, manifestIndex, a, b) })
+	sortBy(peers, func(a, b core.Host) bool {
+		nearA, nearB := a.Region == self.Region, b.Region == self.Region
+		if nearA != nearB {
+			return nearA
+		}
+		return ranksBefore(core.Digest(self.ID), manifestIndex, a.ID, b.ID)
+	})
 	var chosen []core.Host
 	for i := range min(limit, len(peers)) {
 		chosen = append(chosen, peers[(offset+i)%len(peers)])
--- a/state/table/chunks.go
+++ b/state/table/chunks.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"fmt"
 	"sync"
 
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -12,12 +13,19 @@
 	body     []byte
 	chunks   [][]byte
 	held     int
+	// etag is the entity tag of the version at the weight source.
+	etag string
+	// order grows with each target; the lowest is dropped first when memory is short.
+	order uint64
 }
 
 // Chunks holds manifests and verified chunks, keyed by version digest.
 type Chunks struct {
 	mu       sync.RWMutex
 	versions map[core.Digest]*version
+	// limit caps the sum of the sizes of all versions in bytes; 0 means no limit.
+	limit int64
+	order uint64
 }
 
 // NewChunks returns an empty table.
@@ -25,14 +33,71 @@
 	return &Chunks{versions: make(map[core.Digest]*version)}
 }
 
-// AddManifest starts a version; its canonical body must already match digest.
-func (c *Chunks) AddManifest(digest core.Digest, manifest core.Manifest, body []byte) {
+// SetLimit caps the memory for chunks in bytes; 0 means no limit.
+func (c *Chunks) SetLimit(bytes int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.versions[digest] != nil {
-		return
+	c.limit = bytes
+}
+
+// AddManifest makes a version the newest; its canonical body must already match digest.
+//
+// The memory for the whole version is set aside: older versions are dropped, oldest first, until
+// it fits. A version that exceeds the limit by itself is an error.
+func (c *Chunks) AddManifest(digest core.Digest, manifest core.Manifest, body []byte, etag string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order++
+	if held := c.versions[digest]; held != nil {
+		held.order = c.order
+		return nil
+	}
+	if c.limit > 0 && manifest.Size > c.limit {
+		return core.NewError(core.CodeInvalid, string(digest),
+			fmt.Sprintf("version has %d bytes, more than the %d bytes of memory for chunks", manifest.Size, c.limit))
+	}
+	c.makeRoom(manifest.Size)
+	c.versions[digest] = &version{
+		manifest: manifest, body: body, chunks: make([][]byte, len(manifest.Chunks)), etag: etag, order: c.order,
+	}
+	return nil
+}
+
+// makeRoom drops the oldest versions until size more bytes fit; the caller holds the lock.
+func (c *Chunks) makeRoom(size int64) {
+	for c.limit > 0 {
+		var oldest core.Digest
+		used := size
+		for digest, v := range c.versions {
+			used += v.manifest.Size
+			if oldest == "" || v.order < c.versions[oldest].order {
+				oldest = digest
+			}
+		}
+		if used <= c.limit || oldest == "" {
+			return
+		}
+		delete(c.versions, oldest)
+	}
+}
+
+// ETag returns the entity tag of a version at the weight source, empty when it is not known.
+func (c *Chunks) ETag(digest core.Digest) string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if v := c.versions[digest]; v != nil {
+		return v.etag
+	}
+	return ""
+}
+
+// SetETag records the entity tag of a version at the weight source.
+func (c *Chunks) SetETag(digest core.Digest, etag string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v := c.versions[digest]; v != nil {
+		v.etag = etag
 	}
-	c.versions[digest] = &version{manifest: manifest, body: body, chunks: make([][]byte, len(manifest.Chunks))}
 }
 
 // Manifest returns a version's manifest and its canonical body.
--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/admission"
 	protocolplatform "github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
-	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/table"
 	"github.com/guavatrestle/guavatrestle/transport/platform"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 	"github.com/guavatrestle/guavatrestle/transport/upstream"
-	"github.com/guavatrestle/guavatrestle/transport/weights"
 )
 
 const (
@@ -48,34 +45,21 @@
 func (a *agent) start(ctx context.Context) (controlHandler, dataHandler http.Handler) {
 	a.loops.Go(func() { a.monitor.Run(ctx) })
 	a.loops.Go(func() { a.followSettings(ctx) })
+	parts := a.newWeights()
 	if a.cfg.Platform.WeightSource != "" {
-		a.loops.Go(func() { a.rollout().Run(ctx) })
+		a.loops.Go(func() { parts.rollout.Run(ctx) })
 	}
 	service := upstream.NewService(a.self, a.settings, a.chunks, a.gate)
+	service.ReportTransfer(parts.rollout)
 	controlMux := http.NewServeMux()
 	controlMux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(service))
 	server.AddDebug(controlMux, a.introspection(a))
 	dataMux := http.NewServeMux()
 	dataMux.Handle("POST /call", upstream.NewHandler(a.gate, a.engine, a.now, a.log))
-	dataMux.HandleFunc("GET /chunks/{digest}/{index}", a.serveChunk)
+	dataMux.Handle("GET /chunks/{digest}/{index}", parts.handler)
 	return controlMux, dataMux
 }
 
-func (a *agent) rollout() *weights.Rollout {
-	source := platform.NewWeightClient(a.cfg.Platform.WeightSource)
-	return weights.NewRollout(weights.RolloutParts{
-		Upstream: a.self.Upstream,
-		Settings: a.settings,
-		Chunks:   a.chunks,
-		Fetcher:  weights.NewFetcher(source, a.chunks),
-		Engine:   a.engine,
-		Gate:     a.gate,
-		Monitor:  a.monitor,
-		Interval: a.cfg.Agent.PollInterval,
-		Log:      a.log,
-	})
-}
-
 // followSettings applies changed settings to the gate.
 func (a *agent) followSettings(ctx context.Context) {
 	ticker := time.NewTicker(followInterval)
@@ -102,21 +86,6 @@
 	a.gate.SetInService(tree.InService(a.self.FailureDomain))
 }
 
-func (a *agent) serveChunk(w http.ResponseWriter, r *http.Request) {
-	index, err := strconv.Atoi(r.PathValue("index"))
-	if err != nil {
-		http.Error(w, "chunk index is not a number", http.StatusBadRequest)
-		return
-	}
-	data, ok := a.chunks.Get(core.Digest(r.PathValue("digest")), index)
-	if !ok {
-		http.Error(w, "chunk is not held", http.StatusNotFound)
-		return
-	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(data)
-}
-
 func (a *agent) leave(ctx context.Context) {
 	a.gate.SetLeaving()
 	ticker := time.NewTicker(drainPoll)
--- /dev/null
+++ b/transport/daemon/weights.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"math/rand/v2"
+
+	"github.com/google/uuid"
+
+	"github.com/guavatrestle/guavatrestle/coordination/transfer"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/transport/platform"
+	"github.com/guavatrestle/guavatrestle/transport/weights"
+)
+
+// weightParts are the parts of an agent that move model versions.
+type weightParts struct {
+	rollout *weights.Rollout
+	handler *weights.ChunkHandler
+	peers   *weights.PeerClient
+}
+
+// newWeights puts the weight transfer and the activation of an agent together.
+func (a *agent) newWeights() weightParts {
+	cfg := *a.cfg.Agent
+	a.chunks.SetLimit(cfg.ChunkMemoryBytes)
+	limits := weights.NewLimits(cfg, func() bool { return a.gate.Snapshot().InFlight > 0 })
+	peers := weights.NewPeerClient(a.self)
+	counters := &weights.Counters{}
+	fetcher := weights.NewFetcher(weights.FetcherParts{
+		Self: a.self,
+		Config: transfer.Config{
+			Transfer: *cfg.Transfer, Strategy: transfer.Strategy(cfg.Strategy), OriginRegion: cfg.OriginRegion,
+		},
+		Source:   platform.NewWeightClient(a.cfg.Platform.WeightSource),
+		Chunks:   a.chunks,
+		Hosts:    a.members.List,
+		Peers:    peers,
+		Limits:   limits,
+		Counters: counters,
+		Random:   rand.New(rand.NewPCG(a.random.Uint64(), a.random.Uint64())),
+		Now:      a.now,
+		Log:      a.log,
+	})
+	rollout := weights.NewRollout(weights.RolloutParts{
+		Self:     a.self,
+		Config:   *cfg.Activation,
+		Settings: a.settings,
+		Chunks:   a.chunks,
+		Fetcher:  fetcher,
+		Permits:  weights.NewPermits(a.store, a.self, cfg.Activation.LeaseTTL, uuid.NewString, a.now),
+		Peers:    peers,
+		Hosts:    a.members.List,
+		Counters: counters,
+		Engine:   a.engine,
+		Gate:     a.gate,
+		Monitor:  a.monitor,
+		Interval: cfg.PollInterval,
+		Now:      a.now,
+		Log:      a.log,
+	})
+	handler := weights.NewChunkHandler(a.chunks, limits, a.withdrawn, cfg.Transfer.UploadSlots, cfg.Transfer.ChunkTimeout)
+	return weightParts{rollout: rollout, handler: handler, peers: peers}
+}
+
+// withdrawn reports whether a version of the upstream's model was withdrawn.
+func (a *agent) withdrawn(digest core.Digest) bool {
+	return a.settings.Tree().Upstreams[a.self.Upstream].IsWithdrawn(digest)
+}
--- a/transport/upstream/status.go
+++ b/transport/upstream/status.go
@@ -20,8 +20,25 @@
 	settings *table.Settings
 	chunks   *table.Chunks
 	gate     *Gate
+	transfer TransferReporter
 }
 
+// TransferReport is what Status tells about the weight transfer.
+type TransferReport struct {
+	OriginBytes int64
+	PeerBytes   int64
+	// BehindReason says why the back end does not have the target version; empty when it has.
+	BehindReason string
+}
+
+// TransferReporter reports on the weight transfer.
+type TransferReporter interface {
+	TransferReport() TransferReport
+}
+
+// ReportTransfer makes Status tell what r reports; call it before the service is used.
+func (s *Service) ReportTransfer(r TransferReporter) { s.transfer = r }
+
 var _ wire.Agent = (*Service)(nil)
 
 // NewService returns a Service.
@@ -56,6 +73,12 @@
 		response.ChunksHeld = uint32(held)
 		response.ChunksTotal = uint32(total)
 	}
+	if s.transfer != nil {
+		report := s.transfer.TransferReport()
+		response.OriginBytes = uint64(report.OriginBytes)
+		response.PeerBytes = uint64(report.PeerBytes)
+		response.BehindReason = report.BehindReason
+	}
 	return response, nil
 }
 
@@ -65,8 +88,15 @@
 	if !digest.Valid() {
 		return nil, twirp.InvalidArgumentError("version_digest", "is not a digest")
 	}
-	_, manifest, _ := s.chunks.Manifest(digest)
-	return &wire.ChunksResponse{Bitmap: s.chunks.Bitmap(digest), Manifest: manifest}, nil
+	if s.settings.Tree().Upstreams[s.host.Upstream].IsWithdrawn(digest) {
+		return &wire.ChunksResponse{}, nil
+	}
+	response := &wire.ChunksResponse{Bitmap: s.chunks.Bitmap(digest)}
+	if request.GetWantManifest() {
+		_, response.Manifest, _ = s.chunks.Manifest(digest)
+		response.Etag = s.chunks.ETag(digest)
+	}
+	return response, nil
 }
 
 var stateToWire = map[core.UpstreamState]wire.UpstreamState{
--- a/transport/weights/activate.go
+++ b/transport/weights/activate.go
@@ -2,151 +2,212 @@
 
 import (
 	"context"
-	"io"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sirupsen/logrus"
-	"github.com/zeebo/blake3"
 
+	"github.com/guavatrestle/guavatrestle/coordination/activation"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/state/core"
-	"github.com/guavatrestle/guavatrestle/state/settings"
-	"github.com/guavatrestle/guavatrestle/state/table"
-	"github.com/guavatrestle/guavatrestle/transport/upstream"
 )
 
-// Rollout keeps the engine on the target version of its upstream.
-type Rollout struct {
-	upstream core.Upstream
-	settings *table.Settings
-	chunks   *table.Chunks
-	fetcher  *Fetcher
-	engine   platform.Engine
-	gate     *upstream.Gate
-	monitor  *upstream.Monitor
-	interval time.Duration
-	log      *logrus.Entry
+const (
+	// renewalsPerLease is the number of renewals within one lease.
+	renewalsPerLease = 3
+	// warmPoll is the time between two looks at the gate while the back end warms up.
+	warmPoll = 100 * time.Millisecond
+	// drainPoll is the time between two looks at the requests in flight before a load order.
+	drainPoll = 20 * time.Millisecond
+)
+
+// activate loads a complete version into the engine under a permit.
+func (r *Rollout) activate(ctx context.Context, digest core.Digest) error {
+	if err := r.verify(digest); err != nil {
+		return err
+	}
+	if r.mayLoadFreely(ctx) {
+		return r.loadFreely(ctx, digest)
+	}
+	limit := activation.Limit(r.groupSize(), r.spec().MinWarm)
+	holding, ok, err := r.parts.Permits.Acquire(ctx, digest, limit)
+	if err != nil {
+		return eris.Wrap(err, "acquire activation permit")
+	}
+	if !ok {
+		r.reason.Store(reasonPermit)
+		return nil
+	}
+	return r.loadUnder(ctx, digest, holding)
+}
+
+// verify checks the whole content once per version.
+func (r *Rollout) verify(digest core.Digest) error {
+	if r.verified == digest {
+		return nil
+	}
+	manifest, _, ok := r.parts.Chunks.Manifest(digest)
+	if !ok {
+		return ErrSuperseded
+	}
+	if err := verifyContent(r.parts.Chunks, digest, manifest); err != nil {
+		// The chunks match the manifest one by one, so the manifest itself contradicts its content.
+		return err
+	}
+	r.verified = digest
+	return nil
 }
 
-// RolloutParts are the parts that a Rollout works with.
-type RolloutParts struct {
-	Upstream core.Upstream
-	Settings *table.Settings
-	Chunks   *table.Chunks
-	Fetcher  *Fetcher
-	Engine   platform.Engine
-	Gate     *upstream.Gate
-	Monitor  *upstream.Monitor
-	Interval time.Duration
-	Log      *logrus.Entry
+// loadUnder loads under a lease, and keeps it until the back end is warm so that others wait.
+func (r *Rollout) loadUnder(ctx context.Context, digest core.Digest, holding activation.Holding) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() { _ = r.parts.Permits.Release(context.WithoutCancel(ctx), holding) }()
+	var renewals sync.WaitGroup
+	defer renewals.Wait()
+	defer cancel()
+	renewals.Go(func() { r.renew(ctx, holding) })
+	err := r.load(ctx, digest, func(ctx context.Context) (uint64, error) { return r.confirm(ctx, holding) })
+	if err != nil {
+		return err
+	}
+	r.awaitWarm(ctx, digest)
+	return nil
 }
 
-// NewRollout returns a Rollout.
-func NewRollout(p RolloutParts) *Rollout {
-	return &Rollout{
-		upstream: p.Upstream,
-		settings: p.Settings,
-		chunks:   p.Chunks,
-		fetcher:  p.Fetcher,
-		engine:   p.Engine,
-		gate:     p.Gate,
-		monitor:  p.Monitor,
-		interval: p.Interval,
-		log:      p.Log,
+// confirm returns the fencing token of a lease. The renewal proves that the lease was not taken as
+// lapsed meanwhile.
+func (r *Rollout) confirm(ctx context.Context, holding activation.Holding) (uint64, error) {
+	renewed, err := r.parts.Permits.Renew(ctx, holding)
+	if err != nil {
+		return 0, eris.Wrap(err, "confirm activation permit")
 	}
+	if !renewed.Valid(r.parts.Now()) {
+		return 0, eris.New("the activation permit lapsed before the load order")
+	}
+	return renewed.Lease.Token, nil
 }
 
-// Run moves the engine to the target version, again and again, until ctx ends.
-func (r *Rollout) Run(ctx context.Context) {
-	ticker := time.NewTicker(r.interval)
+// renew extends a lease until ctx ends. A failed renewal does not stop a load under way: the gate
+// admits nothing until the engine reports a complete version.
+func (r *Rollout) renew(ctx context.Context, holding activation.Holding) {
+	ticker := time.NewTicker(r.parts.Config.LeaseTTL / renewalsPerLease)
 	defer ticker.Stop()
 	for {
-		if err := r.step(ctx); err != nil && ctx.Err() == nil {
-			r.log.WithError(err).Warn("roll out model version")
-		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		if _, err := r.parts.Permits.Renew(ctx, holding); err != nil && ctx.Err() == nil {
+			r.parts.Log.WithError(err).Warn("renew activation permit")
+		}
 	}
 }
 
-func (r *Rollout) step(ctx context.Context) error {
-	spec, ok := r.settings.Tree().Upstreams[r.upstream]
-	if !ok || spec.Target == nil || spec.IsWithdrawn(spec.Target.Digest) {
-		return nil
-	}
-	snapshot := r.gate.Snapshot()
-	if snapshot.Complete && snapshot.Digest == spec.Target.Digest {
-		return nil
+// load finishes the requests in flight, orders the engine to load a version and checks what the
+// engine reports after it. It asks for the fencing token right before the order.
+func (r *Rollout) load(ctx context.Context, digest core.Digest, token func(context.Context) (uint64, error)) error {
+	manifest, _, ok := r.parts.Chunks.Manifest(digest)
+	if !ok {
+		return ErrSuperseded
 	}
-	if err := r.fetcher.Fetch(ctx, spec.Model, *spec.Target); err != nil {
+	r.reason.Store(reasonActivating)
+	ctx, cancel := context.WithTimeout(ctx, r.parts.Config.OrderTimeout)
+	defer cancel()
+	r.parts.Gate.SetLoading(true)
+	defer r.parts.Gate.SetLoading(false)
+	if err := r.drain(ctx); err != nil {
 		return err
 	}
-	return r.activate(ctx, *spec.Target)
-}
-
-func (r *Rollout) activate(ctx context.Context, ref settings.VersionRef) error {
-	manifest, _, ok := r.chunks.Manifest(ref.Digest)
-	if !ok {
-		return eris.Errorf("version %s is not held", ref.Digest)
-	}
-	if err := r.verify(ref.Digest, manifest); err != nil {
+	fencing, err := token(ctx)
+	if err != nil {
 		return err
 	}
-	r.gate.SetLoading(true)
-	defer r.gate.SetLoading(false)
-	err := r.engine.Load(ctx, platform.LoadOrder{
-		Model:   manifest.Model,
-		Digest:  ref.Digest,
-		Content: manifest.Content,
-		Size:    manifest.Size,
-		Weights: r.reader(ref.Digest, manifest),
+	if !r.wants(digest) {
+		return ErrSuperseded
+	}
+	err = r.parts.Engine.Load(ctx, platform.LoadOrder{
+		Model:        manifest.Model,
+		Digest:       digest,
+		Content:      manifest.Content,
+		FencingToken: fencing,
+		Size:         manifest.Size,
+		Weights: newChunkReader(r.parts.Chunks, digest, manifest, func() bool {
+			return r.spec().IsWithdrawn(digest)
+		}),
 	})
-	r.monitor.Poll(ctx)
-	return err
+	r.parts.Monitor.Poll(context.WithoutCancel(ctx))
+	if err != nil {
+		return eris.Wrap(err, "order the engine to load")
+	}
+	if !r.serves(digest) {
+		return eris.Errorf("the engine does not report version %s complete after the load order", digest)
+	}
+	return nil
 }
 
-func (r *Rollout) verify(digest core.Digest, manifest core.Manifest) error {
-	hash := blake3.New()
-	if _, err := io.Copy(hash, r.reader(digest, manifest)); err != nil {
-		return eris.Wrap(err, "read held chunks")
-	}
-	if got := core.DigestFromSum(hash.Sum(nil)); got != manifest.Content {
-		return eris.Errorf("version %s has content %s, want %s", digest, got, manifest.Content)
+// drain waits until the requests in flight have ended; the gate admits no new ones while it is loading.
+func (r *Rollout) drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for r.parts.Gate.Snapshot().InFlight > 0 {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "finish the requests in flight before the load order")
+		case <-ticker.C:
+		}
 	}
 	return nil
 }
 
-func (r *Rollout) reader(digest core.Digest, manifest core.Manifest) io.Reader {
-	return &chunkReader{chunks: r.chunks, digest: digest, total: len(manifest.Chunks)}
+// awaitWarm waits until the back end is warm, for at most WarmHold, or until the version is no longer wanted.
+func (r *Rollout) awaitWarm(ctx context.Context, digest core.Digest) {
+	end := r.parts.Now().Add(r.parts.Config.WarmHold)
+	ticker := time.NewTicker(warmPoll)
+	defer ticker.Stop()
+	for r.wants(digest) && r.parts.Now().Before(end) && r.parts.Gate.Snapshot().State != core.UpstreamWarm {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
-// chunkReader reads the chunks of a version in order.
-type chunkReader struct {
-	chunks *table.Chunks
-	digest core.Digest
-	total  int
-	next   int
-	rest   []byte
+// loadFreely loads without a permit, under the highest token that the engine has accepted.
+func (r *Rollout) loadFreely(ctx context.Context, digest core.Digest) error {
+	return r.load(ctx, digest, func(ctx context.Context) (uint64, error) {
+		status, err := r.parts.Engine.Status(ctx)
+		return status.FencingToken, err
+	})
 }
 
-// Read implements io.Reader.
-func (c *chunkReader) Read(p []byte) (int, error) {
-	if len(c.rest) == 0 {
-		if c.next == c.total {
-			return 0, io.EOF
+// mayLoadFreely reports whether this is an initial load in a failure domain where no host serves
+// yet. A host that does not answer counts as serving.
+func (r *Rollout) mayLoadFreely(ctx context.Context) bool {
+	snapshot := r.parts.Gate.Snapshot()
+	if snapshot.BootID == "" || snapshot.Digest != "" {
+		return false
+	}
+	for _, host := range r.group() {
+		if serves, err := r.parts.Peers.Serves(ctx, host); err != nil || serves {
+			return false
 		}
-		chunk, ok := c.chunks.Get(c.digest, c.next)
-		if !ok {
-			return 0, eris.Errorf("chunk %d of version %s is not held", c.next, c.digest)
+	}
+	return true
+}
+
+// group returns the other live agents of the upstream in the failure domain.
+func (r *Rollout) group() []core.Host {
+	var group []core.Host
+	self := r.parts.Self
+	for _, host := range r.parts.Hosts() {
+		same := host.Upstream == self.Upstream && host.FailureDomain == self.FailureDomain
+		if same && host.Role == core.RoleAgent && host.ID != self.ID && host.State != core.HostLeaving {
+			group = append(group, host)
 		}
-		c.rest = chunk
-		c.next++
 	}
-	n := copy(p, c.rest)
-	c.rest = c.rest[n:]
-	return n, nil
+	return group
 }
+
+func (r *Rollout) groupSize() int { return len(r.group()) + 1 }
--- /dev/null
+++ b/transport/weights/metrics.go
@@ -0,0 +1,51 @@
+package weights
+
+import (
+	"expvar"
+	"sync/atomic"
+)
+
+// Process-wide counters at /debug/vars.
+var (
+	varOriginBytes      = expvar.NewInt("weights_origin_bytes")
+	varRegionPeerBytes  = expvar.NewInt("weights_peer_bytes_same_region")
+	varCrossRegionBytes = expvar.NewInt("weights_peer_bytes_cross_region")
+	varRejectedChunks   = expvar.NewInt("weights_rejected_chunks")
+)
+
+// Counters counts the bytes of chunks received and the chunks rejected.
+type Counters struct {
+	origin      atomic.Int64
+	sameRegion  atomic.Int64
+	crossRegion atomic.Int64
+	rejected    atomic.Int64
+}
+
+// Origin returns the bytes received from the weight source.
+func (c *Counters) Origin() int64 { return c.origin.Load() }
+
+// Peers returns the bytes received from peers.
+func (c *Counters) Peers() int64 { return c.sameRegion.Load() + c.crossRegion.Load() }
+
+// Rejected returns the number of chunks that did not match their hash.
+func (c *Counters) Rejected() int64 { return c.rejected.Load() }
+
+func (c *Counters) addOrigin(n int) {
+	c.origin.Add(int64(n))
+	varOriginBytes.Add(int64(n))
+}
+
+func (c *Counters) addPeer(n int, cross bool) {
+	if cross {
+		c.crossRegion.Add(int64(n))
+		varCrossRegionBytes.Add(int64(n))
+		return
+	}
+	c.sameRegion.Add(int64(n))
+	varRegionPeerBytes.Add(int64(n))
+}
+
+func (c *Counters) addRejected() {
+	c.rejected.Add(1)
+	varRejectedChunks.Add(1)
+}
--- /dev/null
+++ b/transport/weights/peers.go
@@ -0,0 +1,107 @@
+package weights
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/coordination/transfer"
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+const (
+	// headerChunks carries the sender's bitmap of held chunks in base64, which saves polls.
+	headerChunks = "Gt-Chunks"
+	// pollTimeout bounds one poll of a peer.
+	pollTimeout = 2 * time.Second
+	// idlePeerConns bounds the idle connections kept to one peer.
+	idlePeerConns = 2
+)
+
+// PeerClient asks other agents for chunks.
+type PeerClient struct {
+	self core.Host
+	http *http.Client
+}
+
+// NewPeerClient returns a client that calls peers as host self.
+func NewPeerClient(self core.Host) *PeerClient {
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	base.MaxIdleConnsPerHost = idlePeerConns
+	return &PeerClient{self: self, http: &http.Client{Transport: base}}
+}
+
+// Close closes idle connections.
+func (c *PeerClient) Close() { c.http.CloseIdleConnections() }
+
+// Chunks asks which chunks of a version a peer holds.
+func (c *PeerClient) Chunks(ctx context.Context, peer core.Host, digest core.Digest, manifest bool) (*wire.ChunksResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	client := wire.NewAgentProtobufClient("http://"+peer.ControlAddr, c.http)
+	response, err := client.Chunks(ctx, &wire.ChunksRequest{
+		VersionDigest: string(digest), Host: string(c.self.ID), WantManifest: manifest,
+	})
+	if err != nil {
+		return nil, protocol.Wrap(protocol.CodeUnavailable, err, "ask "+string(peer.ID)+" for its chunks")
+	}
+	return response, nil
+}
+
+// Serves reports whether the back end beside a peer serves any version.
+func (c *PeerClient) Serves(ctx context.Context, peer core.Host) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	client := wire.NewAgentProtobufClient("http://"+peer.ControlAddr, c.http)
+	response, err := client.Status(ctx, &wire.StatusRequest{Host: string(c.self.ID), Incarnation: string(c.self.Incarnation)})
+	if err != nil {
+		return false, protocol.Wrap(protocol.CodeUnavailable, err, "ask "+string(peer.ID)+" for its status")
+	}
+	return response.GetVersionDigest() != "", nil
+}
+
+// Chunk fetches a chunk of size bytes; the bitmap is nil when the peer sent none.
+func (c *PeerClient) Chunk(ctx context.Context, peer core.Host, digest core.Digest, index int, size int64) ([]byte, transfer.Bitmap, error) {
+	target := fmt.Sprintf("http://%s/chunks/%s/%d", peer.DataAddr, digest, index)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, nil, protocol.Wrap(protocol.CodeMalformed, err, "build chunk request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, nil, protocol.Wrap(protocol.CodeUnavailable, err, "request chunk")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := chunkStatus(response); err != nil {
+		return nil, nil, err
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(response.Body, data); err != nil {
+		return nil, nil, protocol.Wrap(protocol.CodeIncomplete, err, "read chunk")
+	}
+	held, _ := base64.StdEncoding.DecodeString(response.Header.Get(headerChunks))
+	return data, held, nil
+}
+
+func chunkStatus(response *http.Response) error {
+	switch response.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return protocol.Errorf(protocol.CodeNotFound, "peer does not hold the chunk")
+	case http.StatusTooManyRequests:
+		err := protocol.Errorf(protocol.CodeRateLimited, "peer has no upload slot")
+		if seconds, parseErr := strconv.Atoi(response.Header.Get("Retry-After")); parseErr == nil && seconds > 0 {
+			err.RetryAfter = time.Duration(seconds) * time.Second
+		}
+		return err
+	default:
+		return protocol.Errorf(protocol.CodeUnavailable, "peer returned status %d", response.StatusCode)
+	}
+}
