Test the weight executor against faulty sources

Cause: nothing showed that corrupted, stalled or changed sources, 429 answers and withdrawals leave only whole wanted versions in the engine.

The fetcher runs against httptest servers; a rapid state machine changes targets, withdraws versions before and during loads, breaks loads off and takes the platform down.

--- /dev/null
+++ b/transport/weights/fetch_test.go
@@ -0,0 +1,310 @@
+package weights
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/guavatrestle/guavatrestle/coordination/admission"
+	"github.com/guavatrestle/guavatrestle/coordination/transfer"
+	"github.com/guavatrestle/guavatrestle/protocol/wire"
+	"github.com/guavatrestle/guavatrestle/state/config"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport/platform"
+	"github.com/guavatrestle/guavatrestle/transport/upstream"
+)
+
+const (
+	testChunk    = 1000
+	fetchTimeout = 15 * time.Second
+)
+
+// bed is a fetcher with an origin and peers on loopback.
+type bed struct {
+	t        *testing.T
+	content  []byte
+	manifest core.Manifest
+	body     []byte
+	digest   core.Digest
+	hosts    []core.Host
+	chunks   *table.Chunks
+	counters *Counters
+	cfg      transfer.Config
+	origin   http.HandlerFunc
+	now      func() time.Time
+	// ranges counts the range requests that reached the origin.
+	ranges atomic.Int64
+}
+
+func newBed(t *testing.T) *bed {
+	content := make([]byte, 5*testChunk+1)
+	for i := range content {
+		content[i] = byte(i * i)
+	}
+	manifest, err := core.BuildManifest("m", "v", content, testChunk)
+	require.NoError(t, err)
+	body, err := manifest.Canonical()
+	require.NoError(t, err)
+	cfg := transfer.Config{Transfer: config.DefaultTransfer(), Strategy: transfer.StrategySwarm, OriginRegion: "r"}
+	cfg.RetryBase, cfg.RetryCap, cfg.TakeOver = time.Millisecond, time.Millisecond, time.Hour
+	cfg.PollInterval = time.Millisecond
+	return &bed{
+		t: t, content: content, manifest: manifest, body: body, digest: core.DigestOf(body),
+		chunks: table.NewChunks(), counters: &Counters{}, cfg: cfg, now: time.Now,
+	}
+}
+
+// serveOrigin answers as an origin does; origin may take over a request by writing its own response.
+func (b *bed) serveOrigin(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "/manifest") {
+		w.Header().Set("ETag", `"good"`)
+		_, _ = w.Write(b.body)
+		return
+	}
+	b.ranges.Add(1)
+	w.Header().Set("ETag", `"good"`)
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(b.content))
+}
+
+// peer starts an agent that holds the version and serves chunks through wrap.
+func (b *bed) peer(id core.HostID, wrap func(http.Handler) http.Handler) {
+	chunks := table.NewChunks()
+	require.NoError(b.t, chunks.AddManifest(b.digest, b.manifest, b.body, `"good"`))
+	for i := range b.manifest.Chunks {
+		start, end := b.manifest.ChunkRange(i)
+		require.True(b.t, chunks.Put(b.digest, i, b.content[start:end]))
+	}
+	limits := NewLimits(config.Agent{Transfer: &b.cfg.Transfer}, func() bool { return false })
+	handler := NewChunkHandler(chunks, limits, func(core.Digest) bool { return false }, 1, time.Minute)
+	mux := http.NewServeMux()
+	mux.Handle("GET /chunks/{digest}/{index}", wrap(handler))
+	service := upstream.NewService(core.Host{ID: id}, table.NewSettings(), chunks, upstream.NewGate(admission.Config{}, time.Now))
+	mux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(service))
+	server := httptest.NewServer(mux)
+	b.t.Cleanup(server.Close)
+	addr := strings.TrimPrefix(server.URL, "http://")
+	b.hosts = append(b.hosts, core.Host{
+		ID: id, Role: core.RoleAgent, Upstream: "u", Region: "r", FailureDomain: "d", ControlAddr: addr, DataAddr: addr,
+	})
+}
+
+func (b *bed) fetch(ctx context.Context, wanted func() bool) error {
+	// The timeout only ends a fetch that would never finish.
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	origin := b.origin
+	if origin == nil {
+		origin = b.serveOrigin
+	}
+	server := httptest.NewServer(origin)
+	defer server.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	self := core.Host{ID: "self", Role: core.RoleAgent, Upstream: "u", Region: "r", FailureDomain: "d"}
+	peers := NewPeerClient(self)
+	defer peers.Close()
+	f := NewFetcher(FetcherParts{
+		Self: self, Config: b.cfg, Source: platform.NewWeightClient(server.URL), Chunks: b.chunks,
+		Hosts: func() []core.Host { return b.hosts }, Peers: peers,
+		Limits:   NewLimits(config.Agent{Transfer: &b.cfg.Transfer}, func() bool { return false }),
+		Counters: b.counters, Random: rand.New(rand.NewPCG(1, 1)), Now: b.now, Log: logrus.NewEntry(log),
+	})
+	return f.Fetch(ctx, "m", settings.VersionRef{Version: "v", Digest: b.digest}, wanted)
+}
+
+func (b *bed) requireWhole() {
+	got, err := io.ReadAll(newChunkReader(b.chunks, b.digest, b.manifest, nil))
+	require.NoError(b.t, err)
+	require.True(b.t, bytes.Equal(b.content, got), "content differs")
+}
+
+func always() bool { return true }
+
+func plain(h http.Handler) http.Handler { return h }
+
+// TestFetchUsesPeersBeforeTheOrigin guards against origin traffic of a late host, and leaked goroutines.
+func TestFetchUsesPeersBeforeTheOrigin(t *testing.T) {
+	b := newBed(t)
+	b.peer("a", plain)
+	b.peer("b", plain)
+	require.NoError(t, b.fetch(t.Context(), always))
+	b.requireWhole()
+	require.Zero(t, b.ranges.Load())
+	require.EqualValues(t, len(b.content), b.counters.Peers())
+}
+
+// TestCorruptChunkIsRejectedAndFetchedElsewhere guards against a bad peer's bytes in the table.
+func TestCorruptChunkIsRejectedAndFetchedElsewhere(t *testing.T) {
+	b := newBed(t)
+	b.peer("bad", func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, testChunk)) })
+	})
+	b.peer("good", plain)
+	require.NoError(t, b.fetch(t.Context(), always))
+	b.requireWhole()
+	require.Positive(t, b.counters.Rejected())
+}
+
+// TestCorruptOriginRangeIsRejected guards against trust in the origin's bytes.
+func TestCorruptOriginRangeIsRejected(t *testing.T) {
+	b := newBed(t)
+	var once sync.Once
+	b.origin = func(w http.ResponseWriter, r *http.Request) {
+		bad := false
+		if strings.HasSuffix(r.URL.Path, "/weights") {
+			once.Do(func() { bad = true })
+		}
+		if bad {
+			w.WriteHeader(http.StatusPartialContent)
+			_, _ = w.Write(make([]byte, testChunk))
+			return
+		}
+		b.serveOrigin(w, r)
+	}
+	require.NoError(t, b.fetch(t.Context(), always))
+	b.requireWhole()
+	require.EqualValues(t, 1, b.counters.Rejected())
+}
+
+// TestStalledPeerDoesNotHoldUpTheFetch guards against a fetch that waits for a silent peer.
+func TestStalledPeerDoesNotHoldUpTheFetch(t *testing.T) {
+	b := newBed(t)
+	b.cfg.ChunkTimeout = 50 * time.Millisecond
+	b.peer("stalled", func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	})
+	b.peer("good", plain)
+	require.NoError(t, b.fetch(t.Context(), always))
+	b.requireWhole()
+}
+
+// TestOldETagIsRefreshed guards against an entity tag from a peer that the origin refuses with 412.
+func TestOldETagIsRefreshed(t *testing.T) {
+	b := newBed(t)
+	require.NoError(t, b.chunks.AddManifest(b.digest, b.manifest, b.body, `"stale"`))
+	require.NoError(t, b.fetch(t.Context(), always))
+	b.requireWhole()
+	require.Equal(t, `"good"`, b.chunks.ETag(b.digest))
+}
+
+// TestChangedVersionIsNotMixed guards against chunks of a version that changed at the origin mid-flight.
+func TestChangedVersionIsNotMixed(t *testing.T) {
+	b := newBed(t)
+	var refused atomic.Int64
+	b.origin = func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/manifest") && refused.Load() > 0 {
+			_, _ = w.Write([]byte(`{"model":"m","version":"changed"}`))
+			return
+		}
+		if strings.HasSuffix(r.URL.Path, "/weights") && b.ranges.Load() >= 2 {
+			refused.Add(1)
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+		b.serveOrigin(w, r)
+	}
+	err := b.fetch(t.Context(), func() bool { return refused.Load() < 3 })
+	require.ErrorIs(t, err, ErrSuperseded)
+	held, total := b.chunks.Progress(b.digest)
+	require.Less(t, held, total)
+}
+
+// TestRetryAfterOfTheOriginIsHonoured guards against requests to an origin that asked for a pause.
+func TestRetryAfterOfTheOriginIsHonoured(t *testing.T) {
+	b := newBed(t)
+	b.cfg.OriginSlots = 1
+	start := time.Now()
+	var asked, seconds atomic.Int64
+	b.now = func() time.Time { return start.Add(time.Duration(seconds.Load()) * time.Second) }
+	b.origin = func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/weights") && asked.Add(1) == 1 {
+			w.Header().Set("Retry-After", "7")
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		b.serveOrigin(w, r)
+	}
+	// The clock stands at 6 s for some rounds of the plan, and then reaches the time asked for.
+	rounds := 0
+	wanted := func() bool {
+		if asked.Load() > 0 {
+			rounds++
+		}
+		switch rounds {
+		case 3:
+			seconds.Store(6)
+		case 8:
+			require.EqualValues(t, 1, asked.Load(), "requests before the time asked for")
+			seconds.Store(7)
+		}
+		return true
+	}
+	require.NoError(t, b.fetch(t.Context(), wanted))
+	b.requireWhole()
+}
+
+// TestSupersededFetchEndsItsWorkers guards against goroutines that outlive a fetch.
+func TestSupersededFetchEndsItsWorkers(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	b := newBed(t)
+	started := make(chan struct{})
+	var once sync.Once
+	b.origin = func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/weights") {
+			once.Do(func() { close(started) })
+			<-r.Context().Done()
+			return
+		}
+		b.serveOrigin(w, r)
+	}
+	err := b.fetch(t.Context(), func() bool {
+		select {
+		case <-started:
+			return false
+		default:
+			return true
+		}
+	})
+	require.ErrorIs(t, err, ErrSuperseded)
+}
+
+// TestUploadSlotsAndWithdrawalBoundServing guards against more uploads than slots and against
+// serving a withdrawn version.
+func TestUploadSlotsAndWithdrawalBoundServing(t *testing.T) {
+	b := newBed(t)
+	require.NoError(t, b.chunks.AddManifest(b.digest, b.manifest, b.body, ""))
+	require.True(t, b.chunks.Put(b.digest, 0, b.content[:testChunk]))
+	withdrawn := false
+	limits := NewLimits(config.Agent{Transfer: &b.cfg.Transfer}, func() bool { return false })
+	h := NewChunkHandler(b.chunks, limits, func(core.Digest) bool { return withdrawn }, 1, time.Minute)
+	ask := func() *httptest.ResponseRecorder {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.SetPathValue("digest", string(b.digest))
+		r.SetPathValue("index", "0")
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		return w
+	}
+	require.Equal(t, http.StatusOK, ask().Code)
+	h.slots <- struct{}{}
+	busy := ask()
+	require.Equal(t, http.StatusTooManyRequests, busy.Code)
+	require.Equal(t, "1", busy.Header().Get("Retry-After"))
+	<-h.slots
+	withdrawn = true
+	require.Equal(t, http.StatusNotFound, ask().Code)
+}
--- /dev/null
+++ b/transport/weights/rollout_test.go
@@ -0,0 +1,211 @@
+package weights
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavatrestle/guavatrestle/coordination/admission"
+	"github.com/guavatrestle/guavatrestle/coordination/transfer"
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/platform"
+	"github.com/guavatrestle/guavatrestle/state/config"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport/upstream"
+)
+
+// memoryEngine keeps the weights that it was given, and can break off a load.
+type memoryEngine struct {
+	platform.Engine
+	status    platform.EngineStatus
+	content   []byte
+	breakOff  bool
+	during    func()
+	loadCount int
+}
+
+func (e *memoryEngine) Status(context.Context) (platform.EngineStatus, error) { return e.status, nil }
+
+func (e *memoryEngine) Load(_ context.Context, order platform.LoadOrder) error {
+	e.loadCount++
+	e.status.Digest, e.status.Complete = order.Digest, false
+	e.status.FencingToken = max(e.status.FencingToken, order.FencingToken)
+	first := make([]byte, 1)
+	_, _ = io.ReadFull(order.Weights, first)
+	if e.during != nil {
+		e.during()
+	}
+	rest, err := io.ReadAll(order.Weights)
+	if err != nil || e.breakOff {
+		return protocol.Errorf(protocol.CodeOutcomeUnknown, "load broke off")
+	}
+	e.content = append(first, rest...)
+	e.status.Complete = true
+	return nil
+}
+
+// site is one agent with its surroundings in memory.
+type site struct {
+	rollout  *Rollout
+	store    *memoryStore
+	engine   *memoryEngine
+	settings *table.Settings
+	chunks   *table.Chunks
+	gate     *upstream.Gate
+	source   *memorySource
+	spec     settings.UpstreamSettings
+	version  uint64
+	bodies   map[core.Digest][]byte
+}
+
+// memorySource serves versions.
+type memorySource struct {
+	manifests map[string][]byte
+	bodies    map[string][]byte
+}
+
+func (s *memorySource) Manifest(_ context.Context, _ core.Model, version string) (platform.ManifestResponse, error) {
+	return platform.ManifestResponse{Body: s.manifests[version], ETag: version}, nil
+}
+
+func (s *memorySource) Range(_ context.Context, r platform.RangeRequest) ([]byte, error) {
+	return slices.Clone(s.bodies[r.Version][r.Start:r.End]), nil
+}
+
+func transferDefaults() *config.Transfer {
+	cfg := config.DefaultTransfer()
+	return &cfg
+}
+
+func newSite() *site {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	entry := logrus.NewEntry(log)
+	s := &site{
+		store: &memoryStore{}, engine: &memoryEngine{status: platform.EngineStatus{BootID: "b"}},
+		settings: table.NewSettings(), chunks: table.NewChunks(), bodies: map[core.Digest][]byte{},
+		source: &memorySource{manifests: map[string][]byte{}, bodies: map[string][]byte{}},
+		spec:   settings.UpstreamSettings{Kind: settings.KindModel, Model: "m", ColdLimit: 1, WarmLimit: 1},
+	}
+	self := core.Host{ID: "self", Incarnation: "1", Role: core.RoleAgent, Upstream: "u", FailureDomain: "d", Region: "r"}
+	s.gate = upstream.NewGate(admission.Config{ColdLimit: 1, WarmLimit: 1}, time.Now)
+	monitor := upstream.NewMonitor(s.engine, s.gate, time.Second, entry)
+	monitor.Poll(context.Background())
+	cfg := config.Agent{Transfer: transferDefaults()}
+	cfg.Transfer.RetryBase, cfg.Transfer.RetryCap = 2, 4
+	counters := &Counters{}
+	hosts := func() []core.Host { return nil }
+	nonce := 0
+	s.rollout = NewRollout(RolloutParts{
+		Self: self, Config: config.Activation{LeaseTTL: time.Hour, OrderTimeout: time.Minute},
+		Settings: s.settings, Chunks: s.chunks, Counters: counters, Hosts: hosts,
+		Fetcher: NewFetcher(FetcherParts{
+			Self: self, Config: transfer.Config{Transfer: *cfg.Transfer, Strategy: transfer.StrategySwarm},
+			Source: s.source, Chunks: s.chunks, Hosts: hosts, Peers: NewPeerClient(self),
+			Limits: NewLimits(cfg, func() bool { return false }), Counters: counters,
+			Random: rand.New(rand.NewPCG(1, 1)), Now: time.Now, Log: entry,
+		}),
+		Permits: NewPermits(s.store, self, time.Hour, func() string { nonce++; return string(rune('a' + nonce)) }, time.Now),
+		Peers:   NewPeerClient(self), Engine: s.engine, Gate: s.gate, Monitor: monitor, Interval: time.Second,
+		Now: time.Now, Log: entry,
+	})
+	return s
+}
+
+func (s *site) publish(version string, body []byte) core.Digest {
+	m, _ := core.BuildManifest("m", version, body, 4)
+	canonical, _ := m.Canonical()
+	s.source.manifests[version], s.source.bodies[version] = canonical, body
+	digest := core.DigestOf(canonical)
+	s.bodies[digest] = body
+	return digest
+}
+
+func (s *site) apply() {
+	s.version++
+	body, _ := json.Marshal(s.spec)
+	_, _ = s.settings.Merge([]settings.Document{{Path: settings.UpstreamPath("u"), Version: s.version, Body: body}})
+}
+
+// TestEngineNeverCompletesAWrongOrWithdrawnVersion guards against mixed, partial or withdrawn
+// weights in an engine when targets change, loads break off, the platform fails and versions are
+// withdrawn before or during a load.
+func TestEngineNeverCompletesAWrongOrWithdrawnVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite()
+		names := []string{"v1", "v2", "v3"}
+		digests := map[string]core.Digest{}
+		for _, name := range names {
+			digests[name] = s.publish(name, rapid.SliceOfN(rapid.Byte(), 5, 20).Draw(t, "body"))
+		}
+		completed := core.Digest("")
+		name := func(t *rapid.T) string { return rapid.SampledFrom(names).Draw(t, "version") }
+		withdraw := func(t *rapid.T) { s.spec.Withdrawn = append(s.spec.Withdrawn, digests[name(t)]); s.apply() }
+		t.Repeat(map[string]func(*rapid.T){
+			"target": func(t *rapid.T) {
+				v := name(t)
+				s.spec.Target = &settings.VersionRef{Version: v, Digest: digests[v]}
+				s.apply()
+			},
+			"withdraw": withdraw,
+			"platform": func(*rapid.T) { s.store.down = !s.store.down },
+			"restart": func(*rapid.T) {
+				s.engine.status.Complete, s.engine.status.Digest, s.engine.content, completed = false, "", nil, ""
+				s.rollout.parts.Monitor.Poll(context.Background())
+			},
+			"step": func(t *rapid.T) {
+				s.engine.breakOff = rapid.Bool().Draw(t, "break off")
+				during := rapid.IntRange(0, 3).Draw(t, "withdraw during load") == 0
+				s.engine.during = func() {
+					if during {
+						withdraw(t)
+					}
+				}
+				loads, down := s.engine.loadCount, s.store.down
+				before, withdrawn := s.engine.status, slices.Clone(s.spec.Withdrawn)
+				_ = s.rollout.step(context.Background())
+				if down && before.Digest != "" {
+					require.Equal(t, loads, s.engine.loadCount, "load without a permit while the platform is down")
+				}
+				if s.engine.loadCount > loads {
+					require.NotContains(t, withdrawn, s.engine.status.Digest, "load order for a withdrawn version")
+				}
+				if s.engine.status.Complete && s.engine.loadCount > loads {
+					completed = s.engine.status.Digest
+					require.NotContains(t, s.spec.Withdrawn, completed, "activated a withdrawn version")
+				}
+			},
+			"": func(t *rapid.T) {
+				snapshot := s.gate.Snapshot()
+				if snapshot.Complete {
+					require.Equal(t, s.bodies[snapshot.Digest], s.engine.content, "content of the version served")
+				}
+			},
+		})
+	})
+}
+
+// TestChangedManifestContentIsNotLoaded guards against a load of chunks that do not form the content.
+func TestChangedManifestContentIsNotLoaded(t *testing.T) {
+	s := newSite()
+	m, err := core.BuildManifest("m", "v1", []byte("contents"), 4)
+	require.NoError(t, err)
+	m.Content = core.DigestOf([]byte("other"))
+	canonical, err := m.Canonical()
+	require.NoError(t, err)
+	s.source.manifests["v1"], s.source.bodies["v1"] = canonical, []byte("contents")
+	s.spec.Target = &settings.VersionRef{Version: "v1", Digest: core.DigestOf(canonical)}
+	s.apply()
+	require.ErrorContains(t, s.rollout.step(t.Context()), "has content")
+	require.Zero(t, s.engine.loadCount)
+}
