--- a/state/config/parse.go
+++ b/state/config/parse.go
@@ -43,7 +43,7 @@
 // file:line: path: reason. getenv returns the value of an environment variable.
 func ParseWith(name string, body []byte, getenv func(string) string) (Config, error) {
 	cfg := Default()
-	agent, entry := defaultAgent(), defaultEntry()
+	agent, entry := DefaultAgent(), defaultEntry()
 	cfg.Agent, cfg.Entry = &agent, &entry
 	root, err := rootNode(body)
 	if err != nil {
--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -3,19 +3,16 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/admission"
 	protocolplatform "github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
-	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/settings"
 	"github.com/guavatrestle/guavatrestle/state/table"
 	"github.com/guavatrestle/guavatrestle/transport/platform"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 	"github.com/guavatrestle/guavatrestle/transport/upstream"
-	"github.com/guavatrestle/guavatrestle/transport/weights"
 )
 
 // agent is the agent role.
@@ -43,10 +40,12 @@
 func (a *agent) start(ctx context.Context) (controlHandler, dataHandler http.Handler) {
 	a.loops.Go(func() { a.monitor.Run(ctx) })
 	a.loops.Go(func() { a.followSettings(ctx) })
+	parts := a.newWeights()
 	if a.cfg.Platform.WeightSource != "" {
-		a.loops.Go(func() { a.rollout().Run(ctx) })
+		a.loops.Go(func() { parts.rollout.Run(ctx) })
 	}
 	service := upstream.NewService(a.self, a.settings, a.chunks, a.gate)
+	service.ReportTransfer(parts.rollout)
 	controlMux := http.NewServeMux()
 	controlMux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(service))
 	a.registerControl(controlMux)
@@ -59,25 +58,10 @@
 		Timing:  upstream.DefaultTiming(),
 		Log:     a.log,
 	}))
-	dataMux.HandleFunc("GET /chunks/{digest}/{index}", a.serveChunk)
+	dataMux.Handle("GET /chunks/{digest}/{index}", parts.handler)
 	return controlMux, dataMux
 }
 
-func (a *agent) rollout() *weights.Rollout {
-	source := platform.NewWeightClient(a.cfg.Platform.WeightSource)
-	return weights.NewRollout(weights.RolloutParts{
-		Upstream: a.self.Upstream,
-		Settings: a.settings,
-		Chunks:   a.chunks,
-		Fetcher:  weights.NewFetcher(source, a.chunks),
-		Engine:   a.engine,
-		Gate:     a.gate,
-		Monitor:  a.monitor,
-		Interval: a.cfg.Agent.PollInterval,
-		Log:      a.log,
-	})
-}
-
 // followSettings applies each change of the settings to the gate at once.
 func (a *agent) followSettings(ctx context.Context) {
 	for {
@@ -116,21 +100,6 @@
 	return platform.StatusTimeout + 2*a.cfg.Agent.PollInterval
 }
 
-func (a *agent) serveChunk(w http.ResponseWriter, r *http.Request) {
-	index, err := strconv.Atoi(r.PathValue("index"))
-	if err != nil {
-		http.Error(w, "chunk index is not a number", http.StatusBadRequest)
-		return
-	}
-	data, ok := a.chunks.Get(core.Digest(r.PathValue("digest")), index)
-	if !ok {
-		http.Error(w, "chunk is not held", http.StatusNotFound)
-		return
-	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(data)
-}
-
 func (a *agent) leave(ctx context.Context) {
 	a.gate.Leave(ctx)
 	a.calls.CloseIdleConnections()
--- a/transport/daemon/agent_test.go
+++ b/transport/daemon/agent_test.go
@@ -58,7 +58,9 @@
 	log.SetOutput(io.Discard)
 	cfg := config.Default()
 	cfg.Role, cfg.Host, cfg.FailureDomain = core.RoleAgent, "agent-1", testDomain
-	cfg.Agent = &config.Agent{Upstream: testUpstream, Engine: engine.URL, PollInterval: 5 * time.Millisecond}
+	agentConfig := config.DefaultAgent()
+	agentConfig.Upstream, agentConfig.Engine, agentConfig.PollInterval = testUpstream, engine.URL, 5*time.Millisecond
+	cfg.Agent = &agentConfig
 	started, err := newProcess(cfg, logrus.NewEntry(log)).newRole()
 	require.NoError(t, err)
 	r.agent = started.(*agent)
