Give the stand-ins faults that experiments can set

The stand-ins answered every call at once and without loss, so no test could show what a rate limit, an outage, a lost answer or an engine in cold start does to a process. The plain service has a package of its own, and connections that reset or go silent stand once in standin/conns.

--- a/bench/cluster/apply.go
+++ b/bench/cluster/apply.go
@@ -1,6 +1,9 @@
 package cluster
 
 import (
+	"context"
+	"fmt"
+
 	"github.com/go-resty/resty/v2"
 	"github.com/rotisserie/eris"
 
@@ -8,20 +11,34 @@
 	"github.com/guavatrestle/guavatrestle/state/settings"
 )
 
-// Apply sends a settings document to an entry's admin API.
-func Apply(entry *Process, path string, base uint64, body any) (settings.Document, error) {
+// ApplyError is a refusal of an edit by the admin API.
+type ApplyError struct {
+	Path    string
+	Status  int
+	Refusal api.Refusal
+}
+
+// Error implements error.
+func (e *ApplyError) Error() string {
+	return fmt.Sprintf("apply %s: status %d, code %q: %s", e.Path, e.Status, e.Refusal.Code, e.Refusal.Message)
+}
+
+// Apply sends a settings document to an entry's admin API; base is the version that the edit is based on.
+func Apply(ctx context.Context, entry *Process, path string, base uint64, body any) (settings.Document, error) {
 	var doc settings.Document
+	var refusal api.Refusal
 	response, err := resty.New().R().
+		SetContext(ctx).
 		SetAuthToken(AdminToken).
 		SetBody(map[string]any{"base_version": base, "body": body}).
 		SetResult(&doc).
-		SetError(&api.Refusal{}).
+		SetError(&refusal).
 		Put(entry.URL() + "/admin/v1/settings" + path)
 	if err != nil {
 		return doc, eris.Wrapf(err, "apply %s", path)
 	}
 	if response.IsError() {
-		return doc, eris.Errorf("apply %s: status %d: %s", path, response.StatusCode(), response.String())
+		return doc, &ApplyError{Path: path, Status: response.StatusCode(), Refusal: refusal}
 	}
 	return doc, nil
 }
--- /dev/null
+++ b/bench/cluster/observe.go
@@ -0,0 +1,136 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+)
+
+// State is the part of a process's state dump that experiments read.
+type State struct {
+	Settings []settings.Document `json:"settings"`
+	Members  []core.Host         `json:"members"`
+	Role     json.RawMessage     `json:"role"`
+}
+
+// AgentState is the role part of an agent's state dump.
+type AgentState struct {
+	State     core.UpstreamState `json:"state"`
+	InFlight  int                `json:"in_flight"`
+	Limit     int                `json:"limit"`
+	BootID    string             `json:"boot_id"`
+	Digest    core.Digest        `json:"digest"`
+	Complete  bool               `json:"complete"`
+	Leaving   bool               `json:"leaving"`
+	InService bool               `json:"in_service"`
+}
+
+// State reads the state dump.
+func (p *Process) State(ctx context.Context) (State, error) {
+	var state State
+	return state, p.getJSON(ctx, "/debug/state", &state)
+}
+
+// AgentState reads the role part of an agent's state dump.
+func (p *Process) AgentState(ctx context.Context) (AgentState, error) {
+	var agent AgentState
+	state, err := p.State(ctx)
+	if err != nil {
+		return agent, err
+	}
+	return agent, eris.Wrap(json.Unmarshal(state.Role, &agent), "decode agent state")
+}
+
+// SeenAgents returns the agents that an entry knows, by host ID.
+func (p *Process) SeenAgents(ctx context.Context) (map[core.HostID]core.AgentStatus, error) {
+	state, err := p.State(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var agents []core.AgentStatus
+	if err := json.Unmarshal(state.Role, &agents); err != nil {
+		return nil, eris.Wrap(err, "decode entry state")
+	}
+	out := make(map[core.HostID]core.AgentStatus, len(agents))
+	for _, agent := range agents {
+		out[agent.Host.ID] = agent
+	}
+	return out, nil
+}
+
+// Vars reads the process's expvar metrics.
+func (p *Process) Vars(ctx context.Context) (map[string]json.RawMessage, error) {
+	vars := make(map[string]json.RawMessage)
+	return vars, p.getJSON(ctx, "/debug/vars", &vars)
+}
+
+func (p *Process) getJSON(ctx context.Context, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.ControlURL()+path, nil)
+	if err != nil {
+		return eris.Wrap(err, "build request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "read %s of %s", path, p.Host.ID)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return eris.Wrapf(json.NewDecoder(response.Body).Decode(into), "decode %s of %s", path, p.Host.ID)
+}
+
+// Usage is what a process has used of the machine.
+type Usage struct {
+	// CPUSeconds is the processor time used since the start of the process.
+	CPUSeconds float64 `json:"cpu_seconds"`
+	// ResidentBytes is the resident memory.
+	ResidentBytes int64 `json:"resident_bytes"`
+}
+
+// clockTicksPerSecond is the unit of the times in /proc/<pid>/stat.
+const clockTicksPerSecond = 100
+
+// Usage reads the process's use of the machine.
+func (p *Process) Usage() (Usage, error) {
+	dir := "/proc/" + strconv.Itoa(p.PID())
+	stat, err := os.ReadFile(dir + "/stat")
+	if err != nil {
+		return Usage{}, eris.Wrap(err, "read processor time")
+	}
+	statm, err := os.ReadFile(dir + "/statm")
+	if err != nil {
+		return Usage{}, eris.Wrap(err, "read resident memory")
+	}
+	return parseUsage(string(stat), string(statm))
+}
+
+func parseUsage(stat, statm string) (Usage, error) {
+	// The command name in parentheses may hold spaces; the fields after it start with the third, the state.
+	const utime, stime, firstAfterName = 14, 15, 3
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
+	pages := strings.Fields(statm)
+	if len(fields) <= stime-firstAfterName || len(pages) < 2 {
+		return Usage{}, eris.Errorf("unexpected format of process statistics %q, %q", stat, statm)
+	}
+	user, err := strconv.ParseFloat(fields[utime-firstAfterName], 64)
+	if err != nil {
+		return Usage{}, eris.Wrap(err, "parse user time")
+	}
+	system, err := strconv.ParseFloat(fields[stime-firstAfterName], 64)
+	if err != nil {
+		return Usage{}, eris.Wrap(err, "parse system time")
+	}
+	resident, err := strconv.ParseInt(pages[1], 10, 64)
+	if err != nil {
+		return Usage{}, eris.Wrap(err, "parse resident pages")
+	}
+	usage := Usage{CPUSeconds: (user + system) / clockTicksPerSecond}
+	usage.ResidentBytes = resident * int64(os.Getpagesize())
+	return usage, nil
+}
--- /dev/null
+++ b/bench/cluster/process.go
@@ -0,0 +1,185 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/bench/standin/engine"
+	"github.com/guavatrestle/guavatrestle/bench/standin/service"
+	"github.com/guavatrestle/guavatrestle/state/config"
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+const (
+	// startTimeout bounds the time until a process is ready.
+	startTimeout = 15 * time.Second
+	// conditionPoll is the time between two checks of a condition.
+	conditionPoll = 20 * time.Millisecond
+)
+
+// Process is one running guavatrestled process.
+type Process struct {
+	Host core.Host
+	// Engine is the engine stand-in beside an agent, if any.
+	Engine *engine.Server
+	// Service is the service stand-in beside an agent, if any.
+	Service *service.Server
+
+	cmd    *exec.Cmd
+	log    *os.File
+	exited chan struct{}
+	err    error
+}
+
+// start writes the configuration of a process and starts it; the process is ready when start returns without error.
+func (c *Cluster) start(ctx context.Context, cfg config.Config, options []Option) (*Process, error) {
+	for _, option := range options {
+		option(&cfg)
+	}
+	p, err := c.launch(cfg)
+	if err != nil {
+		return nil, err
+	}
+	c.Hosts.Add(p.Host)
+	return p, p.WaitReady(ctx)
+}
+
+func (c *Cluster) launch(cfg config.Config) (*Process, error) {
+	body, err := yaml.Marshal(cfg)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode configuration")
+	}
+	path := filepath.Join(c.dir, string(cfg.Host)+".yaml")
+	if err := os.WriteFile(path, body, 0o600); err != nil {
+		return nil, eris.Wrap(err, "write configuration")
+	}
+	log, err := os.Create(filepath.Join(c.dir, string(cfg.Host)+".log"))
+	if err != nil {
+		return nil, eris.Wrap(err, "create log file")
+	}
+	cmd := exec.Command(c.binary, "--config", path)
+	cmd.Stdout = log
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return nil, eris.Wrap(err, "start guavatrestled")
+	}
+	p := &Process{Host: hostOf(cfg), cmd: cmd, log: log, exited: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.exited)
+	}()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes = append(c.processes, p)
+	return p, nil
+}
+
+func hostOf(cfg config.Config) core.Host {
+	host := core.Host{
+		ID:            cfg.Host,
+		Role:          cfg.Role,
+		Region:        cfg.Region,
+		FailureDomain: cfg.FailureDomain,
+		ControlAddr:   cfg.Listen.Control,
+		DataAddr:      cfg.Listen.Data,
+		State:         core.HostLive,
+	}
+	if cfg.Agent != nil {
+		host.Upstream = cfg.Agent.Upstream
+	}
+	return host
+}
+
+// WaitReady waits until the process reports that it is ready.
+func (p *Process) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	err := WaitFor(ctx, func() bool { return p.Ready(ctx) })
+	return eris.Wrapf(err, "process %s is not ready; its log ends with: %s", p.Host.ID, p.LogTail())
+}
+
+// Ready reports whether the process says that it is ready.
+func (p *Process) Ready(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.ControlURL()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// URL returns the base URL of the process's data listener.
+func (p *Process) URL() string { return "http://" + p.Host.DataAddr }
+
+// ControlURL returns the base URL of the process's control listener.
+func (p *Process) ControlURL() string { return "http://" + p.Host.ControlAddr }
+
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) error { return p.cmd.Process.Signal(signal) }
+
+// Exited returns a channel that is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Wait waits for the process to exit and returns its error.
+func (p *Process) Wait(ctx context.Context) error {
+	select {
+	case <-p.exited:
+		return p.err
+	case <-ctx.Done():
+		return eris.Wrapf(ctx.Err(), "process %s has not exited", p.Host.ID)
+	}
+}
+
+// LogTail returns the last part of the process's log.
+func (p *Process) LogTail() string {
+	const tailBytes = 2 << 10
+	body, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(body[max(0, len(body)-tailBytes):])
+}
+
+// stop ends the process, gracefully if it can.
+func (p *Process) stop() {
+	_ = p.Signal(syscall.SIGCONT)
+	_ = p.Signal(syscall.SIGTERM)
+	timer := time.NewTimer(stopTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.exited:
+	case <-timer.C:
+		_ = p.Signal(syscall.SIGKILL)
+		<-p.exited
+	}
+	_ = p.log.Close()
+}
+
+// WaitFor polls a condition until it holds or ctx ends.
+func WaitFor(ctx context.Context, condition func() bool) error {
+	ticker := time.NewTicker(conditionPoll)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
--- a/bench/cmd/gtbench/demo.go
+++ b/bench/cmd/gtbench/demo.go
@@ -2,16 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
+	"github.com/guavatrestle/guavatrestle/bench/caller"
 	"github.com/guavatrestle/guavatrestle/bench/cluster"
 	"github.com/guavatrestle/guavatrestle/bench/standin/engine"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -25,6 +25,7 @@
 	demoUpstream   = "guava-llm"
 	demoBytes      = 8 << 20
 	demoChunkBytes = 1 << 20
+	demoTokens     = 20
 	demoTimeout    = 30 * time.Second
 )
 
@@ -48,7 +49,7 @@
 		Short: "Roll out a model version to three agents and answer a streamed request with it",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			report, err := runDemo(binary)
+			report, err := runDemo(cmd.Context(), binary)
 			if err != nil {
 				return err
 			}
@@ -60,19 +61,19 @@
 	return cmd
 }
 
-func runDemo(binary string) (demoReport, error) {
+func runDemo(ctx context.Context, binary string) (demoReport, error) {
 	c, err := cluster.New(binary)
 	if err != nil {
 		return demoReport{}, err
 	}
 	defer c.Close()
-	entry, err := c.Entry("entry-1", demoDomains[0])
+	entry, err := c.Entry(ctx, "entry-1", demoDomains[0])
 	if err != nil {
 		return demoReport{}, err
 	}
 	for i, domain := range demoDomains {
 		id := core.HostID(fmt.Sprintf("agent-%d", i+1))
-		if _, err := c.Agent(id, domain, demoUpstream, engine.Config{Tokens: 20, TokenDelay: 5 * time.Millisecond}); err != nil {
+		if _, err := c.Agent(ctx, id, domain, demoUpstream, engine.Config{Tokens: demoTokens, TokenDelay: 5 * time.Millisecond}); err != nil {
 			return demoReport{}, err
 		}
 	}
@@ -81,11 +82,11 @@
 	if err != nil {
 		return demoReport{}, err
 	}
-	if err := applyDemoSettings(entry, digest); err != nil {
+	if err := applyDemoSettings(ctx, entry, digest); err != nil {
 		return demoReport{}, err
 	}
 	start := time.Now()
-	if err := waitForVersion(entry, digest, len(demoDomains)); err != nil {
+	if err := waitForVersion(ctx, entry, digest, len(demoDomains)); err != nil {
 		return demoReport{}, err
 	}
 	report := demoReport{
@@ -94,10 +95,10 @@
 		OriginBytes:  c.Origin.BytesSent(),
 		SecondsToAll: time.Since(start).Seconds(),
 	}
-	return report, streamDemo(entry, digest, &report)
+	return report, streamDemo(ctx, entry, digest, &report)
 }
 
-func applyDemoSettings(entry *cluster.Process, digest core.Digest) error {
+func applyDemoSettings(ctx context.Context, entry *cluster.Process, digest core.Digest) error {
 	upstream := settings.UpstreamSettings{
 		Kind: settings.KindModel, Model: demoModel,
 		Target:    &settings.VersionRef{Version: "v1", Digest: digest},
@@ -109,53 +110,44 @@
 		Weight:      1,
 		Models:      []settings.ModelSettings{{Name: demoModel, Upstream: demoUpstream, VersionDigest: digest}},
 	}
-	if _, err := cluster.Apply(entry, settings.UpstreamPath(demoUpstream), 0, upstream); err != nil {
+	if _, err := cluster.Apply(ctx, entry, settings.UpstreamPath(demoUpstream), 0, upstream); err != nil {
 		return err
 	}
-	_, err := cluster.Apply(entry, settings.TeamPath(demoTeam), 0, team)
+	_, err := cluster.Apply(ctx, entry, settings.TeamPath(demoTeam), 0, team)
 	return err
 }
 
 // waitForVersion waits until the entry sees the version complete on all agents.
-func waitForVersion(entry *cluster.Process, digest core.Digest, agents int) error {
-	for end := time.Now().Add(demoTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		response, err := http.Get("http://" + entry.Host.ControlAddr + "/debug/state")
-		if err != nil {
-			return eris.Wrap(err, "read state dump")
-		}
-		body, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		if err != nil {
-			return eris.Wrap(err, "read state dump")
-		}
-		if strings.Count(string(body), `"version_digest":"`+string(digest)) >= agents {
-			return nil
-		}
-	}
-	return eris.Errorf("version %s is not on all %d agents after %s", digest, agents, demoTimeout)
+func waitForVersion(ctx context.Context, entry *cluster.Process, digest core.Digest, agents int) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	err := cluster.WaitFor(ctx, func() bool { return countVersion(ctx, entry, digest) >= agents })
+	return eris.Wrapf(err, "version %s is not on all %d agents after %s", digest, agents, demoTimeout)
 }
 
-func streamDemo(entry *cluster.Process, digest core.Digest, report *demoReport) error {
-	body := `{"model":"` + demoModel + `","prompt":"quote for a bunk ladder","stream":true}`
-	request, err := http.NewRequest(http.MethodPost, entry.URL()+"/v1/completions", strings.NewReader(body))
-	if err != nil {
-		return eris.Wrap(err, "build request")
-	}
-	request.Header.Set("Authorization", "Bearer "+demoToken)
-	response, err := http.DefaultClient.Do(request)
+func countVersion(ctx context.Context, entry *cluster.Process, digest core.Digest) int {
+	seen, err := entry.SeenAgents(ctx)
 	if err != nil {
-		return eris.Wrap(err, "send request")
+		return 0
 	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		return eris.Wrap(err, "read response")
+	n := 0
+	for _, agent := range seen {
+		if agent.VersionDigest == digest {
+			n++
+		}
 	}
-	report.StreamEvents = strings.Count(string(answer), "data: ")
-	report.AnsweredByTarget = strings.Contains(string(answer), string(digest)) && strings.HasSuffix(string(answer), "data: [DONE]\n\n")
+	return n
+}
+
+func streamDemo(ctx context.Context, entry *cluster.Process, digest core.Digest, report *demoReport) error {
+	client := caller.New(false)
+	defer client.Close()
+	out := client.Do(ctx, caller.Stream(entry.URL(), demoToken, demoModel, "quote for a bunk ladder", demoTokens))
+	report.AnsweredByTarget = out.Kind == caller.Succeeded && out.Digest == string(digest)
 	if !report.AnsweredByTarget {
-		return eris.Errorf("response with status %d is not whole or not from the target version: %s", response.StatusCode, answer)
+		return eris.Errorf("response is not whole or not from the target version: %s: %s", out.Kind, out.Detail)
 	}
+	report.StreamEvents = demoTokens + 1
 	return nil
 }
 
--- a/bench/cmd/gtbench/main.go
+++ b/bench/cmd/gtbench/main.go
@@ -2,8 +2,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 )
@@ -16,7 +19,10 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newDemoCommand())
-	if err := root.Execute(); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := root.ExecuteContext(ctx)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/bench/standin/engine/server.go
+++ b/bench/standin/engine/server.go
@@ -1,18 +1,17 @@
-// Package engine is a small stand-in for a model engine and for a plain service.
+// Package engine is a small stand-in for a model engine.
+//
+// A cold engine falls over above the load that it can bear, and counts it.
 package engine
 
 import (
 	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/zeebo/blake3"
 
+	"github.com/guavatrestle/guavatrestle/bench/standin/conns"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
@@ -21,23 +20,128 @@
 type Config struct {
 	// Tokens is the number of parts of a streamed response.
 	Tokens int
-	// TokenDelay is the time between two parts.
+	// TokenDelay is the time between two parts, and the time that a plain response takes.
 	TokenDelay time.Duration
+	// ColdLimit is the number of requests in flight that a cold engine bears; 0 means no limit.
+	ColdLimit int
+	// WarmLimit is the load that a warm engine bears. When it is set, the load borne rises with completed work
+	// from ColdLimit to WarmLimit; when it is 0, ColdLimit holds until the engine is warm.
+	WarmLimit int
+	// WarmupCompletions is the number of completed requests that turn the engine warm.
+	WarmupCompletions int
+	// ResetOnOverload makes an overloaded cold engine reset the connection instead of returning 500.
+	ResetOnOverload bool
 	// ChecksFencing makes the engine refuse orders with an old fencing token.
 	ChecksFencing bool
+	// LoadLag is the age of the load that the status reports.
+	LoadLag time.Duration
+	// KeepsWeights says that a restarted engine still holds its version.
+	KeepsWeights bool
+}
+
+// Counts is what an engine has counted so far.
+type Counts struct {
+	// ColdOverload is the number of requests above the load that the cold engine bears.
+	ColdOverload int `json:"cold_overload"`
+	// Completed is the number of requests answered whole.
+	Completed int `json:"completed"`
+	// Mixed is the number of load orders whose bytes are not exactly an expected version.
+	Mixed int `json:"mixed"`
+	// Incomplete is the number of requests received while no whole version was loaded.
+	Incomplete int `json:"incomplete"`
+	// OldToken is the number of load orders with an old fencing token.
+	OldToken int `json:"old_token"`
+	// Loads is the number of load orders that took effect.
+	Loads int `json:"loads"`
+	// Started is the number of requests that reached the engine.
+	Started int `json:"started"`
+}
+
+type sample struct {
+	at       time.Time
+	inFlight int
 }
 
 // Server answers completions with the digest of the version that it holds.
 type Server struct {
-	cfg    Config
-	mu     sync.Mutex
-	status platform.EngineStatus
-	runs   map[string]int
+	cfg      Config
+	conns    *conns.Server
+	mu       sync.Mutex
+	status   platform.EngineStatus
+	life     chan struct{}
+	warmth   int
+	counts   Counts
+	runs     map[string]int
+	expected map[core.Digest]core.Digest
+	load     []sample
+	last     time.Time
 }
 
-// New returns a Server that holds no version.
+// New returns a running Server that holds no version.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, status: platform.EngineStatus{BootID: uuid.NewString()}, runs: make(map[string]int)}
+	s := &Server{
+		cfg:      cfg,
+		status:   platform.EngineStatus{BootID: uuid.NewString()},
+		life:     make(chan struct{}),
+		runs:     make(map[string]int),
+		expected: make(map[core.Digest]core.Digest),
+	}
+	s.conns = conns.Start(s.handler())
+	return s
+}
+
+// URL returns the base URL.
+func (s *Server) URL() string { return s.conns.URL() }
+
+// Close stops the server.
+func (s *Server) Close() { s.conns.Close() }
+
+// Silence makes all open connections silent for good; new connections work.
+func (s *Server) Silence() { s.conns.Silence() }
+
+// Expect records the content of a version; load orders with other bytes count as mixed.
+func (s *Server) Expect(version, content core.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expected[version] = content
+}
+
+// Restart cuts off all requests and starts cold under a new boot ID.
+func (s *Server) Restart() {
+	s.conns.Reset(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		close(s.life)
+		s.life = make(chan struct{})
+		s.warmth = 0
+		s.setInFlight(0)
+		fresh := platform.EngineStatus{BootID: uuid.NewString()}
+		if s.cfg.KeepsWeights {
+			fresh.Model, fresh.Digest, fresh.Complete = s.status.Model, s.status.Digest, s.status.Complete
+		}
+		s.status = fresh
+	})
+}
+
+// Counts returns the counters.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// LastStart returns the time at which the last request reached the engine.
+func (s *Server) LastStart() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
+// Status returns the engine's own view, without lag.
+func (s *Server) Status() platform.EngineStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status
 }
 
 // Runs returns how often each request ID ran.
@@ -51,11 +155,10 @@
 	return out
 }
 
-// Handler returns the HTTP handler.
-func (s *Server) Handler() http.Handler {
+func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /engine/status", s.serveStatus)
-	mux.HandleFunc("POST /engine/load", s.load)
+	mux.HandleFunc("POST /engine/load", s.serveLoad)
 	mux.HandleFunc("/", s.call)
 	return mux
 }
@@ -63,73 +166,31 @@
 func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	status := s.status
+	status.InFlight = s.lagged(time.Now())
 	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(status)
 }
 
-func (s *Server) load(w http.ResponseWriter, r *http.Request) {
-	token, _ := strconv.ParseUint(r.Header.Get("Engine-Fencing-Token"), 10, 64)
-	s.mu.Lock()
-	if s.cfg.ChecksFencing && token < s.status.FencingToken {
-		s.mu.Unlock()
-		http.Error(w, "fencing token is old", http.StatusConflict)
+// setInFlight records the load; the caller holds the lock.
+func (s *Server) setInFlight(n int) {
+	s.status.InFlight = n
+	if s.cfg.LoadLag == 0 {
 		return
 	}
-	s.status.FencingToken = max(token, s.status.FencingToken)
-	s.status.Complete = false
-	s.mu.Unlock()
-	hash := blake3.New()
-	_, err := io.Copy(hash, r.Body)
-	content := core.DigestFromSum(hash.Sum(nil))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.status.Model = core.Model(r.Header.Get("Engine-Model"))
-	s.status.Digest = core.Digest(r.Header.Get("Engine-Digest"))
-	s.status.Complete = err == nil && string(content) == r.Header.Get("Engine-Content")
-	if !s.status.Complete {
-		http.Error(w, "weights are not complete", http.StatusUnprocessableEntity)
-	}
+	s.load = append(s.load, sample{at: time.Now(), inFlight: n})
 }
 
-func (s *Server) call(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	s.mu.Lock()
-	s.status.InFlight++
-	s.runs[r.Header.Get("Gt-Request-Id")]++
-	digest := s.status.Digest
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		s.status.InFlight--
-		s.mu.Unlock()
-	}()
-	var request struct {
-		Stream bool   `json:"stream"`
-		Prompt string `json:"prompt"`
+// lagged returns the load as it was LoadLag ago; the caller holds the lock.
+func (s *Server) lagged(now time.Time) int {
+	if s.cfg.LoadLag == 0 {
+		return s.status.InFlight
 	}
-	_ = json.Unmarshal(body, &request)
-	if request.Stream {
-		s.stream(w, r, digest, request.Prompt)
-		return
+	for len(s.load) > 1 && !s.load[1].at.After(now.Add(-s.cfg.LoadLag)) {
+		s.load = s.load[1:]
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"digest": digest, "echo": string(body)})
-}
-
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, digest core.Digest, prompt string) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range s.cfg.Tokens {
-		_, _ = fmt.Fprintf(w, "data: {\"index\":%d,\"digest\":%q,\"text\":%q}\n\n", i, digest, prompt)
-		_ = http.NewResponseController(w).Flush()
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(s.cfg.TokenDelay):
-		}
+	if len(s.load) == 0 || s.load[0].at.After(now.Add(-s.cfg.LoadLag)) {
+		return 0
 	}
-	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	return s.load[0].inFlight
 }
--- /dev/null
+++ b/bench/standin/engine/server_test.go
@@ -0,0 +1,110 @@
+package engine_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/bench/standin/engine"
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+const waitLimit = 10 * time.Second
+
+func load(t *testing.T, s *engine.Server, body []byte, token string) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL()+"/engine/load", bytes.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Engine-Digest", "v1")
+	request.Header.Set("Engine-Content", string(core.DigestOf(body)))
+	request.Header.Set("Engine-Fencing-Token", token)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+func call(ctx context.Context, s *engine.Server) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL()+"/v1/completions", http.NoBody)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// TestColdEngineFallsOver guards against an engine that hides load above its cold limit.
+func TestColdEngineFallsOver(t *testing.T) {
+	s := engine.New(engine.Config{TokenDelay: time.Hour, ColdLimit: 1, WarmupCompletions: 1})
+	defer s.Close()
+	require.Equal(t, http.StatusOK, load(t, s, []byte("weights"), "1"))
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { _, _ = call(ctx, s) })
+	require.Eventually(t, func() bool { return s.Status().InFlight == 1 }, waitLimit, time.Millisecond)
+	status, err := call(ctx, s)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusInternalServerError, status)
+	require.Equal(t, 1, s.Counts().ColdOverload)
+}
+
+// TestRestartCutsRequestsAndStartsCold guards against requests or warmth that outlive a restart.
+func TestRestartCutsRequestsAndStartsCold(t *testing.T) {
+	s := engine.New(engine.Config{TokenDelay: time.Hour, ColdLimit: 1, WarmupCompletions: 1, KeepsWeights: true})
+	defer s.Close()
+	require.Equal(t, http.StatusOK, load(t, s, []byte("weights"), "1"))
+	before := s.Status().BootID
+	failed := make(chan error, 1)
+	go func() {
+		_, err := call(t.Context(), s)
+		failed <- err
+	}()
+	require.Eventually(t, func() bool { return s.Status().InFlight == 1 }, waitLimit, time.Millisecond)
+	s.Restart()
+	require.Error(t, <-failed)
+	require.NotEqual(t, before, s.Status().BootID)
+	require.Zero(t, s.Status().InFlight)
+	require.True(t, s.Status().Complete)
+}
+
+// TestMixedBytesAreCounted guards against a mixed version that the oracle takes for a whole one.
+func TestMixedBytesAreCounted(t *testing.T) {
+	s := engine.New(engine.Config{ChecksFencing: true})
+	defer s.Close()
+	s.Expect("v1", core.DigestOf([]byte("weights")))
+	require.Equal(t, http.StatusOK, load(t, s, []byte("weights"), "2"))
+	require.Zero(t, s.Counts().Mixed)
+	require.Equal(t, http.StatusOK, load(t, s, []byte("other weights"), "2"))
+	require.Equal(t, 1, s.Counts().Mixed)
+	require.Equal(t, http.StatusConflict, load(t, s, []byte("weights"), "1"))
+	require.Equal(t, 1, s.Counts().OldToken)
+}
+
+// TestSilentConnectionsHang guards against a silent connection that still answers, or a new one that does not.
+func TestSilentConnectionsHang(t *testing.T) {
+	s := engine.New(engine.Config{})
+	defer s.Close()
+	require.Equal(t, http.StatusOK, load(t, s, []byte("weights"), "1"))
+	s.Silence()
+	hung, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := call(hung, s)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	http.DefaultClient.CloseIdleConnections()
+	status, err := call(t.Context(), s)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+}
--- a/bench/standin/hostlist/server.go
+++ b/bench/standin/hostlist/server.go
@@ -4,36 +4,94 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
-// Server serves a list of hosts.
-type Server struct {
-	mu    sync.Mutex
+type snapshot struct {
+	at    time.Time
 	hosts []core.Host
 }
 
-// New returns a Server with an empty list.
+// Server serves a list of hosts, in which a change becomes visible after a delay.
+type Server struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	current []core.Host
+	pending []snapshot
+	view    func(viewer string, hosts []core.Host) []core.Host
+}
+
+// New returns a Server with an empty list and no lag.
 func New() *Server { return &Server{} }
 
-// Set replaces the list.
-func (s *Server) Set(hosts []core.Host) {
+// SetLag sets the delay after which a change becomes visible.
+func (s *Server) SetLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = lag
+}
+
+// SetView makes the list depend on who reads it; the viewer is the first element of the path.
+func (s *Server) SetView(view func(viewer string, hosts []core.Host) []core.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = view
+}
+
+// Add adds a host or replaces the one with its ID.
+func (s *Server) Add(host core.Host) {
+	s.change(host.ID, func(hosts []core.Host) []core.Host { return append(hosts, host) })
+}
+
+// Remove removes a host.
+func (s *Server) Remove(id core.HostID) {
+	s.change(id, func(hosts []core.Host) []core.Host { return hosts })
+}
+
+// SetState changes the state of a host.
+func (s *Server) SetState(host core.Host, state core.HostState) {
+	host.State = state
+	s.Add(host)
+}
+
+// change edits the list without the host id.
+func (s *Server) change(id core.HostID, edit func([]core.Host) []core.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hosts = hosts
+	hosts := slices.DeleteFunc(slices.Clone(s.current), func(h core.Host) bool { return h.ID == id })
+	s.current = edit(hosts)
+	s.pending = append(s.pending, snapshot{at: time.Now().Add(s.lag), hosts: s.current})
 }
 
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) {
-		s.mu.Lock()
-		hosts := s.hosts
-		s.mu.Unlock()
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(hosts)
-	})
+	mux.HandleFunc("GET /v1/hosts", s.serve)
+	mux.HandleFunc("GET /{viewer}/v1/hosts", s.serve)
 	return mux
 }
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	hosts, view := s.visible(time.Now())
+	if view != nil {
+		hosts = view(r.PathValue("viewer"), hosts)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(hosts)
+}
+
+func (s *Server) visible(now time.Time) ([]core.Host, func(string, []core.Host) []core.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.pending) > 1 && !s.pending[1].at.After(now) {
+		s.pending = s.pending[1:]
+	}
+	if len(s.pending) == 0 || s.pending[0].at.After(now) {
+		return []core.Host{}, s.view
+	}
+	return s.pending[0].hosts, s.view
+}
--- /dev/null
+++ b/bench/standin/hostlist/server_test.go
@@ -0,0 +1,34 @@
+package hostlist_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/bench/standin/hostlist"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/transport/platform"
+)
+
+// TestChangeLags guards against a list that shows a change before its delay has passed.
+func TestChangeLags(t *testing.T) {
+	s := hostlist.New()
+	web := httptest.NewServer(s.Handler())
+	defer web.Close()
+	client := platform.NewHostListClient(web.URL)
+	host := core.Host{ID: "a", State: core.HostLive}
+	s.Add(host)
+	s.SetLag(time.Hour)
+	s.SetState(host, core.HostLeaving)
+	hosts, err := client.Hosts(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []core.Host{host}, hosts)
+	s.SetLag(0)
+	s.SetState(host, core.HostLeaving)
+	require.Eventually(t, func() bool {
+		hosts, err := client.Hosts(t.Context())
+		return err == nil && len(hosts) == 1
+	}, 10*time.Second, time.Millisecond)
+}
--- a/bench/standin/objectapi/server.go
+++ b/bench/standin/objectapi/server.go
@@ -9,6 +9,9 @@
 	"sync"
 )
 
+// maxObjectBytes is the largest object that the API holds.
+const maxObjectBytes = 1 << 20
+
 type metadata struct {
 	Name            string            `json:"name"`
 	ResourceVersion string            `json:"resourceVersion"`
@@ -36,12 +39,16 @@
 	seq     uint64
 	objects map[string]resource
 	history []event
+	// trimmed is the version of the newest event that the history no longer holds.
+	trimmed uint64
 	closed  bool
+	faults  faults
+	counts  Counts
 }
 
-// New returns an empty Server.
+// New returns an empty Server without faults.
 func New() *Server {
-	s := &Server{objects: make(map[string]resource)}
+	s := &Server{objects: make(map[string]resource), faults: newFaults(), counts: newCounts()}
 	s.changed = sync.NewCond(&s.mu)
 	return s
 }
@@ -63,7 +70,7 @@
 	mux.HandleFunc("GET "+root+"/{name}", s.get)
 	mux.HandleFunc("PUT "+root+"/{name}", s.update)
 	mux.HandleFunc("DELETE "+root+"/{name}", s.remove)
-	return mux
+	return s.guard(mux)
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
@@ -113,6 +120,7 @@
 }
 
 func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	wanted := precondition(w, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := key(r, r.PathValue("name"))
@@ -121,8 +129,13 @@
 		fail(w, http.StatusNotFound)
 		return
 	}
+	if wanted != "" && wanted != held.Metadata.ResourceVersion {
+		fail(w, http.StatusConflict)
+		return
+	}
 	s.seq++
 	delete(s.objects, k)
+	held.Metadata.ResourceVersion = strconv.FormatUint(s.seq, 10)
 	s.record(event{Type: "DELETED", Object: held, seq: s.seq})
 	reply(w, http.StatusOK, held)
 }
@@ -139,6 +152,11 @@
 
 func (s *Server) record(e event) {
 	s.history = append(s.history, e)
+	if limit := s.faults.history; limit > 0 && len(s.history) > limit {
+		drop := len(s.history) - limit
+		s.trimmed = s.history[drop-1].seq
+		s.history = s.history[drop:]
+	}
 	s.changed.Broadcast()
 }
 
@@ -160,63 +178,24 @@
 	reply(w, http.StatusOK, map[string]any{"metadata": metadata{ResourceVersion: version}, "items": items})
 }
 
-func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
-	since, _ := strconv.ParseUint(r.URL.Query().Get("resourceVersion"), 10, 64)
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		select {
-		case <-r.Context().Done():
-		case <-stop:
-		}
-		s.mu.Lock()
-		s.changed.Broadcast()
-		s.mu.Unlock()
-	}()
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush()
-	encoder := json.NewEncoder(w)
-	for {
-		events, ok := s.next(r, since)
-		if !ok {
-			return
-		}
-		for _, e := range events {
-			since = e.seq
-			if e.Object.plural == r.PathValue("plural") && encoder.Encode(e) != nil {
-				return
-			}
-		}
-		_ = http.NewResponseController(w).Flush()
-	}
+func key(r *http.Request, name string) string {
+	return r.PathValue("ns") + "/" + r.PathValue("plural") + "/" + name
 }
 
-// next waits for events after since; it reports false when the watch ends.
-func (s *Server) next(r *http.Request, since uint64) ([]event, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for s.seq <= since && !s.closed && r.Context().Err() == nil {
-		s.changed.Wait()
-	}
-	if s.closed || r.Context().Err() != nil {
-		return nil, false
-	}
-	var events []event
-	for _, e := range s.history {
-		if e.seq > since {
-			events = append(events, e)
-		}
+// precondition returns the version that a delete is conditional on, if any.
+func precondition(w http.ResponseWriter, r *http.Request) string {
+	var options struct {
+		Preconditions struct {
+			ResourceVersion string `json:"resourceVersion"`
+		} `json:"preconditions"`
 	}
-	return events, true
-}
-
-func key(r *http.Request, name string) string {
-	return r.PathValue("ns") + "/" + r.PathValue("plural") + "/" + name
+	_ = json.NewDecoder(http.MaxBytesReader(w, r.Body, maxObjectBytes)).Decode(&options)
+	return options.Preconditions.ResourceVersion
 }
 
 func decode(w http.ResponseWriter, r *http.Request) (resource, bool) {
 	var object resource
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20)).Decode(&object); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxObjectBytes)).Decode(&object); err != nil {
 		fail(w, http.StatusBadRequest)
 		return object, false
 	}
--- a/bench/standin/origin/server.go
+++ b/bench/standin/origin/server.go
@@ -3,14 +3,20 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
+// writeBytes is the largest piece that the rate limit is charged for at once.
+const writeBytes = 16 << 10
+
 type content struct {
 	manifest []byte
 	body     []byte
@@ -21,13 +27,32 @@
 type Server struct {
 	mu       sync.RWMutex
 	versions map[string]content
+	limiter  *rate.Limiter
+	outage   atomic.Bool
+	refuse   atomic.Int64
+	corrupt  atomic.Int64
 	sent     atomic.Int64
+	requests atomic.Int64
+}
+
+// New returns a Server without versions and without a rate limit.
+func New() *Server {
+	return &Server{versions: make(map[string]content), limiter: rate.NewLimiter(rate.Inf, writeBytes)}
 }
 
-// New returns a Server without versions.
-func New() *Server { return &Server{versions: make(map[string]content)} }
+// SetRate limits the bytes a second of all clients together.
+func (s *Server) SetRate(bytesPerSecond float64) { s.limiter.SetLimit(rate.Limit(bytesPerSecond)) }
+
+// SetOutage makes the server drop every connection, or ends that.
+func (s *Server) SetOutage(outage bool) { s.outage.Store(outage) }
+
+// RefuseNext makes the next n requests fail with 429 and Retry-After.
+func (s *Server) RefuseNext(n int64) { s.refuse.Store(n) }
+
+// CorruptNext flips a bit in each of the next n responses with weights.
+func (s *Server) CorruptNext(n int64) { s.corrupt.Store(n) }
 
-// Add publishes a version and returns its digest.
+// Add publishes a version, or replaces it under a new entity tag, and returns its digest.
 func (s *Server) Add(model core.Model, version string, body []byte, chunkSize int64) (core.Digest, error) {
 	manifest, err := core.BuildManifest(model, version, body, chunkSize)
 	if err != nil {
@@ -46,22 +71,47 @@
 // BytesSent returns the bytes of weights sent so far.
 func (s *Server) BytesSent() int64 { return s.sent.Load() }
 
+// Requests returns the requests received so far.
+func (s *Server) Requests() int64 { return s.requests.Load() }
+
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /models/{model}/{version}/manifest", func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := s.find(w, r); ok {
-			w.Header().Set("ETag", c.etag)
-			_, _ = w.Write(c.manifest)
+	mux.HandleFunc("GET /models/{model}/{version}/manifest", s.serveManifest)
+	mux.HandleFunc("GET /models/{model}/{version}/weights", s.serveWeights)
+	return s.faults(mux)
+}
+
+func (s *Server) faults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.requests.Add(1)
+		if s.outage.Load() {
+			panic(http.ErrAbortHandler)
 		}
-	})
-	mux.HandleFunc("GET /models/{model}/{version}/weights", func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := s.find(w, r); ok {
-			w.Header().Set("ETag", c.etag)
-			http.ServeContent(countingWriter{w, &s.sent}, r, "", time.Time{}, bytes.NewReader(c.body))
+		if take(&s.refuse) {
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "rate limit exceeded", http.StatusTooManyRequests)
+			return
 		}
+		next.ServeHTTP(w, r)
 	})
-	return mux
+}
+
+func (s *Server) serveManifest(w http.ResponseWriter, r *http.Request) {
+	if c, ok := s.find(w, r); ok {
+		w.Header().Set("ETag", c.etag)
+		_, _ = w.Write(c.manifest)
+	}
+}
+
+func (s *Server) serveWeights(w http.ResponseWriter, r *http.Request) {
+	c, ok := s.find(w, r)
+	if !ok {
+		return
+	}
+	w.Header().Set("ETag", c.etag)
+	out := &limitedWriter{ResponseWriter: w, ctx: r.Context(), server: s, corrupt: take(&s.corrupt)}
+	http.ServeContent(out, r, "", time.Time{}, bytes.NewReader(c.body))
 }
 
 func (s *Server) find(w http.ResponseWriter, r *http.Request) (content, bool) {
@@ -74,14 +124,46 @@
 	return c, ok
 }
 
-type countingWriter struct {
+// take counts n down and reports whether it was above zero.
+func take(n *atomic.Int64) bool {
+	for {
+		held := n.Load()
+		if held <= 0 {
+			return false
+		}
+		if n.CompareAndSwap(held, held-1) {
+			return true
+		}
+	}
+}
+
+// limitedWriter counts the bytes of a response and charges them to the shared rate limit.
+type limitedWriter struct {
 	http.ResponseWriter
-	sent *atomic.Int64
+	ctx     context.Context
+	server  *Server
+	corrupt bool
 }
 
 // Write implements io.Writer.
-func (c countingWriter) Write(p []byte) (int, error) {
-	n, err := c.ResponseWriter.Write(p)
-	c.sent.Add(int64(n))
-	return n, err
+func (l *limitedWriter) Write(p []byte) (int, error) {
+	if l.corrupt && len(p) > 0 {
+		p = bytes.Clone(p)
+		p[0] ^= 1
+		l.corrupt = false
+	}
+	written := 0
+	for written < len(p) {
+		piece := p[written:min(written+writeBytes, len(p))]
+		if err := l.server.limiter.WaitN(l.ctx, len(piece)); err != nil {
+			return written, err
+		}
+		n, err := l.ResponseWriter.Write(piece)
+		written += n
+		l.server.sent.Add(int64(n))
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
 }
