Test the processes end to end against faults

Nothing showed what callers see while processes stop, die, pause or meet a faulty engine, service or object API. The tests start real processes, compare every response with what its own request must get, and wait for conditions instead of times.

--- /dev/null
+++ b/bench/e2e/doc.go
@@ -0,0 +1,2 @@
+// Package e2e tests guavatrestled with real processes against the stand-ins.
+package e2e
--- /dev/null
+++ b/bench/e2e/input_test.go
@@ -0,0 +1,115 @@
+package e2e_test
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/bench/caller"
+	"github.com/guavatrestle/guavatrestle/bench/cluster"
+	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+)
+
+// TestBadConfigurationIsNamed guards against a process that starts with a configuration that it did not understand.
+func TestBadConfigurationIsNamed(t *testing.T) {
+	cases := map[string]struct{ body, want string }{
+		"malformed YAML": {"role: entry\nlisten: [", "bad.yaml:2"},
+		"unknown key":    {"role: entry\nrolle: agent\n", "rolle"},
+		"missing role":   {"host: a\n", "Role"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "bad.yaml")
+			require.NoError(t, os.WriteFile(path, []byte(c.body), 0o600))
+			output, err := exec.CommandContext(t.Context(), binary, "--config", path).CombinedOutput()
+			var exit *exec.ExitError
+			require.ErrorAs(t, err, &exit)
+			require.Equal(t, 2, exit.ExitCode())
+			require.Contains(t, string(output), c.want)
+		})
+	}
+}
+
+// TestBadRequestIsRefusedAndRunsNothing guards against bad input that reaches an engine or gets an unclear error.
+func TestBadRequestIsRefusedAndRunsNothing(t *testing.T) {
+	w := newWorld(t, worldSpec{entries: 1, agents: 1, services: 1, engine: defaultEngine()})
+	base := w.entries[0].URL()
+	oversize := append(bytes.Repeat([]byte(" "), 2<<20), []byte(`{"model":"heats"}`)...)
+	cases := map[string]struct {
+		request caller.Request
+		status  int
+		code    string
+	}{
+		"unknown model":   {caller.Plain(base, token, "nonesuch", "x"), http.StatusNotFound, api.CodeUnknownModel},
+		"unknown token":   {caller.Plain(base, "nonesuch", model, "x"), http.StatusUnauthorized, api.CodeUnauthorized},
+		"unknown service": {caller.Booking(base, token, "nonesuch", "x"), http.StatusNotFound, api.CodeUnknownUpstream},
+		"oversize body":   {rawRequest(base, oversize), http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge},
+		"bad JSON":        {rawRequest(base, []byte(`{"model":`)), http.StatusBadRequest, api.CodeBadRequest},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			out := w.caller.Do(w.ctx, c.request)
+			require.Equal(t, caller.Refused, out.Kind, out.Detail)
+			require.Equal(t, c.status, out.Status)
+			require.Equal(t, c.code, out.Refusal.Code)
+			require.NotEmpty(t, out.Refusal.Message)
+			require.NotEmpty(t, out.Refusal.RequestID)
+		})
+	}
+	require.Zero(t, w.agents[0].Engine.Counts().Started)
+	require.Empty(t, w.services[0].Service.Runs().ByBooking)
+}
+
+func rawRequest(base string, body []byte) caller.Request {
+	return caller.Request{URL: base + "/v1/completions", Token: token, Body: body}
+}
+
+// TestBadEditChangesNothing guards against settings that are accepted unchecked or partly.
+func TestBadEditChangesNothing(t *testing.T) {
+	w := newWorld(t, worldSpec{entries: 1, agents: 1, engine: defaultEngine()})
+	good := settings.UpstreamSettings{Kind: settings.KindService, ColdLimit: 1, WarmLimit: 1}
+	noLimit := settings.UpstreamSettings{Kind: settings.KindService, WarmLimit: 1}
+	cases := map[string]struct {
+		path   string
+		base   uint64
+		body   any
+		status int
+	}{
+		"unknown path":      {"/nonesuch/a", 0, good, http.StatusBadRequest},
+		"wrong type":        {"/upstreams/a", 0, "text", http.StatusBadRequest},
+		"unknown field":     {"/upstreams/b", 0, map[string]any{"kind": "service", "cold_limt": 1}, http.StatusBadRequest},
+		"out of range":      {"/upstreams/c", 0, noLimit, http.StatusBadRequest},
+		"exists already":    {settings.UpstreamPath(upstream), 0, good, http.StatusConflict},
+		"outdated base":     {settings.UpstreamPath(upstream), 7, good, http.StatusConflict},
+		"base of a new one": {"/upstreams/d", 3, good, http.StatusNotFound},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			before := versions(w)
+			_, err := cluster.Apply(w.ctx, w.entries[0], c.path, c.base, c.body)
+			var refused *cluster.ApplyError
+			require.True(t, errors.As(err, &refused), "error is %v", err)
+			require.Equal(t, c.status, refused.Status)
+			require.NotEmpty(t, refused.Refusal.Message)
+			require.Equal(t, before, versions(w))
+		})
+	}
+}
+
+// versions returns the version of each document in force at the first entry.
+func versions(w *world) map[string]uint64 {
+	state, err := w.entries[0].State(w.ctx)
+	require.NoError(w.t, err)
+	out := make(map[string]uint64)
+	for _, doc := range state.Settings {
+		out[doc.Path] = doc.Version
+	}
+	return out
+}
--- /dev/null
+++ b/bench/e2e/world_test.go
@@ -0,0 +1,278 @@
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/bench/caller"
+	"github.com/guavatrestle/guavatrestle/bench/cluster"
+	"github.com/guavatrestle/guavatrestle/bench/standin/engine"
+	"github.com/guavatrestle/guavatrestle/bench/standin/service"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+)
+
+const (
+	team     = "ajiboye"
+	token    = "ajiboye-token"
+	model    = "heats"
+	upstream = "results-writer"
+	bookings = "hire-desk"
+
+	tokens     = 5
+	tokenDelay = 5 * time.Millisecond
+	coldLimit  = 2
+	warmLimit  = 8
+	warmup     = 4
+
+	modelBytes = 1 << 20
+	chunkBytes = 256 << 10
+
+	// hangLimit ends a test that waits for something that never comes.
+	hangLimit = 25 * time.Second
+)
+
+var (
+	binary  string
+	domains = []core.FailureDomain{"lagos-ikeja", "abuja-wuse", "ph-trans-amadi"}
+)
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "gt-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "guavatrestled")
+	build := exec.Command("go", "build", "-o", binary, "github.com/guavatrestle/guavatrestle/cmd/guavatrestled")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build guavatrestled: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// world is a cluster with one model and one plain service.
+type world struct {
+	*cluster.Cluster
+	t        *testing.T
+	ctx      context.Context
+	caller   *caller.Caller
+	entries  []*cluster.Process
+	agents   []*cluster.Process
+	services []*cluster.Process
+	digest   core.Digest
+	next     atomic.Int64
+}
+
+// worldSpec is what a world consists of.
+type worldSpec struct {
+	entries, agents, services int
+	engine                    engine.Config
+	service                   service.Config
+	// unpinned leaves the version out of the team's settings.
+	unpinned bool
+}
+
+func defaultEngine() engine.Config {
+	return engine.Config{
+		Tokens: tokens, TokenDelay: tokenDelay,
+		ColdLimit: coldLimit, WarmLimit: warmLimit, WarmupCompletions: warmup,
+		KeepsWeights: true,
+	}
+}
+
+func newWorld(t *testing.T, spec worldSpec) *world {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*hangLimit)
+	c, err := cluster.New(binary)
+	require.NoError(t, err)
+	w := &world{Cluster: c, t: t, ctx: ctx, caller: caller.New(false)}
+	t.Cleanup(func() {
+		cancel()
+		w.caller.Close()
+		c.Close()
+	})
+	w.start(spec)
+	return w
+}
+
+func (w *world) start(spec worldSpec) {
+	for i := range spec.entries {
+		p, err := w.Entry(w.ctx, core.HostID(fmt.Sprintf("entry-%d", i)), domains[i%len(domains)])
+		require.NoError(w.t, err)
+		w.entries = append(w.entries, p)
+	}
+	for i := range spec.agents {
+		p, err := w.Agent(w.ctx, core.HostID(fmt.Sprintf("agent-%d", i)), domains[i%len(domains)], upstream, spec.engine)
+		require.NoError(w.t, err)
+		w.agents = append(w.agents, p)
+	}
+	for i := range spec.services {
+		p, err := w.Service(w.ctx, core.HostID(fmt.Sprintf("service-%d", i)), domains[i%len(domains)], bookings, spec.service)
+		require.NoError(w.t, err)
+		w.services = append(w.services, p)
+	}
+	w.configure(spec)
+	for _, entry := range w.entries {
+		w.eventually("all agents serve the version at "+string(entry.Host.ID), func() bool { return w.complete(entry) })
+	}
+}
+
+func (w *world) configure(spec worldSpec) {
+	body := bytes.Repeat([]byte("heat summary weights "), modelBytes/21+1)[:modelBytes]
+	digest, err := w.Origin.Add(model, "v1", body, chunkBytes)
+	require.NoError(w.t, err)
+	w.digest = digest
+	for _, agent := range w.agents {
+		agent.Engine.Expect(digest, core.DigestOf(body))
+	}
+	w.apply(settings.UpstreamPath(upstream), 0, settings.UpstreamSettings{
+		Kind: settings.KindModel, Model: model, Target: &settings.VersionRef{Version: "v1", Digest: digest},
+		ColdLimit: coldLimit, WarmLimit: warmLimit, WarmupCompletions: warmup,
+	})
+	w.apply(settings.UpstreamPath(bookings), 0, settings.UpstreamSettings{
+		Kind: settings.KindService, ColdLimit: warmLimit, WarmLimit: warmLimit,
+	})
+	w.apply(settings.TeamPath(team), 0, w.teamSettings(spec))
+}
+
+func (w *world) teamSettings(spec worldSpec) settings.TeamSettings {
+	pinned := w.digest
+	if spec.unpinned {
+		pinned = ""
+	}
+	return settings.TeamSettings{
+		TokenHashes: []core.Digest{core.DigestOf([]byte(token))},
+		Limits:      settings.TeamLimits{RequestsPerSecond: 10000, Burst: 10000, QueueLength: 1000},
+		Weight:      1,
+		Models:      []settings.ModelSettings{{Name: model, Upstream: upstream, VersionDigest: pinned}},
+		Services:    []settings.ServiceSettings{{Upstream: bookings}},
+	}
+}
+
+func (w *world) apply(path string, base uint64, body any) {
+	w.t.Helper()
+	_, err := cluster.Apply(w.ctx, w.entries[0], path, base, body)
+	require.NoError(w.t, err)
+}
+
+// complete reports whether an entry sees every agent of the model with the target version, and all services.
+func (w *world) complete(entry *cluster.Process) bool {
+	seen, err := entry.SeenAgents(w.ctx)
+	if err != nil {
+		return false
+	}
+	for _, agent := range w.agents {
+		if seen[agent.Host.ID].VersionDigest != w.digest {
+			return false
+		}
+	}
+	for _, agent := range w.services {
+		if seen[agent.Host.ID].Limit != warmLimit {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) eventually(what string, condition func() bool) {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(w.ctx, hangLimit)
+	defer cancel()
+	require.NoError(w.t, cluster.WaitFor(ctx, condition), what)
+}
+
+// prompt returns a text that no other request has.
+func (w *world) prompt() string { return fmt.Sprintf("heat %d", w.next.Add(1)) }
+
+func (w *world) stream(base string) caller.Request {
+	return caller.Stream(base, token, model, w.prompt(), tokens)
+}
+
+func (w *world) plain(base string) caller.Request {
+	return caller.Plain(base, token, model, w.prompt())
+}
+
+func (w *world) booking(base string) caller.Request {
+	return caller.Booking(base, token, bookings, w.prompt())
+}
+
+// steady is a closed loop of callers.
+type steady struct {
+	stopped   chan struct{}
+	wg        sync.WaitGroup
+	mu        sync.Mutex
+	counts    map[caller.Kind]int
+	details   []string
+	succeeded atomic.Int64
+}
+
+// load starts callers that send requests through a balancer over all entries until stop.
+func (w *world) load(callers int, builders ...func(base string) caller.Request) *steady {
+	s := &steady{stopped: make(chan struct{}), counts: make(map[caller.Kind]int)}
+	balancer := caller.NewBalancer(w.ctx, w.entries...)
+	w.t.Cleanup(balancer.Close)
+	for i := range callers {
+		build := builders[i%len(builders)]
+		s.wg.Go(func() {
+			for !s.done() {
+				s.add(balancer.Send(w.ctx, w.caller, build))
+			}
+		})
+	}
+	return s
+}
+
+func (s *steady) done() bool {
+	select {
+	case <-s.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *steady) add(out caller.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[out.Kind]++
+	if out.Kind == caller.Succeeded {
+		s.succeeded.Add(1)
+		return
+	}
+	const kept = 5
+	if out.Kind != caller.Refused && out.Kind != caller.Unsent && len(s.details) < kept {
+		s.details = append(s.details, string(out.Kind)+": "+out.Detail)
+	}
+}
+
+// stop ends the load after the requests in flight and returns the outcomes by kind.
+func (s *steady) stop() map[caller.Kind]int {
+	close(s.stopped)
+	s.wg.Wait()
+	return s.counts
+}
+
+// requireNoneLost fails when a request failed, was cut off or got a short response.
+func (s *steady) requireNoneLost(t *testing.T) {
+	t.Helper()
+	counts := s.stop()
+	t.Logf("outcomes: %v", counts)
+	require.Positive(t, counts[caller.Succeeded])
+	lost := counts[caller.Failed] + counts[caller.CutOff] + counts[caller.Short]
+	require.Zero(t, lost, "outcomes %v: %v", counts, s.details)
+}
--- a/bench/standin/engine/load.go
+++ b/bench/standin/engine/load.go
@@ -58,3 +58,10 @@
 func (s *Server) unexpected(version, content core.Digest) bool {
 	return len(s.expected) > 0 && s.expected[version] != content
 }
+
+// Content returns the content that Expect recorded for a version.
+func (s *Server) Content(version core.Digest) core.Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.expected[version]
+}
