Measure rollouts over narrow links with gtbench rollout

The time to N replicas had no measurement beyond three agents without limits. Agents now see the origin and each other through relays that limit each host's link to 2 copies and the origin to 4 copies per target time, delay traffic between regions and count it. Up to 40 agents are processes; more run inside gtbench with relays per region.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -43,6 +44,8 @@
 	Objects *objectapi.Server
 	Hosts   *hostlist.Server
 	Origin  *origin.Server
+	// InProcess runs guavatrestled inside this process instead of as a process of its own.
+	InProcess bool
 
 	binary   string
 	dir      string
@@ -125,6 +128,23 @@
 	return c.start(ctx, cfg, options)
 }
 
+// Each runs start for 0 to n-1, several at a time, and returns all errors.
+func Each(n int, start func(i int) error) error {
+	const concurrent = 8
+	slots := make(chan struct{}, concurrent)
+	errs := make([]error, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		slots <- struct{}{}
+		wg.Go(func() {
+			errs[i] = start(i)
+			<-slots
+		})
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
 // Processes returns all processes started so far.
 func (c *Cluster) Processes() []*Process {
 	c.mu.Lock()
--- a/bench/cluster/process.go
+++ b/bench/cluster/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"syscall"
 	"time"
@@ -33,12 +32,19 @@
 	// Service is the service stand-in beside an agent, if any.
 	Service *service.Server
 
-	cmd    *exec.Cmd
+	run    runner
 	log    *os.File
 	exited chan struct{}
 	err    error
 }
 
+// runner is a started process.
+type runner interface {
+	signal(signal syscall.Signal) error
+	pid() int
+	wait() error
+}
+
 // start writes the configuration of a process and starts it; the process is ready when start returns without error.
 func (c *Cluster) start(ctx context.Context, cfg config.Config, options []Option) (*Process, error) {
 	for _, option := range options {
@@ -65,15 +71,13 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create log file")
 	}
-	cmd := exec.Command(c.binary, "--config", path)
-	cmd.Stdout = log
-	cmd.Stderr = log
-	if err := cmd.Start(); err != nil {
-		return nil, eris.Wrap(err, "start guavatrestled")
+	run, err := c.run(path, cfg, log)
+	if err != nil {
+		return nil, err
 	}
-	p := &Process{Host: hostOf(cfg), cmd: cmd, log: log, exited: make(chan struct{})}
+	p := &Process{Host: hostOf(cfg), run: run, log: log, exited: make(chan struct{})}
 	go func() {
-		p.err = cmd.Wait()
+		p.err = run.wait()
 		close(p.exited)
 	}()
 	c.mu.Lock()
@@ -126,11 +130,11 @@
 // ControlURL returns the base URL of the process's control listener.
 func (p *Process) ControlURL() string { return "http://" + p.Host.ControlAddr }
 
-// PID returns the process ID.
-func (p *Process) PID() int { return p.cmd.Process.Pid }
+// PID returns the process ID; it is 0 for a process that runs inside the experiment.
+func (p *Process) PID() int { return p.run.pid() }
 
 // Signal sends a signal to the process.
-func (p *Process) Signal(signal syscall.Signal) error { return p.cmd.Process.Signal(signal) }
+func (p *Process) Signal(signal syscall.Signal) error { return p.run.signal(signal) }
 
 // Exited returns a channel that is closed when the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
--- a/bench/cmd/gtbench/main.go
+++ b/bench/cmd/gtbench/main.go
@@ -18,7 +18,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDemoCommand())
+	root.AddCommand(newDemoCommand(), newRolloutCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := root.ExecuteContext(ctx)
 	stop()
--- /dev/null
+++ b/bench/cmd/gtbench/rollout.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/guavatrestle/guavatrestle/bench/rollout"
+)
+
+func newRolloutCommand() *cobra.Command {
+	var o options
+	var cfg rollout.Config
+	cmd := &cobra.Command{
+		Use:     "rollout",
+		Short:   "Measure how a model version reaches many hosts over narrow links",
+		Example: "  gtbench rollout --agents 24 --strategy swarm --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Binary, cfg.Seed = o.binary, o.seed
+			report, err := rollout.Run(cmd.Context(), cfg)
+			if report.Agents == 0 {
+				return err
+			}
+			return errors.Join(err, o.print(cmd.OutOrStdout(), report), checkRollout(report))
+		},
+	}
+	o.register(cmd)
+	flags := cmd.Flags()
+	flags.IntVar(&cfg.Agents, "agents", 24, "number of agents; more than 40 run inside gtbench")
+	flags.Int64Var(&cfg.ModelBytes, "model-bytes", 8<<20, "size of the model")
+	flags.StringVar(&cfg.Strategy, "strategy", "swarm", "how agents fetch: direct or swarm")
+	flags.DurationVar(&cfg.Target, "target", 4*time.Second, "target time; the rates of the links follow from it")
+	flags.DurationVar(&cfg.RegionDelay, "region-delay", 2*time.Millisecond, "one-way delay between regions")
+	flags.Int64Var(&cfg.Corrupt, "corrupt", 2, "number of the origin's responses that arrive corrupted")
+	flags.DurationVar(&cfg.Limit, "limit", 40*time.Second, "time after which an incomplete rollout ends")
+	return cmd
+}
+
+func checkRollout(r rollout.Report) error {
+	if r.MixedActivations != 0 {
+		return eris.Errorf("%d engines got partial or mixed weights", r.MixedActivations)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/rollout/rollout.go
@@ -0,0 +1,235 @@
+// Package rollout measures how one model version reaches many hosts over narrow links.
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/bench/cluster"
+	"github.com/guavatrestle/guavatrestle/bench/standin/engine"
+	"github.com/guavatrestle/guavatrestle/state/config"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+)
+
+const (
+	// OriginCopies and HostCopies are the copies that the links carry within the target time.
+	OriginCopies = 4
+	HostCopies   = 2
+	// MaxProcesses is the largest number of agents that run as processes of their own.
+	MaxProcesses = 40
+
+	model        = core.Model("guava")
+	upstream     = core.Upstream("guava-llm")
+	version      = "v1"
+	originRegion = core.Region("centro")
+	chunksWanted = 64
+	minChunk     = 64 << 10
+	maxChunk     = 4 << 20
+)
+
+var domains = []struct {
+	name   core.FailureDomain
+	region core.Region
+}{{"centro-a", "centro"}, {"norte-a", "norte"}, {"sur-a", "sur"}}
+
+// Config sets up a run.
+type Config struct {
+	Binary     string
+	Agents     int
+	ModelBytes int64
+	Strategy   string
+	Seed       uint64
+	// Target is the target time T; the links' rates follow from it.
+	Target time.Duration
+	// RegionDelay is the one-way delay between regions.
+	RegionDelay time.Duration
+	// Corrupt is the number of responses of the origin that are corrupted.
+	Corrupt int64
+	// Limit ends a run that does not complete.
+	Limit time.Duration
+}
+
+// Report is what a run measured.
+type Report struct {
+	Strategy          string  `json:"strategy"`
+	Agents            int     `json:"agents"`
+	AgentsRun         string  `json:"agents_run"`
+	Links             string  `json:"links"`
+	Seed              uint64  `json:"seed"`
+	TargetSeconds     float64 `json:"target_seconds"`
+	ModelBytes        int64   `json:"model_bytes"`
+	ChunkBytes        int64   `json:"chunk_bytes"`
+	OriginBytes       int64   `json:"origin_bytes"`
+	OriginCopies      float64 `json:"origin_copies"`
+	CrossRegionCopies float64 `json:"cross_region_copies"`
+	SecondsToHalf     float64 `json:"seconds_to_half"`
+	SecondsToAll      float64 `json:"seconds_to_all"`
+	BoundSeconds      float64 `json:"bound_seconds"`
+	RatioToBound      float64 `json:"ratio_to_bound"`
+	CorruptRejected   int64   `json:"corrupt_rejected"`
+	MixedActivations  int     `json:"mixed_activations"`
+	AgentsComplete    int     `json:"agents_complete"`
+}
+
+// run is one rollout.
+type run struct {
+	cfg     Config
+	cluster *cluster.Cluster
+	links   *links
+	entry   *cluster.Process
+	agents  []*cluster.Process
+	body    []byte
+	digest  core.Digest
+}
+
+// Run rolls one version out and measures it. The report is valid for an incomplete rollout too.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	c, err := cluster.New(cfg.Binary)
+	if err != nil {
+		return Report{}, err
+	}
+	defer c.Close()
+	c.InProcess = cfg.Agents > MaxProcesses
+	r := &run{cfg: cfg, cluster: c, links: newLinks(cfg.hostRate(), cfg.RegionDelay, c.InProcess)}
+	c.OnClose(r.links.close)
+	c.Hosts.SetView(r.links.view)
+	if err := r.start(ctx); err != nil {
+		return Report{}, err
+	}
+	return r.measure(ctx)
+}
+
+func (c Config) originRate() float64 {
+	return OriginCopies * float64(c.ModelBytes) / c.Target.Seconds()
+}
+
+func (c Config) hostRate() float64 { return HostCopies * float64(c.ModelBytes) / c.Target.Seconds() }
+
+// bound returns the time of one copy over the slower of the origin's and a host's link.
+func (c Config) bound() float64 {
+	return max(float64(c.ModelBytes)/c.originRate(), float64(c.ModelBytes)/c.hostRate())
+}
+
+func (c Config) chunkBytes() int64 { return min(max(c.ModelBytes/chunksWanted, minChunk), maxChunk) }
+
+func (r *run) start(ctx context.Context) error {
+	entry, err := r.cluster.Entry(ctx, "entry-1", domains[0].name, inRegion(domains[0].region))
+	if err != nil {
+		return err
+	}
+	r.entry = entry
+	r.body = randomBytes(r.cfg.ModelBytes, r.cfg.Seed)
+	if r.digest, err = r.cluster.Origin.Add(model, version, r.body, r.cfg.chunkBytes()); err != nil {
+		return err
+	}
+	r.agents = make([]*cluster.Process, r.cfg.Agents)
+	return cluster.Each(r.cfg.Agents, func(i int) error { return r.startAgent(ctx, i) })
+}
+
+func (r *run) startAgent(ctx context.Context, i int) error {
+	place := domains[i%len(domains)]
+	id := core.HostID(fmt.Sprintf("agent-%d", i))
+	source, err := r.links.origin(id, place.region, originRegion, r.cluster.Platform().WeightSource)
+	if err != nil {
+		return err
+	}
+	list := r.cluster.Platform().HostList + "/" + r.links.viewer(id, place.region)
+	agent, err := r.cluster.Agent(ctx, id, place.name, upstream, engine.Config{}, inRegion(place.region), func(cfg *config.Config) {
+		cfg.Seed = r.cfg.Seed + uint64(i) + 1
+		cfg.Platform.WeightSource = source
+		cfg.Platform.HostList = list
+		cfg.Agent.Strategy = r.cfg.Strategy
+		cfg.Agent.HostBytesPerSecond = int64(r.cfg.hostRate())
+		cfg.Agent.OriginRegion = originRegion
+		cfg.Agent.ChunkMemoryBytes = max(cfg.Agent.ChunkMemoryBytes, 2*r.cfg.ModelBytes)
+	})
+	if err != nil {
+		return err
+	}
+	agent.Engine.Expect(r.digest, core.DigestOf(r.body))
+	r.agents[i] = agent
+	return nil
+}
+
+func inRegion(region core.Region) cluster.Option {
+	return func(cfg *config.Config) { cfg.Region = region }
+}
+
+// measure publishes the version and waits until every engine holds it.
+func (r *run) measure(ctx context.Context) (Report, error) {
+	r.cluster.Origin.SetRate(r.cfg.originRate())
+	r.cluster.Origin.CorruptNext(r.cfg.Corrupt)
+	spec := settings.UpstreamSettings{
+		Kind: settings.KindModel, Model: model, Target: &settings.VersionRef{Version: version, Digest: r.digest},
+		ColdLimit: 2, WarmLimit: 8, WarmupCompletions: 4,
+	}
+	start := time.Now()
+	if _, err := cluster.Apply(ctx, r.entry, settings.UpstreamPath(upstream), 0, spec); err != nil {
+		return Report{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Limit)
+	defer cancel()
+	var half time.Duration
+	err := cluster.WaitFor(ctx, func() bool {
+		n := r.complete()
+		if half == 0 && 2*n >= len(r.agents) {
+			half = time.Since(start)
+		}
+		return n == len(r.agents)
+	})
+	report := r.report(half, time.Since(start))
+	return report, eris.Wrapf(err, "%d of %d agents hold the version after %s", report.AgentsComplete, r.cfg.Agents, r.cfg.Limit)
+}
+
+func (r *run) complete() int {
+	n := 0
+	for _, agent := range r.agents {
+		if status := agent.Engine.Status(); status.Complete && status.Digest == r.digest {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *run) report(half, all time.Duration) Report {
+	out := Report{
+		Strategy:          r.cfg.Strategy,
+		Agents:            r.cfg.Agents,
+		AgentsRun:         "processes",
+		Links:             "per host",
+		Seed:              r.cfg.Seed,
+		TargetSeconds:     r.cfg.Target.Seconds(),
+		ModelBytes:        r.cfg.ModelBytes,
+		ChunkBytes:        r.cfg.chunkBytes(),
+		OriginBytes:       r.cluster.Origin.BytesSent(),
+		CrossRegionCopies: float64(r.links.cross.Load()) / float64(r.cfg.ModelBytes),
+		SecondsToHalf:     half.Seconds(),
+		SecondsToAll:      all.Seconds(),
+		BoundSeconds:      r.cfg.bound(),
+		AgentsComplete:    r.complete(),
+	}
+	if r.cluster.InProcess {
+		out.AgentsRun = "in process"
+		out.Links = "per region"
+	}
+	out.OriginCopies = float64(out.OriginBytes) / float64(r.cfg.ModelBytes)
+	out.RatioToBound = out.SecondsToAll / out.BoundSeconds
+	for _, agent := range r.agents {
+		out.MixedActivations += agent.Engine.Counts().Mixed
+	}
+	out.CorruptRejected = max(0, r.cluster.Origin.CorruptSent()-int64(out.MixedActivations))
+	return out
+}
+
+func randomBytes(n int64, seed uint64) []byte {
+	body := make([]byte, n)
+	var key [32]byte
+	key[0], key[1] = byte(seed), byte(seed>>8)
+	_, _ = rand.NewChaCha8(key).Read(body)
+	return body
+}
--- a/bench/standin/origin/server.go
+++ b/bench/standin/origin/server.go
@@ -31,6 +31,7 @@
 	outage   atomic.Bool
 	refuse   atomic.Int64
 	corrupt  atomic.Int64
+	spoiled  atomic.Int64
 	sent     atomic.Int64
 	requests atomic.Int64
 }
@@ -71,6 +72,9 @@
 // BytesSent returns the bytes of weights sent so far.
 func (s *Server) BytesSent() int64 { return s.sent.Load() }
 
+// CorruptSent returns the number of corrupted responses so far.
+func (s *Server) CorruptSent() int64 { return s.spoiled.Load() }
+
 // Requests returns the requests received so far.
 func (s *Server) Requests() int64 { return s.requests.Load() }
 
@@ -151,6 +155,7 @@
 		p = bytes.Clone(p)
 		p[0] ^= 1
 		l.corrupt = false
+		l.server.spoiled.Add(1)
 	}
 	written := 0
 	for written < len(p) {
