Measure load and a failure domain that leaves and returns

Service during a planned exit of a failure domain was not measured. gtbench load sends requests at Poisson arrivals and counts latency from the time at which each was due, so that a stalled entry does not hide its own delay. gtbench domain takes a failure domain out through the admin API, restarts its engines while it is out so that they come back cold, and returns it.

--- a/bench/cmd/gtbench/main.go
+++ b/bench/cmd/gtbench/main.go
@@ -18,7 +18,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDemoCommand(), newRolloutCommand())
+	root.AddCommand(newDemoCommand(), newRolloutCommand(), newLoadCommand(), newDomainCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := root.ExecuteContext(ctx)
 	stop()
--- /dev/null
+++ b/bench/domain/domain.go
@@ -0,0 +1,233 @@
+// Package domain measures service under steady load, optionally while a failure domain leaves and returns.
+package domain
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/bench/caller"
+	"github.com/guavatrestle/guavatrestle/bench/cluster"
+	"github.com/guavatrestle/guavatrestle/bench/load"
+	"github.com/guavatrestle/guavatrestle/bench/scene"
+	"github.com/guavatrestle/guavatrestle/bench/standin/engine"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+)
+
+const (
+	entries  = 2
+	services = 3
+	// bookingShare is the number of requests of which one is a booking.
+	bookingShare = 10
+	// drainTimeout bounds the wait until the engines of a failure domain are idle.
+	drainTimeout = 10 * time.Second
+
+	phaseWarmup = "warmup"
+	phaseBefore = "before"
+	phaseDuring = "during"
+	phaseAfter  = "after"
+)
+
+var team = scene.Team{
+	Name:   "litoral",
+	Limits: settings.TeamLimits{RequestsPerSecond: 10000, Burst: 10000, QueueLength: 1000},
+	Weight: 1,
+}
+
+// Engine is the engine of each worker: cold engines bear 2 requests, warm ones 8.
+var Engine = engine.Config{
+	Tokens: 10, TokenDelay: 10 * time.Millisecond,
+	ColdLimit: 2, WarmLimit: 8, WarmupCompletions: 16,
+	LoadLag: 200 * time.Millisecond, KeepsWeights: true,
+}
+
+// Config sets up a run.
+type Config struct {
+	Binary  string
+	Seed    uint64
+	Workers int
+	// Rate is the mean number of requests a second.
+	Rate float64
+	// Warmup, Before, During and After are the durations of the phases.
+	Warmup, Before, During, After time.Duration
+	// Domain is the index of the failure domain that leaves.
+	Domain int
+	// Stay leaves all failure domains in service.
+	Stay bool
+}
+
+// Report is what a run measured.
+type Report struct {
+	load.Counts
+	Seed         uint64       `json:"seed"`
+	Rate         float64      `json:"rate_per_second"`
+	Workers      int          `json:"workers"`
+	Duplicated   int          `json:"duplicated"`
+	ColdOverload int          `json:"cold_overload"`
+	Before       load.Latency `json:"before"`
+	// SecondsToLastNewRequest is the time from the accepted change to the last request that reached an engine of the
+	// failure domain; 0 means that none did after the change.
+	SecondsToLastNewRequest float64       `json:"seconds_to_last_new_request"`
+	SecondsToIdle           float64       `json:"seconds_to_idle"`
+	During                  *load.Latency `json:"during,omitempty"`
+	After                   *load.Latency `json:"after,omitempty"`
+	// ReturnedServed is the number of requests that engines of the failure domain completed after its return.
+	ReturnedServed int      `json:"returned_served"`
+	Errors         []string `json:"errors,omitempty"`
+}
+
+// Check returns an error when a caller or an engine saw what must not happen.
+func (r Report) Check() error {
+	if r.Failed+r.CutOff+r.Duplicated+r.ColdOverload == 0 {
+		return nil
+	}
+	return eris.Errorf("failed %d, cut off %d, duplicated %d, cold overload %d", r.Failed, r.CutOff, r.Duplicated, r.ColdOverload)
+}
+
+// run is one experiment.
+type run struct {
+	cfg      Config
+	scene    *scene.Scene
+	balancer *caller.Balancer
+	caller   *caller.Caller
+	report   Report
+}
+
+// Run measures steady load, and unless the configuration says Stay, a failure domain that leaves and returns.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	s, err := scene.New(ctx, scene.Spec{
+		Binary: cfg.Binary, Entries: entries, Workers: cfg.Workers, Services: services,
+		Engine: Engine, Teams: []scene.Team{team},
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	defer s.Close()
+	r := &run{cfg: cfg, scene: s, balancer: caller.NewBalancer(ctx, s.Entries...), caller: caller.New(true)}
+	defer r.balancer.Close()
+	defer r.caller.Close()
+	runner := load.Start(ctx, load.Config{Rate: cfg.Rate, Seed: cfg.Seed, Send: r.send}, phaseWarmup)
+	err = r.phases(ctx, runner)
+	runner.Stop()
+	r.finish(runner)
+	return r.report, err
+}
+
+func (r *run) send(ctx context.Context, n int, due time.Time) caller.Outcome {
+	return r.balancer.Send(ctx, r.caller, func(base string) caller.Request {
+		request := r.scene.Stream(base, team, n)
+		if n%bookingShare == 0 {
+			request = r.scene.Booking(base, team, n)
+		}
+		request.Due = due
+		return request
+	})
+}
+
+func (r *run) phases(ctx context.Context, runner *load.Runner) error {
+	pause(ctx, r.cfg.Warmup)
+	runner.Enter(phaseBefore)
+	pause(ctx, r.cfg.Before)
+	if r.cfg.Stay {
+		return ctx.Err()
+	}
+	runner.Enter(phaseDuring)
+	if err := r.takeOut(ctx); err != nil {
+		return err
+	}
+	runner.Enter(phaseAfter)
+	served := r.completed()
+	if err := r.set(ctx, 1, settings.FailureDomainIn); err != nil {
+		return err
+	}
+	pause(ctx, r.cfg.After)
+	r.report.ReturnedServed = r.completed() - served
+	return ctx.Err()
+}
+
+// takeOut takes the failure domain out of service, waits out the phase and restarts its engines, so that they are cold
+// when it returns.
+func (r *run) takeOut(ctx context.Context) error {
+	if err := r.set(ctx, 0, settings.FailureDomainOut); err != nil {
+		return err
+	}
+	accepted := time.Now()
+	if err := r.waitIdle(ctx); err != nil {
+		return err
+	}
+	r.report.SecondsToIdle = time.Since(accepted).Seconds()
+	pause(ctx, r.cfg.During-time.Since(accepted))
+	for _, worker := range r.leaving() {
+		last := worker.Engine.LastStart().Sub(accepted).Seconds()
+		r.report.SecondsToLastNewRequest = max(r.report.SecondsToLastNewRequest, last)
+		worker.Engine.Restart()
+	}
+	return ctx.Err()
+}
+
+func (r *run) set(ctx context.Context, base uint64, state settings.FailureDomainState) error {
+	name := scene.Domains[r.cfg.Domain]
+	body := settings.FailureDomainSettings{Region: core.Region(name), State: state}
+	_, err := cluster.Apply(ctx, r.scene.Entries[entries-1], settings.FailureDomainPath(name), base, body)
+	return err
+}
+
+func (r *run) leaving() []*cluster.Process {
+	var out []*cluster.Process
+	for _, worker := range r.scene.Workers {
+		if worker.Host.FailureDomain == scene.Domains[r.cfg.Domain] {
+			out = append(out, worker)
+		}
+	}
+	return out
+}
+
+func (r *run) waitIdle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	err := cluster.WaitFor(ctx, func() bool {
+		for _, worker := range r.leaving() {
+			if worker.Engine.Status().InFlight > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return eris.Wrap(err, "engines of the failure domain out of service are not idle")
+}
+
+func (r *run) completed() int {
+	n := 0
+	for _, worker := range r.leaving() {
+		n += worker.Engine.Counts().Completed
+	}
+	return n
+}
+
+func (r *run) finish(runner *load.Runner) {
+	r.report.Counts = runner.Counts()
+	r.report.Seed = r.cfg.Seed
+	r.report.Rate = r.cfg.Rate
+	r.report.Workers = r.cfg.Workers
+	r.report.Duplicated = r.scene.Duplicated()
+	r.report.ColdOverload = r.scene.ColdOverload()
+	r.report.Errors = runner.Details()
+	r.report.Before = runner.Latency(phaseBefore)
+	if r.cfg.Stay {
+		return
+	}
+	during, after := runner.Latency(phaseDuring), runner.Latency(phaseAfter)
+	r.report.During, r.report.After = &during, &after
+}
+
+// pause lets a phase of the experiment last.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/bench/load/load.go
@@ -0,0 +1,217 @@
+// Package load sends requests at random times that do not depend on the responses, and records how they end.
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/guavatrestle/guavatrestle/bench/caller"
+)
+
+const (
+	// histogramMax is the longest latency that a histogram tells apart.
+	histogramMax = 60 * time.Second
+	// histogramDigits is the precision of a histogram in significant digits.
+	histogramDigits = 3
+	// keptDetails is the number of error messages that a report keeps.
+	keptDetails = 5
+	// seedStream separates the random numbers of arrivals from those of other users of a seed.
+	seedStream = 1
+)
+
+// Send sends request number n, which was due at a time, and returns its outcome.
+type Send func(ctx context.Context, n int, due time.Time) caller.Outcome
+
+// Config describes a load.
+type Config struct {
+	// Rate is the mean number of requests a second; arrivals are a Poisson process.
+	Rate float64
+	Seed uint64
+	Send Send
+}
+
+// Runner sends a load until it is stopped.
+type Runner struct {
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	phase   string
+	phases  map[string]*Phase
+	details []string
+}
+
+// Phase holds the outcomes of the requests that were due in one part of a run.
+type Phase struct {
+	started   time.Time
+	duration  time.Duration
+	counts    map[caller.Kind]int
+	latency   *hdrhistogram.Histogram
+	firstByte *hdrhistogram.Histogram
+}
+
+// Start sends requests in the phase with the given name; Stop ends it.
+func Start(ctx context.Context, cfg Config, phase string) *Runner {
+	arrivals, cancel := context.WithCancel(ctx)
+	r := &Runner{cancel: cancel, phases: make(map[string]*Phase)}
+	r.Enter(phase)
+	r.wg.Go(func() { r.arrive(arrivals, ctx, cfg) })
+	return r
+}
+
+// Enter starts a phase; requests due from now on belong to it.
+func (r *Runner) Enter(phase string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leave()
+	r.phase = phase
+	r.phases[phase] = &Phase{
+		started:   time.Now(),
+		counts:    make(map[caller.Kind]int),
+		latency:   newHistogram(),
+		firstByte: newHistogram(),
+	}
+}
+
+// Stop ends the arrivals and waits for the responses in flight.
+func (r *Runner) Stop() {
+	r.cancel()
+	r.wg.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leave()
+	r.phase = ""
+}
+
+// leave notes the duration of the current phase; the caller holds the lock.
+func (r *Runner) leave() {
+	if current := r.phases[r.phase]; current != nil {
+		current.duration = time.Since(current.started)
+	}
+}
+
+// arrive starts requests at random times; a request that is late is sent at once and its latency counts from its due
+// time, so that a stalled system does not hide its own delay.
+func (r *Runner) arrive(arrivals, requests context.Context, cfg Config) {
+	random := rand.New(rand.NewPCG(cfg.Seed, seedStream))
+	due := time.Now()
+	for n := 0; ; n++ {
+		due = due.Add(time.Duration(random.ExpFloat64() / cfg.Rate * float64(time.Second)))
+		if !waitUntil(arrivals, due) {
+			return
+		}
+		phase := r.current()
+		r.wg.Go(func() { r.record(phase, cfg.Send(requests, n, due)) })
+	}
+}
+
+func (r *Runner) current() *Phase {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.phases[r.phase]
+}
+
+func (r *Runner) record(phase *Phase, out caller.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	phase.counts[out.Kind]++
+	if out.Kind == caller.Succeeded {
+		_ = phase.latency.RecordValue(out.Latency.Microseconds())
+		_ = phase.firstByte.RecordValue(out.FirstByte.Microseconds())
+		return
+	}
+	if out.Kind != caller.Refused && len(r.details) < keptDetails {
+		r.details = append(r.details, string(out.Kind)+": "+out.Detail)
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax.Microseconds(), histogramDigits)
+}
+
+func waitUntil(ctx context.Context, due time.Time) bool {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Counts is how the requests of a run ended.
+type Counts struct {
+	Requests  int `json:"requests"`
+	Succeeded int `json:"succeeded"`
+	Refused   int `json:"refused"`
+	Failed    int `json:"failed"`
+	// CutOff counts broken responses, and responses that ended in order but were short or another caller's.
+	CutOff int `json:"cut_off"`
+	// Unsent counts requests that no connection took.
+	Unsent int `json:"unsent"`
+}
+
+// Latency is the distribution of latencies of succeeded requests, from the time at which each was due.
+type Latency struct {
+	PerSecond    float64 `json:"succeeded_per_second"`
+	P50          float64 `json:"p50_ms"`
+	P99          float64 `json:"p99_ms"`
+	FirstByteP99 float64 `json:"first_byte_p99_ms"`
+}
+
+// Counts returns the outcomes of the given phases, or of all.
+func (r *Runner) Counts(phases ...string) Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out Counts
+	for name, phase := range r.phases {
+		if len(phases) == 0 || slices.Contains(phases, name) {
+			out.add(phase.counts)
+		}
+	}
+	return out
+}
+
+func (c *Counts) add(counts map[caller.Kind]int) {
+	for _, n := range counts {
+		c.Requests += n
+	}
+	c.Succeeded += counts[caller.Succeeded]
+	c.Refused += counts[caller.Refused]
+	c.Failed += counts[caller.Failed]
+	c.CutOff += counts[caller.CutOff] + counts[caller.Short]
+	c.Unsent += counts[caller.Unsent]
+}
+
+// Latency returns the latencies of a phase.
+func (r *Runner) Latency(name string) Latency {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	phase := r.phases[name]
+	return Latency{
+		PerSecond:    float64(phase.counts[caller.Succeeded]) / phase.duration.Seconds(),
+		P50:          millis(phase.latency.ValueAtQuantile(50)),
+		P99:          millis(phase.latency.ValueAtQuantile(99)),
+		FirstByteP99: millis(phase.firstByte.ValueAtQuantile(99)),
+	}
+}
+
+// Details returns the first error messages of requests that were not refused.
+func (r *Runner) Details() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.details)
+}
+
+func millis(micros int64) float64 {
+	return float64(micros) / float64(time.Millisecond/time.Microsecond)
+}
