Measure team fairness and the cost of the entry

What a large team's burst does to a small team, and what the entry adds to a request, had no figures. gtbench fairness compares a small team's latency and refusals alone and under a burst at four times the workers' rate. gtbench entrycost compares the path over entry and agent with one over two plain net/http proxies in the same run, with processor time from /proc.

--- a/bench/cluster/process.go
+++ b/bench/cluster/process.go
@@ -75,7 +75,12 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Host: hostOf(cfg), run: run, log: log, exited: make(chan struct{})}
+	return c.adopt(hostOf(cfg), run, log), nil
+}
+
+// adopt adds a started process to the cluster, which stops it when it closes.
+func (c *Cluster) adopt(host core.Host, run runner, log *os.File) *Process {
+	p := &Process{Host: host, run: run, log: log, exited: make(chan struct{})}
 	go func() {
 		p.err = run.wait()
 		close(p.exited)
@@ -83,7 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.processes = append(c.processes, p)
-	return p, nil
+	return p
 }
 
 func hostOf(cfg config.Config) core.Host {
--- a/bench/cluster/runner.go
+++ b/bench/cluster/runner.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"syscall"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/state/config"
+	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/transport/daemon"
 )
 
@@ -62,3 +65,33 @@
 	go func() { i.result <- daemon.Run(ctx, cfg, logrus.NewEntry(logger)) }()
 	return i
 }
+
+// Command starts another program that listens on the address that follows its last argument, and waits until it does.
+func (c *Cluster) Command(ctx context.Context, id core.HostID, program string, args ...string) (*Process, error) {
+	log, err := os.Create(filepath.Join(c.dir, string(id)+".log"))
+	if err != nil {
+		return nil, eris.Wrap(err, "create log file")
+	}
+	addr := freeAddr()
+	cmd := exec.Command(program, append(args, addr)...)
+	cmd.Stdout = log
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return nil, eris.Wrapf(err, "start %s", program)
+	}
+	p := c.adopt(core.Host{ID: id, DataAddr: addr}, command{cmd: cmd}, log)
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	err = WaitFor(ctx, func() bool { return listens(ctx, addr) })
+	return p, eris.Wrapf(err, "%s does not listen on %s", program, addr)
+}
+
+func listens(ctx context.Context, addr string) bool {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
--- a/bench/cmd/gtbench/main.go
+++ b/bench/cmd/gtbench/main.go
@@ -18,7 +18,15 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDemoCommand(), newRolloutCommand(), newLoadCommand(), newDomainCommand())
+	root.AddCommand(
+		newDemoCommand(),
+		newRolloutCommand(),
+		newLoadCommand(),
+		newDomainCommand(),
+		newFairnessCommand(),
+		newEntryCostCommand(),
+		newProxyCommand(),
+	)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := root.ExecuteContext(ctx)
 	stop()
--- a/bench/cmd/gtbench/traffic.go
+++ b/bench/cmd/gtbench/traffic.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/guavatrestle/guavatrestle/bench/domain"
+	"github.com/guavatrestle/guavatrestle/bench/entrycost"
+	"github.com/guavatrestle/guavatrestle/bench/fairness"
 )
 
 func newLoadCommand() *cobra.Command {
@@ -51,3 +54,73 @@
 	cmd.Flags().IntVar(&cfg.Workers, "workers", 10, "number of workers")
 	return cmd
 }
+
+func newFairnessCommand() *cobra.Command {
+	var o options
+	var cfg fairness.Config
+	cmd := &cobra.Command{
+		Use:   "fairness",
+		Short: "Measure a small team's latency alone and under a large team's burst",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Binary, cfg.Seed = o.binary, o.seed
+			report, err := fairness.Run(cmd.Context(), cfg)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), report)
+		},
+	}
+	o.register(cmd)
+	flags := cmd.Flags()
+	flags.Float64Var(&cfg.SmallRate, "small-rate", 20, "mean requests a second of the small team")
+	flags.Float64Var(&cfg.LargeRate, "large-rate", 1200, "mean requests a second of the large team's burst")
+	flags.DurationVar(&cfg.Warmup, "warmup", 5*time.Second, "time before the measurement")
+	flags.DurationVar(&cfg.Alone, "alone", 10*time.Second, "time with the small team alone")
+	flags.DurationVar(&cfg.Burst, "burst", 10*time.Second, "time under the burst")
+	return cmd
+}
+
+func newEntryCostCommand() *cobra.Command {
+	var o options
+	var cfg entrycost.Config
+	cmd := &cobra.Command{
+		Use:   "entrycost",
+		Short: "Measure latency and processor time of the entry against a plain reverse proxy",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			cfg.Binary, cfg.Seed, cfg.Proxy = o.binary, o.seed, self
+			report, err := entrycost.Run(cmd.Context(), cfg)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), report)
+		},
+	}
+	o.register(cmd)
+	flags := cmd.Flags()
+	flags.Float64Var(&cfg.Rate, "rate", 800, "mean requests a second on each path")
+	flags.DurationVar(&cfg.Warmup, "warmup", 2*time.Second, "time on each path before its measurement")
+	flags.DurationVar(&cfg.Measure, "measure", 8*time.Second, "time measured on each path")
+	return cmd
+}
+
+func newProxyCommand() *cobra.Command {
+	var listen, target string
+	cmd := &cobra.Command{
+		Use:    "proxy",
+		Short:  "Run the plain reverse proxy that entrycost compares with",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return entrycost.Serve(cmd.Context(), listen, target)
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "", "address to listen on")
+	cmd.Flags().StringVar(&target, "target", "", "base URL to pass requests on to")
+	return cmd
+}
--- a/bench/domain/domain.go
+++ b/bench/domain/domain.go
@@ -127,9 +127,9 @@
 }
 
 func (r *run) phases(ctx context.Context, runner *load.Runner) error {
-	pause(ctx, r.cfg.Warmup)
+	load.Pause(ctx, r.cfg.Warmup)
 	runner.Enter(phaseBefore)
-	pause(ctx, r.cfg.Before)
+	load.Pause(ctx, r.cfg.Before)
 	if r.cfg.Stay {
 		return ctx.Err()
 	}
@@ -142,7 +142,7 @@
 	if err := r.set(ctx, 1, settings.FailureDomainIn); err != nil {
 		return err
 	}
-	pause(ctx, r.cfg.After)
+	load.Pause(ctx, r.cfg.After)
 	r.report.ReturnedServed = r.completed() - served
 	return ctx.Err()
 }
@@ -158,7 +158,7 @@
 		return err
 	}
 	r.report.SecondsToIdle = time.Since(accepted).Seconds()
-	pause(ctx, r.cfg.During-time.Since(accepted))
+	load.Pause(ctx, r.cfg.During-time.Since(accepted))
 	for _, worker := range r.leaving() {
 		last := worker.Engine.LastStart().Sub(accepted).Seconds()
 		r.report.SecondsToLastNewRequest = max(r.report.SecondsToLastNewRequest, last)
@@ -221,13 +221,3 @@
 	during, after := runner.Latency(phaseDuring), runner.Latency(phaseAfter)
 	r.report.During, r.report.After = &during, &after
 }
-
-// pause lets a phase of the experiment last.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -133,6 +133,9 @@
 	return hdrhistogram.New(1, histogramMax.Microseconds(), histogramDigits)
 }
 
+// Pause lets a phase of an experiment last, unless ctx ends it.
+func Pause(ctx context.Context, d time.Duration) { waitUntil(ctx, time.Now().Add(d)) }
+
 func waitUntil(ctx context.Context, due time.Time) bool {
 	wait := time.Until(due)
 	if wait <= 0 {
