Measure the spread of settings and its cost

How fast accepted settings come into force, and what each process uses for it, had no figures. gtbench config times each change until the slowest process holds it, kills a tenth of the watchers and times again, and reads processor time, memory and bytes of each process from /proc, so that the figures do not depend on what the product reports. The object API names its callers, which tells the watchers apart, and has the rates that the platform grants.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -35,6 +35,9 @@
 	maxBodyBytes = 1 << 20
 	// requestTimeout is the deadline of a caller's request.
 	requestTimeout = 30 * time.Second
+	// readsPerSecond and writesPerSecond are the rates that the platform grants to the object API.
+	readsPerSecond  = 2000
+	writesPerSecond = 300
 	// stopTimeout is the time after which a process that ignores SIGTERM is killed.
 	stopTimeout = 10 * time.Second
 )
@@ -64,6 +67,7 @@
 		return nil, eris.Wrap(err, "create directory for configurations")
 	}
 	c := &Cluster{Objects: objectapi.New(), Hosts: hostlist.New(), Origin: origin.New(), binary: binary, dir: dir}
+	c.Objects.SetRates(readsPerSecond, writesPerSecond)
 	c.platform = config.Platform{
 		ObjectAPI:        c.Serve(c.Objects.Handler()),
 		HostList:         c.Serve(c.Hosts.Handler()),
--- a/bench/cluster/observe.go
+++ b/bench/cluster/observe.go
@@ -91,6 +91,8 @@
 	CPUSeconds float64 `json:"cpu_seconds"`
 	// ResidentBytes is the resident memory.
 	ResidentBytes int64 `json:"resident_bytes"`
+	// IOBytes is what the process has read and written with system calls: sockets, files and pipes.
+	IOBytes int64 `json:"io_bytes"`
 }
 
 // clockTicksPerSecond is the unit of the times in /proc/<pid>/stat.
@@ -107,7 +109,27 @@
 	if err != nil {
 		return Usage{}, eris.Wrap(err, "read resident memory")
 	}
-	return parseUsage(string(stat), string(statm))
+	io, err := os.ReadFile(dir + "/io")
+	if err != nil {
+		return Usage{}, eris.Wrap(err, "read bytes read and written")
+	}
+	usage, err := parseUsage(string(stat), string(statm))
+	usage.IOBytes = parseIO(string(io))
+	return usage, err
+}
+
+// parseIO adds up the lines "rchar: <bytes>" and "wchar: <bytes>".
+func parseIO(io string) int64 {
+	var total int64
+	for line := range strings.Lines(io) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		if name != "rchar" && name != "wchar" {
+			continue
+		}
+		n, _ := strconv.ParseInt(value, 10, 64)
+		total += n
+	}
+	return total
 }
 
 func parseUsage(stat, statm string) (Usage, error) {
--- /dev/null
+++ b/bench/cmd/gtbench/config.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"errors"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/guavatrestle/guavatrestle/bench/spread"
+)
+
+func newConfigCommand() *cobra.Command {
+	var o options
+	var cfg spread.Config
+	cmd := &cobra.Command{
+		Use:     "config",
+		Short:   "Measure how accepted settings come into force at every process, and what that costs",
+		Example: "  gtbench config --processes 60 --changes 20 --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Binary, cfg.Seed = o.binary, o.seed
+			report, err := spread.Run(cmd.Context(), cfg)
+			if err != nil {
+				return err
+			}
+			return errors.Join(o.print(cmd.OutOrStdout(), report), report.Check())
+		},
+	}
+	o.register(cmd)
+	flags := cmd.Flags()
+	flags.IntVar(&cfg.Processes, "processes", 60, "number of guavatrestled processes, two of them entries")
+	flags.IntVar(&cfg.Changes, "changes", 30, "number of changes timed before and after watchers are killed")
+	flags.DurationVar(&cfg.Quiet, "quiet", 6*time.Second, "time over which the cost without changes is measured")
+	flags.DurationVar(&cfg.Busy, "busy", 6*time.Second, "time over which the cost with changes is measured")
+	flags.Float64Var(&cfg.Rate, "rate", 2, "changes a second while the cost with changes is measured")
+	return cmd
+}
--- a/bench/cmd/gtbench/main.go
+++ b/bench/cmd/gtbench/main.go
@@ -25,6 +25,7 @@
 		newDomainCommand(),
 		newFairnessCommand(),
 		newEntryCostCommand(),
+		newConfigCommand(),
 		newProxyCommand(),
 	)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- /dev/null
+++ b/bench/spread/spread.go
@@ -0,0 +1,240 @@
+// Package spread measures how accepted settings come into force at every process, and what that costs.
+package spread
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/bench/cluster"
+	"github.com/guavatrestle/guavatrestle/bench/load"
+	"github.com/guavatrestle/guavatrestle/bench/standin/objectapi"
+	"github.com/guavatrestle/guavatrestle/bench/standin/service"
+	"github.com/guavatrestle/guavatrestle/state/config"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/settings"
+)
+
+const (
+	// teams is the number of settings documents that changes go around.
+	teams = 10
+	// entries is the number of entries; the other processes are agents.
+	entries = 2
+	// killedShare is the number of watchers of which one is killed.
+	killedShare = 10
+	// inForceLimit is the time after which a change counts as lost.
+	inForceLimit = 10 * time.Second
+	// upstream is the upstream of all agents.
+	upstream = core.Upstream("pedidos")
+)
+
+// The intervals are the product's defaults, so that the control traffic is that of a real process.
+const (
+	hostListInterval = 2 * time.Second
+	statusInterval   = time.Second
+	// backEndInterval keeps reads of the back end's status out of the control bytes.
+	backEndInterval = time.Hour
+)
+
+var domains = []core.FailureDomain{"centro-a", "norte-a", "sur-a"}
+
+// Config sets up a run.
+type Config struct {
+	Binary string
+	Seed   uint64
+	// Processes is the number of guavatrestled processes.
+	Processes int
+	// Changes is the number of changes in each part of the run.
+	Changes int
+	// Quiet is the time over which the cost without changes is measured, and Busy that with changes.
+	Quiet, Busy time.Duration
+	// Rate is the number of changes a second in the busy part.
+	Rate float64
+}
+
+// InForce is the time from the acceptance of a change until the slowest process holds it.
+type InForce struct {
+	Changes  int     `json:"changes"`
+	P50      float64 `json:"in_force_seconds_p50"`
+	P99      float64 `json:"in_force_seconds_p99"`
+	Max      float64 `json:"in_force_seconds_max"`
+	Lost     int     `json:"lost"`
+	Reverted int     `json:"reverted"`
+}
+
+// Cost is what the processes used over a part of the run.
+type Cost struct {
+	// ControlBytes is what one process read and wrote a second, on average.
+	ControlBytes float64 `json:"control_bytes_per_second"`
+	// ControlBytesMax is that of the busiest process.
+	ControlBytesMax float64 `json:"control_bytes_per_second_max"`
+	// PlatformCalls is the calls of the object API a second, all processes together.
+	PlatformCalls float64 `json:"platform_calls_per_second"`
+	// CPU is the share of a core that one process used, on average, and CPUMax that of the busiest.
+	CPU    float64 `json:"cpu_seconds_per_second"`
+	CPUMax float64 `json:"cpu_seconds_per_second_max"`
+	// Resident is the resident memory of one process, on average, and ResidentMax that of the largest.
+	Resident    float64 `json:"resident_bytes"`
+	ResidentMax int64   `json:"resident_bytes_max"`
+}
+
+// Report is what a run measured.
+type Report struct {
+	Seed      uint64 `json:"seed"`
+	Processes int    `json:"processes"`
+	Watchers  int    `json:"watchers"`
+	InForce
+	// Cost is measured while changes are accepted, without observers.
+	Cost
+	// Quiet is measured without changes.
+	Quiet Cost `json:"quiet"`
+	// RateLimited is the number of calls that the object API refused with 429.
+	RateLimited int `json:"rate_limited"`
+	// Killed and WatchersKilled describe the part after a tenth of the watchers was killed.
+	Killed         int     `json:"killed"`
+	WatchersKilled InForce `json:"watchers_killed"`
+}
+
+// Check returns an error when a change was lost or reverted.
+func (r Report) Check() error {
+	lost := r.Lost + r.WatchersKilled.Lost
+	reverted := r.Reverted + r.WatchersKilled.Reverted
+	if lost+reverted == 0 {
+		return nil
+	}
+	return eris.Errorf("%d changes not in force everywhere after %s, %d reverted", lost, inForceLimit, reverted)
+}
+
+// run is one experiment.
+type run struct {
+	cfg       Config
+	cluster   *cluster.Cluster
+	processes []*cluster.Process
+	versions  [teams]uint64
+	next      int
+	observer  *observer
+}
+
+// Run measures the spread of settings.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	if cfg.Processes <= entries {
+		return Report{}, eris.Errorf("%d processes are too few, want more than %d", cfg.Processes, entries)
+	}
+	c, err := cluster.New(cfg.Binary)
+	if err != nil {
+		return Report{}, err
+	}
+	defer c.Close()
+	r := &run{cfg: cfg, cluster: c, processes: make([]*cluster.Process, cfg.Processes)}
+	if err := cluster.Each(cfg.Processes, func(i int) error { return r.start(ctx, i) }); err != nil {
+		return Report{}, err
+	}
+	r.observer = newObserver()
+	return r.measure(ctx)
+}
+
+func (r *run) start(ctx context.Context, i int) error {
+	domain := domains[i%len(domains)]
+	options := func(cfg *config.Config) {
+		cfg.Seed = r.cfg.Seed + uint64(i) + 1
+		cfg.Platform.HostListInterval = hostListInterval
+		cfg.Platform.ObjectAPI += objectapi.CallerPath(string(cfg.Host))
+		if cfg.Entry != nil {
+			cfg.Entry.StatusInterval = statusInterval
+		}
+		if cfg.Agent != nil {
+			cfg.Agent.PollInterval = backEndInterval
+		}
+	}
+	var err error
+	if i < entries {
+		r.processes[i], err = r.cluster.Entry(ctx, core.HostID(fmt.Sprintf("entry-%d", i)), domain, options)
+		return err
+	}
+	id := core.HostID(fmt.Sprintf("agent-%d", i))
+	r.processes[i], err = r.cluster.Service(ctx, id, domain, upstream, service.Config{}, options)
+	return err
+}
+
+func (r *run) measure(ctx context.Context) (Report, error) {
+	out := Report{Seed: r.cfg.Seed, Processes: r.cfg.Processes}
+	for range teams {
+		if _, err := r.change(ctx); err != nil {
+			return out, err
+		}
+	}
+	var err error
+	if out.Quiet, err = r.cost(func() error { load.Pause(ctx, r.cfg.Quiet); return ctx.Err() }); err != nil {
+		return out, err
+	}
+	if out.Cost, err = r.cost(func() error { return r.busy(ctx) }); err != nil {
+		return out, err
+	}
+	out.Watchers = len(r.cluster.Objects.Watchers())
+	if out.InForce, err = r.inForce(ctx); err != nil {
+		return out, err
+	}
+	if out.Killed, err = r.kill(ctx); err != nil {
+		return out, err
+	}
+	out.WatchersKilled, err = r.inForce(ctx)
+	out.RateLimited = r.cluster.Objects.Counts().RateLimited
+	return out, err
+}
+
+// change has an entry accept the next change and returns the document.
+func (r *run) change(ctx context.Context) (settings.Document, error) {
+	i := r.next % teams
+	r.next++
+	name := core.Team(fmt.Sprintf("team-%d", i))
+	body := settings.TeamSettings{
+		TokenHashes: []core.Digest{core.DigestOf([]byte(name))},
+		Limits:      settings.TeamLimits{RequestsPerSecond: float64(r.next), Burst: 100, QueueLength: 100},
+		Weight:      1,
+		Services:    []settings.ServiceSettings{{Upstream: upstream}},
+	}
+	doc, err := cluster.Apply(ctx, r.processes[0], settings.TeamPath(name), r.versions[i], body)
+	if err == nil {
+		r.versions[i] = doc.Version
+	}
+	return doc, err
+}
+
+// busy has changes accepted at the configured rate without looking at the processes.
+func (r *run) busy(ctx context.Context) error {
+	interval := time.Duration(float64(time.Second) / r.cfg.Rate)
+	for end := time.Now().Add(r.cfg.Busy); time.Now().Before(end); {
+		if _, err := r.change(ctx); err != nil {
+			return err
+		}
+		load.Pause(ctx, interval)
+	}
+	return ctx.Err()
+}
+
+// kill ends a tenth of the watchers, at least one, but never the entry that accepts the changes.
+func (r *run) kill(ctx context.Context) (int, error) {
+	watchers := r.cluster.Objects.Watchers()
+	victims := make(map[core.HostID]bool)
+	for i := 0; i < len(watchers) && len(victims) < max(1, len(watchers)/killedShare); i++ {
+		if id := core.HostID(watchers[i]); id != r.processes[0].Host.ID {
+			victims[id] = true
+		}
+	}
+	var kept []*cluster.Process
+	for _, p := range r.processes {
+		if !victims[p.Host.ID] {
+			kept = append(kept, p)
+			continue
+		}
+		if err := p.Signal(syscall.SIGKILL); err != nil {
+			return 0, eris.Wrapf(err, "kill %s", p.Host.ID)
+		}
+		_ = p.Wait(ctx)
+	}
+	r.processes = kept
+	return len(victims), ctx.Err()
+}
--- a/bench/standin/objectapi/server.go
+++ b/bench/standin/objectapi/server.go
@@ -44,11 +44,13 @@
 	closed  bool
 	faults  faults
 	counts  Counts
+	// watchers counts the open watches by caller.
+	watchers map[string]int
 }
 
 // New returns an empty Server without faults.
 func New() *Server {
-	s := &Server{objects: make(map[string]resource), faults: newFaults(), counts: newCounts()}
+	s := &Server{objects: make(map[string]resource), faults: newFaults(), counts: newCounts(), watchers: make(map[string]int)}
 	s.changed = sync.NewCond(&s.mu)
 	return s
 }
@@ -70,7 +72,7 @@
 	mux.HandleFunc("GET "+root+"/{name}", s.get)
 	mux.HandleFunc("PUT "+root+"/{name}", s.update)
 	mux.HandleFunc("DELETE "+root+"/{name}", s.remove)
-	return s.guard(mux)
+	return s.named(s.guard(mux))
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
--- a/bench/standin/objectapi/watch.go
+++ b/bench/standin/objectapi/watch.go
@@ -15,8 +15,8 @@
 	}
 	stop := context.AfterFunc(r.Context(), s.wake)
 	defer stop()
-	epoch := s.openWatch()
-	defer s.closeWatch()
+	epoch := s.openWatch(callerOf(r))
+	defer s.closeWatch(callerOf(r))
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
 	encoder := json.NewEncoder(w)
@@ -75,17 +75,21 @@
 }
 
 // openWatch counts an open watch and returns the epoch that it belongs to.
-func (s *Server) openWatch() uint64 {
+func (s *Server) openWatch(caller string) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.OpenWatches++
+	s.watchers[caller]++
 	return s.faults.watchEpoch
 }
 
-func (s *Server) closeWatch() {
+func (s *Server) closeWatch(caller string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.OpenWatches--
+	if s.watchers[caller]--; s.watchers[caller] == 0 {
+		delete(s.watchers, caller)
+	}
 }
 
 func (s *Server) missEvent() bool {
