--- /dev/null
+++ b/bench/hotpath/doc.go
@@ -0,0 +1,2 @@
+// Package hotpath holds Go benchmarks of the product's decisions that run for every request.
+package hotpath
