--- a/bench/cmd/gtbench/traffic.go
+++ b/bench/cmd/gtbench/traffic.go
@@ -17,7 +17,7 @@
 	cmd := newTrafficCommand(&cfg)
 	cmd.Use = "load"
 	cmd.Short = "Measure callers' requests under steady load with random arrivals"
-	cmd.Example = "  gtbench load --rate 120 --duration 15s --json"
+	cmd.Example = "  gtbench load --rate 240 --duration 15s --json"
 	cmd.Flags().DurationVar(&cfg.Before, "duration", 15*time.Second, "time under load after the warm-up")
 	return cmd
 }
@@ -50,7 +50,7 @@
 		},
 	}
 	o.register(cmd)
-	cmd.Flags().Float64Var(&cfg.Rate, "rate", 120, "mean requests a second")
+	cmd.Flags().Float64Var(&cfg.Rate, "rate", 240, "mean requests a second")
 	cmd.Flags().IntVar(&cfg.Workers, "workers", 10, "number of workers")
 	return cmd
 }
