--- a/bench/standin/engine/load.go
+++ b/bench/standin/engine/load.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/zeebo/blake3"
@@ -52,6 +53,14 @@
 		return
 	}
 	s.counts.Loads++
+	s.loaded = append(s.loaded, version)
+}
+
+// Loaded returns the versions of the load orders that took effect, in order.
+func (s *Server) Loaded() []core.Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.loaded)
 }
 
 // unexpected reports whether content is not the one of version; without expectations nothing is unexpected.
--- a/bench/standin/engine/server.go
+++ b/bench/standin/engine/server.go
@@ -73,6 +73,7 @@
 	counts   Counts
 	runs     map[string]int
 	expected map[core.Digest]core.Digest
+	loaded   []core.Digest
 	load     []sample
 	last     time.Time
 }
--- /dev/null
+++ b/bench/standin/origin/main_test.go
@@ -0,0 +1,10 @@
+package origin_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain guards against goroutines that outlive their owner.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/bench/standin/origin/server.go
+++ b/bench/standin/origin/server.go
@@ -34,6 +34,7 @@
 	spoiled  atomic.Int64
 	sent     atomic.Int64
 	requests atomic.Int64
+	dropped  atomic.Int64
 }
 
 // New returns a Server without versions and without a rate limit.
@@ -78,6 +79,9 @@
 // Requests returns the requests received so far.
 func (s *Server) Requests() int64 { return s.requests.Load() }
 
+// Dropped returns the requests received during outages so far.
+func (s *Server) Dropped() int64 { return s.dropped.Load() }
+
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -90,6 +94,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.requests.Add(1)
 		if s.outage.Load() {
+			s.dropped.Add(1)
 			panic(http.ErrAbortHandler)
 		}
 		if take(&s.refuse) {
