--- a/bench/cmd/gtbench/main.go
+++ b/bench/cmd/gtbench/main.go
@@ -2,8 +2,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 )
@@ -15,8 +18,20 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDemoCommand())
-	if err := root.Execute(); err != nil {
+	root.AddCommand(
+		newDemoCommand(),
+		newRolloutCommand(),
+		newLoadCommand(),
+		newDomainCommand(),
+		newFairnessCommand(),
+		newEntryCostCommand(),
+		newConfigCommand(),
+		newProxyCommand(),
+	)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := root.ExecuteContext(ctx)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/bench/cmd/gtbench/traffic.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/guavatrestle/guavatrestle/bench/domain"
+	"github.com/guavatrestle/guavatrestle/bench/entrycost"
+	"github.com/guavatrestle/guavatrestle/bench/fairness"
+)
+
+func newLoadCommand() *cobra.Command {
+	cfg := domain.Config{Stay: true, Warmup: 3 * time.Second}
+	cmd := newTrafficCommand(&cfg)
+	cmd.Use = "load"
+	cmd.Short = "Measure callers' requests under steady load with random arrivals"
+	cmd.Example = "  gtbench load --rate 240 --duration 15s --json"
+	cmd.Flags().DurationVar(&cfg.Before, "duration", 15*time.Second, "time under load after the warm-up")
+	return cmd
+}
+
+func newDomainCommand() *cobra.Command {
+	cfg := domain.Config{Warmup: 3 * time.Second}
+	cmd := newTrafficCommand(&cfg)
+	cmd.Use = "domain"
+	cmd.Short = "Measure service while a failure domain leaves and returns under steady load"
+	cmd.Example = "  gtbench domain --json"
+	flags := cmd.Flags()
+	flags.DurationVar(&cfg.Before, "before", 6*time.Second, "time before the failure domain leaves")
+	flags.DurationVar(&cfg.During, "during", 8*time.Second, "time for which it is out of service")
+	flags.DurationVar(&cfg.After, "after", 10*time.Second, "time after its return")
+	flags.IntVar(&cfg.Domain, "domain", 0, "index of the failure domain, 0 to 2; entries are in 0 and 1")
+	return cmd
+}
+
+func newTrafficCommand(cfg *domain.Config) *cobra.Command {
+	var o options
+	cmd := &cobra.Command{
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Binary, cfg.Seed = o.binary, o.seed
+			report, err := domain.Run(cmd.Context(), *cfg)
+			if report.Requests == 0 {
+				return err
+			}
+			return errors.Join(err, o.print(cmd.OutOrStdout(), report), report.Check())
+		},
+	}
+	o.register(cmd)
+	cmd.Flags().Float64Var(&cfg.Rate, "rate", 240, "mean requests a second")
+	cmd.Flags().IntVar(&cfg.Workers, "workers", 10, "number of workers")
+	return cmd
+}
+
+func newFairnessCommand() *cobra.Command {
+	var o options
+	var cfg fairness.Config
+	cmd := &cobra.Command{
+		Use:   "fairness",
+		Short: "Measure a small team's latency alone and under a large team's burst",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Binary, cfg.Seed = o.binary, o.seed
+			report, err := fairness.Run(cmd.Context(), cfg)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), report)
+		},
+	}
+	o.register(cmd)
+	flags := cmd.Flags()
+	flags.Float64Var(&cfg.SmallRate, "small-rate", 20, "mean requests a second of the small team")
+	flags.Float64Var(&cfg.LargeRate, "large-rate", 1200, "mean requests a second of the large team's burst")
+	flags.DurationVar(&cfg.Warmup, "warmup", 5*time.Second, "time before the measurement")
+	flags.DurationVar(&cfg.Alone, "alone", 10*time.Second, "time with the small team alone")
+	flags.DurationVar(&cfg.Burst, "burst", 10*time.Second, "time under the burst")
+	return cmd
+}
+
+func newEntryCostCommand() *cobra.Command {
+	var o options
+	var cfg entrycost.Config
+	cmd := &cobra.Command{
+		Use:   "entrycost",
+		Short: "Measure latency and processor time of the entry against a plain reverse proxy",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			cfg.Binary, cfg.Seed, cfg.Proxy = o.binary, o.seed, self
+			report, err := entrycost.Run(cmd.Context(), cfg)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), report)
+		},
+	}
+	o.register(cmd)
+	flags := cmd.Flags()
+	flags.Float64Var(&cfg.Rate, "rate", 300, "mean requests a second on each path")
+	flags.DurationVar(&cfg.Warmup, "warmup", 2*time.Second, "time before the measurement")
+	flags.DurationVar(&cfg.Measure, "measure", 15*time.Second, "time measured")
+	return cmd
+}
+
+func newProxyCommand() *cobra.Command {
+	var listen, target string
+	cmd := &cobra.Command{
+		Use:    "proxy",
+		Short:  "Run the plain reverse proxy that entrycost compares with",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return entrycost.Serve(cmd.Context(), listen, target)
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "", "address to listen on")
+	cmd.Flags().StringVar(&target, "target", "", "base URL to pass requests on to")
+	return cmd
+}
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -123,6 +123,7 @@
 	}
 }
 
+// DefaultAgent returns the default settings of the agent role.
 func DefaultAgent() Agent {
 	transfer, activation := DefaultTransfer(), DefaultActivation()
 	return Agent{
