Continue watches without a list and read the host list less

Cause: a watcher listed every setting with its history every 30 s and read the whole host list every 2 s, which at 300 documents and 2,500 hosts is far above 2 KB/s for that node.

A watch continues from the last version seen; a list is read again only when that version is too old, when the watch broke, or after 30 minutes. The first watcher of a failure domain reads the host list at the configured interval, the others five times less often, and unchanged lists are not sent again where the list gives entity tags.

Ruled out: one reader of the host list for the fleet, which needs an election.

Checked with `go test -race ./transport/control ./transport/platform` and `make demo`: both pass. Bytes per watcher were not measured.

Conclusion: what remains is the cost of a host list that changes, for watchers only.

--- a/internal/objecttest/store.go
+++ b/internal/objecttest/store.go
@@ -23,6 +23,8 @@
 	LostBefore
 	// LostAfter loses the response after the call took effect.
 	LostAfter
+	// Expired refuses a watch because its version is too old.
+	Expired
 )
 
 // Store implements platform.ObjectStore in memory.
@@ -209,8 +211,11 @@
 func (s *Store) version() string { return strconv.FormatUint(s.sequence, 10) }
 
 func readFault(fault Fault) error {
-	if fault == None {
+	switch fault {
+	case None:
 		return nil
+	case Expired:
+		return protocol.Errorf(protocol.CodeExpired, "the version is too old")
 	}
 	return protocol.Errorf(protocol.CodeUnavailable, "the object API is down")
 }
--- a/transport/control/hosts.go
+++ b/transport/control/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/membership"
 	"github.com/guavatrestle/guavatrestle/protocol"
@@ -21,10 +22,22 @@
 			continue
 		}
 		wait.reset()
-		pause(ctx, n.jittered(n.HostListInterval))
+		pause(ctx, n.jittered(n.readInterval()))
 	}
 }
 
+// spareReadFactor is how much less often all watchers but the first read the host list. A list of 2,500
+// hosts is large, and every read of it costs the platform and the reader's link.
+const spareReadFactor = 5
+
+func (n *Node) readInterval() time.Duration {
+	order := membership.WatchOrder(n.Members.Snapshot(), n.Self.FailureDomain)
+	if membership.Position(order, n.Self.ID) > 0 {
+		return spareReadFactor * n.HostListInterval
+	}
+	return n.HostListInterval
+}
+
 func (n *Node) readsHosts() bool {
 	if n.isWatcher() {
 		return true
--- a/transport/control/watch.go
+++ b/transport/control/watch.go
@@ -16,9 +16,14 @@
 const (
 	// watchPoll is the time between looks at whether this process is a watcher.
 	watchPoll = 500 * time.Millisecond
-	// watchLifetime is the mean time after which a watcher lists anew, because a watch can go silent
-	// without an error. With two watchers in each of 11 failure domains that is less than one list a second.
+	// watchLifetime is the mean time after which a watcher opens its watch anew, because a watch can go
+	// silent without an error. With two watchers in each of 11 failure domains that is less than one
+	// call a second.
 	watchLifetime = 30 * time.Second
+	// listLifetime is the time after which a watcher lists anew. A list holds the history of every
+	// document, so it is large; watches continue from the last version seen, and exchanges close what
+	// one watch missed.
+	listLifetime = 30 * time.Minute
 	// aloneAfter is the time after which a process that has learnt of no hosts counts itself as alone.
 	// Before, it would take itself for a watcher, and a fleet that restarts would list all at once.
 	aloneAfter = 5 * time.Second
@@ -34,6 +39,10 @@
 	contact time.Time
 	// cutOff says which watchers have reported no contact for long.
 	cutOff map[core.HostID]bool
+	// version is the version of the object API up to which this process has seen all changes, since the
+	// list at listed; empty before a list.
+	version string
+	listed  time.Time
 }
 
 func newWatchState() watchState { return watchState{cutOff: make(map[core.HostID]bool)} }
@@ -130,37 +139,81 @@
 	n.watch.contact = n.Now()
 }
 
-// watchSession lists once and watches until the session's lifetime ends or the watch breaks.
+// watchSession watches until the session's lifetime ends or the watch breaks. It lists first unless the
+// watch can continue where the last one ended.
 func (n *Node) watchSession(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, n.jittered(watchLifetime))
 	defer cancel()
 	n.noteFirstTry()
-	list, err := n.Store.List(ctx, platform.KindSetting, "")
-	if err != nil {
+	if err := n.listIfNeeded(ctx); err != nil {
 		return err
 	}
-	n.takeObjects(list.Items)
-	n.Settings.MarkLoaded()
-	events, err := n.Store.Watch(ctx, platform.KindSetting, list.Version)
+	events, err := n.Store.Watch(ctx, platform.KindSetting, n.seenVersion())
 	if err != nil {
+		n.forgetVersion(err)
 		return err
 	}
 	n.setWatch(true)
 	defer n.setWatch(false)
 	for event := range events {
-		if event.Type == platform.EventDeleted {
-			// Settings are retired by a tombstone. A deleted object takes nothing out of force.
-			n.Log.WithField("object", event.Object.Name).Warn("settings object was deleted")
-			continue
-		}
-		n.takeObjects([]platform.Object{event.Object})
+		n.takeEvent(event)
 	}
 	if ctx.Err() == nil {
+		// The end may mean that the version is too old, which only a list can settle.
+		n.setVersion("")
 		return protocol.Errorf(protocol.CodeUnavailable, "the watch ended early")
 	}
 	return nil
 }
 
+func (n *Node) listIfNeeded(ctx context.Context) error {
+	n.mu.Lock()
+	needed := n.watch.version == "" || n.Now().Sub(n.watch.listed) > listLifetime
+	n.mu.Unlock()
+	if !needed {
+		return nil
+	}
+	list, err := n.Store.List(ctx, platform.KindSetting, "")
+	if err != nil {
+		return err
+	}
+	n.takeObjects(list.Items)
+	n.Settings.MarkLoaded()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.watch.version, n.watch.listed = list.Version, n.Now()
+	return nil
+}
+
+func (n *Node) takeEvent(event platform.Event) {
+	n.setVersion(event.Object.Version)
+	if event.Type == platform.EventDeleted {
+		// Settings are retired by a tombstone. A deleted object takes nothing out of force.
+		n.Log.WithField("object", event.Object.Name).Warn("settings object was deleted")
+		return
+	}
+	n.takeObjects([]platform.Object{event.Object})
+}
+
+func (n *Node) seenVersion() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.watch.version
+}
+
+func (n *Node) setVersion(version string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.watch.version = version
+}
+
+// forgetVersion makes the next session list when the object API no longer knows the version.
+func (n *Node) forgetVersion(err error) {
+	if protocol.CodeOf(err) == protocol.CodeExpired {
+		n.setVersion("")
+	}
+}
+
 // noteFirstTry starts the clock of a watcher that has not reached the object API yet.
 func (n *Node) noteFirstTry() {
 	n.mu.Lock()
--- a/transport/platform/hosts.go
+++ b/transport/platform/hosts.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
+	"sync"
 
 	"github.com/go-resty/resty/v2"
 
@@ -13,6 +16,11 @@
 // HostListClient implements platform.HostList over HTTP.
 type HostListClient struct {
 	client *resty.Client
+
+	// mu guards the last list and its entity tag, with which an unchanged list is not sent again.
+	mu    sync.Mutex
+	tag   string
+	hosts []core.Host
 }
 
 var _ platform.HostList = (*HostListClient)(nil)
@@ -24,13 +32,23 @@
 
 // Hosts implements platform.HostList.
 func (c *HostListClient) Hosts(ctx context.Context) ([]core.Host, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var hosts []core.Host
-	resp, err := c.client.R().SetContext(ctx).SetResult(&hosts).Get("/v1/hosts")
+	request := c.client.R().SetContext(ctx).SetResult(&hosts)
+	if c.tag != "" {
+		request.SetHeader("If-None-Match", c.tag)
+	}
+	resp, err := request.Get("/v1/hosts")
 	if err != nil {
 		return nil, protocol.Wrap(protocol.CodeUnavailable, err, "read the host list")
 	}
+	if resp.StatusCode() == http.StatusNotModified {
+		return slices.Clone(c.hosts), nil
+	}
 	if err := statusError(resp, protocol.CodeUnavailable); err != nil {
 		return nil, err
 	}
-	return hosts, nil
+	c.tag, c.hosts = resp.Header().Get("ETag"), hosts
+	return slices.Clone(hosts), nil
 }
