Push no member records when processes start

Cause: in a trial with 440 nodes in one process none of the fleet was ready after 40 s. Each node pushed the whole host list after its first read, and each record that an exchange brought from another failure domain was pushed through the domain again.

The first read of the host list is not pushed, and member records from exchanges are left to the exchanges. Documents are still pushed on. The control listener probes idle connections after 30 s instead of 2 s, since the other side probes them.

Ruled out: slower exchanges while starting; the pushes made the load.

--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -338,3 +338,22 @@
 	}
 	require.Greater(t, len(seen), 5, "waits are not spread")
 }
+
+// TestStartOfFleetPushesNoRecords guards against a storm of pushes when many processes start at once.
+func TestStartOfFleetPushesNoRecords(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	f.readLists()
+	for _, from := range f.nodes {
+		for _, to := range f.nodes {
+			if from != to {
+				require.NoError(t, from.exchangeWith(context.Background(), to.Self))
+			}
+		}
+	}
+	for _, n := range f.nodes {
+		require.Empty(t, n.jobs)
+	}
+	f.list.hosts = f.list.hosts[:2]
+	f.readLists()
+	require.NotEmpty(t, f.nodes[0].jobs, "a change of the list is not pushed")
+}
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -128,16 +128,14 @@
 	return reply, nil
 }
 
-// take takes over content that an exchange found missing. What comes from another failure domain is
-// pushed on, because it has likely not reached this one.
+// take takes over content that an exchange found missing. A document from another failure domain is pushed
+// on, because it has likely not reached this one. Member records are left to the exchanges: when many
+// processes start, each record pushed on would cross each failure domain many times.
 func (n *Node) take(from core.FailureDomain, documents []*wire.Document, records []*wire.MemberRecord) {
-	j := job{
-		documents: n.takeDocuments(documentsFromWire(documents)),
-		members:   n.takeMembers(recordsFromWire(records)),
-		root:      true,
-	}
+	taken := n.takeDocuments(documentsFromWire(documents))
+	n.takeMembers(recordsFromWire(records))
 	if from != n.Self.FailureDomain {
-		n.enqueue(j)
+		n.enqueue(job{documents: taken, root: true})
 	}
 }
 
--- a/transport/control/hosts.go
+++ b/transport/control/hosts.go
@@ -48,7 +48,9 @@
 	return len(membership.Sample(hosts, 1, n.Random, n.isPeer)) == 0
 }
 
-// readHosts reads the host list once and pushes what it changes.
+// readHosts reads the host list once and pushes what changed since the last read. The first read is not
+// pushed: peers read the same list, and when a fleet starts, pushes of it from every process at once
+// keep all of them busy.
 func (n *Node) readHosts(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -60,11 +62,15 @@
 	taken := n.view.ReadList(hosts, n.Now())
 	n.digestValid = n.digestValid && len(taken) == 0
 	n.hostsKnown = true
+	first := !n.listRead
+	n.listRead = true
 	n.mu.Unlock()
 	if len(taken) == 0 {
 		return nil
 	}
 	n.publish()
-	n.enqueue(job{members: taken, root: true})
+	if !first {
+		n.enqueue(job{members: taken, root: true})
+	}
 	return nil
 }
--- a/transport/control/node.go
+++ b/transport/control/node.go
@@ -62,6 +62,8 @@
 	// started is when the process started; hostsKnown says that it has learnt of others since.
 	started    time.Time
 	hostsKnown bool
+	// listRead says that this process has read the host list itself.
+	listRead bool
 	// digest caches the versions of the records while digestValid.
 	digest      merge.Held
 	digestAt    time.Time
--- a/transport/daemon/control.go
+++ b/transport/daemon/control.go
@@ -32,6 +32,10 @@
 	})
 }
 
+// listenerPingAfter is the idle time after which the control listener probes a connection. The other side
+// probes sooner.
+const listenerPingAfter = 30 * time.Second
+
 // peerPingAfter is the idle time of a connection between peers after which it is probed. A process keeps
 // about eight such connections, and probes every two seconds would cost as much as the exchanges.
 const peerPingAfter = 10 * time.Second
@@ -59,10 +63,12 @@
 
 // listenControl starts the control listener. With TLS all but health checks needs a client certificate.
 func (p *process) listenControl(handler http.Handler) (*server.Listener, error) {
-	if p.credentials == nil {
-		return server.Listen(p.cfg.Listen.Control, handler)
+	options := server.Options{PingAfter: listenerPingAfter}
+	if p.credentials != nil {
+		handler = server.RequirePeer(handler)
+		options.TLS = p.credentials.Server(tls.VerifyClientCertIfGiven)
 	}
-	return server.ListenTLS(p.cfg.Listen.Control, server.RequirePeer(handler), p.credentials.Server(tls.VerifyClientCertIfGiven))
+	return server.ListenWith(p.cfg.Listen.Control, handler, options)
 }
 
 // listenData starts the data listener. With TLS an agent's needs a client certificate; an entry's serves
@@ -75,7 +81,7 @@
 	if p.cfg.Role == core.RoleEntry {
 		auth = tls.NoClientCert
 	}
-	return server.ListenTLS(p.cfg.Listen.Data, handler, p.credentials.Server(auth))
+	return server.ListenWith(p.cfg.Listen.Data, handler, server.Options{TLS: p.credentials.Server(auth)})
 }
 
 // registerControl adds the calls from other processes to mux.
--- a/transport/server/tls.go
+++ b/transport/server/tls.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -15,31 +16,48 @@
 // openPaths are the endpoints of a control listener that need no client certificate.
 var openPaths = []string{"/healthz", "/readyz"}
 
-// ListenTLS starts serving handler on addr over TLS; a nil cfg means without TLS.
-func ListenTLS(addr string, handler http.Handler, cfg *tls.Config) (*Listener, error) {
-	if cfg == nil {
-		return Listen(addr, handler)
-	}
+// Options are the settings of a listener that differ between its uses.
+type Options struct {
+	// TLS is nil for a listener without TLS.
+	TLS *tls.Config
+	// PingAfter is the idle time of an HTTP/2 connection after which it is probed; 0 means the default.
+	PingAfter time.Duration
+}
+
+// ListenWith starts serving handler on addr.
+func ListenWith(addr string, handler http.Handler, o Options) (*Listener, error) {
 	n, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
+	settings := HTTP2()
+	if o.PingAfter > 0 {
+		settings.SendPingTimeout = o.PingAfter
+	}
 	protocols := Protocols()
-	protocols.SetUnencryptedHTTP2(false)
+	protocols.SetUnencryptedHTTP2(o.TLS == nil)
 	l := &Listener{
 		net: n,
 		http: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: readHeaderTimeout,
 			Protocols:         protocols,
-			HTTP2:             HTTP2(),
-			TLSConfig:         cfg,
+			HTTP2:             settings,
+			TLSConfig:         o.TLS,
 		},
 	}
-	l.wg.Go(func() { _ = l.http.ServeTLS(n, "", "") })
+	l.wg.Go(func() { l.serve(o.TLS != nil) })
 	return l, nil
 }
 
+func (l *Listener) serve(secure bool) {
+	if secure {
+		_ = l.http.ServeTLS(l.net, "", "")
+		return
+	}
+	_ = l.http.Serve(l.net)
+}
+
 // RequirePeer refuses requests without a verified client certificate, except for health checks.
 func RequirePeer(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
