Check that exchanged member records are not pushed on

Cause: the test of a starting fleet passed with the guard removed, because its records all had the same stamp and none was new.

A host that joins late now brings a record that the others lack. With member records pushed on again the test fails ("Should be empty"), as it does when the first read of the host list is pushed.

Ruled out: a test of the whole fleet under load, which would assert on time.

Checked with `go test -count=3 ./transport/control`: passes.

Conclusion: both guards against the storm have a test that fails without them.

--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -343,6 +343,7 @@
 func TestStartOfFleetPushesNoRecords(t *testing.T) {
 	f := newFleet(t, "a", "b", "c")
 	f.readLists()
+	f.add("late", "d")
 	for _, from := range f.nodes {
 		for _, to := range f.nodes {
 			if from != to {
