Read the claim log again before a write from an old view

A view older than 30 minutes is read again before a write. The check after the create stays for a process that is paused in between; its tests now pause the writer there.

Ruled out: two reads of the segment before, because both can be old.

--- a/transport/claims/claims_test.go
+++ b/transport/claims/claims_test.go
@@ -58,7 +58,7 @@
 func (f *fleet) newShard() *shard {
 	cfg := DefaultConfig()
 	return &shard{
-		cfg: cfg, now: func() time.Time { return f.now }, writer: newWriter(f.store, 0, cfg.TTL, f.nonce),
+		cfg: cfg, now: func() time.Time { return f.now }, writer: newWriter(f.store, 0, cfg.TTL, func() time.Time { return f.now }, f.nonce),
 		pacer: limits.NewBucket(f.now, cfg.WritesPerSecond, cfg.WriteBurst),
 	}
 }
@@ -134,9 +134,17 @@
 	require.Equal(t, claims.Granted, f.do(1, f.newClaim("order-1", "a")).outcome)
 }
 
-// TestDeletedSequenceIsNotUsedAgain guards against a writer with an old view that creates a deleted sequence again and
-// takes a key that another writer claimed.
-func TestDeletedSequenceIsNotUsedAgain(t *testing.T) {
+// deleteOld lets a day pass, claims a key through entry 1 and deletes the segments before that claim.
+func (f *fleet) deleteOld(t *testing.T, key string) {
+	f.now = f.now.Add(claims.DefaultTTL + 2*claims.DeleteSlack)
+	require.Equal(t, claims.Granted, f.do(1, f.newClaim(key, "a")).outcome)
+	require.NoError(t, f.shards[1].cleanUp(context.Background()))
+	require.Len(t, f.store.objects, 1, "expired segments are kept")
+}
+
+// TestPausedWriterDoesNotUseADeletedSequence guards against a writer that was paused before its create, creates a deleted
+// sequence again and takes a key that another writer claimed.
+func TestPausedWriterDoesNotUseADeletedSequence(t *testing.T) {
 	for _, seen := range []bool{true, false} {
 		f := newFleet(3)
 		if seen {
@@ -144,13 +152,12 @@
 		} else {
 			require.NoError(t, f.shards[0].writer.load(context.Background()))
 		}
-		for i := range 4 {
-			require.Equal(t, claims.Granted, f.do(1, f.newClaim(fmt.Sprint("old", i), "a")).outcome)
+		f.store.beforeCreate = func() {
+			for i := range 4 {
+				require.Equal(t, claims.Granted, f.do(1, f.newClaim(fmt.Sprint("old", i), "a")).outcome)
+			}
+			f.deleteOld(t, "order-2")
 		}
-		f.now = f.now.Add(claims.DefaultTTL + 2*claims.DeleteSlack)
-		require.Equal(t, claims.Granted, f.do(1, f.newClaim("order-2", "a")).outcome)
-		require.NoError(t, f.shards[1].cleanUp(context.Background()))
-		require.Len(t, f.store.objects, 1, "expired segments are kept")
 		require.Equal(t, claims.InProgress, f.do(0, f.newClaim("order-2", "a")).outcome)
 		require.Equal(t, claims.InProgress, f.do(2, f.newClaim("order-2", "a")).outcome, "log is not readable for a new writer")
 		require.NoError(t, f.shards[2].cleanUp(context.Background()))
@@ -158,6 +165,20 @@
 	}
 }
 
+// TestOldViewIsReadAgainBeforeAWrite guards against a create from a view whose next sequence may be deleted, which a read
+// that is a little old would not show.
+func TestOldViewIsReadAgainBeforeAWrite(t *testing.T) {
+	f := newFleet(2)
+	require.Equal(t, claims.Granted, f.do(0, f.newClaim("order-1", "a")).outcome)
+	for i := range 4 {
+		require.Equal(t, claims.Granted, f.do(1, f.newClaim(fmt.Sprint("old", i), "a")).outcome)
+	}
+	f.deleteOld(t, "order-2")
+	creates := f.shards[0].writer.creates
+	require.Equal(t, claims.InProgress, f.do(0, f.newClaim("order-2", "a")).outcome)
+	require.Equal(t, creates, f.shards[0].writer.creates, "segment was created from an old view")
+}
+
 // TestCleanUpKeepsWhatStillCounts guards against the deletion of claims in force, and of the newest segment, without which
 // the sequence starts again.
 func TestCleanUpKeepsWhatStillCounts(t *testing.T) {
@@ -199,24 +220,22 @@
 	require.EqualValues(t, 5, chain[0].Sequence)
 }
 
-// TestTwoOutdatedWritersDoNotConfirmEachOther guards against a writer with an old view that takes the segment of another
-// such writer for the one that it had read.
-func TestTwoOutdatedWritersDoNotConfirmEachOther(t *testing.T) {
+// TestTwoPausedWritersDoNotConfirmEachOther guards against a paused writer that takes the segment of another such writer
+// for the one that it had read.
+func TestTwoPausedWritersDoNotConfirmEachOther(t *testing.T) {
 	f := newFleet(3)
 	claim := func(entry int, key string) claims.Outcome { return f.do(entry, f.newClaim(key, "a")).outcome }
-	for i := range 6 {
-		require.Equal(t, claims.Granted, claim(1, fmt.Sprint("old", i)))
-		if i == 1 {
-			require.NoError(t, f.shards[0].writer.load(context.Background()))
-		}
-		if i == 2 {
-			require.NoError(t, f.shards[2].writer.load(context.Background()))
+	require.Equal(t, claims.Granted, claim(1, "old1"))
+	require.NoError(t, f.shards[0].writer.load(context.Background()))
+	require.Equal(t, claims.Granted, claim(1, "old2"))
+	require.NoError(t, f.shards[2].writer.load(context.Background()))
+	f.store.beforeCreate = func() { // entry 2 is paused
+		f.store.beforeCreate = func() { // entry 0 is paused
+			require.Equal(t, claims.Granted, claim(1, "old3"))
+			f.deleteOld(t, "order-1")
 		}
+		require.Equal(t, claims.Granted, claim(0, "order-2"), "writer does not recover from its old view")
 	}
-	f.now = f.now.Add(claims.DefaultTTL + 2*claims.DeleteSlack)
-	require.Equal(t, claims.Granted, claim(1, "order-1"))
-	require.NoError(t, f.shards[1].cleanUp(context.Background()))
-	require.Equal(t, claims.Granted, claim(0, "order-2"), "writer does not recover from its old view")
 	require.Equal(t, claims.InProgress, claim(2, "order-1"))
 }
 
--- a/transport/claims/service.go
+++ b/transport/claims/service.go
@@ -87,7 +87,7 @@
 			cfg:    p.Config,
 			now:    p.Now,
 			spin:   func(f func()) { s.drains.Go(f) },
-			writer: newWriter(p.Store, i, p.Config.TTL, uuid.NewString),
+			writer: newWriter(p.Store, i, p.Config.TTL, p.Now, uuid.NewString),
 			pacer:  limits.NewBucket(p.Now(), p.Config.WritesPerSecond, p.Config.WriteBurst),
 		}
 	}
--- a/transport/claims/store_test.go
+++ b/transport/claims/store_test.go
@@ -33,6 +33,8 @@
 	objects map[string]platform.Object
 	history []map[string]platform.Object
 	delayed []platform.Object
+	// beforeCreate runs once before the next create takes effect, as if its writer were paused.
+	beforeCreate func()
 }
 
 const (
@@ -120,6 +122,10 @@
 }
 
 func (s *fakeStore) Create(_ context.Context, object platform.Object) (platform.Object, error) {
+	if pause := s.beforeCreate; pause != nil {
+		s.beforeCreate = nil
+		pause()
+	}
 	fault := s.fault(unavailable, lostDone, lostLater)
 	if fault == unavailable {
 		return platform.Object{}, protocol.Errorf(protocol.CodeUnavailable, "store is down")
--- a/transport/claims/writer.go
+++ b/transport/claims/writer.go
@@ -5,10 +5,11 @@
 // on who writes: only the writer whose create succeeds has a place in the log.
 //
 // Old segments are deleted in ascending order, and never the newest. A writer whose view is so old that its next
-// sequence was already deleted could create that object again. After each create the writer therefore reads the segment
-// before it and compares its nonce; when that is gone or another, the new object is outside the log, and the writer
-// reads the log again. Readers leave such an object out as well, because it is not linked to the newest segment.
-// Reads from the object API must not be older than claims.DeleteSlack for this to hold.
+// sequence was already deleted could create that object again. A segment is deleted at the earliest after the claims in
+// it have expired, so a writer reads the log again when its view is older than maxViewAge. That leaves a process that
+// was paused for a day between the check and the create. After each create the writer therefore reads the segment before
+// it and compares its nonce; when that is gone or another, the new object is outside the log, and the writer reads the
+// log again. Readers leave such an object out as well, because it is not linked to the newest segment.
 package claims
 
 import (
@@ -28,6 +29,9 @@
 	maxTries = 8
 	// maxSteps bounds the segments read one by one before the whole shard is listed.
 	maxSteps = 32
+	// maxViewAge is the age of a view after which the log is read again before a write. Together with the age of what a
+	// read returns it must stay under the time after which segments are deleted.
+	maxViewAge = 30 * time.Minute
 	// shardLabel selects the segments of one shard.
 	shardLabel = "shard"
 )
@@ -37,19 +41,23 @@
 	store    platform.ObjectStore
 	shard    int
 	ttl      time.Duration
+	now      func() time.Time
 	newNonce func() string
 	log      *claims.Log
+	// confirmed is when the view was last known to be the newest.
+	confirmed time.Time
 	// creates counts the creates sent.
 	creates int
 }
 
-func newWriter(store platform.ObjectStore, shard int, ttl time.Duration, newNonce func() string) *writer {
-	return &writer{store: store, shard: shard, ttl: ttl, newNonce: newNonce}
+func newWriter(store platform.ObjectStore, shard int, ttl time.Duration, now func() time.Time, newNonce func() string) *writer {
+	return &writer{store: store, shard: shard, ttl: ttl, now: now, newNonce: newNonce}
 }
 
-// load reads the log unless the writer has a view of it.
+// load reads the log unless the writer has a view of it that is not too old.
 func (w *writer) load(ctx context.Context) error {
-	if w.log != nil {
+	age := w.now().Sub(w.confirmed)
+	if w.log != nil && age >= 0 && age <= maxViewAge {
 		return nil
 	}
 	return w.reload(ctx)
@@ -57,11 +65,12 @@
 
 // reload reads the whole log.
 func (w *writer) reload(ctx context.Context) error {
+	asked := w.now()
 	segments, _, err := w.list(ctx)
 	if err != nil {
 		return err
 	}
-	w.log = claims.Rebuild(w.ttl, segments)
+	w.log, w.confirmed = claims.Rebuild(w.ttl, segments), asked
 	return nil
 }
 
@@ -71,9 +80,11 @@
 		return err
 	}
 	for range maxSteps {
+		asked := w.now()
 		sequence, _ := w.log.Next()
 		segment, err := w.get(ctx, sequence)
 		if protocol.CodeOf(err) == protocol.CodeNotFound {
+			w.confirmed = asked
 			return nil
 		}
 		if err != nil {
@@ -89,10 +100,10 @@
 // commit appends the records that still matter; afterwards the view says which claims were granted. After an error it
 // is not known whether they were appended.
 func (w *writer) commit(ctx context.Context, now time.Time, records []claims.Record) error {
-	if err := w.load(ctx); err != nil {
-		return err
-	}
 	for range maxTries {
+		if err := w.load(ctx); err != nil {
+			return err
+		}
 		due := w.due(now, records)
 		if len(due) == 0 {
 			return nil
