Record a result after the object API comes back

Cause: a result whose record failed once was lost, so the key ended as outcome_unknown although the entry knew how the call had ended.

The caller's answer waits for the first try, at most 2 s; up to 20 more follow without it and end with the process.

Test: go test -run AfterAStoreOutage ./transport/entry (three failed settles).

--- a/transport/entry/claimed.go
+++ b/transport/entry/claimed.go
@@ -14,6 +14,8 @@
 const (
 	// settleTimeout bounds the time that a response waits until its result is recorded.
 	settleTimeout = 2 * time.Second
+	// settleTries bounds the tries to record a result after the first one failed.
+	settleTries = 20
 	// storeRetryAfter is the time after which the object API may answer again.
 	storeRetryAfter = 5 * time.Second
 	// inProgressRetryAfter is the time after which a call in progress may have a result.
@@ -80,13 +82,36 @@
 	h.respond(out, c, err)
 }
 
-// settle records the end of a call even when the caller has gone. A claim that cannot be settled becomes
-// outcome_unknown once the holder's deadline has passed.
+// settle records the end of a call even when the caller has gone. The caller's answer waits for the first try only;
+// further tries go on without it. A claim that is never settled becomes outcome_unknown once the holder's deadline has
+// passed.
 func (h *Handler) settle(ctx context.Context, c call, claim claims.Record, op claims.Op, result *claims.Result) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	first, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
-	if err := h.claims.Settle(ctx, claim, op, result); err != nil {
-		h.log.WithField("request", c.id).WithField("team", c.team).WithField("settle", op).WithError(err).Warn("claim not settled")
+	err := h.claims.Settle(first, claim, op, result)
+	if err == nil {
+		return
+	}
+	h.log.WithField("request", c.id).WithField("team", c.team).WithField("settle", op).WithError(err).Warn("claim not settled")
+	h.background.Go(func() { h.settleLater(claim, op, result) })
+}
+
+// settleLater goes on trying until the claim is settled, the handler closes or settleTries is reached.
+func (h *Handler) settleLater(claim claims.Record, op claims.Op, result *claims.Result) {
+	for range settleTries {
+		timer := time.NewTimer(h.tuning.SettlePause)
+		select {
+		case <-h.closing.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		ctx, cancel := context.WithTimeout(h.closing, settleTimeout)
+		err := h.claims.Settle(ctx, claim, op, result)
+		cancel()
+		if err == nil {
+			return
+		}
 	}
 }
 
--- a/transport/entry/claimed_test.go
+++ b/transport/entry/claimed_test.go
@@ -22,6 +22,9 @@
 	log      *claims.Log
 	sequence uint64
 	down     bool
+	// failSettles is the number of settles that fail.
+	failSettles int
+	settled     chan struct{}
 }
 
 func newFakeClaims() *fakeClaims { return &fakeClaims{log: claims.NewLog(time.Hour)} }
@@ -55,6 +58,13 @@
 func (f *fakeClaims) Settle(_ context.Context, claim claims.Record, op claims.Op, result *claims.Result) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.failSettles > 0 {
+		f.failSettles--
+		return protocol.Errorf(protocol.CodeUnavailable, "store is down")
+	}
+	if f.settled != nil {
+		defer close(f.settled)
+	}
 	if result != nil {
 		bounded := result.Bounded()
 		result = &bounded
@@ -153,3 +163,17 @@
 	require.Equal(t, api.RunDone, got.refusal.Run)
 	require.Equal(t, 1, agent.count())
 }
+
+// TestResultIsRecordedAfterAStoreOutage guards against a key that stays unknown although the result is known.
+func TestResultIsRecordedAfterAStoreOutage(t *testing.T) {
+	h, fake := newClaimHarness(t)
+	h.handler.tuning.SettlePause = time.Millisecond
+	fake.failSettles, fake.settled = 3, make(chan struct{})
+	h.agent("agent-1", "pedidos", 4, whole)
+	require.Equal(t, wholeAnswer, h.order("k1", "a").body)
+	<-fake.settled
+	fake.mu.Lock()
+	fake.settled = nil
+	fake.mu.Unlock()
+	require.Equal(t, "true", h.order("k1", "a").header.Get(headerReplayed))
+}
--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -38,6 +39,11 @@
 	// chooseMu makes choosing an agent and counting the request against it one step.
 	chooseMu sync.Mutex
 	random   *rand.Rand
+
+	// closing ends with Close, which waits for background.
+	closing    context.Context
+	close      context.CancelFunc
+	background sync.WaitGroup
 }
 
 // Parts are the parts that a Handler works with.
@@ -55,7 +61,10 @@
 
 // NewHandler returns a Handler; its Run must run while it serves.
 func NewHandler(p Parts) *Handler {
+	closing, closeNow := context.WithCancel(context.Background())
 	return &Handler{
+		closing:   closing,
+		close:     closeNow,
 		cfg:       p.Config,
 		tuning:    p.Tuning,
 		self:      p.Self,
@@ -78,8 +87,12 @@
 	mux.HandleFunc(servicePrefix, h.serveService)
 }
 
-// Close releases idle connections.
-func (h *Handler) Close() { h.pool.keep(nil) }
+// Close ends what goes on after responses and releases idle connections. No request may be served any more.
+func (h *Handler) Close() {
+	h.close()
+	h.background.Wait()
+	h.pool.keep(nil)
+}
 
 func (h *Handler) serveModel(w http.ResponseWriter, r *http.Request) {
 	id := newRequestID(w)
