--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -26,7 +26,6 @@
 
 func (e *entry) start(ctx context.Context) (controlHandler, dataHandler http.Handler) {
 	heartbeat := entryhttp.NewHeartbeat(e.self, e.members, e.upstreams, e.cfg.Entry.StatusInterval, e.now, e.log)
-	e.loops.Go(func() { heartbeat.Run(ctx) })
 	claims := claimlog.New(claimlog.Parts{
 		Config:  claimlog.DefaultConfig(),
 		Self:    e.self,
@@ -55,6 +54,8 @@
 		Log:       e.log,
 	})
 	handler.Register(dataMux)
+	heartbeat.SetUrgent(handler.Waiting)
+	e.loops.Go(func() { heartbeat.Run(ctx) })
 	e.loops.Go(func() {
 		defer handler.Close()
 		handler.Run(ctx)
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -139,6 +139,19 @@
 	}
 }
 
+// Waiting reports whether requests wait for a slot.
+func (h *Handler) Waiting() bool {
+	d := h.dispatch
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, queue := range d.queues {
+		if queue.fair.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Run gives slots to queued requests as capacity returns, until ctx ends.
 func (h *Handler) Run(ctx context.Context) {
 	ticker := time.NewTicker(dispatchInterval)
--- a/transport/entry/heartbeat.go
+++ b/transport/entry/heartbeat.go
@@ -35,6 +35,8 @@
 	interval  time.Duration
 	now       func() time.Time
 	log       *logrus.Entry
+	// urgent reports whether requests wait for a slot.
+	urgent func() bool
 
 	mu sync.Mutex
 	// due holds when each agent of the subset is asked next.
@@ -54,9 +56,13 @@
 		now:       now,
 		log:       log,
 		due:       make(map[core.HostID]time.Time),
+		urgent:    func() bool { return false },
 	}
 }
 
+// SetUrgent sets what reports that requests wait for a slot; call it before Run.
+func (h *Heartbeat) SetUrgent(urgent func() bool) { h.urgent = urgent }
+
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeat) Run(ctx context.Context) {
 	pool := pond.NewPool(heartbeatWorkers)
@@ -78,6 +84,9 @@
 func (h *Heartbeat) round(ctx context.Context, pool pond.Pool) {
 	subset := routing.Subset(h.self.ID, h.members.List(), routing.MaxAgents)
 	interval := routing.Interval(h.interval, len(subset))
+	if h.urgent() {
+		h.hasten()
+	}
 	listed := make(map[core.HostID]bool, len(subset))
 	group := pool.NewGroup()
 	for _, host := range subset {
@@ -91,6 +100,17 @@
 	h.forget(listed)
 }
 
+// hasten makes the agents due that may have a slot for waiting requests but need a fresh grant: those that are not warm
+// and whose grant has lapsed. They are asked once each tick as long as requests wait.
+func (h *Heartbeat) hasten() {
+	now := h.now()
+	for _, agent := range h.upstreams.List() {
+		if agent.State != core.UpstreamWarm && !now.Before(agent.Grant.Expires) {
+			h.askSoon(agent.Host.ID)
+		}
+	}
+}
+
 // takeDue reports whether an agent is due and sets when it is due next.
 func (h *Heartbeat) takeDue(id core.HostID, interval time.Duration) bool {
 	h.mu.Lock()
--- a/transport/entry/heartbeat_test.go
+++ b/transport/entry/heartbeat_test.go
@@ -24,15 +24,17 @@
 // statusService reports a status with every field at its usual length.
 type statusService struct {
 	wire.Agent
-	leaving atomic.Bool
+	state wire.UpstreamState
+	calls atomic.Int64
 }
 
 func (s *statusService) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+	s.calls.Add(1)
 	digest := strings.Repeat("a", 64)
 	return &wire.StatusResponse{
 		Host: "agent-0001", Incarnation: strings.Repeat("i", 36), Upstream: "guava-llm", Model: "guava",
-		VersionDigest: digest, TargetDigest: digest, State: wire.UpstreamState_UPSTREAM_STATE_WARM,
-		InFlight: 100, Limit: 200, Leaving: s.leaving.Load(), Grant: &wire.Grant{Slots: 100, TtlMillis: 3000},
+		VersionDigest: digest, TargetDigest: digest, State: s.state,
+		InFlight: 100, Limit: 200, Grant: &wire.Grant{Slots: 100, TtlMillis: 3000},
 		ChunksHeld: 4000, ChunksTotal: 4000, OriginBytes: 1 << 40, PeerBytes: 1 << 40,
 	}, nil
 }
@@ -54,41 +56,74 @@
 	return n, err
 }
 
-// TestHeartbeatStaysWithinItsBytes guards against a heartbeat larger than the figure that the interval is computed from.
-func TestHeartbeatStaysWithinItsBytes(t *testing.T) {
-	agent := httptest.NewUnstartedServer(wire.NewAgentServer(&statusService{}))
+// heartbeatHarness is a Heartbeat with one agent and a clock that the test moves.
+type heartbeatHarness struct {
+	*Heartbeat
+	service *statusService
+	bytes   atomic.Int64
+	clock   time.Time
+	pool    pond.Pool
+}
+
+func newHeartbeatHarness(t *testing.T, state wire.UpstreamState) *heartbeatHarness {
+	hh := &heartbeatHarness{service: &statusService{state: state}, clock: time.Now(), pool: pond.NewPool(1)}
+	agent := httptest.NewUnstartedServer(wire.NewAgentServer(hh.service))
 	agent.Config.Protocols = server.Protocols()
 	agent.Start()
-	defer agent.Close()
-	members, upstreams := table.NewMembers(), table.NewUpstreams()
+	members := table.NewMembers()
 	addr := agent.Listener.Addr().String()
 	members.Replace([]core.Host{{ID: "agent-0001", Role: core.RoleAgent, Upstream: "guava-llm", ControlAddr: addr, State: core.HostLeaving}})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	now := time.Now()
 	self := core.Host{ID: "entry-0001", Incarnation: core.Incarnation(strings.Repeat("i", 36))}
-	heartbeat := NewHeartbeat(self, members, upstreams, time.Second, func() time.Time { return now }, logrus.NewEntry(log))
-	var bytes atomic.Int64
-	heartbeat.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	hh.Heartbeat = NewHeartbeat(self, members, table.NewUpstreams(), time.Second, func() time.Time { return hh.clock }, logrus.NewEntry(log))
+	hh.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-		return countedConn{c, &bytes}, err
+		return countedConn{c, &hh.bytes}, err
 	}
-	pool := pond.NewPool(1)
-	defer pool.StopAndWait()
-	defer heartbeat.transport.CloseIdleConnections()
-	heartbeat.round(context.Background(), pool)
-	before := bytes.Load()
+	t.Cleanup(func() {
+		hh.pool.StopAndWait()
+		hh.transport.CloseIdleConnections()
+		agent.Close()
+	})
+	return hh
+}
+
+func (hh *heartbeatHarness) tick(after time.Duration) {
+	hh.clock = hh.clock.Add(after)
+	hh.round(context.Background(), hh.pool)
+}
+
+// TestHeartbeatStaysWithinItsBytes guards against a heartbeat larger than the figure that the interval is computed from.
+func TestHeartbeatStaysWithinItsBytes(t *testing.T) {
+	hh := newHeartbeatHarness(t, wire.UpstreamState_UPSTREAM_STATE_WARM)
+	hh.tick(0)
+	before := hh.bytes.Load()
 	const rounds = 50
 	for range rounds {
-		now = now.Add(time.Second)
-		heartbeat.round(context.Background(), pool)
+		hh.tick(time.Second)
 	}
-	each := (bytes.Load() - before) / rounds
+	each := (hh.bytes.Load() - before) / rounds
 	t.Logf("%d bytes for each heartbeat", each)
 	require.Positive(t, each)
 	require.LessOrEqual(t, each, int64(routing.HeartbeatBytes))
-	require.Equal(t, core.HostLeaving, upstreams.List()[0].Host.State, "state of the host list is lost")
-	members.Replace(nil)
-	heartbeat.round(context.Background(), pool)
-	require.Empty(t, upstreams.List(), "agent that is no longer listed is kept")
+	require.Equal(t, core.HostLeaving, hh.upstreams.List()[0].Host.State, "state of the host list is lost")
+	hh.members.Replace(nil)
+	hh.tick(time.Second)
+	require.Empty(t, hh.upstreams.List(), "agent that is no longer listed is kept")
+}
+
+// TestColdAgentIsAskedWhileRequestsWait guards against requests that wait for a grant which the entry does not ask for,
+// and against more heartbeats than due while none wait.
+func TestColdAgentIsAskedWhileRequestsWait(t *testing.T) {
+	hh := newHeartbeatHarness(t, wire.UpstreamState_UPSTREAM_STATE_COLD)
+	hh.interval = time.Minute
+	hh.tick(0)
+	hh.tick(5 * time.Second)
+	require.EqualValues(t, 1, hh.service.calls.Load())
+	hh.SetUrgent(func() bool { return true })
+	hh.tick(5 * time.Second)
+	require.EqualValues(t, 2, hh.service.calls.Load())
+	hh.tick(time.Second)
+	require.EqualValues(t, 2, hh.service.calls.Load(), "agent with a grant in force was asked again")
 }
