Send prompts with the same prefix to the same agent

Cause: power of two choices spreads requests with one prompt prefix over all agents, so each computes and caches it again.

A completion of at least 256 prompt bytes goes by bounded-load rendezvous hash of team, model and the first 256 bytes, within 1.25 times the average load of the nearest agents with a free slot. The gain in cache hits is not measured.

--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -20,6 +20,8 @@
 	FailureDomains []core.FailureDomain
 	// Exclude lists hosts already tried.
 	Exclude []core.HostID
+	// Affinity names the prompt prefix that an agent may hold in its cache; 0 means none.
+	Affinity Affinity
 }
 
 // Snapshot is the state that a decision is made on.
@@ -34,7 +36,8 @@
 // tiers are the classes of distance: own failure domain, own region, elsewhere.
 const tiers = 3
 
-// Choose returns the agent for a request by power of two choices among the nearest agents with a free slot.
+// Choose returns the agent for a request among the nearest agents with a free slot: by affinity when the request has one,
+// otherwise by power of two choices.
 func Choose(snapshot Snapshot, request Request, random *rand.Rand) (core.AgentStatus, bool) {
 	var byTier [tiers][]core.AgentStatus
 	for _, agent := range snapshot.Agents {
@@ -45,6 +48,9 @@
 		byTier[tier] = append(byTier[tier], agent)
 	}
 	for _, agents := range byTier {
+		if request.Affinity != 0 && len(agents) > 0 {
+			return pickByAffinity(agents, request.Affinity), true
+		}
 		if chosen, ok := pickOfTwo(agents, random); ok {
 			return chosen, true
 		}
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -121,7 +121,8 @@
 		Now: m.now, Agents: m.table.List(), Own: domains[0], OwnRegion: regions[domains[0]],
 		InService: func(d core.FailureDomain) bool { return !m.out[d] },
 	}
-	request := routing.Request{Upstream: upstream, Digest: want, NeedsVersion: true}
+	affinity := routing.Affinity(rapid.IntRange(0, 3).Draw(t, "affinity"))
+	request := routing.Request{Upstream: upstream, Digest: want, NeedsVersion: true, Affinity: affinity}
 	agent, ok := routing.Choose(snapshot, request, m.random)
 	usable := m.usable(want)
 	if !ok {
@@ -224,3 +225,49 @@
 	}
 	return rest
 }
+
+func warmAgents(n, limit int) []core.AgentStatus {
+	var agents []core.AgentStatus
+	for i := range n {
+		host := core.Host{ID: core.HostID(fmt.Sprintf("agent-%d", i)), Upstream: upstream, FailureDomain: domains[0]}
+		agents = append(agents, core.AgentStatus{Host: host, State: core.UpstreamWarm, Limit: limit})
+	}
+	return agents
+}
+
+// TestSamePrefixGoesToTheSameAgent guards against a prompt cache that is spread over all agents, and against one agent that
+// takes more than its share of the load for a popular prefix.
+func TestSamePrefixGoesToTheSameAgent(t *testing.T) {
+	const n, limit = 8, 40
+	random := rand.New(rand.NewPCG(1, 1))
+	agents := warmAgents(n, limit)
+	choose := func(prompt string) int {
+		snapshot := routing.Snapshot{Agents: agents, Own: domains[0], InService: func(core.FailureDomain) bool { return true }}
+		request := routing.Request{Upstream: upstream, Affinity: routing.AffinityOf("litoral", "guava", []byte(prompt))}
+		require.NotZero(t, request.Affinity)
+		chosen, ok := routing.Choose(snapshot, request, random)
+		require.True(t, ok)
+		for i := range agents {
+			if agents[i].Host.ID == chosen.Host.ID {
+				return i
+			}
+		}
+		return -1
+	}
+	used := make(map[int]bool)
+	for p := range 64 {
+		prompt := fmt.Sprintf("%0300d", 0) + "question"
+		prompt = fmt.Sprint(p) + prompt
+		first := choose(prompt)
+		require.Equal(t, first, choose(prompt+"another question"))
+		used[first] = true
+	}
+	require.Len(t, used, n, "prefixes are not spread")
+	popular := fmt.Sprintf("%0300d", 7)
+	for total := 1; total <= n*limit*3/4; total++ {
+		i := choose(popular)
+		agents[i].InFlight++
+		require.LessOrEqual(t, agents[i].InFlight, (total*5+4*n-1)/(4*n), "agent has more than 1.25 times the average, rounded up")
+	}
+	require.Zero(t, routing.AffinityOf("litoral", "guava", []byte("short")))
+}
--- a/transport/entry/call.go
+++ b/transport/entry/call.go
@@ -44,7 +44,9 @@
 		return c, err
 	}
 	var body struct {
-		Model core.Model `json:"model"`
+		Model    core.Model      `json:"model"`
+		Prompt   json.RawMessage `json:"prompt"`
+		Messages json.RawMessage `json:"messages"`
 	}
 	if err := json.Unmarshal(c.body, &body); err != nil {
 		return c, badRequest("body is not valid JSON: %v", err)
@@ -60,6 +62,7 @@
 			Digest:         m.VersionDigest,
 			NeedsVersion:   true,
 			FailureDomains: team.FailureDomains,
+			Affinity:       routing.AffinityOf(c.team, m.Name, append(body.Messages, body.Prompt...)),
 		}
 		return c, nil
 	}
