--- a/coordination/limits/limits_test.go
+++ b/coordination/limits/limits_test.go
@@ -190,3 +190,19 @@
 	require.Equal(t, limits.ReasonCapacity, reason)
 	require.GreaterOrEqual(t, after, 3*time.Second)
 }
+
+// BenchmarkServeWith1000Waiting shows the cost of giving one slot while 1000 requests of ten teams wait.
+func BenchmarkServeWith1000Waiting(b *testing.B) {
+	queue := limits.NewQueue(limits.QueueConfig{MaxWait: time.Hour})
+	push := func(id int) {
+		item := limits.Item{ID: limits.ItemID(id), Team: core.Team(fmt.Sprint(id % 10)), Weight: 1, Length: 1000, Deadline: start.Add(time.Hour)}
+		queue.Push(start, item)
+	}
+	for i := range 1000 {
+		push(i)
+	}
+	for i := 1000; b.Loop(); i++ {
+		queue.Served(start, queue.Order()[0])
+		push(i)
+	}
+}
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -61,7 +61,7 @@
 		handler.Run(ctx)
 	})
 	admin.NewHandler(e.store, e.settings, e.cfg.Entry.AdminTokenHashes, e.log).Register(dataMux)
-	return controlMux, dataMux
+	return controlMux, entryhttp.WithRequestID(dataMux)
 }
 
 // leave turns the entry not ready; the data listener's shutdown finishes the requests in flight.
--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -118,8 +118,19 @@
 	h.run(w, r, c)
 }
 
-// newRequestID draws a request ID and puts it on the response, whatever that becomes.
+// WithRequestID puts a request ID on every response of next, also on those that no handler of the callers' API gives.
+func WithRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		newRequestID(w)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// newRequestID returns the request ID that is on the response, and draws one when there is none.
 func newRequestID(w http.ResponseWriter) core.RequestID {
+	if id := w.Header().Get(headerRequestID); id != "" {
+		return core.RequestID(id)
+	}
 	id := core.RequestID(uuid.NewString())
 	w.Header().Set(headerRequestID, string(id))
 	return id
--- a/transport/entry/harness_test.go
+++ b/transport/entry/harness_test.go
@@ -54,14 +54,14 @@
 type script func(out *frame.Writer, w http.ResponseWriter, r *http.Request)
 
 type harness struct {
-	t         *testing.T
+	t         testing.TB
 	handler   *Handler
 	settings  *table.Settings
 	upstreams *table.Upstreams
 	url       string
 }
 
-func newHarness(t *testing.T, tune func(*Tuning)) *harness {
+func newHarness(t testing.TB, tune func(*Tuning)) *harness {
 	tuning := DefaultTuning()
 	if tune != nil {
 		tune(&tuning)
@@ -90,7 +90,7 @@
 	loop.Go(func() { h.handler.Run(ctx) })
 	mux := http.NewServeMux()
 	h.handler.Register(mux)
-	entry := httptest.NewServer(mux)
+	entry := httptest.NewServer(WithRequestID(mux))
 	h.url = entry.URL
 	h.t.Cleanup(func() {
 		entry.Close()
--- a/transport/entry/refusals_test.go
+++ b/transport/entry/refusals_test.go
@@ -48,6 +48,28 @@
 	}
 }
 
+// TestUnknownPathHasARequestID guards against responses outside the callers' API that cannot be found in the logs.
+func TestUnknownPathHasARequestID(t *testing.T) {
+	h := newHarness(t, nil)
+	got := h.post("/v2/unknown", "")
+	require.Equal(t, http.StatusNotFound, got.status)
+	require.NotEmpty(t, got.header.Get(headerRequestID))
+}
+
+// BenchmarkCompletion shows the time of a small completion through the entry over loopback.
+func BenchmarkCompletion(b *testing.B) {
+	h := newHarness(b, nil)
+	h.team(settings.TeamLimits{RequestsPerSecond: 1e9, Burst: 1e9, QueueLength: 100})
+	for _, id := range []string{"agent-1", "agent-2", "agent-3"} {
+		h.agent(id, "guava-llm", 1000, whole)
+	}
+	for b.Loop() {
+		if got := h.post(modelPath, modelBody); got.status != http.StatusOK {
+			b.Fatal(got.body)
+		}
+	}
+}
+
 func requireRetryAfter(t *testing.T, got answer) {
 	t.Helper()
 	seconds, err := strconv.Atoi(got.header.Get("Retry-After"))
