--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -25,7 +25,6 @@
 
 func (e *entry) start(ctx context.Context) (controlHandler, dataHandler http.Handler) {
 	heartbeat := entryhttp.NewHeartbeat(e.self, e.members, e.upstreams, e.cfg.Entry.StatusInterval, e.now, e.log)
-	e.loops.Go(func() { heartbeat.Run(ctx) })
 	claims := claimlog.New(claimlog.Parts{
 		Config:  claimlog.DefaultConfig(),
 		Self:    e.self,
@@ -55,12 +54,14 @@
 		Log:       e.log,
 	})
 	handler.Register(dataMux)
+	heartbeat.SetUrgent(handler.Waiting)
+	e.loops.Go(func() { heartbeat.Run(ctx) })
 	e.newAdmin().Register(dataMux)
 	e.loops.Go(func() {
 		defer handler.Close()
 		handler.Run(ctx)
 	})
-	return controlMux, dataMux
+	return controlMux, entryhttp.WithRequestID(dataMux)
 }
 
 // leave turns the entry not ready; the data listener's shutdown finishes the requests in flight.
--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -38,6 +39,11 @@
 	// chooseMu makes choosing an agent and counting the request against it one step.
 	chooseMu sync.Mutex
 	random   *rand.Rand
+
+	// closing ends with Close, which waits for background.
+	closing    context.Context
+	close      context.CancelFunc
+	background sync.WaitGroup
 }
 
 // Parts are the parts that a Handler works with.
@@ -55,7 +61,10 @@
 
 // NewHandler returns a Handler; its Run must run while it serves.
 func NewHandler(p Parts) *Handler {
+	closing, closeNow := context.WithCancel(context.Background())
 	return &Handler{
+		closing:   closing,
+		close:     closeNow,
 		cfg:       p.Config,
 		tuning:    p.Tuning,
 		self:      p.Self,
@@ -78,8 +87,12 @@
 	mux.HandleFunc(servicePrefix, h.serveService)
 }
 
-// Close releases idle connections.
-func (h *Handler) Close() { h.pool.keep(nil) }
+// Close ends what goes on after responses and releases idle connections. No request may be served any more.
+func (h *Handler) Close() {
+	h.close()
+	h.background.Wait()
+	h.pool.keep(nil)
+}
 
 func (h *Handler) serveModel(w http.ResponseWriter, r *http.Request) {
 	id := newRequestID(w)
@@ -105,8 +118,19 @@
 	h.run(w, r, c)
 }
 
-// newRequestID draws a request ID and puts it on the response, whatever that becomes.
+// WithRequestID puts a request ID on every response of next, also on those that no handler of the callers' API gives.
+func WithRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		newRequestID(w)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// newRequestID returns the request ID that is on the response, and draws one when there is none.
 func newRequestID(w http.ResponseWriter) core.RequestID {
+	if id := w.Header().Get(headerRequestID); id != "" {
+		return core.RequestID(id)
+	}
 	id := core.RequestID(uuid.NewString())
 	w.Header().Set(headerRequestID, string(id))
 	return id
