Let a second holder load only while enough hosts serve

Cause: the limit of holders came from the host list alone, so dead or empty back ends counted as warm. Waiting hosts also asked for a permit at every poll interval, which for 1,400 hosts exceeds the object API's 2,000 reads a second (computed, not measured).

A holder beside others now counts the hosts without a lease that report a complete version and gives its lease back when fewer than min_warm do. Tries are spaced by a jittered pause that grows with the group. A leaving agent does not load.

Guard removed once (go test ./transport/weights -run SecondHolder): "Should be zero, but was 1".

--- a/coordination/activation/permit.go
+++ b/coordination/activation/permit.go
@@ -40,6 +40,8 @@
 type Holding struct {
 	Lease    Lease
 	Deadline time.Time
+	// Others lists the hosts that held leases of the permit when this lease was granted.
+	Others []core.HostID
 }
 
 // NewHolding returns the holding of a lease whose write was sent at the given time.
@@ -54,6 +56,10 @@
 // one, because a rollout to a group that is too small would otherwise never end.
 func Limit(size, minWarm int) int { return max(size-minWarm, 1) }
 
+// Proceed reports whether a holder may load while others hold leases too: enough hosts that hold
+// none must serve. A single holder always may, because a rollout would otherwise never end.
+func Proceed(others, serving, minWarm int) bool { return others == 0 || serving >= minWarm }
+
 // Find returns the lease with a nonce.
 func (p Permit) Find(nonce string) (Lease, bool) {
 	for _, lease := range p.Leases {
--- a/transport/daemon/weights.go
+++ b/transport/daemon/weights.go
@@ -36,7 +36,7 @@
 		Peers:    peers,
 		Limits:   limits,
 		Counters: counters,
-		Random:   rand.New(rand.NewPCG(a.random.Uint64(), a.random.Uint64())),
+		Random:   a.newRandom(),
 		Now:      a.now,
 		Log:      a.log,
 	})
@@ -54,6 +54,7 @@
 		Gate:     a.gate,
 		Monitor:  a.monitor,
 		Interval: cfg.PollInterval,
+		Random:   a.newRandom(),
 		Now:      a.now,
 		Log:      a.log,
 	})
@@ -61,6 +62,11 @@
 	return weightParts{rollout: rollout, handler: handler, peers: peers}
 }
 
+// newRandom returns a random source of its own, seeded from the process's source.
+func (a *agent) newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(a.random.Uint64(), a.random.Uint64()))
+}
+
 // withdrawn reports whether a version of the upstream's model was withdrawn.
 func (a *agent) withdrawn(digest core.Digest) bool {
 	return a.settings.Tree().Upstreams[a.self.Upstream].IsWithdrawn(digest)
--- a/transport/weights/activate.go
+++ b/transport/weights/activate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,21 +18,31 @@
 	renewalsPerLease = 3
 	// warmPoll is the time between two looks at the gate while the back end warms up.
 	warmPoll = 100 * time.Millisecond
+	// minPermitPause is the least upper bound of the pause between two tries to get a permit.
+	minPermitPause = 500 * time.Millisecond
+	// permitPausePerHost keeps the tries of a failure domain to about 27 a second.
+	permitPausePerHost = 50 * time.Millisecond
 	// drainPoll is the time between two looks at the requests in flight before a load order.
 	drainPoll = 20 * time.Millisecond
 )
 
 // activate loads a complete version into the engine under a permit.
 func (r *Rollout) activate(ctx context.Context, digest core.Digest) error {
+	now := r.parts.Now()
+	if r.parts.Gate.Snapshot().Leaving || now.Before(r.permitAfter) {
+		return nil
+	}
 	if err := r.verify(digest); err != nil {
 		return err
 	}
+	r.permitAfter = now.Add(r.permitPause())
 	if r.mayLoadFreely(ctx) {
 		return r.loadFreely(ctx, digest)
 	}
 	limit := activation.Limit(r.groupSize(), r.spec().MinWarm)
 	holding, ok, err := r.parts.Permits.Acquire(ctx, digest, limit)
 	if err != nil {
+		r.permitAfter = now.Add(max(r.permitPause(), retryAfterOf(err)))
 		return eris.Wrap(err, "acquire activation permit")
 	}
 	if !ok {
@@ -66,6 +77,10 @@
 	defer renewals.Wait()
 	defer cancel()
 	renewals.Go(func() { r.renew(ctx, holding) })
+	if !r.enoughServe(ctx, holding) {
+		r.reason.Store(reasonPermit)
+		return nil
+	}
 	err := r.load(ctx, digest, func(ctx context.Context) (uint64, error) { return r.confirm(ctx, holding) })
 	if err != nil {
 		return err
@@ -74,6 +89,31 @@
 	return nil
 }
 
+// permitPause returns a jittered pause that grows with the group, so that the calls of all waiting
+// hosts stay well under what the object API bears.
+func (r *Rollout) permitPause() time.Duration {
+	longest := max(minPermitPause, time.Duration(r.groupSize())*permitPausePerHost)
+	return longest/2 + time.Duration(r.parts.Random.Int64N(int64(longest/2)+1))
+}
+
+// enoughServe reports whether enough hosts without a lease serve for this host to load.
+func (r *Rollout) enoughServe(ctx context.Context, holding activation.Holding) bool {
+	minWarm := r.spec().MinWarm
+	serving := 0
+	for _, host := range r.group() {
+		if activation.Proceed(len(holding.Others), serving, minWarm) {
+			return true
+		}
+		if slices.Contains(holding.Others, host.ID) {
+			continue
+		}
+		if serves, err := r.parts.Peers.Serves(ctx, host); err == nil && serves {
+			serving++
+		}
+	}
+	return activation.Proceed(len(holding.Others), serving, minWarm)
+}
+
 // confirm returns the fencing token of a lease. The renewal proves that the lease was not taken as
 // lapsed meanwhile.
 func (r *Rollout) confirm(ctx context.Context, holding activation.Holding) (uint64, error) {
--- a/transport/weights/fetch.go
+++ b/transport/weights/fetch.go
@@ -182,7 +182,9 @@
 		held, err = r.fromPeer(ctx, fetch, peer)
 	}
 	result := transfer.Result{Fetch: fetch, Outcome: outcomeOf(err), RetryAfter: retryAfterOf(err)}
-	if err != nil && ctx.Err() == nil {
+	if err == nil {
+		r.reason.Store("")
+	} else if ctx.Err() == nil {
 		r.reason.Store(err.Error())
 		r.parts.Log.WithError(err).WithField("chunk", fetch.Index).WithField("peer", fetch.Source.Peer).Info("fetch chunk")
 	}
--- a/transport/weights/permits.go
+++ b/transport/weights/permits.go
@@ -46,11 +46,19 @@
 		Host: p.host.ID, Incarnation: p.host.Incarnation, Nonce: p.nonce(), Digest: digest,
 	}
 	free := true
+	var others []core.HostID
 	holding, err := p.change(ctx, func(permit activation.Permit) (activation.Permit, activation.Lease, bool) {
 		next, lease, ok := p.observer.Acquire(p.now(), permit, want, limit)
 		free = ok
+		others = nil
+		for _, held := range next.Leases {
+			if held.Nonce != want.Nonce {
+				others = append(others, held.Host)
+			}
+		}
 		return next, lease, ok
 	})
+	holding.Others = others
 	if !free {
 		return activation.Holding{}, false, nil
 	}
--- a/transport/weights/rollout.go
+++ b/transport/weights/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,8 @@
 	reason atomic.Value
 	// verified is the version whose whole content was checked last.
 	verified core.Digest
+	// permitAfter is the time before which no permit is asked for.
+	permitAfter time.Time
 }
 
 // RolloutParts are the parts that a Rollout works with.
@@ -47,8 +50,10 @@
 	Gate     *upstream.Gate
 	Monitor  *upstream.Monitor
 	Interval time.Duration
-	Now      func() time.Time
-	Log      *logrus.Entry
+	// Random is used by the goroutine of Run alone and must not be shared.
+	Random *rand.Rand
+	Now    func() time.Time
+	Log    *logrus.Entry
 }
 
 var _ upstream.TransferReporter = (*Rollout)(nil)
--- a/transport/weights/rollout_test.go
+++ b/transport/weights/rollout_test.go
@@ -66,6 +66,8 @@
 	spec     settings.UpstreamSettings
 	version  uint64
 	bodies   map[core.Digest][]byte
+	now      time.Time
+	hosts    []core.Host
 }
 
 // memorySource serves versions.
@@ -92,7 +94,7 @@
 	log.SetOutput(io.Discard)
 	entry := logrus.NewEntry(log)
 	s := &site{
-		store: &memoryStore{}, engine: &memoryEngine{status: platform.EngineStatus{BootID: "b"}},
+		now: time.Unix(1000, 0), store: &memoryStore{}, engine: &memoryEngine{status: platform.EngineStatus{BootID: "b"}},
 		settings: table.NewSettings(), chunks: table.NewChunks(), bodies: map[core.Digest][]byte{},
 		source: &memorySource{manifests: map[string][]byte{}, bodies: map[string][]byte{}},
 		spec:   settings.UpstreamSettings{Kind: settings.KindModel, Model: "m", ColdLimit: 1, WarmLimit: 1},
@@ -104,7 +106,7 @@
 	cfg := config.Agent{Transfer: transferDefaults()}
 	cfg.Transfer.RetryBase, cfg.Transfer.RetryCap = 2, 4
 	counters := &Counters{}
-	hosts := func() []core.Host { return nil }
+	hosts := func() []core.Host { return s.hosts }
 	nonce := 0
 	s.rollout = NewRollout(RolloutParts{
 		Self: self, Config: config.Activation{LeaseTTL: time.Hour, OrderTimeout: time.Minute},
@@ -115,9 +117,9 @@
 			Limits: NewLimits(cfg, func() bool { return false }), Counters: counters,
 			Random: rand.New(rand.NewPCG(1, 1)), Now: time.Now, Log: entry,
 		}),
-		Permits: NewPermits(s.store, self, time.Hour, func() string { nonce++; return string(rune('a' + nonce)) }, time.Now),
+		Permits: NewPermits(s.store, self, time.Hour, func() string { nonce++; return string(rune('a' + nonce)) }, func() time.Time { return s.now }),
 		Peers:   NewPeerClient(self), Engine: s.engine, Gate: s.gate, Monitor: monitor, Interval: time.Second,
-		Now: time.Now, Log: entry,
+		Random: rand.New(rand.NewPCG(2, 2)), Now: func() time.Time { return s.now }, Log: entry,
 	})
 	return s
 }
@@ -173,6 +175,7 @@
 				}
 				loads, down := s.engine.loadCount, s.store.down
 				before, withdrawn := s.engine.status, slices.Clone(s.spec.Withdrawn)
+				s.now = s.now.Add(time.Second)
 				_ = s.rollout.step(context.Background())
 				if down && before.Digest != "" {
 					require.Equal(t, loads, s.engine.loadCount, "load without a permit while the platform is down")
@@ -209,3 +212,33 @@
 	require.ErrorContains(t, s.rollout.step(t.Context()), "has content")
 	require.Zero(t, s.engine.loadCount)
 }
+
+// TestSecondHolderWaitsForServingHosts guards against a second load at once while too few others serve.
+func TestSecondHolderWaitsForServingHosts(t *testing.T) {
+	s := newSite()
+	s.engine.status.Digest = "old"
+	s.rollout.parts.Monitor.Poll(t.Context())
+	for _, id := range []core.HostID{"dead", "other"} {
+		s.hosts = append(s.hosts, core.Host{
+			ID: id, Role: core.RoleAgent, Upstream: "u", FailureDomain: "d", Region: "r", ControlAddr: "127.0.0.1:1",
+		})
+	}
+	other := s.hosts[1]
+	other.Incarnation = "2"
+	permits := NewPermits(s.store, other, time.Hour, func() string { return "other" }, time.Now)
+	holding, ok, err := permits.Acquire(t.Context(), "d", 1)
+	require.NoError(t, err)
+	require.True(t, ok)
+	digest := s.publish("v1", []byte("contents"))
+	s.spec.MinWarm = 1
+	s.spec.Target = &settings.VersionRef{Version: "v1", Digest: digest}
+	s.apply()
+	s.now = s.now.Add(time.Second)
+	s.rollout.parts.Fetcher.parts.Config.Strategy = transfer.StrategyDirect
+	require.NoError(t, s.rollout.step(t.Context()))
+	require.Zero(t, s.engine.loadCount)
+	require.NoError(t, permits.Release(t.Context(), holding))
+	s.now = s.now.Add(time.Second)
+	require.NoError(t, s.rollout.step(t.Context()))
+	require.Equal(t, 1, s.engine.loadCount)
+}
