Clear the behind reason once a version serves

Cause: an agent that had loaded the target still reported "loading the version into the engine" while it kept its permit for the warm-up.

--- a/transport/weights/activate.go
+++ b/transport/weights/activate.go
@@ -183,6 +183,7 @@
 	if !r.serves(digest) {
 		return eris.Errorf("the engine does not report version %s complete after the load order", digest)
 	}
+	r.reason.Store("")
 	return nil
 }
 
