Pace the takeover of other hosts' chunks

The owners waited in backoff while others took their turn, and fetched faster than polls could show that several of them did the same.

A host takes over one chunk of others per poll interval. Ruled out: sorting own chunks first alone; removing that order changed no result.

--- a/coordination/transfer/planner.go
+++ b/coordination/transfer/planner.go
@@ -47,6 +47,8 @@
 	originActive int
 	originFaults int
 	originAfter  time.Time
+	// takeOverAfter is the time before which no chunk of another host is fetched from the origin.
+	takeOverAfter time.Time
 }
 
 // New returns a Planner for target that holds no chunk and knows no peer.
@@ -302,10 +304,14 @@
 		return nil
 	}
 	var fetches []Fetch
-	for _, index := range p.originOrder(now) {
+	own, others := p.originOrder(now)
+	for i, index := range append(own, others...) {
 		if p.originActive >= p.originSlots() || len(p.active) >= p.cfg.DownloadSlots {
 			break
 		}
+		if i >= len(own) {
+			p.takeOverAfter = now.Add(p.cfg.PollInterval)
+		}
 		p.originActive++
 		fetches = append(fetches, p.start(index, Source{}, false))
 	}
@@ -325,12 +331,9 @@
 	return true
 }
 
-// originOrder returns the missing chunks that this host may fetch from the origin.
-//
-// Chunks for which it ranks first come first: when the origin returns after an outage every host
-// has its turn for every chunk, and this order keeps their first fetches apart.
-func (p *Planner) originOrder(now time.Time) []int {
-	var own, others []int
+// originOrder returns the missing chunks that this host may fetch from the origin: its own, for
+// which it ranks first, and at most one of others.
+func (p *Planner) originOrder(now time.Time) (own, others []int) {
 	for index, held := range p.held {
 		if _, active := p.active[index]; held || active || p.reachable(now, index) {
 			continue
@@ -343,8 +346,16 @@
 			others = append(others, index)
 		}
 	}
-	p.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return append(own, others...)
+	return own, p.takeOver(now, others)
+}
+
+// takeOver returns at most one of the chunks of other hosts, and none before the next polls can
+// have shown what the others do meanwhile.
+func (p *Planner) takeOver(now time.Time, chunks []int) []int {
+	if len(chunks) == 0 || now.Before(p.takeOverAfter) {
+		return nil
+	}
+	return []int{chunks[p.random.IntN(len(chunks))]}
 }
 
 // reachable reports whether a peer that is not avoided holds a chunk.
--- a/coordination/transfer/planner_test.go
+++ b/coordination/transfer/planner_test.go
@@ -100,7 +100,9 @@
 		chunks := rapid.IntRange(20, 60).Draw(t, "chunks")
 		f := newFleet(t, rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(1, 8).Draw(t, "hosts"), chunks)
 		f.originDown = true
-		f.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "outage")) * time.Second)
+		// An outage of about TakeOver catches owners in backoff while the turn of others begins.
+		outage := rapid.OneOf(rapid.IntRange(2, 5), rapid.IntRange(1, 60)).Draw(t, "outage")
+		f.run(time.Duration(outage) * time.Second)
 		f.originDown = false
 		for end := f.now.Add(10 * time.Minute); len(f.unfinished()) > 0; {
 			require.True(t, f.now.Before(end), "not finished: %v", f.unfinished())
