Close idle peer connections when the rollout ends

Cause: the agent kept the peer client but never closed its idle connections.

Conclusion: make lint, go test ./transport/... and make demo pass.

--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -47,7 +47,7 @@
 	a.loops.Go(func() { a.followSettings(ctx) })
 	parts := a.newWeights()
 	if a.cfg.Platform.WeightSource != "" {
-		a.loops.Go(func() { parts.rollout.Run(ctx) })
+		a.loops.Go(func() { parts.run(ctx) })
 	}
 	service := upstream.NewService(a.self, a.settings, a.chunks, a.gate)
 	service.ReportTransfer(parts.rollout)
--- a/transport/daemon/weights.go
+++ b/transport/daemon/weights.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"math/rand/v2"
 
 	"github.com/google/uuid"
@@ -18,6 +19,12 @@
 	peers   *weights.PeerClient
 }
 
+// run rolls out versions until ctx ends.
+func (w weightParts) run(ctx context.Context) {
+	defer w.peers.Close()
+	w.rollout.Run(ctx)
+}
+
 // newWeights puts the weight transfer and the activation of an agent together.
 func (a *agent) newWeights() weightParts {
 	cfg := *a.cfg.Agent
