--- a/transport/upstream/harness_test.go
+++ b/transport/upstream/harness_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/guavatrestle/guavatrestle/coordination/admission"
+	"github.com/guavatrestle/guavatrestle/internal/proptest"
 	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/protocol/frame"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
@@ -26,7 +27,17 @@
 	"github.com/guavatrestle/guavatrestle/transport/upstream"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) { goleak.VerifyTestMain(seeded{m}) }
+
+// seeded sets the seed of the property tests before the tests run.
+type seeded struct{ *testing.M }
+
+func (s seeded) Run() int {
+	if err := proptest.Configure(); err != nil {
+		panic(err)
+	}
+	return s.M.Run()
+}
 
 // patient is a timing that no test reaches.
 var patient = upstream.Timing{KeepAlive: time.Minute, Progress: time.Minute}
