Bound an upload that goes silent over HTTP/1.1

Cause: the agent waited for ever for the rest of a request body when its entry went silent; pings find that only over HTTP/2.

Change: the request's deadline bounds reads too.

Ruled out: lifting the bounds in the handler; net/http lifts them after the request, and a lifted read bound let it wait for the rest of the body.

Without the bound TestSilentUploadEndsAfterItsDeadline does not end in 10 s (go test -timeout 10s -run SilentUpload ./transport/upstream).

Conclusion: go test -race ./transport/upstream passes in 5 s.

--- a/transport/upstream/handler.go
+++ b/transport/upstream/handler.go
@@ -54,7 +54,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	defer h.limitWrites(w, r.Header.Get(api.HeaderDeadline))()
+	h.limitTransfer(w, r.Header.Get(api.HeaderDeadline))
 	out := frame.NewWriter(flushWriter{w}, core.RequestID(r.Header.Get(api.HeaderRequestID)))
 	end := h.serve(w, r, out)
 	if end.gone {
@@ -102,18 +102,19 @@
 	return end
 }
 
-// limitWrites bounds writes to an entry that went silent over HTTP/1.1, where no ping finds out; it returns the undo.
-func (h *Handler) limitWrites(w http.ResponseWriter, value string) func() {
+// limitTransfer bounds reads from and writes to an entry that went silent over HTTP/1.1, where no ping finds out. The
+// server lifts both bounds after the request. A write gets longer, so that a read that ran out of time can be refused.
+func (h *Handler) limitTransfer(w http.ResponseWriter, value string) {
 	deadline, err := time.Parse(time.RFC3339Nano, value)
 	if err != nil {
-		return func() {}
+		return
 	}
-	controller := http.NewResponseController(w)
 	if now := h.parts.Gate.now(); deadline.Before(now) {
 		deadline = now
 	}
-	_ = controller.SetWriteDeadline(deadline.Add(lastFrameTime))
-	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(deadline.Add(lastFrameTime))
+	_ = controller.SetWriteDeadline(deadline.Add(2 * lastFrameTime))
 }
 
 // flushWriter flushes after every write, so that each frame reaches the entry at once.
--- a/transport/upstream/handler_test.go
+++ b/transport/upstream/handler_test.go
@@ -1,9 +1,11 @@
 package upstream_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -112,6 +114,23 @@
 	}
 }
 
+// TestSilentUploadEndsAfterItsDeadline guards against a handler that waits for ever for the rest of a request body.
+func TestSilentUploadEndsAfterItsDeadline(t *testing.T) {
+	b := started(t, "a", answerOK)
+	a := newAgent(t, b.URL, patient)
+	a.monitor.Poll(t.Context())
+	conn, err := net.Dial("tcp", a.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /call HTTP/1.1\r\nHost: agent\r\nContent-Length: 10\r\n%s: %s\r\n\r\nhalf",
+		api.HeaderDeadline, time.Now().Format(time.RFC3339Nano))
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.Equal(t, wire.Run_RUN_NOT_RUN, readFrames(newReader(response.Body)).refusal.GetRun())
+}
+
 // TestGoneEntryCancelsTheBackEnd guards against work that goes on after its entry went away.
 func TestGoneEntryCancelsTheBackEnd(t *testing.T) {
 	arrived, cancelled := make(chan struct{}), make(chan struct{})
