Check the gate's offers against the modelled back end

Cause: the tests checked how free slots are split, but not that the gate passes on the right number of them.

Change: the property test asks the gate for offers. An offer is 0 while the gate must be closed, and otherwise at most what the modelled back end has free.

--- a/coordination/admission/gate_test.go
+++ b/coordination/admission/gate_test.go
@@ -157,6 +157,14 @@
 				w.admit(t)
 			}
 		},
+		"offer": func(t *rapid.T) {
+			grant := w.gate.Offer(w.now, rapid.SampledFrom([]core.HostID{"entry-1", "entry-2"}).Draw(t, "entry"))
+			if !w.mayAdmit() {
+				require.Zero(t, grant.Slots, "offered work while the gate must be closed")
+			} else if w.readBoot == w.boot {
+				require.LessOrEqual(t, grant.Slots, max(w.bound()-w.atBackEnd(), 0), "offered more than the free slots")
+			}
+		},
 		"cancel": func(t *rapid.T) {
 			if i, ok := w.pick(t, false); ok {
 				w.gate.Finish(w.now, w.requests[i].ticket, admission.OutcomeNeutral)
