Test the callers' oracle and report unfinished rollouts as such

The oracle that judges responses had no test of its own, and a rollout that hit its limit reported the limit as seconds_to_all with a ratio below 1. Times that were not reached are now null.

--- /dev/null
+++ b/bench/caller/caller_test.go
@@ -0,0 +1,75 @@
+package caller_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/guavatrestle/guavatrestle/bench/caller"
+)
+
+// TestMain guards against goroutines that outlive their owner.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	prompt = "quote"
+	tokens = 3
+)
+
+func event(index int, text string) string {
+	return fmt.Sprintf("data: {\"index\":%d,\"digest\":\"d\",\"text\":%q}\n\n", index, text)
+}
+
+// TestBrokenResponsesAreNotTakenForWhole guards against an oracle that lets a short, mixed up or broken response pass.
+func TestBrokenResponsesAreNotTakenForWhole(t *testing.T) {
+	const done = "data: [DONE]\n\n"
+	whole := event(0, prompt) + event(1, prompt) + event(2, prompt) + done
+	cases := map[string]struct {
+		status int
+		body   string
+		abort  bool
+		want   caller.Kind
+	}{
+		"whole":               {200, whole, false, caller.Succeeded},
+		"no end":              {200, strings.TrimSuffix(whole, done), false, caller.Short},
+		"lost event":          {200, event(0, prompt) + event(2, prompt) + done, false, caller.Short},
+		"another's event":     {200, event(0, prompt) + event(1, "other") + event(2, prompt) + done, false, caller.Short},
+		"repeated event":      {200, event(0, prompt) + event(1, prompt) + event(1, prompt) + done, false, caller.Short},
+		"broken connection":   {200, event(0, prompt), true, caller.CutOff},
+		"refusal not run":     {503, `{"code":"no_capacity","run":"not_run"}`, false, caller.Refused},
+		"refusal unknown":     {502, `{"code":"upstream_failed","run":"unknown"}`, false, caller.Failed},
+		"error without a run": {500, `internal error`, false, caller.Failed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+				if c.abort {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer web.Close()
+			client := caller.New(false)
+			defer client.Close()
+			out := client.Do(t.Context(), caller.Stream(web.URL, "token", "model", prompt, tokens))
+			require.Equal(t, c.want, out.Kind, out.Detail)
+		})
+	}
+}
+
+// TestClosedListenerIsUnsent guards against a request that no connection took and that counts as cut off.
+func TestClosedListenerIsUnsent(t *testing.T) {
+	web := httptest.NewServer(http.NotFoundHandler())
+	web.Close()
+	client := caller.New(false)
+	defer client.Close()
+	out := client.Do(t.Context(), caller.Stream(web.URL, "token", "model", prompt, tokens))
+	require.Equal(t, caller.Unsent, out.Kind, out.Detail)
+}
--- a/bench/rollout/rollout.go
+++ b/bench/rollout/rollout.go
@@ -67,13 +67,14 @@
 	OriginBytes       int64   `json:"origin_bytes"`
 	OriginCopies      float64 `json:"origin_copies"`
 	CrossRegionCopies float64 `json:"cross_region_copies"`
-	SecondsToHalf     float64 `json:"seconds_to_half"`
-	SecondsToAll      float64 `json:"seconds_to_all"`
-	BoundSeconds      float64 `json:"bound_seconds"`
-	RatioToBound      float64 `json:"ratio_to_bound"`
-	CorruptRejected   int64   `json:"corrupt_rejected"`
-	MixedActivations  int     `json:"mixed_activations"`
-	AgentsComplete    int     `json:"agents_complete"`
+	// SecondsToHalf, SecondsToAll and RatioToBound are nil when the rollout did not get so far.
+	SecondsToHalf    *float64 `json:"seconds_to_half"`
+	SecondsToAll     *float64 `json:"seconds_to_all"`
+	BoundSeconds     float64  `json:"bound_seconds"`
+	RatioToBound     *float64 `json:"ratio_to_bound"`
+	CorruptRejected  int64    `json:"corrupt_rejected"`
+	MixedActivations int      `json:"mixed_activations"`
+	AgentsComplete   int      `json:"agents_complete"`
 }
 
 // run is one rollout.
@@ -174,15 +175,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Limit)
 	defer cancel()
-	var half time.Duration
+	var half, all *float64
 	err := cluster.WaitFor(ctx, func() bool {
 		n := r.complete()
-		if half == 0 && 2*n >= len(r.agents) {
-			half = time.Since(start)
+		elapsed := time.Since(start).Seconds()
+		if half == nil && 2*n >= len(r.agents) {
+			half = &elapsed
 		}
-		return n == len(r.agents)
+		if n == len(r.agents) {
+			all = &elapsed
+		}
+		return all != nil
 	})
-	report := r.report(half, time.Since(start))
+	report := r.report(half, all)
 	return report, eris.Wrapf(err, "%d of %d agents hold the version after %s", report.AgentsComplete, r.cfg.Agents, r.cfg.Limit)
 }
 
@@ -196,7 +201,7 @@
 	return n
 }
 
-func (r *run) report(half, all time.Duration) Report {
+func (r *run) report(half, all *float64) Report {
 	out := Report{
 		Strategy:          r.cfg.Strategy,
 		Agents:            r.cfg.Agents,
@@ -208,8 +213,8 @@
 		ChunkBytes:        r.cfg.chunkBytes(),
 		OriginBytes:       r.cluster.Origin.BytesSent(),
 		CrossRegionCopies: float64(r.links.cross.Load()) / float64(r.cfg.ModelBytes),
-		SecondsToHalf:     half.Seconds(),
-		SecondsToAll:      all.Seconds(),
+		SecondsToHalf:     half,
+		SecondsToAll:      all,
 		BoundSeconds:      r.cfg.bound(),
 		AgentsComplete:    r.complete(),
 	}
@@ -218,7 +223,10 @@
 		out.Links = "per region"
 	}
 	out.OriginCopies = float64(out.OriginBytes) / float64(r.cfg.ModelBytes)
-	out.RatioToBound = out.SecondsToAll / out.BoundSeconds
+	if all != nil {
+		ratio := *all / out.BoundSeconds
+		out.RatioToBound = &ratio
+	}
 	for _, agent := range r.agents {
 		out.MixedActivations += agent.Engine.Counts().Mixed
 	}
