Count bytes between hosts when agents announce themselves

Agents of a merged product take each other's addresses from their own announcements, not from the host list, so that the relays of the host list carried nothing and cross_region_copies was 0. The host list now shows one relay per host, which learns from the system who connects; when no relay carries bytes, the product's metric counts, and the field links says so.

--- a/bench/link/relay.go
+++ b/bench/link/relay.go
@@ -26,10 +26,16 @@
 	return rate.NewLimiter(rate.Limit(bytesPerSecond), pieceBytes)
 }
 
-// Config describes a link.
+// Config describes a relay.
 type Config struct {
 	// Target is the address that connections are relayed to.
 	Target string
+	// Path returns the conditions of a connection that a client opened.
+	Path func(client net.Conn) Conditions
+}
+
+// Conditions are what a connection meets on its way.
+type Conditions struct {
 	// Delay is the one-way delay.
 	Delay time.Duration
 	// Limits bound the bytes from the target to the client.
@@ -87,14 +93,15 @@
 		return
 	}
 	defer func() { _ = target.Close() }()
+	path := r.cfg.Path(client)
 	stop := context.AfterFunc(r.ctx, func() {
 		_ = client.Close()
 		_ = target.Close()
 	})
 	defer stop()
 	var wg sync.WaitGroup
-	wg.Go(func() { r.move(target, client, nil, nil) })
-	wg.Go(func() { r.move(client, target, r.cfg.Limits, r.cfg.Counters) })
+	wg.Go(func() { r.move(target, client, Conditions{Delay: path.Delay}) })
+	wg.Go(func() { r.move(client, target, path) })
 	wg.Wait()
 }
 
@@ -104,28 +111,28 @@
 }
 
 // move copies from one side to the other with the link's delay, and closes both when either ends.
-func (r *Relay) move(to, from net.Conn, limits []*rate.Limiter, counters []*atomic.Int64) {
+func (r *Relay) move(to, from net.Conn, path Conditions) {
 	pieces := make(chan piece, queuedPieces)
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		defer close(done)
-		r.send(to, pieces, limits, counters)
+		r.send(to, pieces, path)
 		_ = from.Close()
 	})
-	r.receive(from, pieces, done)
+	r.receive(from, pieces, done, path.Delay)
 	close(pieces)
 	wg.Wait()
 	_ = to.Close()
 }
 
-func (r *Relay) receive(from net.Conn, pieces chan<- piece, done <-chan struct{}) {
+func (r *Relay) receive(from net.Conn, pieces chan<- piece, done <-chan struct{}, delay time.Duration) {
 	for {
 		data := make([]byte, pieceBytes)
 		n, err := from.Read(data)
 		if n > 0 {
 			select {
-			case pieces <- piece{due: time.Now().Add(r.cfg.Delay), data: data[:n]}:
+			case pieces <- piece{due: time.Now().Add(delay), data: data[:n]}:
 			case <-done:
 				return
 			}
@@ -136,13 +143,13 @@
 	}
 }
 
-func (r *Relay) send(to io.Writer, pieces <-chan piece, limits []*rate.Limiter, counters []*atomic.Int64) {
+func (r *Relay) send(to io.Writer, pieces <-chan piece, path Conditions) {
 	for p := range pieces {
-		if err := r.pace(p, limits); err != nil {
+		if err := r.pace(p, path.Limits); err != nil {
 			return
 		}
 		n, err := to.Write(p.data)
-		for _, counter := range counters {
+		for _, counter := range path.Counters {
 			counter.Add(int64(n))
 		}
 		if err != nil {
--- a/bench/link/relay_test.go
+++ b/bench/link/relay_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/time/rate"
 
@@ -23,9 +26,16 @@
 	defer web.Close()
 	var counted atomic.Int64
 	relay, err := link.New(link.Config{
-		Target:   web.Listener.Addr().String(),
-		Limits:   []*rate.Limiter{link.NewLimiter(1e9)},
-		Counters: []*atomic.Int64{&counted},
+		Target: web.Listener.Addr().String(),
+		Path: func(client net.Conn) link.Conditions {
+			owner, ok := link.Owner(client, []int{os.Getpid()})
+			assert.True(t, ok)
+			assert.Equal(t, os.Getpid(), owner)
+			return link.Conditions{
+				Limits:   []*rate.Limiter{link.NewLimiter(1e9)},
+				Counters: []*atomic.Int64{&counted},
+			}
+		},
 	})
 	require.NoError(t, err)
 	defer relay.Close()
@@ -34,6 +44,7 @@
 	got, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
+	http.DefaultClient.CloseIdleConnections()
 	require.Equal(t, body, string(got))
 	require.GreaterOrEqual(t, counted.Load(), int64(len(body)))
 }
--- a/bench/rollout/links.go
+++ b/bench/rollout/links.go
@@ -1,55 +1,58 @@
 package rollout
 
 import (
+	"net"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
 
+	"github.com/guavatrestle/guavatrestle/bench/cluster"
 	"github.com/guavatrestle/guavatrestle/bench/link"
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
 // links holds the relays that stand for the hosts' links.
 //
-// Each viewer reads a host list of its own, in which the addresses of the other hosts lead through relays. A viewer is
-// a host; in large runs it is a region, because relays between all pairs of hosts would be too many. Then only the
-// link out of a host is limited by relays, and the link into it only by the product's own setting.
+// The host list shows the address of a relay in front of each host's data listener, the same to all readers, because
+// processes pass the list on to each other. A relay learns from the system which process opened a connection, and
+// limits it by the links of both hosts. Agents that run inside the experiment cannot be told apart; their connections
+// are limited by the link of the sending host only. A product whose processes announce their own addresses to each
+// other passes by these relays; the report says so, and then takes the bytes between hosts from the product's metrics.
 type links struct {
 	hostRate    float64
 	regionDelay time.Duration
-	perRegion   bool
 
 	mu      sync.Mutex
 	relays  map[string]*link.Relay
 	limits  map[string]*rate.Limiter
-	regions map[string]core.Region
-	cross   atomic.Int64
+	readers map[int]core.Host
+	// originCross and peerCross count bytes that entered a region, peerBytes all bytes between hosts.
+	originCross atomic.Int64
+	peerCross   atomic.Int64
+	peerBytes   atomic.Int64
 }
 
-func newLinks(hostRate float64, regionDelay time.Duration, perRegion bool) *links {
+func newLinks(hostRate float64, regionDelay time.Duration) *links {
 	return &links{
 		hostRate:    hostRate,
 		regionDelay: regionDelay,
-		perRegion:   perRegion,
 		relays:      make(map[string]*link.Relay),
 		limits:      make(map[string]*rate.Limiter),
-		regions:     make(map[string]core.Region),
+		readers:     make(map[int]core.Host),
 	}
 }
 
-// viewer returns the name under which a host reads the host list.
-func (l *links) viewer(id core.HostID, region core.Region) string {
-	name := string(id)
-	if l.perRegion {
-		name = "region-" + string(region)
-	}
+// add makes an agent's connections known.
+func (l *links) add(agent *cluster.Process) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.regions[name] = region
-	return name
+	if pid := agent.PID(); pid != 0 {
+		l.readers[pid] = agent.Host
+	}
 }
 
 // origin returns the URL under which a host reaches the origin.
@@ -60,67 +63,79 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	cfg := link.Config{Target: target.Host, Limits: []*rate.Limiter{l.limit("down " + string(id))}}
-	l.crossing(&cfg, region, originRegion)
-	relay, err := l.relay("origin "+string(id), cfg)
+	path := l.crossing(region, originRegion, &l.originCross)
+	path.Limits = []*rate.Limiter{l.limit("down " + string(id))}
+	relay, err := l.relay("origin "+string(id), link.Config{
+		Target: target.Host,
+		Path:   func(net.Conn) link.Conditions { return path },
+	})
 	if err != nil {
 		return "", err
 	}
 	return "http://" + relay.Addr(), nil
 }
 
-// view returns the host list as a viewer sees it. A host whose relays cannot be started is left out.
-func (l *links) view(viewer string, hosts []core.Host) []core.Host {
+// view returns the host list with the relays' addresses. A host whose relay cannot be started is left out.
+func (l *links) view(_ string, hosts []core.Host) []core.Host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	region, known := l.regions[viewer]
-	if !known {
-		return hosts
-	}
 	out := make([]core.Host, 0, len(hosts))
 	for _, host := range hosts {
-		if host.Role != core.RoleAgent || string(host.ID) == viewer {
+		if host.Role != core.RoleAgent {
 			out = append(out, host)
 			continue
 		}
-		if seen, ok := l.through(viewer, region, host); ok {
-			out = append(out, seen)
+		relay, err := l.relay("host "+string(host.ID), link.Config{
+			Target: host.DataAddr,
+			Path:   func(client net.Conn) link.Conditions { return l.between(client, host) },
+		})
+		if err == nil {
+			host.DataAddr = relay.Addr()
+			out = append(out, host)
 		}
 	}
 	return out
 }
 
-// through returns host with the addresses of the viewer's relays to it; the caller holds the lock.
-func (l *links) through(viewer string, region core.Region, host core.Host) (core.Host, bool) {
-	data := link.Config{Target: host.DataAddr, Limits: []*rate.Limiter{l.limit("up " + string(host.ID))}}
-	if !l.perRegion {
-		data.Limits = append(data.Limits, l.limit("down "+viewer))
-	}
-	l.crossing(&data, region, host.Region)
-	relay, err := l.relay(viewer+" data "+string(host.ID), data)
-	if err != nil {
-		return host, false
-	}
-	host.DataAddr = relay.Addr()
-	if host.Region == region {
-		return host, true
+// between returns the conditions of a connection to host.
+func (l *links) between(client net.Conn, host core.Host) link.Conditions {
+	reader, known := l.reader(client)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var path link.Conditions
+	if known {
+		path = l.crossing(reader.Region, host.Region, &l.peerCross)
+		path.Limits = append(path.Limits, l.limit("down "+string(reader.ID)))
 	}
-	relay, err = l.relay(viewer+" control "+string(host.ID), link.Config{Target: host.ControlAddr, Delay: l.regionDelay})
-	if err != nil {
-		return host, false
+	path.Limits = append(path.Limits, l.limit("up "+string(host.ID)))
+	path.Counters = append(path.Counters, &l.peerBytes)
+	return path
+}
+
+// reader returns the host that opened a connection.
+func (l *links) reader(client net.Conn) (core.Host, bool) {
+	l.mu.Lock()
+	var pids []int
+	for pid := range l.readers {
+		pids = append(pids, pid)
 	}
-	host.ControlAddr = relay.Addr()
-	return host, true
+	l.mu.Unlock()
+	slices.Sort(pids)
+	pid, ok := link.Owner(client, pids)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readers[pid], ok
 }
 
-// crossing adds the delay and the counter of a link between regions.
-func (l *links) crossing(cfg *link.Config, a, b core.Region) {
-	if a != b {
-		cfg.Delay = l.regionDelay
-		cfg.Counters = []*atomic.Int64{&l.cross}
+// crossing returns the delay and the counter of a path between regions.
+func (l *links) crossing(a, b core.Region, counter *atomic.Int64) link.Conditions {
+	if a == b {
+		return link.Conditions{}
 	}
+	return link.Conditions{Delay: l.regionDelay, Counters: []*atomic.Int64{counter}}
 }
 
+// limit returns the rate limit of one direction of a host's link; the caller holds the lock.
 func (l *links) limit(name string) *rate.Limiter {
 	if l.limits[name] == nil {
 		l.limits[name] = link.NewLimiter(l.hostRate)
@@ -128,6 +143,7 @@
 	return l.limits[name]
 }
 
+// relay returns the relay with a name and starts it at first; the caller holds the lock.
 func (l *links) relay(name string, cfg link.Config) (*link.Relay, error) {
 	if held := l.relays[name]; held != nil {
 		return held, nil
@@ -141,9 +157,11 @@
 
 func (l *links) close() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	relays := l.relays
+	l.relays = nil
+	l.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, relay := range l.relays {
+	for _, relay := range relays {
 		wg.Go(relay.Close)
 	}
 	wg.Wait()
--- a/bench/rollout/rollout.go
+++ b/bench/rollout/rollout.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -27,6 +28,9 @@
 	upstream     = core.Upstream("guava-llm")
 	version      = "v1"
 	originRegion = core.Region("centro")
+	// crossRegionMetric is the product's metric of bytes fetched from hosts in other regions.
+	crossRegionMetric = "weights_peer_bytes_cross_region"
+
 	chunksWanted = 64
 	minChunk     = 64 << 10
 	maxChunk     = 4 << 20
@@ -56,17 +60,18 @@
 
 // Report is what a run measured.
 type Report struct {
-	Strategy          string  `json:"strategy"`
-	Agents            int     `json:"agents"`
-	AgentsRun         string  `json:"agents_run"`
-	Links             string  `json:"links"`
-	Seed              uint64  `json:"seed"`
-	TargetSeconds     float64 `json:"target_seconds"`
-	ModelBytes        int64   `json:"model_bytes"`
-	ChunkBytes        int64   `json:"chunk_bytes"`
-	OriginBytes       int64   `json:"origin_bytes"`
-	OriginCopies      float64 `json:"origin_copies"`
-	CrossRegionCopies float64 `json:"cross_region_copies"`
+	Strategy      string  `json:"strategy"`
+	Agents        int     `json:"agents"`
+	AgentsRun     string  `json:"agents_run"`
+	Links         string  `json:"links"`
+	Seed          uint64  `json:"seed"`
+	TargetSeconds float64 `json:"target_seconds"`
+	ModelBytes    int64   `json:"model_bytes"`
+	ChunkBytes    int64   `json:"chunk_bytes"`
+	OriginBytes   int64   `json:"origin_bytes"`
+	OriginCopies  float64 `json:"origin_copies"`
+	// CrossRegionCopies is nil when neither relays nor the product's metrics tell it.
+	CrossRegionCopies *float64 `json:"cross_region_copies"`
 	// SecondsToHalf, SecondsToAll and RatioToBound are nil when the rollout did not get so far.
 	SecondsToHalf    *float64 `json:"seconds_to_half"`
 	SecondsToAll     *float64 `json:"seconds_to_all"`
@@ -96,7 +101,7 @@
 	}
 	defer c.Close()
 	c.InProcess = cfg.Agents > MaxProcesses
-	r := &run{cfg: cfg, cluster: c, links: newLinks(cfg.hostRate(), cfg.RegionDelay, c.InProcess)}
+	r := &run{cfg: cfg, cluster: c, links: newLinks(cfg.hostRate(), cfg.RegionDelay)}
 	c.OnClose(r.links.close)
 	c.Hosts.SetView(r.links.view)
 	if err := r.start(ctx); err != nil {
@@ -139,11 +144,9 @@
 	if err != nil {
 		return err
 	}
-	list := r.cluster.Platform().HostList + "/" + r.links.viewer(id, place.region)
 	agent, err := r.cluster.Agent(ctx, id, place.name, upstream, engine.Config{}, inRegion(place.region), func(cfg *config.Config) {
 		cfg.Seed = r.cfg.Seed + uint64(i) + 1
 		cfg.Platform.WeightSource = source
-		cfg.Platform.HostList = list
 		cfg.Agent.Strategy = r.cfg.Strategy
 		cfg.Agent.HostBytesPerSecond = int64(r.cfg.hostRate())
 		cfg.Agent.OriginRegion = originRegion
@@ -152,6 +155,7 @@
 	if err != nil {
 		return err
 	}
+	r.links.add(agent)
 	agent.Engine.Expect(r.digest, core.DigestOf(r.body))
 	r.agents[i] = agent
 	return nil
@@ -187,7 +191,7 @@
 		}
 		return all != nil
 	})
-	report := r.report(half, all)
+	report := r.report(context.WithoutCancel(ctx), half, all)
 	return report, eris.Wrapf(err, "%d of %d agents hold the version after %s", report.AgentsComplete, r.cfg.Agents, r.cfg.Limit)
 }
 
@@ -201,27 +205,27 @@
 	return n
 }
 
-func (r *run) report(half, all *float64) Report {
+func (r *run) report(ctx context.Context, half, all *float64) Report {
 	out := Report{
-		Strategy:          r.cfg.Strategy,
-		Agents:            r.cfg.Agents,
-		AgentsRun:         "processes",
-		Links:             "per host",
-		Seed:              r.cfg.Seed,
-		TargetSeconds:     r.cfg.Target.Seconds(),
-		ModelBytes:        r.cfg.ModelBytes,
-		ChunkBytes:        r.cfg.chunkBytes(),
-		OriginBytes:       r.cluster.Origin.BytesSent(),
-		CrossRegionCopies: float64(r.links.cross.Load()) / float64(r.cfg.ModelBytes),
-		SecondsToHalf:     half,
-		SecondsToAll:      all,
-		BoundSeconds:      r.cfg.bound(),
-		AgentsComplete:    r.complete(),
+		Strategy:       r.cfg.Strategy,
+		Agents:         r.cfg.Agents,
+		AgentsRun:      "processes",
+		Links:          "both sides",
+		Seed:           r.cfg.Seed,
+		TargetSeconds:  r.cfg.Target.Seconds(),
+		ModelBytes:     r.cfg.ModelBytes,
+		ChunkBytes:     r.cfg.chunkBytes(),
+		OriginBytes:    r.cluster.Origin.BytesSent(),
+		SecondsToHalf:  half,
+		SecondsToAll:   all,
+		BoundSeconds:   r.cfg.bound(),
+		AgentsComplete: r.complete(),
 	}
 	if r.cluster.InProcess {
 		out.AgentsRun = "in process"
-		out.Links = "per region"
 	}
+	out.Links = r.linksUsed()
+	out.CrossRegionCopies = r.crossRegionCopies(ctx)
 	out.OriginCopies = float64(out.OriginBytes) / float64(r.cfg.ModelBytes)
 	if all != nil {
 		ratio := *all / out.BoundSeconds
@@ -234,6 +238,47 @@
 	return out
 }
 
+// linksUsed says what limited the bytes between hosts.
+func (r *run) linksUsed() string {
+	switch {
+	case r.links.peerBytes.Load() == 0 && r.cfg.Strategy == "swarm":
+		return "relays to the origin, product's own limits between hosts"
+	case r.cluster.InProcess:
+		return "relays, between hosts on the sending side"
+	default:
+		return "relays"
+	}
+}
+
+// crossRegionCopies adds what relays to the origin counted and the larger of what relays between hosts and the
+// product's metrics counted.
+func (r *run) crossRegionCopies(ctx context.Context) *float64 {
+	agents := r.agents
+	if r.cluster.InProcess {
+		// Metrics are shared by all agents inside this process.
+		agents = agents[:1]
+	}
+	var reported int64
+	known := r.links.peerBytes.Load() > 0 || r.cfg.Strategy == "direct"
+	for _, agent := range agents {
+		vars, err := agent.Vars(ctx)
+		if err != nil {
+			continue
+		}
+		var n int64
+		if json.Unmarshal(vars[crossRegionMetric], &n) == nil {
+			reported += n
+			known = true
+		}
+	}
+	if !known {
+		return nil
+	}
+	bytes := r.links.originCross.Load() + max(r.links.peerCross.Load(), reported)
+	copies := float64(bytes) / float64(r.cfg.ModelBytes)
+	return &copies
+}
+
 func randomBytes(n int64, seed uint64) []byte {
 	body := make([]byte, n)
 	var key [32]byte
