--- a/bench/spread/spread.go
+++ b/bench/spread/spread.go
@@ -161,6 +161,10 @@
 
 func (r *run) measure(ctx context.Context) (Report, error) {
 	out := Report{Seed: r.cfg.Seed, Processes: r.cfg.Processes}
+	service := settings.UpstreamSettings{Kind: settings.KindService, ColdLimit: 1, WarmLimit: 1}
+	if _, err := cluster.Apply(ctx, r.processes[0], settings.UpstreamPath(upstream), 0, service); err != nil {
+		return out, err
+	}
 	for range teams {
 		if _, err := r.change(ctx); err != nil {
 			return out, err
