--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -29,7 +29,6 @@
 }
 
 func newAgent(p *process) (*agent, error) {
-	p.self.Upstream = p.cfg.Agent.Upstream
 	a := &agent{process: p, chunks: table.NewChunks(), gate: upstream.NewGate(admission.Config{}, p.now)}
 	a.calls = upstream.NewTransport(a.gate)
 	engine, err := platform.NewEngineClient(p.cfg.Agent.Engine, a.calls)
@@ -50,6 +49,7 @@
 	service := upstream.NewService(a.self, a.settings, a.chunks, a.gate)
 	controlMux := http.NewServeMux()
 	controlMux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(service))
+	a.registerControl(controlMux)
 	server.AddDebug(controlMux, a.introspection(a))
 	dataMux := http.NewServeMux()
 	dataMux.Handle("POST /call", upstream.NewHandler(upstream.HandlerParts{
--- a/transport/daemon/agent_test.go
+++ b/transport/daemon/agent_test.go
@@ -59,9 +59,9 @@
 	cfg := config.Default()
 	cfg.Role, cfg.Host, cfg.FailureDomain = core.RoleAgent, "agent-1", testDomain
 	cfg.Agent = &config.Agent{Upstream: testUpstream, Engine: engine.URL, PollInterval: 5 * time.Millisecond}
-	var err error
-	r.agent, err = newAgent(newProcess(cfg, logrus.NewEntry(log)))
+	role, err := newProcess(cfg, logrus.NewEntry(log)).newRole()
 	require.NoError(t, err)
+	r.agent = role.(*agent)
 	ctx, cancel := context.WithCancel(t.Context())
 	control, data := r.start(ctx)
 	r.control, err = server.Listen("127.0.0.1:0", control)
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 
 	"github.com/guavatrestle/guavatrestle/state/table"
-	"github.com/guavatrestle/guavatrestle/transport/admin"
 	entryhttp "github.com/guavatrestle/guavatrestle/transport/entry"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
@@ -26,6 +25,7 @@
 	heartbeat := entryhttp.NewHeartbeat(e.self, e.members, e.upstreams, e.cfg.Entry.StatusInterval, e.now, e.log)
 	e.loops.Go(func() { heartbeat.Run(ctx) })
 	controlMux := http.NewServeMux()
+	e.registerControl(controlMux)
 	server.AddDebug(controlMux, e.introspection(e))
 	dataMux := http.NewServeMux()
 	handler := entryhttp.NewHandler(entryhttp.Parts{
@@ -38,7 +38,7 @@
 		Log:       e.log,
 	})
 	handler.Register(dataMux)
-	admin.NewHandler(e.store, e.settings, e.cfg.Entry.AdminTokenHashes, e.log).Register(dataMux)
+	e.newAdmin().Register(dataMux)
 	return controlMux, dataMux
 }
 
