--- a/transport/entry/attempt.go
+++ b/transport/entry/attempt.go
@@ -22,6 +22,7 @@
 
 // attempt is one try of a call at one agent.
 type attempt struct {
+	entry  core.HostID
 	call   call
 	agent  core.AgentStatus
 	number int
@@ -107,6 +108,7 @@
 	header.Set("Content-Type", c.contentType)
 	header.Set(api.HeaderRequestID, string(c.id))
 	header.Set(api.HeaderDeadline, c.deadline.Format(time.RFC3339Nano))
+	header.Set(api.HeaderEntry, string(a.entry))
 	header.Set(api.HeaderTeam, string(c.team))
 	header.Set(api.HeaderModel, string(c.model))
 	header.Set(api.HeaderVersionDigest, string(a.agent.VersionDigest))
--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return err
 		}
-		a := &attempt{call: c, agent: agent, number: number}
+		a := &attempt{entry: h.self.ID, call: c, agent: agent, number: number}
 		err = h.try(ctx, out, a)
 		if err == nil {
 			return nil
