Drop engine connections after a silent response

The agent reused idle connections that went silent, and each request on one hung for 30 s. The agent now drops its idle connections when a response got no byte for 5 s, and again when it ends by the progress deadline, which is agent.progress_timeout.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -35,6 +35,10 @@
 	maxBodyBytes = 1 << 20
 	// requestTimeout is the deadline of a caller's request.
 	requestTimeout = 30 * time.Second
+	// progressTimeout is the time that an engine may send nothing.
+	progressTimeout = 30 * time.Second
+	// drainGrace leaves the balancer several readiness checks.
+	drainGrace = 500 * time.Millisecond
 	// readsPerSecond and writesPerSecond are the rates that the platform grants to the object API.
 	readsPerSecond  = 2000
 	writesPerSecond = 300
@@ -128,6 +132,7 @@
 		MaxBodyBytes:     maxBodyBytes,
 		RequestTimeout:   requestTimeout,
 		StatusInterval:   pollInterval,
+		DrainGrace:       drainGrace,
 	}
 	return c.start(ctx, cfg, options)
 }
@@ -181,6 +186,7 @@
 		Engine:           backEnd,
 		ChunkMemoryBytes: chunkMemoryBytes,
 		PollInterval:     pollInterval,
+		ProgressTimeout:  progressTimeout,
 		Strategy:         "swarm",
 		OriginRegion:     core.Region(domain),
 	}
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -84,6 +84,8 @@
 	ChunkMemoryBytes int64 `yaml:"chunk_memory_bytes" validate:"gt=0"`
 	// PollInterval is the time between reads of the engine's status.
 	PollInterval time.Duration `yaml:"poll_interval" validate:"gt=0"`
+	// ProgressTimeout is the time without a byte from the engine after which a request ends as unknown.
+	ProgressTimeout time.Duration `yaml:"progress_timeout" validate:"gt=0"`
 	// Strategy selects how weights are fetched.
 	Strategy string `yaml:"strategy" validate:"oneof=swarm direct"`
 	// HostBytesPerSecond limits weight transfer on the host's link in each direction; 0 means no limit.
@@ -105,8 +107,16 @@
 	RequestTimeout time.Duration `yaml:"request_timeout" validate:"gt=0"`
 	// StatusInterval is the time between heartbeats to agents.
 	StatusInterval time.Duration `yaml:"status_interval" validate:"gt=0"`
+	// DrainGrace is the time for which a leaving entry, already not ready, still takes new requests.
+	DrainGrace time.Duration `yaml:"drain_grace" validate:"gte=0"`
 }
 
+// defaultProgressTimeout leaves time for the first byte of a response that is generated whole before it is sent.
+const defaultProgressTimeout = 30 * time.Second
+
+// defaultDrainGrace lets a load balancer that checks every second or two see that an entry is not ready.
+const defaultDrainGrace = 5 * time.Second
+
 // Default returns the configuration that a file's settings are read over.
 func Default() Config {
 	return Config{
@@ -129,6 +139,7 @@
 	return Agent{
 		ChunkMemoryBytes: 1 << 30,
 		PollInterval:     500 * time.Millisecond,
+		ProgressTimeout:  defaultProgressTimeout,
 		Strategy:         "swarm",
 		Transfer:         &transfer,
 		Activation:       &activation,
@@ -136,5 +147,10 @@
 }
 
 func defaultEntry() Entry {
-	return Entry{MaxBodyBytes: 4 << 20, RequestTimeout: 60 * time.Second, StatusInterval: time.Second}
+	return Entry{
+		MaxBodyBytes:   4 << 20,
+		RequestTimeout: 60 * time.Second,
+		StatusInterval: time.Second,
+		DrainGrace:     defaultDrainGrace,
+	}
 }
--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -52,16 +52,25 @@
 	server.AddDebug(controlMux, a.introspection(a))
 	dataMux := http.NewServeMux()
 	dataMux.Handle("POST /call", upstream.NewHandler(upstream.HandlerParts{
-		Gate:    a.gate,
-		Monitor: a.monitor,
-		Engine:  a.engine,
-		Timing:  upstream.DefaultTiming(),
-		Log:     a.log,
+		Gate:     a.gate,
+		Monitor:  a.monitor,
+		Engine:   a.engine,
+		Timing:   a.callTiming(),
+		Silenced: a.calls.CloseIdleConnections,
+		Log:      a.log,
 	}))
 	dataMux.Handle("GET /chunks/{digest}/{index}", parts.handler)
 	return controlMux, dataMux
 }
 
+// callTiming returns the times that bound a quiet response of the back end.
+func (a *agent) callTiming() upstream.Timing {
+	timing := upstream.DefaultTiming()
+	timing.Progress = a.cfg.Agent.ProgressTimeout
+	timing.Suspect = min(timing.Suspect, timing.Progress)
+	return timing
+}
+
 // followSettings applies each change of the settings to the gate at once.
 func (a *agent) followSettings(ctx context.Context) {
 	for {
--- a/transport/entry/attempt.go
+++ b/transport/entry/attempt.go
@@ -25,6 +25,8 @@
 	call   call
 	agent  core.AgentStatus
 	number int
+	// entry is the host that sends the try.
+	entry core.HostID
 	// connected is set once the request had a connection, after which a byte of it may have left.
 	connected atomic.Bool
 	// refused is set when the agent ended the request by a Refusal frame.
@@ -107,6 +109,7 @@
 	header.Set("Content-Type", c.contentType)
 	header.Set(api.HeaderRequestID, string(c.id))
 	header.Set(api.HeaderDeadline, c.deadline.Format(time.RFC3339Nano))
+	header.Set(api.HeaderEntry, string(a.entry))
 	header.Set(api.HeaderTeam, string(c.team))
 	header.Set(api.HeaderModel, string(c.model))
 	header.Set(api.HeaderVersionDigest, string(a.agent.VersionDigest))
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -27,6 +27,8 @@
 	timing  Timing
 	digest  core.Digest
 	attempt *attempt
+	// silenced drops the idle connections to the back end.
+	silenced func()
 	// status is the response's status, 0 before the head frame.
 	status int
 }
@@ -57,6 +59,8 @@
 	defer quiet.Stop()
 	progress := time.NewTimer(e.timing.Progress)
 	defer progress.Stop()
+	suspect := time.NewTimer(e.timing.Suspect)
+	defer suspect.Stop()
 	for {
 		select {
 		case ev := <-events:
@@ -65,11 +69,15 @@
 			}
 			quiet.Reset(e.timing.KeepAlive)
 			progress.Reset(e.timing.Progress)
+			suspect.Reset(e.timing.Suspect)
 		case <-quiet.C:
 			if e.out.KeepAlive() != nil {
 				return entryGone()
 			}
+		case <-suspect.C:
+			e.silenced()
 		case <-progress.C:
+			e.silenced()
 			mayHaveLeft, _ := e.attempt.settle()
 			return silent(mayHaveLeft)
 		case <-ctx.Done():
--- a/transport/upstream/handler.go
+++ b/transport/upstream/handler.go
@@ -18,6 +18,8 @@
 const (
 	// defaultKeepAlive is half the time after which HTTP/2 pings find a silent connection.
 	defaultKeepAlive = 2 * time.Second
+	// defaultSuspect is shorter than the progress deadline, because dropping idle connections costs only new ones.
+	defaultSuspect = 5 * time.Second
 	// defaultProgress leaves time for the first byte of a response that is generated whole before it is sent.
 	defaultProgress = 30 * time.Second
 	// lastFrameTime is the time after the deadline in which the last frame may still be written.
@@ -28,12 +30,17 @@
 type Timing struct {
 	// KeepAlive is the time without a byte from the back end after which the entry gets a keep-alive frame.
 	KeepAlive time.Duration
+	// Suspect is the time without a byte from the back end after which its idle connections are dropped, so that new
+	// requests use new ones.
+	Suspect time.Duration
 	// Progress is the time without a byte from the back end after which the request ends as unknown.
 	Progress time.Duration
 }
 
 // DefaultTiming returns the timing of an agent in service.
-func DefaultTiming() Timing { return Timing{KeepAlive: defaultKeepAlive, Progress: defaultProgress} }
+func DefaultTiming() Timing {
+	return Timing{KeepAlive: defaultKeepAlive, Suspect: defaultSuspect, Progress: defaultProgress}
+}
 
 // HandlerParts are the parts that a Handler works with.
 type HandlerParts struct {
@@ -41,7 +48,9 @@
 	Monitor *Monitor
 	Engine  platform.Engine
 	Timing  Timing
-	Log     *logrus.Entry
+	// Silenced is called when the back end sent nothing for a while; it drops the idle connections to it.
+	Silenced func()
+	Log      *logrus.Entry
 }
 
 // Handler serves POST /call.
@@ -90,11 +99,12 @@
 // run carries an admitted request to its end and counts it out.
 func (h *Handler) run(ctx context.Context, out *frame.Writer, request *http.Request, ticket admission.Ticket) ending {
 	e := &exchange{
-		out:     out,
-		engine:  h.parts.Engine,
-		timing:  h.parts.Timing,
-		digest:  ticket.Digest(),
-		attempt: &attempt{gate: h.parts.Gate, monitor: h.parts.Monitor, ticket: ticket},
+		out:      out,
+		engine:   h.parts.Engine,
+		silenced: h.parts.Silenced,
+		timing:   h.parts.Timing,
+		digest:   ticket.Digest(),
+		attempt:  &attempt{gate: h.parts.Gate, monitor: h.parts.Monitor, ticket: ticket},
 	}
 	end := ending{outcome: admission.OutcomeNeutral}
 	defer func() { e.attempt.finish(end.outcome) }()
