Serve on for a grace period when an entry leaves

On SIGTERM the entry closed its listener at once, so requests that the load balancer still sent were cut off. The shutdown timeout starts after the grace.

--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -119,7 +119,7 @@
 
 // shutdown finishes all requests in flight before the listeners close.
 func (p *process) shutdown(r role, data, controlListener *server.Listener) error {
-	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.ShutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), p.shutdownLimit())
 	defer cancel()
 	p.log.Info("process is leaving")
 	var announced sync.WaitGroup
@@ -134,6 +134,14 @@
 	return err
 }
 
+// shutdownLimit is the shutdown timeout, after the drain grace of an entry.
+func (p *process) shutdownLimit() time.Duration {
+	if p.cfg.Entry == nil {
+		return p.cfg.ShutdownTimeout
+	}
+	return p.cfg.ShutdownTimeout + p.cfg.Entry.DrainGrace
+}
+
 func (p *process) introspection(r role) server.Introspection {
 	return server.Introspection{
 		State: func() any {
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/table"
@@ -61,11 +62,30 @@
 		defer handler.Close()
 		handler.Run(ctx)
 	})
-	return controlMux, entryhttp.WithRequestID(dataMux)
+	return controlMux, entryhttp.WithRequestID(e.closeWhenLeaving(dataMux))
 }
 
-// leave turns the entry not ready; the data listener's shutdown finishes the requests in flight.
-func (e *entry) leave(context.Context) { e.leaving.Store(true) }
+// leave turns the entry not ready and serves on for the drain grace, so that the load balancer sends callers elsewhere
+// before the listener closes. The data listener's shutdown finishes the requests in flight.
+func (e *entry) leave(ctx context.Context) {
+	e.leaving.Store(true)
+	grace := time.NewTimer(e.cfg.Entry.DrainGrace)
+	defer grace.Stop()
+	select {
+	case <-ctx.Done():
+	case <-grace.C:
+	}
+}
+
+// closeWhenLeaving ends the caller's connection after each response while the entry leaves.
+func (e *entry) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
 
 func (e *entry) state() any { return e.upstreams.List() }
 
