Use TLS for all calls between processes

Heartbeats, calls to agents, chunk transfers and claims went out without TLS, so no agent took them when TLS was configured. They now use the process's credentials. Heartbeats also tell the member table who answered and who did not.

--- a/transport/claims/service.go
+++ b/transport/claims/service.go
@@ -71,16 +71,21 @@
 	Self    core.Host
 	Store   platform.ObjectStore
 	Members *table.Members
-	Now     func() time.Time
-	Log     *logrus.Entry
+	// Transport carries the calls to the owners of shards; nil means one without TLS.
+	Transport http.RoundTripper
+	Now       func() time.Time
+	Log       *logrus.Entry
 }
 
 // New returns a Service; Close ends it.
 func New(p Parts) *Service {
 	base, cancel := context.WithCancel(context.Background())
+	if p.Transport == nil {
+		p.Transport = &http.Transport{}
+	}
 	s := &Service{
 		cfg: p.Config, self: p.Self, members: p.Members, now: p.Now, log: p.Log, base: base, cancel: cancel,
-		client: &http.Client{Transport: &http.Transport{}, Timeout: p.Config.OwnerTimeout},
+		client: &http.Client{Transport: p.Transport, Timeout: p.Config.OwnerTimeout},
 	}
 	for i := range s.shards {
 		s.shards[i] = &shard{
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -26,13 +26,15 @@
 
 func (e *entry) start(ctx context.Context) (controlHandler, dataHandler http.Handler) {
 	heartbeat := entryhttp.NewHeartbeat(e.self, e.members, e.upstreams, e.cfg.Entry.StatusInterval, e.now, e.log)
+	heartbeat.SetSecure(e.secure())
 	claims := claimlog.New(claimlog.Parts{
-		Config:  claimlog.DefaultConfig(),
-		Self:    e.self,
-		Store:   e.store,
-		Members: e.members,
-		Now:     e.now,
-		Log:     e.log,
+		Config:    claimlog.DefaultConfig(),
+		Self:      e.self,
+		Store:     e.store,
+		Members:   e.members,
+		Transport: e.peerTransport(),
+		Now:       e.now,
+		Log:       e.log,
 	})
 	e.loops.Go(func() {
 		defer claims.Close()
@@ -50,6 +52,7 @@
 		Settings:  e.settings,
 		Upstreams: e.upstreams,
 		Claims:    claims,
+		Secure:    e.secure(),
 		Random:    e.random,
 		Now:       e.now,
 		Log:       e.log,
@@ -65,6 +68,14 @@
 	return controlMux, entryhttp.WithRequestID(e.closeWhenLeaving(dataMux))
 }
 
+// secure returns how calls to agents use TLS, nil without.
+func (e *entry) secure() entryhttp.Secure {
+	if e.credentials == nil {
+		return nil
+	}
+	return e.credentials.Transport
+}
+
 // leave turns the entry not ready and serves on for the drain grace, so that the load balancer sends callers elsewhere
 // before the listener closes. The data listener's shutdown finishes the requests in flight.
 func (e *entry) leave(ctx context.Context) {
--- a/transport/daemon/weights.go
+++ b/transport/daemon/weights.go
@@ -30,7 +30,7 @@
 	cfg := *a.cfg.Agent
 	a.chunks.SetLimit(cfg.ChunkMemoryBytes)
 	limits := weights.NewLimits(cfg, func() bool { return a.gate.Snapshot().InFlight > 0 })
-	peers := weights.NewPeerClient(a.self)
+	peers := a.newPeerClient()
 	counters := &weights.Counters{}
 	fetcher := weights.NewFetcher(weights.FetcherParts{
 		Self: a.self,
@@ -69,6 +69,13 @@
 	return weightParts{rollout: rollout, handler: handler, peers: peers}
 }
 
+func (a *agent) newPeerClient() *weights.PeerClient {
+	if a.credentials == nil {
+		return weights.NewPeerClient(a.self)
+	}
+	return weights.NewSecurePeerClient(a.self, a.peerTransport())
+}
+
 // newRandom returns a random source of its own, seeded from the process's source.
 func (a *agent) newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(a.random.Uint64(), a.random.Uint64()))
--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -54,9 +54,11 @@
 	Settings  *table.Settings
 	Upstreams *table.Upstreams
 	Claims    Claims
-	Random    *rand.Rand
-	Now       func() time.Time
-	Log       *logrus.Entry
+	// Secure is nil without TLS between processes.
+	Secure Secure
+	Random *rand.Rand
+	Now    func() time.Time
+	Log    *logrus.Entry
 }
 
 // NewHandler returns a Handler; its Run must run while it serves.
@@ -70,7 +72,7 @@
 		self:      p.Self,
 		settings:  p.Settings,
 		upstreams: p.Upstreams,
-		pool:      newConnPool(),
+		pool:      newConnPool(p.Secure),
 		chance:    newChance(p.Tuning.Retry, rand.New(rand.NewPCG(p.Random.Uint64(), 0))),
 		dispatch:  newDispatcher(),
 		claims:    p.Claims,
--- a/transport/entry/heartbeat.go
+++ b/transport/entry/heartbeat.go
@@ -63,6 +63,9 @@
 // SetUrgent sets what reports that requests wait for a slot; call it before Run.
 func (h *Heartbeat) SetUrgent(urgent func() bool) { h.urgent = urgent }
 
+// SetSecure sets how heartbeats use TLS; call it before Run.
+func (h *Heartbeat) SetSecure(secure Secure) { h.client.Transport = secure.wrap(h.transport) }
+
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeat) Run(ctx context.Context) {
 	pool := pond.NewPool(heartbeatWorkers)
@@ -142,12 +145,17 @@
 func (h *Heartbeat) ask(ctx context.Context, host core.Host) {
 	client := wire.NewAgentProtobufClient("http://"+host.ControlAddr, h.client)
 	response, err := client.Status(ctx, &wire.StatusRequest{Host: string(h.self.ID), Incarnation: string(h.self.Incarnation)})
+	if err != nil && ctx.Err() != nil {
+		return
+	}
 	if err != nil {
+		h.members.Refused(host.ID)
 		h.upstreams.Remove(host.ID)
 		h.askSoon(host.ID)
 		h.log.WithError(err).WithField("agent", host.ID).Debug("heartbeat failed")
 		return
 	}
+	h.members.Heard(host.ID, core.Incarnation(response.GetIncarnation()))
 	h.upstreams.Set(statusFromWire(host, response, h.now()))
 }
 
--- a/transport/entry/heartbeat_test.go
+++ b/transport/entry/heartbeat_test.go
@@ -60,6 +60,7 @@
 type heartbeatHarness struct {
 	*Heartbeat
 	service *statusService
+	agent   *httptest.Server
 	bytes   atomic.Int64
 	clock   time.Time
 	pool    pond.Pool
@@ -70,6 +71,7 @@
 	agent := httptest.NewUnstartedServer(wire.NewAgentServer(hh.service))
 	agent.Config.Protocols = server.Protocols()
 	agent.Start()
+	hh.agent = agent
 	members := table.NewMembers()
 	addr := agent.Listener.Addr().String()
 	members.Replace([]core.Host{{ID: "agent-0001", Role: core.RoleAgent, Upstream: "guava-llm", ControlAddr: addr, State: core.HostLeaving}})
@@ -127,3 +129,20 @@
 	hh.tick(time.Second)
 	require.EqualValues(t, 2, hh.service.calls.Load(), "agent with a grant in force was asked again")
 }
+
+// TestHeartbeatsTellWhoIsSuspect guards against an agent that stays live for routing and rollouts while it does not
+// answer, and against the address of a replaced agent that keeps the earlier incarnation.
+func TestHeartbeatsTellWhoIsSuspect(t *testing.T) {
+	hh := newHeartbeatHarness(t, wire.UpstreamState_UPSTREAM_STATE_WARM)
+	host := hh.members.List()[0]
+	host.State, host.Incarnation = core.HostLive, "earlier"
+	hh.members.Replace([]core.Host{host})
+	hh.tick(0)
+	answered := hh.members.List()[0]
+	require.Equal(t, core.HostLive, answered.State)
+	require.Equal(t, core.Incarnation(strings.Repeat("i", 36)), answered.Incarnation)
+	hh.agent.CloseClientConnections()
+	hh.agent.Close()
+	hh.tick(time.Second)
+	require.Equal(t, core.HostSuspect, hh.members.List()[0].State)
+}
--- a/transport/entry/pool.go
+++ b/transport/entry/pool.go
@@ -13,6 +13,8 @@
 
 // connPool holds one HTTP transport per agent address, so that a dead path to one agent is replaced alone.
 type connPool struct {
+	secure Secure
+
 	mu    sync.Mutex
 	paths map[string]*path
 }
@@ -20,14 +22,27 @@
 // path is the connection to one agent address.
 type path struct {
 	addr      string
-	transport *http.Transport
+	transport http.RoundTripper
 	// users counts the requests in flight; retired says that no new request may use the path.
 	users   int
 	retired bool
 }
 
-func newConnPool() *connPool {
-	return &connPool{paths: make(map[string]*path)}
+// Secure returns a round tripper that uses base with TLS, for http URLs as well; a nil Secure means no TLS.
+type Secure func(base *http.Transport) http.RoundTripper
+
+// wrap returns base itself without TLS.
+func (s Secure) wrap(base *http.Transport) http.RoundTripper {
+	if s == nil {
+		return base
+	}
+	return s(base)
+}
+
+func (p *path) closeIdle() { (&http.Client{Transport: p.transport}).CloseIdleConnections() }
+
+func newConnPool(secure Secure) *connPool {
+	return &connPool{secure: secure, paths: make(map[string]*path)}
 }
 
 // acquire returns the current path to addr; the caller returns it with release.
@@ -36,7 +51,7 @@
 	defer p.mu.Unlock()
 	held, ok := p.paths[addr]
 	if !ok {
-		held = &path{addr: addr, transport: newAgentTransport()}
+		held = &path{addr: addr, transport: p.secure.wrap(newAgentTransport())}
 		p.paths[addr] = held
 	}
 	held.users++
@@ -50,7 +65,7 @@
 	closing := used.retired && used.users == 0
 	p.mu.Unlock()
 	if closing {
-		used.transport.CloseIdleConnections()
+		used.closeIdle()
 	}
 }
 
@@ -80,7 +95,7 @@
 	}
 	p.mu.Unlock()
 	for _, held := range idle {
-		held.transport.CloseIdleConnections()
+		held.closeIdle()
 	}
 }
 
--- a/transport/weights/peers.go
+++ b/transport/weights/peers.go
@@ -37,6 +37,11 @@
 	return &PeerClient{self: self, http: &http.Client{Transport: base}}
 }
 
+// NewSecurePeerClient returns a client that calls peers as host self through transport, which uses TLS.
+func NewSecurePeerClient(self core.Host, transport http.RoundTripper) *PeerClient {
+	return &PeerClient{self: self, http: &http.Client{Transport: transport}}
+}
+
 // Close closes idle connections.
 func (c *PeerClient) Close() { c.http.CloseIdleConnections() }
 
