--- a/bench/e2e/input_test.go
+++ b/bench/e2e/input_test.go
@@ -23,7 +23,7 @@
 	cases := map[string]struct{ body, want string }{
 		"malformed YAML": {"role: entry\nlisten: [", "bad.yaml:2"},
 		"unknown key":    {"role: entry\nrolle: agent\n", "rolle"},
-		"missing role":   {"host: a\n", "role"},
+		"missing role":   {"host: a\n", "bad.yaml:1: role: want one of entry, agent"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -99,6 +99,7 @@
 			require.True(t, errors.As(err, &refused), "error is %v", err)
 			require.Equal(t, c.status, refused.Status)
 			require.NotEmpty(t, refused.Refusal.Message)
+			require.Equal(t, c.status == http.StatusConflict, refused.Refusal.Code == api.CodeConflict, refused.Refusal.Code)
 			require.Equal(t, before, versions(w))
 		})
 	}
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/table"
@@ -25,13 +26,15 @@
 
 func (e *entry) start(ctx context.Context) (controlHandler, dataHandler http.Handler) {
 	heartbeat := entryhttp.NewHeartbeat(e.self, e.members, e.upstreams, e.cfg.Entry.StatusInterval, e.now, e.log)
+	heartbeat.SetSecure(e.secure())
 	claims := claimlog.New(claimlog.Parts{
-		Config:  claimlog.DefaultConfig(),
-		Self:    e.self,
-		Store:   e.store,
-		Members: e.members,
-		Now:     e.now,
-		Log:     e.log,
+		Config:    claimlog.DefaultConfig(),
+		Self:      e.self,
+		Store:     e.store,
+		Members:   e.members,
+		Transport: e.peerTransport(),
+		Now:       e.now,
+		Log:       e.log,
 	})
 	e.loops.Go(func() {
 		defer claims.Close()
@@ -49,6 +52,7 @@
 		Settings:  e.settings,
 		Upstreams: e.upstreams,
 		Claims:    claims,
+		Secure:    e.secure(),
 		Random:    e.random,
 		Now:       e.now,
 		Log:       e.log,
@@ -61,11 +65,38 @@
 		defer handler.Close()
 		handler.Run(ctx)
 	})
-	return controlMux, entryhttp.WithRequestID(dataMux)
+	return controlMux, entryhttp.WithRequestID(e.closeWhenLeaving(dataMux))
+}
+
+// secure returns how calls to agents use TLS, nil without.
+func (e *entry) secure() entryhttp.Secure {
+	if e.credentials == nil {
+		return nil
+	}
+	return e.credentials.Transport
 }
 
-// leave turns the entry not ready; the data listener's shutdown finishes the requests in flight.
-func (e *entry) leave(context.Context) { e.leaving.Store(true) }
+// leave turns the entry not ready and serves on for the drain grace, so that the load balancer sends callers elsewhere
+// before the listener closes. The data listener's shutdown finishes the requests in flight.
+func (e *entry) leave(ctx context.Context) {
+	e.leaving.Store(true)
+	grace := time.NewTimer(e.cfg.Entry.DrainGrace)
+	defer grace.Stop()
+	select {
+	case <-ctx.Done():
+	case <-grace.C:
+	}
+}
+
+// closeWhenLeaving ends the caller's connection after each response while the entry leaves.
+func (e *entry) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
 
 func (e *entry) state() any { return e.upstreams.List() }
 
--- a/transport/entry/attempt.go
+++ b/transport/entry/attempt.go
@@ -22,10 +22,11 @@
 
 // attempt is one try of a call at one agent.
 type attempt struct {
-	entry  core.HostID
 	call   call
 	agent  core.AgentStatus
 	number int
+	// entry is the host that sends the try.
+	entry core.HostID
 	// connected is set once the request had a connection, after which a byte of it may have left.
 	connected atomic.Bool
 	// refused is set when the agent ended the request by a Refusal frame.
