Give a cluster one origin region and read rollout status in the demo

Cause: bench/cluster named each agent's own region as the nearest to the origin, so every agent ranked itself first for some chunks. The demo decided completion from the entry's state dump.

--- a/bench/cluster/apply.go
+++ b/bench/cluster/apply.go
@@ -42,3 +42,20 @@
 	}
 	return doc, nil
 }
+
+// Rollouts reads the rollout status from an entry's admin API.
+func Rollouts(ctx context.Context, entry *Process) (api.RolloutStatus, error) {
+	var status api.RolloutStatus
+	response, err := resty.New().R().
+		SetContext(ctx).
+		SetAuthToken(AdminToken).
+		SetResult(&status).
+		Get(entry.URL() + "/admin/v1/rollouts")
+	if err != nil {
+		return status, eris.Wrap(err, "read rollout status")
+	}
+	if response.IsError() {
+		return status, eris.Errorf("read rollout status: status %d", response.StatusCode())
+	}
+	return status, nil
+}
--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -49,6 +49,8 @@
 	Origin  *origin.Server
 	// InProcess runs guavatrestled inside this process instead of as a process of its own.
 	InProcess bool
+	// OriginRegion is the region nearest to the origin; empty means the region of the first agent's failure domain.
+	OriginRegion core.Region
 
 	binary   string
 	dir      string
@@ -182,11 +184,22 @@
 		ChunkMemoryBytes: chunkMemoryBytes,
 		PollInterval:     pollInterval,
 		Strategy:         "swarm",
-		OriginRegion:     core.Region(domain),
+		OriginRegion:     c.originRegion(domain),
 	}
 	return cfg
 }
 
+// originRegion returns the one region that all agents take for the nearest to the origin. Agents that name different
+// regions each fetch from the origin.
+func (c *Cluster) originRegion(domain core.FailureDomain) core.Region {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.OriginRegion == "" {
+		c.OriginRegion = core.Region(domain)
+	}
+	return c.OriginRegion
+}
+
 // config returns what both roles share; each failure domain is a region of its own unless an option says otherwise.
 func (c *Cluster) config(id core.HostID, role core.Role, domain core.FailureDomain) config.Config {
 	cfg := config.Default()
--- a/bench/cmd/gtbench/demo.go
+++ b/bench/cmd/gtbench/demo.go
@@ -117,26 +117,25 @@
 	return err
 }
 
-// waitForVersion waits until the entry sees the version complete on all agents.
+// waitForVersion waits until the rollout status shows the version complete on all agents.
 func waitForVersion(ctx context.Context, entry *cluster.Process, digest core.Digest, agents int) error {
 	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
-	err := cluster.WaitFor(ctx, func() bool { return countVersion(ctx, entry, digest) >= agents })
+	err := cluster.WaitFor(ctx, func() bool { return countComplete(ctx, entry, digest) >= agents })
 	return eris.Wrapf(err, "version %s is not on all %d agents after %s", digest, agents, demoTimeout)
 }
 
-func countVersion(ctx context.Context, entry *cluster.Process, digest core.Digest) int {
-	seen, err := entry.SeenAgents(ctx)
+func countComplete(ctx context.Context, entry *cluster.Process, digest core.Digest) int {
+	status, err := cluster.Rollouts(ctx, entry)
 	if err != nil {
 		return 0
 	}
-	n := 0
-	for _, agent := range seen {
-		if agent.VersionDigest == digest {
-			n++
+	for _, upstream := range status.Upstreams {
+		if upstream.Upstream == demoUpstream && upstream.TargetDigest == digest {
+			return upstream.Complete
 		}
 	}
-	return n
+	return 0
 }
 
 func streamDemo(ctx context.Context, entry *cluster.Process, digest core.Digest, report *demoReport) error {
