Count polls, busy responses and failed fetches of weight transfer

Cause: a slow rollout could not be told from its metrics: nothing showed how many polls were sent and how often a peer had no upload slot. gtbench rollout adds them to its report.

--- a/bench/rollout/rollout.go
+++ b/bench/rollout/rollout.go
@@ -28,14 +28,19 @@
 	upstream     = core.Upstream("guava-llm")
 	version      = "v1"
 	originRegion = core.Region("centro")
-	// crossRegionMetric is the product's metric of bytes fetched from hosts in other regions.
-	crossRegionMetric = "weights_peer_bytes_cross_region"
+	// Names of the product's metrics that the report uses.
+	metricCrossRegion = "weights_peer_bytes_cross_region"
+	metricPolls       = "weights_polls"
+	metricBusy        = "weights_busy_responses"
+	metricFailed      = "weights_failed_fetches"
 
 	chunksWanted = 64
 	minChunk     = 64 << 10
 	maxChunk     = 4 << 20
 )
 
+var metrics = []string{metricCrossRegion, metricPolls, metricBusy, metricFailed}
+
 var domains = []struct {
 	name   core.FailureDomain
 	region core.Region
@@ -80,6 +85,10 @@
 	CorruptRejected  int64    `json:"corrupt_rejected"`
 	MixedActivations int      `json:"mixed_activations"`
 	AgentsComplete   int      `json:"agents_complete"`
+	// Polls, BusyResponses and FailedFetches are the product's metrics, summed over agents.
+	Polls         int64 `json:"polls"`
+	BusyResponses int64 `json:"busy_responses"`
+	FailedFetches int64 `json:"failed_fetches"`
 }
 
 // run is one rollout.
@@ -225,7 +234,9 @@
 		out.AgentsRun = "in process"
 	}
 	out.Links = r.linksUsed()
-	out.CrossRegionCopies = r.crossRegionCopies(ctx)
+	sums := r.metricSums(ctx)
+	out.CrossRegionCopies = r.crossRegionCopies(sums)
+	out.Polls, out.BusyResponses, out.FailedFetches = sums[metricPolls], sums[metricBusy], sums[metricFailed]
 	out.OriginCopies = float64(out.OriginBytes) / float64(r.cfg.ModelBytes)
 	if all != nil {
 		ratio := *all / out.BoundSeconds
@@ -250,28 +261,34 @@
 	}
 }
 
-// crossRegionCopies adds what relays to the origin counted and the larger of what relays between hosts and the
-// product's metrics counted.
-func (r *run) crossRegionCopies(ctx context.Context) *float64 {
+// metricSums adds up the product's metrics over agents; it is empty when no agent answers.
+func (r *run) metricSums(ctx context.Context) map[string]int64 {
 	agents := r.agents
 	if r.cluster.InProcess {
 		// Metrics are shared by all agents inside this process.
 		agents = agents[:1]
 	}
-	var reported int64
-	known := r.links.peerBytes.Load() > 0 || r.cfg.Strategy == "direct"
+	sums := make(map[string]int64)
 	for _, agent := range agents {
 		vars, err := agent.Vars(ctx)
 		if err != nil {
 			continue
 		}
-		var n int64
-		if json.Unmarshal(vars[crossRegionMetric], &n) == nil {
-			reported += n
-			known = true
+		for _, name := range metrics {
+			var n int64
+			if json.Unmarshal(vars[name], &n) == nil {
+				sums[name] += n
+			}
 		}
 	}
-	if !known {
+	return sums
+}
+
+// crossRegionCopies adds what relays to the origin counted and the larger of what relays between hosts and the
+// product's metrics counted.
+func (r *run) crossRegionCopies(sums map[string]int64) *float64 {
+	reported, known := sums[metricCrossRegion]
+	if !known && r.links.peerBytes.Load() == 0 && r.cfg.Strategy != "direct" {
 		return nil
 	}
 	bytes := r.links.originCross.Load() + max(r.links.peerCross.Load(), reported)
--- a/transport/weights/fetch.go
+++ b/transport/weights/fetch.go
@@ -163,6 +163,7 @@
 }
 
 func (r *run) poll(ctx context.Context, peer core.Host) {
+	varPolls.Add(1)
 	response, err := r.parts.Peers.Chunks(ctx, peer, r.digest, false)
 	r.send(ctx, func(now time.Time) {
 		if err != nil {
@@ -182,6 +183,7 @@
 		held, err = r.fromPeer(ctx, fetch, peer)
 	}
 	result := transfer.Result{Fetch: fetch, Outcome: outcomeOf(err), RetryAfter: retryAfterOf(err)}
+	countFetch(result.Outcome)
 	if err == nil {
 		r.reason.Store("")
 	} else if ctx.Err() == nil {
--- a/transport/weights/metrics.go
+++ b/transport/weights/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"expvar"
 	"sync/atomic"
+
+	"github.com/guavatrestle/guavatrestle/coordination/transfer"
 )
 
 // Process-wide counters at /debug/vars.
@@ -11,6 +13,9 @@
 	varRegionPeerBytes  = expvar.NewInt("weights_peer_bytes_same_region")
 	varCrossRegionBytes = expvar.NewInt("weights_peer_bytes_cross_region")
 	varRejectedChunks   = expvar.NewInt("weights_rejected_chunks")
+	varPolls            = expvar.NewInt("weights_polls")
+	varBusyResponses    = expvar.NewInt("weights_busy_responses")
+	varFailedFetches    = expvar.NewInt("weights_failed_fetches")
 )
 
 // Counters counts the bytes of chunks received and the chunks rejected.
@@ -49,3 +54,13 @@
 	c.rejected.Add(1)
 	varRejectedChunks.Add(1)
 }
+
+// countFetch counts the fetches that brought no chunk.
+func countFetch(outcome transfer.Outcome) {
+	switch outcome {
+	case transfer.OutcomeBusy:
+		varBusyResponses.Add(1)
+	case transfer.OutcomeFailed, transfer.OutcomeMissing:
+		varFailedFetches.Add(1)
+	}
+}
