Tell peers which chunks the asking host holds

Cause: a poll or a chunk request informed only the side that asked, and the budget allows about two polls a second. Requests now carry the asking host's bitmap, so that one exchange informs both sides. The cost of a poll counts both bitmaps.

--- a/bench/cluster/process.go
+++ b/bench/cluster/process.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create log file")
 	}
-	run, err := c.run(path, cfg, log)
+	run, err := c.run(path, log)
 	if err != nil {
 		return nil, err
 	}
--- a/bench/cluster/runner.go
+++ b/bench/cluster/runner.go
@@ -43,9 +43,14 @@
 func (i inside) wait() error { return <-i.result }
 
 // run starts guavatrestled with the configuration at path, as a process of its own or inside this one.
-func (c *Cluster) run(path string, cfg config.Config, log *os.File) (runner, error) {
+func (c *Cluster) run(path string, log *os.File) (runner, error) {
 	if c.InProcess {
-		return runInside(cfg, log), nil
+		// Reading the file applies the product's defaults and checks, as in a process of its own.
+		read, err := config.Load(path)
+		if err != nil {
+			return nil, eris.Wrap(err, "read configuration")
+		}
+		return runInside(read, log), nil
 	}
 	cmd := exec.Command(c.binary, "--config", path)
 	cmd.Stdout = log
--- a/coordination/transfer/peers.go
+++ b/coordination/transfer/peers.go
@@ -145,6 +145,18 @@
 		return
 	}
 	known.polling, known.tried = false, true
+	p.learn(now, known, held)
+}
+
+// Heard takes the bitmap that came with a request of a peer.
+func (p *Planner) Heard(now time.Time, id core.HostID, held Bitmap) {
+	if known := p.peers[id]; known != nil {
+		p.learn(now, known, held)
+	}
+}
+
+// learn records what a peer holds and whether that has grown.
+func (p *Planner) learn(now time.Time, known *peer, held Bitmap) {
 	before, first := known.count, known.seen.IsZero()
 	p.setHeld(known, held)
 	if first || known.count > before {
@@ -190,7 +202,8 @@
 // polls returns the peers to poll, within the budget for control traffic.
 func (p *Planner) polls(now time.Time) []core.Host {
 	p.refillControl(now)
-	cost := float64(pollOverheadBytes + (p.target.Chunks+bitsPerByte-1)/bitsPerByte)
+	bitmapBytes := (p.target.Chunks + bitsPerByte - 1) / bitsPerByte
+	cost := float64(pollOverheadBytes + 2*bitmapBytes)
 	if p.control < cost {
 		return nil
 	}
--- a/transport/daemon/agent.go
+++ b/transport/daemon/agent.go
@@ -46,6 +46,7 @@
 	}
 	service := upstream.NewService(a.self, a.settings, a.chunks, a.gate)
 	service.ReportTransfer(parts.rollout)
+	service.ListenToPeers(parts.fetcher)
 	controlMux := http.NewServeMux()
 	controlMux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(service))
 	a.registerControl(controlMux)
--- a/transport/daemon/weights.go
+++ b/transport/daemon/weights.go
@@ -17,6 +17,7 @@
 	rollout *weights.Rollout
 	handler *weights.ChunkHandler
 	peers   *weights.PeerClient
+	fetcher *weights.Fetcher
 }
 
 // run rolls out versions until ctx ends.
@@ -30,7 +31,7 @@
 	cfg := *a.cfg.Agent
 	a.chunks.SetLimit(cfg.ChunkMemoryBytes)
 	limits := weights.NewLimits(cfg, func() bool { return a.gate.Snapshot().InFlight > 0 })
-	peers := weights.NewPeerClient(a.self)
+	peers := weights.NewPeerClient(a.self, a.chunks)
 	counters := &weights.Counters{}
 	fetcher := weights.NewFetcher(weights.FetcherParts{
 		Self: a.self,
@@ -66,7 +67,8 @@
 		Log:      a.log,
 	})
 	handler := weights.NewChunkHandler(a.chunks, limits, a.withdrawn, cfg.Transfer.UploadSlots, cfg.Transfer.ChunkTimeout)
-	return weightParts{rollout: rollout, handler: handler, peers: peers}
+	handler.ListenToPeers(fetcher)
+	return weightParts{rollout: rollout, handler: handler, peers: peers, fetcher: fetcher}
 }
 
 // newRandom returns a random source of its own, seeded from the process's source.
--- a/transport/upstream/status.go
+++ b/transport/upstream/status.go
@@ -17,6 +17,7 @@
 	chunks   *table.Chunks
 	gate     *Gate
 	transfer TransferReporter
+	peers    PeerListener
 }
 
 // TransferReport is what Status tells about the weight transfer.
@@ -32,6 +33,14 @@
 	TransferReport() TransferReport
 }
 
+// PeerListener takes the chunks that another agent says it holds.
+type PeerListener interface {
+	PeerHolds(host core.HostID, digest core.Digest, bitmap []byte)
+}
+
+// ListenToPeers makes Chunks pass on what the asking host holds; call it before the service is used.
+func (s *Service) ListenToPeers(l PeerListener) { s.peers = l }
+
 // ReportTransfer makes Status tell what r reports; call it before the service is used.
 func (s *Service) ReportTransfer(r TransferReporter) { s.transfer = r }
 
@@ -87,6 +96,9 @@
 	if s.settings.Tree().Upstreams[s.host.Upstream].IsWithdrawn(digest) {
 		return &wire.ChunksResponse{}, nil
 	}
+	if s.peers != nil && len(request.GetBitmap()) > 0 {
+		s.peers.PeerHolds(core.HostID(request.GetHost()), digest, request.GetBitmap())
+	}
 	response := &wire.ChunksResponse{Bitmap: s.chunks.Bitmap(digest)}
 	if request.GetWantManifest() {
 		_, response.Manifest, _ = s.chunks.Manifest(digest)
--- a/transport/weights/fetch.go
+++ b/transport/weights/fetch.go
@@ -17,6 +17,7 @@
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/settings"
 	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport/upstream"
 )
 
 const (
@@ -24,6 +25,8 @@
 	planInterval = 100 * time.Millisecond
 	// pollWorkers bounds the polls of peers that run at once.
 	pollWorkers = 4
+	// heardQueue bounds the bitmaps from peers that wait for the plan.
+	heardQueue = 16
 	// hostsInterval is the time between two looks at the host list.
 	hostsInterval = time.Second
 )
@@ -35,6 +38,8 @@
 type Fetcher struct {
 	parts  FetcherParts
 	reason atomic.Value
+	// current is the fetch under way, nil when there is none.
+	current atomic.Pointer[run]
 }
 
 // FetcherParts are the parts that a Fetcher works with.
@@ -60,6 +65,21 @@
 	return f
 }
 
+var _ upstream.PeerListener = (*Fetcher)(nil)
+
+// PeerHolds takes the chunks that a peer says it holds. It never waits: an update that finds the
+// fetch busy is dropped, and later ones replace it.
+func (f *Fetcher) PeerHolds(host core.HostID, digest core.Digest, bitmap []byte) {
+	r := f.current.Load()
+	if r == nil || r.digest != digest {
+		return
+	}
+	select {
+	case r.events <- func(now time.Time) { r.plan.Heard(now, host, bitmap) }:
+	default:
+	}
+}
+
 // Reason says what the fetch last waited for.
 func (f *Fetcher) Reason() string { return f.reason.Load().(string) }
 
@@ -97,8 +117,10 @@
 			f.parts.Random, f.parts.Now()),
 		pool:   pond.NewPool(cfg.DownloadSlots),
 		polls:  pond.NewPool(pollWorkers),
-		events: make(chan func(time.Time), cfg.DownloadSlots+pollWorkers),
+		events: make(chan func(time.Time), cfg.DownloadSlots+pollWorkers+heardQueue),
 	}
+	f.current.Store(r)
+	defer f.current.Store(nil)
 	defer r.polls.StopAndWait()
 	defer r.pool.StopAndWait()
 	defer cancel()
--- a/transport/weights/fetch_test.go
+++ b/transport/weights/fetch_test.go
@@ -115,7 +115,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	self := core.Host{ID: "self", Role: core.RoleAgent, Upstream: "u", Region: "r", FailureDomain: "d"}
-	peers := NewPeerClient(self)
+	peers := NewPeerClient(self, b.chunks)
 	defer peers.Close()
 	f := NewFetcher(FetcherParts{
 		Self: self, Config: b.cfg, Source: platform.NewWeightClient(server.URL), Chunks: b.chunks,
--- a/transport/weights/peers.go
+++ b/transport/weights/peers.go
@@ -13,11 +13,14 @@
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/table"
 )
 
 const (
 	// headerChunks carries the sender's bitmap of held chunks in base64, which saves polls.
 	headerChunks = "Gt-Chunks"
+	// headerHost names the host that asks for a chunk.
+	headerHost = "Gt-Host"
 	// pollTimeout bounds one poll of a peer.
 	pollTimeout = 2 * time.Second
 	// idlePeerConns bounds the idle connections kept to one peer.
@@ -26,15 +29,16 @@
 
 // PeerClient asks other agents for chunks.
 type PeerClient struct {
-	self core.Host
-	http *http.Client
+	self   core.Host
+	chunks *table.Chunks
+	http   *http.Client
 }
 
-// NewPeerClient returns a client that calls peers as host self.
-func NewPeerClient(self core.Host) *PeerClient {
+// NewPeerClient returns a client that calls peers as host self and tells them which chunks it holds.
+func NewPeerClient(self core.Host, chunks *table.Chunks) *PeerClient {
 	base := http.DefaultTransport.(*http.Transport).Clone()
 	base.MaxIdleConnsPerHost = idlePeerConns
-	return &PeerClient{self: self, http: &http.Client{Transport: base}}
+	return &PeerClient{self: self, chunks: chunks, http: &http.Client{Transport: base}}
 }
 
 // Close closes idle connections.
@@ -46,7 +50,7 @@
 	defer cancel()
 	client := wire.NewAgentProtobufClient("http://"+peer.ControlAddr, c.http)
 	response, err := client.Chunks(ctx, &wire.ChunksRequest{
-		VersionDigest: string(digest), Host: string(c.self.ID), WantManifest: manifest,
+		VersionDigest: string(digest), Host: string(c.self.ID), WantManifest: manifest, Bitmap: c.chunks.Bitmap(digest),
 	})
 	if err != nil {
 		return nil, protocol.Wrap(protocol.CodeUnavailable, err, "ask "+string(peer.ID)+" for its chunks")
@@ -73,6 +77,8 @@
 	if err != nil {
 		return nil, nil, protocol.Wrap(protocol.CodeMalformed, err, "build chunk request")
 	}
+	request.Header.Set(headerHost, string(c.self.ID))
+	request.Header.Set(headerChunks, encodeBitmap(c.chunks.Bitmap(digest)))
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, nil, protocol.Wrap(protocol.CodeUnavailable, err, "request chunk")
@@ -85,8 +91,22 @@
 	if _, err := io.ReadFull(response.Body, data); err != nil {
 		return nil, nil, protocol.Wrap(protocol.CodeIncomplete, err, "read chunk")
 	}
-	held, _ := base64.StdEncoding.DecodeString(response.Header.Get(headerChunks))
-	return data, held, nil
+	return data, decodeBitmap(response.Header), nil
+}
+
+func encodeBitmap(bitmap []byte) string { return base64.StdEncoding.EncodeToString(bitmap) }
+
+// decodeBitmap returns the bitmap that the other side sent, nil when there is none.
+func decodeBitmap(header http.Header) transfer.Bitmap {
+	value := header.Get(headerChunks)
+	if value == "" {
+		return nil
+	}
+	bitmap, err := base64.StdEncoding.DecodeString(value)
+	if err != nil {
+		return nil
+	}
+	return bitmap
 }
 
 func chunkStatus(response *http.Response) error {
--- a/transport/weights/rollout_test.go
+++ b/transport/weights/rollout_test.go
@@ -113,12 +113,12 @@
 		Settings: s.settings, Chunks: s.chunks, Counters: counters, Hosts: hosts,
 		Fetcher: NewFetcher(FetcherParts{
 			Self: self, Config: transfer.Config{Transfer: *cfg.Transfer, Strategy: transfer.StrategySwarm},
-			Source: s.source, Chunks: s.chunks, Hosts: hosts, Peers: NewPeerClient(self),
+			Source: s.source, Chunks: s.chunks, Hosts: hosts, Peers: NewPeerClient(self, s.chunks),
 			Limits: NewLimits(cfg, func() bool { return false }), Counters: counters,
 			Random: rand.New(rand.NewPCG(1, 1)), Now: time.Now, Log: entry,
 		}),
 		Permits: NewPermits(s.store, self, time.Hour, func() string { nonce++; return string(rune('a' + nonce)) }, func() time.Time { return s.now }),
-		Peers:   NewPeerClient(self), Engine: s.engine, Gate: s.gate, Monitor: monitor, Interval: time.Second,
+		Peers:   NewPeerClient(self, s.chunks), Engine: s.engine, Gate: s.gate, Monitor: monitor, Interval: time.Second,
 		Random: rand.New(rand.NewPCG(2, 2)), Now: func() time.Time { return s.now }, Log: entry,
 	})
 	return s
--- a/transport/weights/serve.go
+++ b/transport/weights/serve.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport/upstream"
 )
 
 // uploadRetryAfter is the pause in seconds that a peer is asked for when all upload slots are taken.
@@ -19,6 +19,7 @@
 	chunks    *table.Chunks
 	limits    *Limits
 	withdrawn func(core.Digest) bool
+	peers     upstream.PeerListener
 	slots     chan struct{}
 	timeout   time.Duration
 }
@@ -31,6 +32,9 @@
 	}
 }
 
+// ListenToPeers makes the handler pass on what the asking hosts hold; call it before the handler is used.
+func (h *ChunkHandler) ListenToPeers(l upstream.PeerListener) { h.peers = l }
+
 // ServeHTTP implements http.Handler.
 func (h *ChunkHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	index, err := strconv.Atoi(r.PathValue("index"))
@@ -39,6 +43,9 @@
 		return
 	}
 	digest := core.Digest(r.PathValue("digest"))
+	if bitmap := decodeBitmap(r.Header); h.peers != nil && bitmap != nil {
+		h.peers.PeerHolds(core.HostID(r.Header.Get(headerHost)), digest, bitmap)
+	}
 	data, ok := h.chunks.Get(digest, index)
 	if !ok || h.withdrawn(digest) {
 		http.Error(w, "chunk is not held", http.StatusNotFound)
@@ -52,7 +59,7 @@
 		http.Error(w, "all upload slots are taken", http.StatusTooManyRequests)
 		return
 	}
-	w.Header().Set(headerChunks, base64.StdEncoding.EncodeToString(h.chunks.Bitmap(digest)))
+	w.Header().Set(headerChunks, encodeBitmap(h.chunks.Bitmap(digest)))
 	h.send(w, r, data)
 }
 
