Spread the manifest along a tree of each region's hosts

Cause: a host asked two random peers for the manifest per try, those of its own region first, with a backoff from 0.5 s to 10 s. Where no host of the region had it yet, the tries went by for tens of seconds, and chunks stayed at hosts that the others could not reach.

Each host now asks its parent in a tree of fan-out 4, the first host of a region asks the host that fetches from the origin, and the first pause is a quarter of retry_base. A further peer per try covers dead parents.

--- a/coordination/transfer/config.go
+++ b/coordination/transfer/config.go
@@ -89,14 +89,17 @@
 
 // sortBy sorts items by less.
 func sortBy[T any](items []T, less func(a, b T) bool) {
-	slices.SortFunc(items, func(a, b T) int {
-		switch {
-		case less(a, b):
-			return -1
-		case less(b, a):
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortFunc(items, func(a, b T) int { return compareBy(a, b, less) })
+}
+
+// compareBy compares two items by less.
+func compareBy[T any](a, b T, less func(a, b T) bool) int {
+	switch {
+	case less(a, b):
+		return -1
+	case less(b, a):
+		return 1
+	default:
+		return 0
+	}
 }
--- a/coordination/transfer/rank.go
+++ b/coordination/transfer/rank.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,6 +13,8 @@
 const (
 	// manifestIndex stands for the manifest in a ranking.
 	manifestIndex = -1
+	// manifestFanOut is the number of hosts that ask one host for the manifest first.
+	manifestFanOut = 4
 	// maxCohortShift caps the size of a cohort at 2^30 hosts.
 	maxCohortShift = 30
 )
@@ -70,9 +73,29 @@
 	return before < cohort(waited, cfg.TakeOver)
 }
 
-// ManifestPeers returns up to limit peers to ask for the manifest, from offset on in an order that
-// starts with the own region and differs between hosts, so that no host is asked by all others.
-func ManifestPeers(self core.Host, hosts []core.Host, offset, limit int) []core.Host {
+// ManifestPeers returns the peers to ask for the manifest at an attempt, counted from 0.
+//
+// The hosts of a region form a tree in ranked order: the first asks the host that ranks first of all,
+// and each other host asks its parent, so that no host is asked by more than manifestFanOut others and
+// the manifest reaches n hosts in about log(n) steps. Each attempt asks one further peer too, in an
+// order that starts with the own region, since a parent may be dead or slow.
+func ManifestPeers(cfg Config, self core.Host, hosts []core.Host, digest core.Digest, attempt int) []core.Host {
+	peers := manifestOrder(self, hosts)
+	if len(peers) == 0 {
+		return nil
+	}
+	chosen := []core.Host{}
+	if parent, ok := manifestParent(cfg, self, peers, digest); ok {
+		chosen = append(chosen, parent)
+	}
+	if other := peers[attempt%len(peers)]; len(chosen) == 0 || chosen[0].ID != other.ID {
+		chosen = append(chosen, other)
+	}
+	return chosen
+}
+
+// manifestOrder returns the eligible hosts, those of the own region first, in an order that differs between hosts.
+func manifestOrder(self core.Host, hosts []core.Host) []core.Host {
 	var peers []core.Host
 	for _, host := range hosts {
 		if host.ID != self.ID && eligible(self, host) {
@@ -86,11 +109,30 @@
 		}
 		return ranksBefore(core.Digest(self.ID), manifestIndex, a.ID, b.ID)
 	})
-	var chosen []core.Host
-	for i := range min(limit, len(peers)) {
-		chosen = append(chosen, peers[(offset+i)%len(peers)])
+	return peers
+}
+
+// manifestParent returns the host above self in the tree; the host that ranks first of all has none.
+func manifestParent(cfg Config, self core.Host, peers []core.Host, digest core.Digest) (core.Host, bool) {
+	before := func(a, b core.Host) bool { return cfg.originRanksBefore(digest, manifestIndex, a, b) }
+	var ahead, regionAhead []core.Host
+	for _, host := range peers {
+		if !before(host, self) {
+			continue
+		}
+		ahead = append(ahead, host)
+		if host.Region == self.Region {
+			regionAhead = append(regionAhead, host)
+		}
 	}
-	return chosen
+	if len(ahead) == 0 {
+		return core.Host{}, false
+	}
+	if len(regionAhead) == 0 {
+		return slices.MinFunc(ahead, func(a, b core.Host) int { return compareBy(a, b, before) }), true
+	}
+	sortBy(regionAhead, before)
+	return regionAhead[(len(regionAhead)-1)/manifestFanOut], true
 }
 
 // eligible reports whether host may exchange chunks with self.
--- a/transport/weights/manifest.go
+++ b/transport/weights/manifest.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// manifestPeers is the number of peers asked for a manifest per attempt.
-	manifestPeers = 2
+	// manifestRetryShare is the part of RetryBase after which peers are asked again for the first time. A whole
+	// RetryBase at each level of the tree delayed the last of 30 hosts by seconds.
+	manifestRetryShare = 4
 	// maxManifestShift keeps the backoff shift within the range of a duration.
 	maxManifestShift = 16
 )
@@ -42,7 +43,7 @@
 func (f *Fetcher) findManifest(ctx context.Context, model core.Model, ref settings.VersionRef, attempt int, waited time.Duration) (core.Manifest, []byte, string, error) {
 	hosts := f.parts.Hosts()
 	if f.parts.Config.Strategy != transfer.StrategyDirect {
-		for _, peer := range transfer.ManifestPeers(f.parts.Self, hosts, attempt*manifestPeers, manifestPeers) {
+		for _, peer := range transfer.ManifestPeers(f.parts.Config, f.parts.Self, hosts, ref.Digest, attempt) {
 			response, err := f.parts.Peers.Chunks(ctx, peer, ref.Digest, true)
 			if err != nil || len(response.GetManifest()) == 0 {
 				continue
@@ -69,7 +70,7 @@
 // backOff waits for a jittered time that doubles with each attempt, and at least for atLeast.
 func (f *Fetcher) backOff(ctx context.Context, attempt int, atLeast time.Duration) error {
 	cfg := f.parts.Config
-	step := min(cfg.RetryBase<<min(attempt, maxManifestShift), cfg.RetryCap)
+	step := min(cfg.RetryBase/manifestRetryShare<<min(attempt, maxManifestShift), cfg.RetryCap)
 	wait := max(step/2+time.Duration(f.parts.Random.Int64N(int64(step/2)+1)), atLeast)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
