--- a/transport/daemon/weights.go
+++ b/transport/daemon/weights.go
@@ -17,6 +17,7 @@
 	rollout *weights.Rollout
 	handler *weights.ChunkHandler
 	peers   *weights.PeerClient
+	fetcher *weights.Fetcher
 }
 
 // run rolls out versions until ctx ends.
@@ -66,14 +67,15 @@
 		Log:      a.log,
 	})
 	handler := weights.NewChunkHandler(a.chunks, limits, a.withdrawn, cfg.Transfer.UploadSlots, cfg.Transfer.ChunkTimeout)
-	return weightParts{rollout: rollout, handler: handler, peers: peers}
+	handler.ListenToPeers(fetcher)
+	return weightParts{rollout: rollout, handler: handler, peers: peers, fetcher: fetcher}
 }
 
 func (a *agent) newPeerClient() *weights.PeerClient {
 	if a.credentials == nil {
-		return weights.NewPeerClient(a.self)
+		return weights.NewPeerClient(a.self, a.chunks)
 	}
-	return weights.NewSecurePeerClient(a.self, a.peerTransport())
+	return weights.NewSecurePeerClient(a.self, a.chunks, a.peerTransport())
 }
 
 // newRandom returns a random source of its own, seeded from the process's source.
