--- a/bench/hotpath/hotpath_test.go
+++ b/bench/hotpath/hotpath_test.go
@@ -67,7 +67,7 @@
 func BenchmarkGate(b *testing.B) {
 	now := time.Unix(0, 0)
 	gate := admission.New(admission.Config{ColdLimit: 2, WarmLimit: 8, WarmupCompletions: 4, Versioned: true, MaxReportAge: time.Hour})
-	gate.Observe(now, admission.Report{BootID: "1", Digest: digest, Complete: true})
+	gate.Observe(now, admission.Report{BootID: "1", Digest: digest, Complete: true, ReadAt: now})
 	b.ReportAllocs()
 	for b.Loop() {
 		ticket, reason := gate.Admit(now, admission.Request{Digest: digest, Entry: "entry-1"})
--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -130,21 +130,29 @@
 	for _, worker := range s.Workers {
 		worker.Engine.Expect(digest, core.DigestOf(body))
 	}
-	documents := map[string]any{
-		settings.UpstreamPath(Workers): settings.UpstreamSettings{
-			Kind: settings.KindModel, Model: Model, Target: &settings.VersionRef{Version: "v1", Digest: digest},
+	if err := s.applyUpstreams(ctx); err != nil {
+		return err
+	}
+	for _, team := range s.spec.Teams {
+		if _, err := cluster.Apply(ctx, s.Entries[0], settings.TeamPath(team.Name), 0, s.teamSettings(team)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// applyUpstreams creates the upstreams' documents, which must exist before a team's document names them.
+func (s *Scene) applyUpstreams(ctx context.Context) error {
+	documents := map[core.Upstream]settings.UpstreamSettings{
+		Workers: {
+			Kind: settings.KindModel, Model: Model, Target: &settings.VersionRef{Version: "v1", Digest: s.digest},
 			ColdLimit: s.spec.Engine.ColdLimit, WarmLimit: s.spec.Engine.WarmLimit,
 			WarmupCompletions: s.spec.Engine.WarmupCompletions,
 		},
-		settings.UpstreamPath(Bookings): settings.UpstreamSettings{
-			Kind: settings.KindService, ColdLimit: serviceLimit, WarmLimit: serviceLimit,
-		},
-	}
-	for _, team := range s.spec.Teams {
-		documents[settings.TeamPath(team.Name)] = s.teamSettings(team)
+		Bookings: {Kind: settings.KindService, ColdLimit: serviceLimit, WarmLimit: serviceLimit},
 	}
-	for path, document := range documents {
-		if _, err := cluster.Apply(ctx, s.Entries[0], path, 0, document); err != nil {
+	for name, document := range documents {
+		if _, err := cluster.Apply(ctx, s.Entries[0], settings.UpstreamPath(name), 0, document); err != nil {
 			return err
 		}
 	}
