Choose agents without copies and name the routing policy

Cause: each choice copied, sorted and scanned the statuses of all agents, twice for each request, and again for every queued request at each change. The table now keeps the corrected statuses by upstream up to date at each change, and routing picks by index: two draws by reservoir sampling, affinity in two passes.

The entry's routing_policy selects grants (default), two_choices or least_in_flight, so that they can be compared under the same load. New metrics count requests, tries and agents' refusals. Paths to unknown agents are dropped at ticks only, not at each completed request.

--- a/coordination/routing/affinity.go
+++ b/coordination/routing/affinity.go
@@ -1,9 +1,7 @@
 package routing
 
 import (
-	"cmp"
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,27 +30,43 @@
 	return Affinity(max(hash.Sum64(), 1))
 }
 
-// pickByAffinity returns the agent with the highest rendezvous weight for the affinity among those whose load, with this
-// request, stays within loadBound times the average. The least loaded agent always does.
-func pickByAffinity(agents []core.AgentStatus, affinity Affinity) core.AgentStatus {
-	inFlight, limit := 1, 0
-	for _, agent := range agents {
+// indexByAffinity returns the nearest agent with the highest rendezvous weight for the affinity among those whose load,
+// with this request, stays within loadBound times the average of its tier. The least loaded agent always does.
+func indexByAffinity(snapshot *Snapshot, request *Request) int {
+	nearest, inFlight, limit := tiers, 1, 0
+	for i := range snapshot.Agents {
+		agent := &snapshot.Agents[i]
+		tier := snapshot.tier(&agent.Host)
+		if tier > nearest || !usable(snapshot, request, agent) {
+			continue
+		}
+		if tier < nearest {
+			nearest, inFlight, limit = tier, 1, 0
+		}
 		inFlight += agent.InFlight
 		limit += agent.Limit
 	}
 	bound := loadBound * float64(inFlight) / float64(limit)
-	within := slices.DeleteFunc(slices.Clone(agents), func(agent core.AgentStatus) bool {
-		return float64(agent.InFlight+1) > math.Ceil(bound*float64(agent.Limit))
-	})
-	return slices.MaxFunc(within, func(a, b core.AgentStatus) int {
-		return cmp.Or(cmp.Compare(affinity.weight(a.Host.ID), affinity.weight(b.Host.ID)), cmp.Compare(a.Host.ID, b.Host.ID))
-	})
+	best, bestWeight := -1, uint64(0)
+	for i := range snapshot.Agents {
+		agent := &snapshot.Agents[i]
+		if snapshot.tier(&agent.Host) != nearest || float64(agent.InFlight+1) > math.Ceil(bound*float64(agent.Limit)) {
+			continue
+		}
+		if !usable(snapshot, request, agent) {
+			continue
+		}
+		if weight := request.Affinity.weight(agent.Host.ID); best < 0 || weight > bestWeight {
+			best, bestWeight = i, weight
+		}
+	}
+	return best
 }
 
+// weight mixes the affinity with the hash of the ID by the finaliser of SplitMix64, which needs no buffer for both.
 func (a Affinity) weight(id core.HostID) uint64 {
-	key := make([]byte, 8)
-	for i := range key {
-		key[i] = byte(a >> (8 * i))
-	}
-	return rendezvous(string(key), string(id))
+	x := uint64(a) ^ xxhash.Sum64String(string(id))
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -24,6 +24,19 @@
 	Affinity Affinity
 }
 
+// Policy names a way to judge free slots and to pick among the agents that have one.
+type Policy string
+
+// Policies.
+const (
+	// PolicyGrants heeds grants and takes the less loaded of two random agents. It is the default.
+	PolicyGrants Policy = "grants"
+	// PolicyTwoChoices takes the less loaded of two random agents and leaves the rest to the agents' refusals.
+	PolicyTwoChoices Policy = "two_choices"
+	// PolicyLeastInFlight takes the least loaded agent and leaves the rest to the agents' refusals.
+	PolicyLeastInFlight Policy = "least_in_flight"
+)
+
 // Snapshot is the state that a decision is made on.
 type Snapshot struct {
 	Now       time.Time
@@ -31,65 +44,83 @@
 	InService func(core.FailureDomain) bool
 	Own       core.FailureDomain
 	OwnRegion core.Region
+	// Policy is PolicyGrants when it is empty.
+	Policy Policy
 }
 
 // tiers are the classes of distance: own failure domain, own region, elsewhere.
 const tiers = 3
 
 // Choose returns the agent for a request among the nearest agents with a free slot: by affinity when the request has one,
-// otherwise by power of two choices.
+// otherwise by the policy.
 func Choose(snapshot Snapshot, request Request, random *rand.Rand) (core.AgentStatus, bool) {
-	var byTier [tiers][]core.AgentStatus
-	for _, agent := range snapshot.Agents {
-		if !Eligible(snapshot, request, agent) || !free(snapshot.Now, agent) {
-			continue
-		}
-		tier := snapshot.tier(agent.Host)
-		byTier[tier] = append(byTier[tier], agent)
+	index := Index(&snapshot, &request, random)
+	if index < 0 {
+		return core.AgentStatus{}, false
 	}
-	for _, agents := range byTier {
-		if request.Affinity != 0 && len(agents) > 0 {
-			return pickByAffinity(agents, request.Affinity), true
+	return snapshot.Agents[index], true
+}
+
+// Index is Choose with the agent's index in the snapshot as the result, or -1. It allocates nothing.
+func Index(snapshot *Snapshot, request *Request, random *rand.Rand) int {
+	if request.Affinity != 0 {
+		return indexByAffinity(snapshot, request)
+	}
+	nearest := tiers
+	var seen sample
+	for i := range snapshot.Agents {
+		agent := &snapshot.Agents[i]
+		tier := snapshot.tier(&agent.Host)
+		if tier > nearest || !usable(snapshot, request, agent) {
+			continue
 		}
-		if chosen, ok := pickOfTwo(agents, random); ok {
-			return chosen, true
+		if tier < nearest {
+			nearest, seen = tier, sample{}
 		}
+		seen.add(snapshot, i, random)
 	}
-	return core.AgentStatus{}, false
+	return seen.choice(snapshot, random)
 }
 
 // Eligible reports whether an agent may serve a request, whether or not it has a free slot now.
-func Eligible(snapshot Snapshot, request Request, agent core.AgentStatus) bool {
+func Eligible(snapshot *Snapshot, request *Request, agent *core.AgentStatus) bool {
 	switch {
 	case agent.Host.Upstream != request.Upstream:
 		return false
 	case agent.Leaving, agent.Host.State == core.HostLeaving:
 		return false
-	case !snapshot.InService(agent.Host.FailureDomain):
-		return false
 	case request.NeedsVersion && agent.VersionDigest == "":
 		return false
 	case request.Digest != "" && agent.VersionDigest != request.Digest:
 		return false
 	case len(request.FailureDomains) > 0 && !slices.Contains(request.FailureDomains, agent.Host.FailureDomain):
 		return false
+	case slices.Contains(request.Exclude, agent.Host.ID):
+		return false
 	}
-	return !slices.Contains(request.Exclude, agent.Host.ID)
+	return snapshot.InService(agent.Host.FailureDomain)
+}
+
+func usable(snapshot *Snapshot, request *Request, agent *core.AgentStatus) bool {
+	return snapshot.free(agent) && Eligible(snapshot, request, agent)
 }
 
 // free reports whether an agent has a slot. A grant in force always counts; without one only a warm agent takes work,
 // because the limit of a cold one may have fallen since the last report.
-func free(now time.Time, agent core.AgentStatus) bool {
+func (s *Snapshot) free(agent *core.AgentStatus) bool {
 	if agent.InFlight >= agent.Limit {
 		return false
 	}
-	if now.Before(agent.Grant.Expires) {
+	if s.Policy == PolicyTwoChoices || s.Policy == PolicyLeastInFlight {
+		return true
+	}
+	if s.Now.Before(agent.Grant.Expires) {
 		return agent.Grant.Slots > 0
 	}
 	return agent.State == core.UpstreamWarm
 }
 
-func (s Snapshot) tier(host core.Host) int {
+func (s *Snapshot) tier(host *core.Host) int {
 	switch {
 	case host.FailureDomain == s.Own:
 		return 0
@@ -100,21 +131,6 @@
 	}
 }
 
-func pickOfTwo(agents []core.AgentStatus, random *rand.Rand) (core.AgentStatus, bool) {
-	switch len(agents) {
-	case 0:
-		return core.AgentStatus{}, false
-	case 1:
-		return agents[0], true
-	}
-	first := random.IntN(len(agents))
-	second := (first + 1 + random.IntN(len(agents)-1)) % len(agents)
-	if load(agents[second]) < load(agents[first]) {
-		return agents[second], true
-	}
-	return agents[first], true
-}
-
-func load(agent core.AgentStatus) float64 {
+func load(agent *core.AgentStatus) float64 {
 	return float64(agent.InFlight) / float64(agent.Limit)
 }
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -105,6 +105,8 @@
 	RequestTimeout time.Duration `yaml:"request_timeout" validate:"gt=0"`
 	// StatusInterval is the time between heartbeats to agents.
 	StatusInterval time.Duration `yaml:"status_interval" validate:"gt=0"`
+	// RoutingPolicy selects how an agent is chosen; empty means grants.
+	RoutingPolicy string `yaml:"routing_policy,omitempty" validate:"omitempty,oneof=grants two_choices least_in_flight"`
 }
 
 // Default returns the configuration that a file's settings are read over.
@@ -136,5 +138,5 @@
 }
 
 func defaultEntry() Entry {
-	return Entry{MaxBodyBytes: 4 << 20, RequestTimeout: 60 * time.Second, StatusInterval: time.Second}
+	return Entry{MaxBodyBytes: 4 << 20, RequestTimeout: 60 * time.Second, StatusInterval: time.Second, RoutingPolicy: "grants"}
 }
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -91,12 +91,9 @@
 
 func (h *Handler) anyEligible(request routing.Request) bool {
 	snapshot := h.snapshot()
-	for _, agent := range h.upstreams.List() {
-		if routing.Eligible(snapshot, request, agent) {
-			return true
-		}
-	}
-	return false
+	return h.upstreams.Any(request.Upstream, func(agent *core.AgentStatus) bool {
+		return routing.Eligible(&snapshot, &request, agent)
+	})
 }
 
 func (h *Handler) enqueue(c call) (limits.ItemID, *waiter, error) {
@@ -159,12 +156,12 @@
 	for {
 		changed := h.upstreams.Changed()
 		h.sweep()
-		h.dropOldPaths()
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 		case <-ticker.C:
+			h.dropOldPaths()
 		}
 	}
 }
--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -41,6 +41,7 @@
 // An outcome that was unknown once stays unknown: a later refusal does not undo an earlier try that may have run.
 func (h *Handler) forward(ctx context.Context, out responder, c call) error {
 	h.chance.request()
+	varForwarded.Add(1)
 	run := api.RunNotRun
 	var last *transport.Error
 	for number := 0; ; number++ {
@@ -52,6 +53,7 @@
 			return err
 		}
 		a := &attempt{call: c, agent: agent, number: number}
+		varAttempts.Add(1)
 		err = h.try(ctx, out, a)
 		if err == nil {
 			return nil
@@ -106,14 +108,10 @@
 // choose reserves a slot at an agent; the caller ends the reservation with Finish.
 func (h *Handler) choose(request routing.Request) (core.AgentStatus, bool) {
 	snapshot := h.snapshot()
-	h.chooseMu.Lock()
-	defer h.chooseMu.Unlock()
-	snapshot.Agents = h.upstreams.List()
-	agent, ok := routing.Choose(snapshot, request, h.random)
-	if ok {
-		h.upstreams.Start(agent.Host.ID)
-	}
-	return agent, ok
+	return h.upstreams.Reserve(request.Upstream, func(agents []core.AgentStatus) int {
+		snapshot.Agents = agents
+		return routing.Index(&snapshot, &request, h.random)
+	})
 }
 
 func (h *Handler) snapshot() routing.Snapshot {
@@ -122,6 +120,7 @@
 		InService: h.settings.Tree().InService,
 		Own:       h.self.FailureDomain,
 		OwnRegion: h.self.Region,
+		Policy:    routing.Policy(h.cfg.RoutingPolicy),
 	}
 }
 
--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -36,9 +36,8 @@
 	now       func() time.Time
 	log       *logrus.Entry
 
-	// chooseMu makes choosing an agent and counting the request against it one step.
-	chooseMu sync.Mutex
-	random   *rand.Rand
+	// random is used under the lock of upstreams only.
+	random *rand.Rand
 
 	// closing ends with Close, which waits for background.
 	closing    context.Context
--- a/transport/entry/relay.go
+++ b/transport/entry/relay.go
@@ -66,6 +66,7 @@
 // takeRefusal updates the table of agents at once, so that the next request already knows.
 func (h *Handler) takeRefusal(a *attempt, r *wire.Refusal) error {
 	a.refused = true
+	varRefusals.Add(1)
 	id, incarnation := a.agent.Host.ID, a.agent.Incarnation
 	after := time.Duration(r.GetRetryAfterMillis()) * time.Millisecond
 	notRun := r.GetRun() == wire.Run_RUN_NOT_RUN
