Name the entry in each call so that the agent grants to it

The agent gives an entry without a name a grant of 0 slots in each End and Refusal frame, and that grant held for 2 s. /debug/state showed all ten cold agents idle with 0 slots until the next heartbeat, 4.5 s apart. Refusals by agents were ruled out: entry_agent_refusals was 0 at 0.1 tries per request.

--- a/transport/entry/attempt.go
+++ b/transport/entry/attempt.go
@@ -25,6 +25,8 @@
 	call   call
 	agent  core.AgentStatus
 	number int
+	// entry is this process, for which the agent adds a grant to the last frame.
+	entry core.HostID
 	// connected is set once the request had a connection, after which a byte of it may have left.
 	connected atomic.Bool
 	// refused is set when the agent ended the request by a Refusal frame.
@@ -114,6 +116,7 @@
 	header.Set(api.HeaderPath, c.path)
 	header.Set(api.HeaderIdempotent, strconv.FormatBool(c.repeatable))
 	header.Set(api.HeaderAttempt, strconv.Itoa(a.number))
+	header.Set(api.HeaderEntry, string(a.entry))
 }
 
 // sendError converts an error before the first frame.
--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			return err
 		}
-		a := &attempt{call: c, agent: agent, number: number}
+		a := &attempt{call: c, agent: agent, number: number, entry: h.self.ID}
 		varAttempts.Add(1)
 		err = h.try(ctx, out, a)
 		if err == nil {
--- a/transport/entry/refusals_test.go
+++ b/transport/entry/refusals_test.go
@@ -183,3 +183,12 @@
 	require.Error(t, (<-done).err)
 	require.Equal(t, 1, agent.count(), "cancelled call was sent again")
 }
+
+// TestCallNamesItsEntry guards against agents that add no grant to their last frame, after which a cold agent stays idle
+// until the next heartbeat.
+func TestCallNamesItsEntry(t *testing.T) {
+	h := newHarness(t, nil)
+	agent := h.agent("agent-1", "guava-llm", 1, whole)
+	require.Equal(t, http.StatusOK, h.post(modelPath, modelBody).status)
+	require.Equal(t, "entry-1", agent.calls[0].Header.Get(api.HeaderEntry))
+}
