Take an agent's load from the last frame of each response

Cause: an entry learnt an agent's limit and requests in flight from heartbeats only, 4.5 s apart at 13 agents, so that it kept the limit of a cold agent for seconds after it had warmed up, and the other way round after a restart. The grant in End and Refusal frames now also carries state, limit and requests in flight; heartbeats keep their size. A grant in a last frame also counted the ending request as still to be used up, one slot too many; Settle counts it out.

A push from the agent at each change was weighed and left out: it costs control traffic for each entry and change, and the entries that send requests hear of changes in frames within one request.

--- a/state/table/upstreams.go
+++ b/state/table/upstreams.go
@@ -69,6 +69,24 @@
 	})
 }
 
+// Load is an agent's admission state.
+type Load struct {
+	State    core.UpstreamState
+	Limit    int
+	InFlight int
+}
+
+// Settle replaces an agent's load and grant by those in the last frame of a response. The agent has counted the request
+// out, and this entry does so next, by Finish.
+func (u *Upstreams) Settle(id core.HostID, incarnation core.Incarnation, load Load, grant core.Grant) {
+	u.update(id, incarnation, func(record *agentRecord) {
+		others := u.sent[id] - 1
+		record.status.State, record.status.Limit, record.status.InFlight = load.State, load.Limit, load.InFlight
+		record.status.Grant = grant
+		record.sentAtReport, record.sentAtGrant = others, others
+	})
+}
+
 // MarkLeaving records that an agent refused a request because it is leaving.
 func (u *Upstreams) MarkLeaving(id core.HostID, incarnation core.Incarnation) {
 	u.update(id, incarnation, func(record *agentRecord) { record.status.Leaving = true })
--- a/transport/entry/relay.go
+++ b/transport/entry/relay.go
@@ -87,7 +87,13 @@
 }
 
 func (h *Handler) takeGrant(a *attempt, grant *wire.Grant) {
-	if grant != nil {
+	state, known := stateFromWire[grant.GetState()]
+	switch {
+	case grant == nil:
+	case known:
+		load := table.Load{State: state, Limit: int(grant.GetLimit()), InFlight: int(grant.GetInFlight())}
+		h.upstreams.Settle(a.agent.Host.ID, a.agent.Incarnation, load, grantFromWire(grant, h.now()))
+	default:
 		h.upstreams.SetGrant(a.agent.Host.ID, a.agent.Incarnation, grantFromWire(grant, h.now()))
 	}
 }
--- a/transport/upstream/gate.go
+++ b/transport/upstream/gate.go
@@ -101,6 +101,16 @@
 	return &wire.Grant{Slots: uint32(grant.Slots), TtlMillis: uint32(grant.Expires.Sub(now).Milliseconds())}
 }
 
+// Report grants entry a share of the free slots and tells the admission state, for the last frame of a response.
+func (g *Gate) Report(entry core.HostID) *wire.Grant {
+	grant := g.Offer(entry)
+	state := g.Snapshot()
+	grant.Limit = uint32(state.Limit)
+	grant.InFlight = uint32(state.InFlight)
+	grant.State = stateToWire[state.State]
+	return grant
+}
+
 // Entries returns the entries that asked for an offer lately.
 func (g *Gate) Entries() []core.HostID {
 	g.mu.Lock()
--- a/transport/upstream/handler.go
+++ b/transport/upstream/handler.go
@@ -60,7 +60,7 @@
 	if end.gone {
 		return
 	}
-	grant := h.parts.Gate.Offer(core.HostID(r.Header.Get(api.HeaderEntry)))
+	grant := h.parts.Gate.Report(core.HostID(r.Header.Get(api.HeaderEntry)))
 	if err := end.write(out, grant); err != nil {
 		h.parts.Log.WithError(err).WithField("request_id", r.Header.Get(api.HeaderRequestID)).Debug("write last frame")
 	}
