Measure brown-outs, token gaps, tries and prompt caches in gtbench

Reports add the time to the first part for 95 in 100 requests, the longest gap between parts, the time to a refusal, refusals without Retry-After, and tries for each request. gtbench affinity runs shared prompt prefixes against a small prefix cache in the engine stand-in.

--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -69,8 +69,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	out := Outcome{Status: response.StatusCode, RetryAfter: response.Header.Get("Retry-After"), FirstByte: time.Since(r.Due)}
-	body, err := io.ReadAll(response.Body)
+	body, gap, err := readAll(response.Body)
 	out.Latency = time.Since(r.Due)
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		out.TokenGap = gap
+	}
 	if err != nil {
 		out.Kind = CutOff
 		out.Detail = fmt.Sprintf("read response with status %d after %d bytes: %v", out.Status, len(body), err)
@@ -79,6 +82,29 @@
 	return judge(out, r, body)
 }
 
+// readAll reads a body and returns the longest time between two reads that brought data.
+func readAll(body io.Reader) (all []byte, longest time.Duration, err error) {
+	buffer := make([]byte, 4<<10)
+	var last time.Time
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			now := time.Now()
+			if !last.IsZero() {
+				longest = max(longest, now.Sub(last))
+			}
+			last = now
+			all = append(all, buffer[:n]...)
+		}
+		if errors.Is(err, io.EOF) {
+			return all, longest, nil
+		}
+		if err != nil {
+			return all, longest, err
+		}
+	}
+}
+
 func sendFailure(err error, written bool, latency time.Duration) Outcome {
 	out := Outcome{Kind: CutOff, Latency: latency, Detail: err.Error()}
 	var op *net.OpError
--- a/bench/caller/outcome.go
+++ b/bench/caller/outcome.go
@@ -38,6 +38,8 @@
 	// FirstByte and Latency are times since the request was due.
 	FirstByte time.Duration
 	Latency   time.Duration
+	// TokenGap is the longest time between two reads of an event stream; 0 for other responses.
+	TokenGap time.Duration
 	// Detail says what was wrong.
 	Detail string
 }
--- a/bench/cmd/gtbench/main.go
+++ b/bench/cmd/gtbench/main.go
@@ -25,6 +25,7 @@
 		newDomainCommand(),
 		newFairnessCommand(),
 		newEntryCostCommand(),
+		newAffinityCommand(),
 		newConfigCommand(),
 		newProxyCommand(),
 	)
--- a/bench/cmd/gtbench/traffic.go
+++ b/bench/cmd/gtbench/traffic.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/guavatrestle/guavatrestle/bench/affinity"
 	"github.com/guavatrestle/guavatrestle/bench/domain"
 	"github.com/guavatrestle/guavatrestle/bench/entrycost"
 	"github.com/guavatrestle/guavatrestle/bench/fairness"
@@ -18,6 +19,8 @@
 	cmd.Use = "load"
 	cmd.Short = "Measure callers' requests under steady load with random arrivals"
 	cmd.Example = "  gtbench load --rate 240 --duration 15s --json"
+	cmd.Flags().Float64Var(&cfg.RestartShare, "restart-share", 0, "part of the engines that restart at once after --duration")
+	cmd.Flags().DurationVar(&cfg.During, "restarted", 10*time.Second, "time under load after the restart")
 	cmd.Flags().DurationVar(&cfg.Before, "duration", 15*time.Second, "time under load after the warm-up")
 	return cmd
 }
@@ -51,6 +54,7 @@
 	}
 	o.register(cmd)
 	cmd.Flags().Float64Var(&cfg.Rate, "rate", 240, "mean requests a second")
+	cmd.Flags().StringVar(&cfg.Policy, "policy", "", "routing policy of the entries: grants, two_choices or least_in_flight")
 	cmd.Flags().IntVar(&cfg.Workers, "workers", 10, "number of workers")
 	return cmd
 }
@@ -109,6 +113,32 @@
 	return cmd
 }
 
+func newAffinityCommand() *cobra.Command {
+	var o options
+	var cfg affinity.Config
+	cmd := &cobra.Command{
+		Use:   "affinity",
+		Short: "Measure the engines' prompt caches under requests that share prefixes",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Binary, cfg.Seed = o.binary, o.seed
+			report, err := affinity.Run(cmd.Context(), cfg)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), report)
+		},
+	}
+	o.register(cmd)
+	flags := cmd.Flags()
+	flags.Float64Var(&cfg.Rate, "rate", 300, "mean requests a second")
+	flags.IntVar(&cfg.Prefixes, "prefixes", 100, "number of different prompt prefixes")
+	flags.IntVar(&cfg.PrefixBytes, "prefix-bytes", 300, "length of a prefix; below 256 the entry does not route by it")
+	flags.DurationVar(&cfg.Warmup, "warmup", 4*time.Second, "time before the measurement")
+	flags.DurationVar(&cfg.Measure, "measure", 10*time.Second, "time measured")
+	return cmd
+}
+
 func newProxyCommand() *cobra.Command {
 	var listen, target string
 	cmd := &cobra.Command{
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -52,6 +52,10 @@
 	counts    map[caller.Kind]int
 	latency   *hdrhistogram.Histogram
 	firstByte *hdrhistogram.Histogram
+	tokenGap  *hdrhistogram.Histogram
+	refused   *hdrhistogram.Histogram
+	// noRetryAfter counts refusals without a Retry-After header.
+	noRetryAfter int
 }
 
 // Start sends requests in the phase with the given name; Stop ends it.
@@ -74,6 +78,8 @@
 		counts:    make(map[caller.Kind]int),
 		latency:   newHistogram(),
 		firstByte: newHistogram(),
+		tokenGap:  newHistogram(),
+		refused:   newHistogram(),
 	}
 }
 
@@ -122,13 +128,26 @@
 	if out.Kind == caller.Succeeded {
 		_ = phase.latency.RecordValue(out.Latency.Microseconds())
 		_ = phase.firstByte.RecordValue(out.FirstByte.Microseconds())
+		if out.TokenGap > 0 {
+			_ = phase.tokenGap.RecordValue(out.TokenGap.Microseconds())
+		}
 		return
 	}
+	if out.Kind == caller.Refused {
+		phase.recordRefusal(out)
+	}
 	if out.Kind != caller.Refused && len(r.details) < keptDetails {
 		r.details = append(r.details, string(out.Kind)+": "+out.Detail)
 	}
 }
 
+func (p *Phase) recordRefusal(out caller.Outcome) {
+	_ = p.refused.RecordValue(out.Latency.Microseconds())
+	if out.RetryAfter == "" {
+		p.noRetryAfter++
+	}
+}
+
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(1, histogramMax.Microseconds(), histogramDigits)
 }
@@ -168,7 +187,13 @@
 	PerSecond    float64 `json:"succeeded_per_second"`
 	P50          float64 `json:"p50_ms"`
 	P99          float64 `json:"p99_ms"`
+	FirstByteP95 float64 `json:"first_byte_p95_ms"`
 	FirstByteP99 float64 `json:"first_byte_p99_ms"`
+	// TokenGapP95 is, for 95 in 100 streams, the longest time between two parts.
+	TokenGapP95 float64 `json:"token_gap_p95_ms"`
+	// RefusedP99 is the time until a refusal.
+	RefusedP99        float64 `json:"refused_p99_ms"`
+	WithoutRetryAfter int     `json:"refused_without_retry_after"`
 }
 
 // Counts returns the outcomes of the given phases, or of all.
@@ -201,13 +226,24 @@
 	defer r.mu.Unlock()
 	phase := r.phases[name]
 	return Latency{
-		PerSecond:    float64(phase.counts[caller.Succeeded]) / phase.duration.Seconds(),
-		P50:          millis(phase.latency.ValueAtQuantile(50)),
-		P99:          millis(phase.latency.ValueAtQuantile(99)),
-		FirstByteP99: millis(phase.firstByte.ValueAtQuantile(99)),
+		PerSecond:         float64(phase.counts[caller.Succeeded]) / phase.duration.Seconds(),
+		P50:               millis(phase.latency.ValueAtQuantile(50)),
+		P99:               millis(phase.latency.ValueAtQuantile(99)),
+		FirstByteP95:      millis(phase.firstByte.ValueAtQuantile(95)),
+		FirstByteP99:      millis(phase.firstByte.ValueAtQuantile(99)),
+		TokenGapP95:       millis(phase.tokenGap.ValueAtQuantile(95)),
+		RefusedP99:        millis(phase.refused.ValueAtQuantile(99)),
+		WithoutRetryAfter: phase.noRetryAfter,
 	}
 }
 
+// Duration returns how long a phase lasted.
+func (r *Runner) Duration(name string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.phases[name].duration
+}
+
 // Details returns the first error messages of requests that were not refused.
 func (r *Runner) Details() []string {
 	r.mu.Lock()
--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrestle/guavatrestle/bench/cluster"
 	"github.com/guavatrestle/guavatrestle/bench/standin/engine"
 	"github.com/guavatrestle/guavatrestle/bench/standin/service"
+	"github.com/guavatrestle/guavatrestle/state/config"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/settings"
 )
@@ -56,6 +57,8 @@
 	Services int
 	Engine   engine.Config
 	Teams    []Team
+	// Policy is the entries' routing policy; empty means the default.
+	Policy string
 }
 
 // Scene is a running cluster in which every entry sees every worker with the model complete.
@@ -106,7 +109,7 @@
 	return cluster.Each(total, func(i int) error {
 		var err error
 		if i < len(s.Entries) {
-			s.Entries[i], err = s.Entry(ctx, name("entry", i), domain(i))
+			s.Entries[i], err = s.Entry(ctx, name("entry", i), domain(i), s.policy)
 			return err
 		}
 		i -= len(s.Entries)
@@ -120,6 +123,8 @@
 	})
 }
 
+func (s *Scene) policy(cfg *config.Config) { cfg.Entry.RoutingPolicy = s.spec.Policy }
+
 func (s *Scene) configure(ctx context.Context) error {
 	body := bytes.Repeat([]byte("guava weights "), modelBytes/14+1)[:modelBytes]
 	digest, err := s.Origin.Add(Model, "v1", body, chunkBytes)
--- a/bench/standin/engine/server.go
+++ b/bench/standin/engine/server.go
@@ -37,6 +37,10 @@
 	LoadLag time.Duration
 	// KeepsWeights says that a restarted engine still holds its version.
 	KeepsWeights bool
+	// CachedPrefixes is the number of prompt prefixes that the engine holds; 0 means that prompts cost nothing.
+	CachedPrefixes int
+	// PrefillDelay is the time that a prompt takes whose prefix is not held.
+	PrefillDelay time.Duration
 }
 
 // Counts is what an engine has counted so far.
@@ -55,6 +59,9 @@
 	Loads int `json:"loads"`
 	// Started is the number of requests that reached the engine.
 	Started int `json:"started"`
+	// PrefixHits and PrefixMisses are the requests whose prompt prefix was held or not.
+	PrefixHits   int `json:"prefix_hits"`
+	PrefixMisses int `json:"prefix_misses"`
 }
 
 type sample struct {
@@ -76,6 +83,8 @@
 	loaded   []core.Digest
 	load     []sample
 	last     time.Time
+	// prefixes are the cached prompt prefixes, the one used last at the end.
+	prefixes []string
 }
 
 // New returns a running Server that holds no version.
@@ -115,6 +124,7 @@
 		close(s.life)
 		s.life = make(chan struct{})
 		s.warmth = 0
+		s.prefixes = nil
 		s.setInFlight(0)
 		fresh := platform.EngineStatus{BootID: uuid.NewString()}
 		if s.cfg.KeepsWeights {
@@ -138,6 +148,13 @@
 	return s.last
 }
 
+// Warm reports whether the engine bears its full load.
+func (s *Server) Warm() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.warmth >= s.cfg.WarmupCompletions
+}
+
 // Status returns the engine's own view, without lag.
 func (s *Server) Status() platform.EngineStatus {
 	s.mu.Lock()
