Write each response frame in one piece from one buffer

Cause: each frame was marshalled to a new buffer and written as length and content, and the agent flushes after each write, so that a data frame took two HTTP/2 DATA frames. The writer now encodes into a buffer that it keeps and uses its data frame again. The encoding is the same; the reader is unchanged.

--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/guavatrestle/guavatrestle/protocol"
@@ -28,13 +29,20 @@
 	sequence   uint64
 	dataFrames uint64
 	checksum   *xxhash.Digest
+	// buffer holds one encoded frame; dataFrame and data are used again for each data frame.
+	buffer    []byte
+	dataFrame wire.Frame
+	data      wire.Frame_Data
 	// ended says that the last frame was written.
 	ended bool
 }
 
 // NewWriter returns a Writer for the response to requestID.
 func NewWriter(out io.Writer, requestID core.RequestID) *Writer {
-	return &Writer{out: out, requestID: string(requestID), checksum: xxhash.New()}
+	w := &Writer{out: out, requestID: string(requestID), checksum: xxhash.New()}
+	w.data.Data = &wire.Data{}
+	w.dataFrame.Body = &w.data
+	return w
 }
 
 // Head writes the first frame.
@@ -44,7 +52,8 @@
 
 // Data writes part of the body.
 func (w *Writer) Data(payload []byte) error {
-	if err := w.write(&wire.Frame{Body: &wire.Frame_Data{Data: &wire.Data{Payload: payload}}}); err != nil {
+	w.data.Data.Payload = payload
+	if err := w.write(&w.dataFrame); err != nil {
 		return err
 	}
 	w.dataFrames++
@@ -79,17 +88,30 @@
 	}
 	f.RequestId = w.requestID
 	f.Sequence = w.sequence
-	if size := proto.Size(f); size > MaxFrameBytes {
+	size := proto.Size(f)
+	if size > MaxFrameBytes {
 		return protocol.Errorf(protocol.CodeMalformed, "frame has %d bytes, more than %d", size, MaxFrameBytes)
 	}
 	w.sequence++
-	if _, err := protodelim.MarshalTo(w.out, f); err != nil {
+	if err := w.encode(f, size); err != nil {
 		w.ended = true
 		return protocol.Wrap(protocol.CodeUnavailable, err, "write response frame")
 	}
 	return nil
 }
 
+// encode writes the frame and its length in one piece, as protodelim does, from a buffer that is used again.
+func (w *Writer) encode(f *wire.Frame, size int) error {
+	var err error
+	w.buffer = protowire.AppendVarint(w.buffer[:0], uint64(size))
+	w.buffer, err = proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(w.buffer, f)
+	if err != nil {
+		return err
+	}
+	_, err = w.out.Write(w.buffer)
+	return err
+}
+
 // Reader reads and checks the frames of one response.
 type Reader struct {
 	in         *bufio.Reader
--- a/protocol/frame/frame_test.go
+++ b/protocol/frame/frame_test.go
@@ -190,3 +190,22 @@
 		}
 	}
 }
+
+// writeCounter counts the writes that reach it.
+type writeCounter struct{ writes int }
+
+func (c *writeCounter) Write(p []byte) (int, error) {
+	c.writes++
+	return len(p), nil
+}
+
+// TestFrameIsOneWrite guards against a frame whose length and content are flushed to the network apart.
+func TestFrameIsOneWrite(t *testing.T) {
+	out := &writeCounter{}
+	w := frame.NewWriter(out, "request-1")
+	require.NoError(t, w.Head(&wire.Head{Status: 200}))
+	require.NoError(t, w.Data([]byte("first")))
+	require.NoError(t, w.Data([]byte("second")))
+	require.NoError(t, w.End(nil))
+	require.Equal(t, 4, out.writes)
+}
