--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrestle/guavatrestle/bench/cluster"
 	"github.com/guavatrestle/guavatrestle/bench/standin/engine"
 	"github.com/guavatrestle/guavatrestle/bench/standin/service"
+	"github.com/guavatrestle/guavatrestle/state/config"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/settings"
 )
@@ -56,6 +57,8 @@
 	Services int
 	Engine   engine.Config
 	Teams    []Team
+	// Policy is the entries' routing policy; empty means the default.
+	Policy string
 }
 
 // Scene is a running cluster in which every entry sees every worker with the model complete.
@@ -106,7 +109,7 @@
 	return cluster.Each(total, func(i int) error {
 		var err error
 		if i < len(s.Entries) {
-			s.Entries[i], err = s.Entry(ctx, name("entry", i), domain(i))
+			s.Entries[i], err = s.Entry(ctx, name("entry", i), domain(i), s.policy)
 			return err
 		}
 		i -= len(s.Entries)
@@ -120,6 +123,8 @@
 	})
 }
 
+func (s *Scene) policy(cfg *config.Config) { cfg.Entry.RoutingPolicy = s.spec.Policy }
+
 func (s *Scene) configure(ctx context.Context) error {
 	body := bytes.Repeat([]byte("guava weights "), modelBytes/14+1)[:modelBytes]
 	digest, err := s.Origin.Add(Model, "v1", body, chunkBytes)
@@ -130,30 +135,33 @@
 	for _, worker := range s.Workers {
 		worker.Engine.Expect(digest, core.DigestOf(body))
 	}
-	if err := s.apply(ctx, settings.UpstreamPath(Workers), settings.UpstreamSettings{
-		Kind: settings.KindModel, Model: Model, Target: &settings.VersionRef{Version: "v1", Digest: digest},
-		ColdLimit: s.spec.Engine.ColdLimit, WarmLimit: s.spec.Engine.WarmLimit,
-		WarmupCompletions: s.spec.Engine.WarmupCompletions,
-	}); err != nil {
-		return err
-	}
-	if err := s.apply(ctx, settings.UpstreamPath(Bookings), settings.UpstreamSettings{
-		Kind: settings.KindService, ColdLimit: serviceLimit, WarmLimit: serviceLimit,
-	}); err != nil {
+	if err := s.applyUpstreams(ctx); err != nil {
 		return err
 	}
-	// A team refers to upstreams, which have to exist before it.
 	for _, team := range s.spec.Teams {
-		if err := s.apply(ctx, settings.TeamPath(team.Name), s.teamSettings(team)); err != nil {
+		if _, err := cluster.Apply(ctx, s.Entries[0], settings.TeamPath(team.Name), 0, s.teamSettings(team)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Scene) apply(ctx context.Context, path string, body any) error {
-	_, err := cluster.Apply(ctx, s.Entries[0], path, 0, body)
-	return err
+// applyUpstreams creates the upstreams' documents, which must exist before a team's document names them.
+func (s *Scene) applyUpstreams(ctx context.Context) error {
+	documents := map[core.Upstream]settings.UpstreamSettings{
+		Workers: {
+			Kind: settings.KindModel, Model: Model, Target: &settings.VersionRef{Version: "v1", Digest: s.digest},
+			ColdLimit: s.spec.Engine.ColdLimit, WarmLimit: s.spec.Engine.WarmLimit,
+			WarmupCompletions: s.spec.Engine.WarmupCompletions,
+		},
+		Bookings: {Kind: settings.KindService, ColdLimit: serviceLimit, WarmLimit: serviceLimit},
+	}
+	for name, document := range documents {
+		if _, err := cluster.Apply(ctx, s.Entries[0], settings.UpstreamPath(name), 0, document); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (s *Scene) teamSettings(team Team) settings.TeamSettings {
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -109,6 +109,8 @@
 	StatusInterval time.Duration `yaml:"status_interval" validate:"gt=0"`
 	// DrainGrace is the time for which a leaving entry, already not ready, still takes new requests.
 	DrainGrace time.Duration `yaml:"drain_grace" validate:"gte=0"`
+	// RoutingPolicy selects how an agent is chosen; empty means two_choices.
+	RoutingPolicy string `yaml:"routing_policy,omitempty" validate:"omitempty,oneof=grants two_choices least_in_flight"`
 }
 
 // defaultProgressTimeout leaves time for the first byte of a response that is generated whole before it is sent.
@@ -152,5 +154,6 @@
 		RequestTimeout: 60 * time.Second,
 		StatusInterval: time.Second,
 		DrainGrace:     defaultDrainGrace,
+		RoutingPolicy:  "two_choices",
 	}
 }
--- a/transport/entry/attempt.go
+++ b/transport/entry/attempt.go
@@ -25,7 +25,7 @@
 	call   call
 	agent  core.AgentStatus
 	number int
-	// entry is the host that sends the try.
+	// entry is this process, for which the agent adds a grant to the last frame.
 	entry core.HostID
 	// connected is set once the request had a connection, after which a byte of it may have left.
 	connected atomic.Bool
@@ -117,6 +117,7 @@
 	header.Set(api.HeaderPath, c.path)
 	header.Set(api.HeaderIdempotent, strconv.FormatBool(c.repeatable))
 	header.Set(api.HeaderAttempt, strconv.Itoa(a.number))
+	header.Set(api.HeaderEntry, string(a.entry))
 }
 
 // sendError converts an error before the first frame.
--- a/transport/entry/relay.go
+++ b/transport/entry/relay.go
@@ -66,6 +66,7 @@
 // takeRefusal updates the table of agents at once, so that the next request already knows.
 func (h *Handler) takeRefusal(a *attempt, r *wire.Refusal) error {
 	a.refused = true
+	varRefusals.Add(1)
 	id, incarnation := a.agent.Host.ID, a.agent.Incarnation
 	after := time.Duration(r.GetRetryAfterMillis()) * time.Millisecond
 	notRun := r.GetRun() == wire.Run_RUN_NOT_RUN
@@ -86,7 +87,13 @@
 }
 
 func (h *Handler) takeGrant(a *attempt, grant *wire.Grant) {
-	if grant != nil {
+	state, known := stateFromWire[grant.GetState()]
+	switch {
+	case grant == nil:
+	case known:
+		load := table.Load{State: state, Limit: int(grant.GetLimit()), InFlight: int(grant.GetInFlight())}
+		h.upstreams.Settle(a.agent.Host.ID, a.agent.Incarnation, load, grantFromWire(grant, h.now()))
+	default:
 		h.upstreams.SetGrant(a.agent.Host.ID, a.agent.Incarnation, grantFromWire(grant, h.now()))
 	}
 }
