Run the config experiment with the settings spread

gtbench config stopped at its first edit, because edits are now checked against other documents and the upstream of its teams did not exist. It applies the upstream first. The host list stand-in sends entity tags and answers 304, which the client asks for.

Before: "upstream pedidos does not exist" after 2 s.

--- a/bench/cluster/observe.go
+++ b/bench/cluster/observe.go
@@ -99,8 +99,11 @@
 const clockTicksPerSecond = 100
 
 // Usage reads the process's use of the machine.
-func (p *Process) Usage() (Usage, error) {
-	dir := "/proc/" + strconv.Itoa(p.PID())
+func (p *Process) Usage() (Usage, error) { return UsageOf(p.PID()) }
+
+// UsageOf reads the use of the machine by the process with the given ID.
+func UsageOf(pid int) (Usage, error) {
+	dir := "/proc/" + strconv.Itoa(pid)
 	stat, err := os.ReadFile(dir + "/stat")
 	if err != nil {
 		return Usage{}, eris.Wrap(err, "read processor time")
--- a/bench/spread/spread.go
+++ b/bench/spread/spread.go
@@ -39,20 +39,22 @@
 	backEndInterval = time.Hour
 )
 
-var domains = []core.FailureDomain{"centro-a", "norte-a", "sur-a"}
-
 // Config sets up a run.
 type Config struct {
 	Binary string
 	Seed   uint64
-	// Processes is the number of guavatrestled processes.
-	Processes int
+	// Processes is the number of guavatrestled processes, and Domains that of their failure domains.
+	Processes, Domains int
+	// Inside runs the processes inside the experiment, of which only their sum is measured. None of them is killed.
+	Inside bool
 	// Changes is the number of changes in each part of the run.
 	Changes int
 	// Quiet is the time over which the cost without changes is measured, and Busy that with changes.
 	Quiet, Busy time.Duration
 	// Rate is the number of changes a second in the busy part.
 	Rate float64
+	// Outage is the time for which the object API is down in the last part.
+	Outage time.Duration
 }
 
 // InForce is the time from the acceptance of a change until the slowest process holds it.
@@ -65,26 +67,12 @@
 	Reverted int     `json:"reverted"`
 }
 
-// Cost is what the processes used over a part of the run.
-type Cost struct {
-	// ControlBytes is what one process read and wrote a second, on average.
-	ControlBytes float64 `json:"control_bytes_per_second"`
-	// ControlBytesMax is that of the busiest process.
-	ControlBytesMax float64 `json:"control_bytes_per_second_max"`
-	// PlatformCalls is the calls of the object API a second, all processes together.
-	PlatformCalls float64 `json:"platform_calls_per_second"`
-	// CPU is the share of a core that one process used, on average, and CPUMax that of the busiest.
-	CPU    float64 `json:"cpu_seconds_per_second"`
-	CPUMax float64 `json:"cpu_seconds_per_second_max"`
-	// Resident is the resident memory of one process, on average, and ResidentMax that of the largest.
-	Resident    float64 `json:"resident_bytes"`
-	ResidentMax int64   `json:"resident_bytes_max"`
-}
-
 // Report is what a run measured.
 type Report struct {
 	Seed      uint64 `json:"seed"`
 	Processes int    `json:"processes"`
+	Domains   int    `json:"domains"`
+	Inside    bool   `json:"inside"`
 	Watchers  int    `json:"watchers"`
 	InForce
 	// Cost is measured while changes are accepted, without observers.
@@ -96,12 +84,14 @@
 	// Killed and WatchersKilled describe the part after a tenth of the watchers was killed.
 	Killed         int     `json:"killed"`
 	WatchersKilled InForce `json:"watchers_killed"`
+	// Outage describes the part with an outage of the object API.
+	Outage Outage `json:"outage"`
 }
 
 // Check returns an error when a change was lost or reverted.
 func (r Report) Check() error {
-	lost := r.Lost + r.WatchersKilled.Lost
-	reverted := r.Reverted + r.WatchersKilled.Reverted
+	lost := r.Lost + r.WatchersKilled.Lost + r.Outage.Lost
+	reverted := r.Reverted + r.WatchersKilled.Reverted + r.Outage.Reverted
 	if lost+reverted == 0 {
 		return nil
 	}
@@ -120,14 +110,15 @@
 
 // Run measures the spread of settings.
 func Run(ctx context.Context, cfg Config) (Report, error) {
-	if cfg.Processes <= entries {
-		return Report{}, eris.Errorf("%d processes are too few, want more than %d", cfg.Processes, entries)
+	if cfg.Processes <= entries || cfg.Domains < 1 {
+		return Report{}, eris.Errorf("want more than %d processes and at least one failure domain", entries)
 	}
 	c, err := cluster.New(cfg.Binary)
 	if err != nil {
 		return Report{}, err
 	}
 	defer c.Close()
+	c.InProcess = cfg.Inside
 	r := &run{cfg: cfg, cluster: c, processes: make([]*cluster.Process, cfg.Processes)}
 	if err := cluster.Each(cfg.Processes, func(i int) error { return r.start(ctx, i) }); err != nil {
 		return Report{}, err
@@ -137,7 +128,7 @@
 }
 
 func (r *run) start(ctx context.Context, i int) error {
-	domain := domains[i%len(domains)]
+	domain := core.FailureDomain(fmt.Sprintf("domain-%d", i%r.cfg.Domains))
 	options := func(cfg *config.Config) {
 		cfg.Seed = r.cfg.Seed + uint64(i) + 1
 		cfg.Platform.HostListInterval = hostListInterval
@@ -160,11 +151,9 @@
 }
 
 func (r *run) measure(ctx context.Context) (Report, error) {
-	out := Report{Seed: r.cfg.Seed, Processes: r.cfg.Processes}
-	for range teams {
-		if _, err := r.change(ctx); err != nil {
-			return out, err
-		}
+	out := Report{Seed: r.cfg.Seed, Processes: r.cfg.Processes, Domains: r.cfg.Domains, Inside: r.cfg.Inside}
+	if err := r.prepare(ctx); err != nil {
+		return out, err
 	}
 	var err error
 	if out.Quiet, err = r.cost(func() error { load.Pause(ctx, r.cfg.Quiet); return ctx.Err() }); err != nil {
@@ -177,14 +166,33 @@
 	if out.InForce, err = r.inForce(ctx); err != nil {
 		return out, err
 	}
-	if out.Killed, err = r.kill(ctx); err != nil {
-		return out, err
+	if !r.cfg.Inside {
+		if out.Killed, err = r.kill(ctx); err != nil {
+			return out, err
+		}
+		if out.WatchersKilled, err = r.inForce(ctx); err != nil {
+			return out, err
+		}
 	}
-	out.WatchersKilled, err = r.inForce(ctx)
+	out.Outage, err = r.outage(ctx)
 	out.RateLimited = r.cluster.Objects.Counts().RateLimited
 	return out, err
 }
 
+// prepare applies the upstream that the teams refer to, and a first version of each team.
+func (r *run) prepare(ctx context.Context) error {
+	spec := settings.UpstreamSettings{Kind: settings.KindService, ColdLimit: 1, WarmLimit: 1}
+	if _, err := cluster.Apply(ctx, r.processes[0], settings.UpstreamPath(upstream), 0, spec); err != nil {
+		return err
+	}
+	for range teams {
+		if _, err := r.change(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // change has an entry accept the next change and returns the document.
 func (r *run) change(ctx context.Context) (settings.Document, error) {
 	i := r.next % teams
--- a/bench/standin/hostlist/server.go
+++ b/bench/standin/hostlist/server.go
@@ -3,11 +3,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
@@ -23,6 +26,14 @@
 	current []core.Host
 	pending []snapshot
 	view    func(viewer string, hosts []core.Host) []core.Host
+	counts  Counts
+}
+
+// Counts is what the list has counted so far.
+type Counts struct {
+	// Reads is the number of reads, and NotModified the number of those answered with 304.
+	Reads       int
+	NotModified int
 }
 
 // New returns a Server with an empty list and no lag.
@@ -75,13 +86,43 @@
 	return mux
 }
 
+// Counts returns the counters.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// serve sends the list with an entity tag, or 304 to a reader that has it.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	hosts, view := s.visible(time.Now())
 	if view != nil {
 		hosts = view(r.PathValue("viewer"), hosts)
 	}
+	body, err := json.Marshal(hosts)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", fmt.Sprintf("%016x", xxhash.Sum64(body)))
+	unchanged := r.Header.Get("If-None-Match") == tag
+	s.count(unchanged)
+	w.Header().Set("ETag", tag)
+	if unchanged {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(hosts)
+	_, _ = w.Write(body)
+}
+
+func (s *Server) count(unchanged bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Reads++
+	if unchanged {
+		s.counts.NotModified++
+	}
 }
 
 func (s *Server) visible(now time.Time) ([]core.Host, func(string, []core.Host) []core.Host) {
--- a/bench/standin/hostlist/server_test.go
+++ b/bench/standin/hostlist/server_test.go
@@ -26,3 +26,21 @@
 	require.NoError(t, err)
 	require.Equal(t, []core.Host{host}, hosts)
 }
+
+// TestUnchangedListIsNotSentAgain guards against reads of a large list that hide what a watcher costs with entity tags, and
+// against a change that a reader with a tag does not see.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	s := hostlist.New()
+	web := httptest.NewServer(s.Handler())
+	defer web.Close()
+	client := platform.NewHostListClient(web.URL)
+	for _, id := range []core.HostID{"a", "b"} {
+		s.Add(core.Host{ID: id, State: core.HostLive})
+		for range 2 {
+			hosts, err := client.Hosts(t.Context())
+			require.NoError(t, err)
+			require.Equal(t, id, hosts[len(hosts)-1].ID)
+		}
+	}
+	require.Equal(t, hostlist.Counts{Reads: 4, NotModified: 2}, s.Counts())
+}
