Measure claims, entries and agents at several sizes

gtbench capacity gives the processor time for a request and for a relayed event at entry and agent, and what both use when idle. gtbench claims runs the claim services of several entries against the object API stand-in. The exchange benchmarks run at 100, 1,000, 2,500 and 9,200 hosts.

The scene applied its documents in random order; an edit of a team whose upstream did not exist yet was refused, so that one run in two or so failed to start. It applies upstreams first.

--- /dev/null
+++ b/bench/cmd/gtbench/capacity.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/guavatrestle/guavatrestle/bench/capacity"
+	"github.com/guavatrestle/guavatrestle/bench/claimload"
+)
+
+func newCapacityCommand() *cobra.Command {
+	var o options
+	var cfg capacity.Config
+	cmd := &cobra.Command{
+		Use:     "capacity",
+		Short:   "Measure what an entry and an agent use when idle, for a request and for a relayed event",
+		Example: "  gtbench capacity --agents 8 --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Binary, cfg.Seed = o.binary, o.seed
+			report, err := capacity.Run(cmd.Context(), cfg)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), report)
+		},
+	}
+	o.register(cmd)
+	flags := cmd.Flags()
+	flags.IntVar(&cfg.Agents, "agents", 2, "number of agents behind the entry")
+	flags.DurationVar(&cfg.Idle, "idle", 8*time.Second, "time without requests")
+	flags.DurationVar(&cfg.Measure, "measure", 5*time.Second, "time of each of the three parts with requests")
+	flags.DurationVar(&cfg.PollInterval, "poll", 500*time.Millisecond, "time between two reads of an engine's status by its agent")
+	return cmd
+}
+
+func newClaimsCommand() *cobra.Command {
+	var o options
+	var cfg claimload.Config
+	cmd := &cobra.Command{
+		Use:     "claims",
+		Short:   "Measure claims and their writes to the object API at a rate of requests",
+		Example: "  gtbench claims --rate 2000 --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Seed = o.seed
+			report, err := claimload.Run(cmd.Context(), cfg)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), report)
+		},
+	}
+	o.register(cmd)
+	flags := cmd.Flags()
+	flags.IntVar(&cfg.Entries, "entries", 3, "number of entries that make claims")
+	flags.Float64Var(&cfg.Rate, "rate", 1000, "claimed requests a second, all entries together")
+	flags.DurationVar(&cfg.Duration, "duration", 10*time.Second, "time over which requests arrive")
+	flags.DurationVar(&cfg.Deadline, "deadline", 5*time.Second, "time that a request gives its claim")
+	flags.IntVar(&cfg.ResultBytes, "result-bytes", 64, "size of the recorded results")
+	flags.Float64Var(&cfg.Reads, "reads", 2000, "reads a second that the object API takes")
+	flags.Float64Var(&cfg.Writes, "writes", 400, "writes a second that the object API takes")
+	return cmd
+}
--- a/bench/cmd/gtbench/config.go
+++ b/bench/cmd/gtbench/config.go
@@ -33,6 +33,7 @@
 	flags.BoolVar(&cfg.Inside, "inside", false, "run the processes inside gtbench and measure only their sum")
 	flags.DurationVar(&cfg.Outage, "outage", 3*time.Second, "time for which the object API is down in the last part; 0 leaves it out")
 	flags.IntVar(&cfg.Changes, "changes", 30, "number of changes timed before and after watchers are killed")
+	flags.DurationVar(&cfg.Settle, "settle", 5*time.Second, "time after the start before anything is measured; 45s shows the steady state")
 	flags.DurationVar(&cfg.Quiet, "quiet", 6*time.Second, "time over which the cost without changes is measured")
 	flags.DurationVar(&cfg.Busy, "busy", 6*time.Second, "time over which the cost with changes is measured")
 	flags.Float64Var(&cfg.Rate, "rate", 2, "changes a second while the cost with changes is measured")
--- a/bench/cmd/gtbench/main.go
+++ b/bench/cmd/gtbench/main.go
@@ -26,6 +26,8 @@
 		newFairnessCommand(),
 		newEntryCostCommand(),
 		newConfigCommand(),
+		newCapacityCommand(),
+		newClaimsCommand(),
 		newProxyCommand(),
 	)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,6 +58,8 @@
 	Services int
 	Engine   engine.Config
 	Teams    []Team
+	// Options change the configuration of every process.
+	Options []cluster.Option
 }
 
 // Scene is a running cluster in which every entry sees every worker with the model complete.
@@ -106,16 +110,16 @@
 	return cluster.Each(total, func(i int) error {
 		var err error
 		if i < len(s.Entries) {
-			s.Entries[i], err = s.Entry(ctx, name("entry", i), domain(i))
+			s.Entries[i], err = s.Entry(ctx, name("entry", i), domain(i), s.spec.Options...)
 			return err
 		}
 		i -= len(s.Entries)
 		if i < len(s.Workers) {
-			s.Workers[i], err = s.Agent(ctx, name("worker", i), domain(i), Workers, s.spec.Engine)
+			s.Workers[i], err = s.Agent(ctx, name("worker", i), domain(i), Workers, s.spec.Engine, s.spec.Options...)
 			return err
 		}
 		i -= len(s.Workers)
-		s.Services[i], err = s.Service(ctx, name("service", i), domain(i), Bookings, service.Config{Delay: serviceDelay})
+		s.Services[i], err = s.Service(ctx, name("service", i), domain(i), Bookings, service.Config{Delay: serviceDelay}, s.spec.Options...)
 		return err
 	})
 }
@@ -143,8 +147,9 @@
 	for _, team := range s.spec.Teams {
 		documents[settings.TeamPath(team.Name)] = s.teamSettings(team)
 	}
-	for path, document := range documents {
-		if _, err := cluster.Apply(ctx, s.Entries[0], path, 0, document); err != nil {
+	// Teams name upstreams, which an entry must hold first.
+	for _, path := range slices.Backward(slices.Sorted(maps.Keys(documents))) {
+		if _, err := cluster.Apply(ctx, s.Entries[0], path, 0, documents[path]); err != nil {
 			return err
 		}
 	}
--- a/bench/spread/spread.go
+++ b/bench/spread/spread.go
@@ -49,6 +49,9 @@
 	Inside bool
 	// Changes is the number of changes in each part of the run.
 	Changes int
+	// Settle is the time after the start before anything is measured. Processes that start together take themselves
+	// for watchers for up to 40 s, and close differences of member records for some seconds.
+	Settle time.Duration
 	// Quiet is the time over which the cost without changes is measured, and Busy that with changes.
 	Quiet, Busy time.Duration
 	// Rate is the number of changes a second in the busy part.
@@ -155,6 +158,7 @@
 	if err := r.prepare(ctx); err != nil {
 		return out, err
 	}
+	load.Pause(ctx, r.cfg.Settle)
 	var err error
 	if out.Quiet, err = r.cost(func() error { load.Pause(ctx, r.cfg.Quiet); return ctx.Err() }); err != nil {
 		return out, err
--- a/transport/control/exchange_bench_test.go
+++ b/transport/control/exchange_bench_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -25,13 +26,15 @@
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
 
-// Sizes to design for.
+// Sizes of documents to design for.
 const (
-	benchHosts     = 2500
 	benchDocuments = 300
 	benchBodyBytes = 1000
 )
 
+// benchHosts are fleets of up to 2,500 nodes and 6,700 workers.
+var benchHosts = []int{100, 1000, 2500, 9200}
+
 // countingConn counts the bytes of a connection in both directions, without headers below TCP.
 type countingConn struct {
 	net.Conn
@@ -51,7 +54,7 @@
 }
 
 // benchPair returns two nodes that hold the same documents and records, and the counter of their bytes.
-func benchPair(b *testing.B) (from, to *Node, count *atomic.Int64) {
+func benchPair(b *testing.B, hosts int) (from, to *Node, count *atomic.Int64) {
 	count = &atomic.Int64{}
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
@@ -77,7 +80,7 @@
 		mux.Handle(wire.SettingsPathPrefix, wire.NewSettingsServer(n))
 		b.Cleanup(func() { _ = l.Shutdown(context.Background()) })
 		n.takeDocuments(benchContent())
-		n.takeMembers(benchRecords())
+		takeInParts(n, benchRecords(hosts))
 		return n
 	}
 	from, to = node("from"), node("to")
@@ -96,9 +99,16 @@
 	return documents
 }
 
-func benchRecords() []membership.Record {
+// takeInParts gives a node as many records at once as one message holds.
+func takeInParts(n *Node, records []membership.Record) {
+	for part := range slices.Chunk(records, maxRecords) {
+		n.takeMembers(part)
+	}
+}
+
+func benchRecords(hosts int) []membership.Record {
 	var records []membership.Record
-	for i := range benchHosts {
+	for i := range hosts {
 		id := fmt.Sprintf("host-%04d", i)
 		host := core.Host{ID: core.HostID(id), Incarnation: core.Incarnation(id), FailureDomain: "b", ControlAddr: "10.0.0.1:1", State: core.HostLive}
 		records = append(records, membership.Record{Host: host, Stamp: 1})
@@ -106,27 +116,85 @@
 	return records
 }
 
+// atEachSize runs a benchmark of two nodes for each number of hosts and reports the bytes of an exchange.
+func atEachSize(b *testing.B, run func(b *testing.B, from, to *Node)) {
+	for _, hosts := range benchHosts {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			from, to, count := benchPair(b, hosts)
+			count.Store(0)
+			run(b, from, to)
+			b.ReportMetric(float64(count.Load())/float64(b.N), "bytes/exchange")
+		})
+	}
+}
+
 // BenchmarkIdleExchange measures an exchange between two nodes that hold the same.
 func BenchmarkIdleExchange(b *testing.B) {
-	from, to, count := benchPair(b)
-	count.Store(0)
-	for b.Loop() {
-		require.NoError(b, from.exchangeWith(context.Background(), to.Self))
-	}
-	b.ReportMetric(float64(count.Load())/float64(b.N), "bytes/exchange")
+	atEachSize(b, func(b *testing.B, from, to *Node) {
+		for b.Loop() {
+			require.NoError(b, from.exchangeWith(context.Background(), to.Self))
+		}
+	})
 }
 
 // BenchmarkExchangeOfOneDocument measures an exchange that closes a difference of one document.
 func BenchmarkExchangeOfOneDocument(b *testing.B) {
-	from, to, count := benchPair(b)
-	count.Store(0)
-	version := uint64(1)
-	for b.Loop() {
-		version++
-		doc := benchContent()[0]
-		doc.Version = version
-		to.takeDocuments([]settings.Document{doc})
-		require.NoError(b, from.exchangeWith(context.Background(), to.Self))
+	doc := benchContent()[0]
+	atEachSize(b, func(b *testing.B, from, to *Node) {
+		for b.Loop() {
+			doc.Version++
+			to.takeDocuments([]settings.Document{doc})
+			require.NoError(b, from.exchangeWith(context.Background(), to.Self))
+		}
+	})
+}
+
+// BenchmarkExchangeOfOneHost measures an exchange that closes a difference of one member record.
+func BenchmarkExchangeOfOneHost(b *testing.B) {
+	record := benchRecords(1)[0]
+	atEachSize(b, func(b *testing.B, from, to *Node) {
+		for b.Loop() {
+			record.Stamp++
+			to.takeMembers([]membership.Record{record})
+			require.NoError(b, from.exchangeWith(context.Background(), to.Self))
+		}
+	})
+}
+
+// BenchmarkReadHosts measures how a watcher takes over an unchanged host list.
+func BenchmarkReadHosts(b *testing.B) {
+	for _, size := range benchHosts {
+		b.Run(fmt.Sprintf("hosts=%d", size), func(b *testing.B) {
+			from, _, _ := benchPair(b, size)
+			var hosts []core.Host
+			for _, record := range benchRecords(size) {
+				hosts = append(hosts, record.Host)
+			}
+			from.Hosts = &hostList{hosts: hosts}
+			for b.Loop() {
+				require.NoError(b, from.readHosts(context.Background()))
+			}
+		})
+	}
+}
+
+// BenchmarkTakeDocument measures how a process takes over one changed document among those that it holds.
+func BenchmarkTakeDocument(b *testing.B) {
+	for _, size := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprintf("documents=%d", size), func(b *testing.B) {
+			n, _, _ := benchPair(b, 1)
+			var held []settings.Document
+			for i := range size {
+				doc := benchContent()[0]
+				doc.Path = fmt.Sprintf("/failure-domains/d%d", i)
+				held = append(held, doc)
+			}
+			n.takeDocuments(held)
+			doc := held[0]
+			for b.Loop() {
+				doc.Version++
+				n.takeDocuments([]settings.Document{doc})
+			}
+		})
 	}
-	b.ReportMetric(float64(count.Load())/float64(b.N), "bytes/exchange")
 }
