Append claims while old segments are deleted

A clean-up held the lock of its shard during all its deletes. A shard that is always busy writes 10 segments a second, so every 10 minutes it has 6,000 to delete; at 3 ms each (assumed) its claims would have waited 18 s, beyond the write timeout of 4 s. The listing and the deletes use nothing that the lock guards, so only the pruning of the view takes it now.

Ruled out: a bound on the deletes of one pass, because a shard at its full rate would fall behind.

--- a/transport/claims/shard.go
+++ b/transport/claims/shard.go
@@ -45,7 +45,7 @@
 	// log, or may still get there.
 	abandoned []claims.Record
 
-	// writer, pacer and charged belong to the running drain or clean-up, which hold work.
+	// writer, pacer and charged belong to the running drain, which holds work. A clean-up uses only the store of writer.
 	work   sync.Mutex
 	writer *writer
 	pacer  *limits.Bucket
@@ -203,11 +203,12 @@
 	return due
 }
 
-// cleanUp deletes old segments.
+// cleanUp deletes old segments and forgets claims that expired. A busy shard has thousands of segments to delete, so
+// records are appended meanwhile.
 func (s *shard) cleanUp(ctx context.Context) error {
-	s.work.Lock()
-	defer s.work.Unlock()
-	return s.writer.cleanUp(ctx, s.now())
+	err := s.writer.cleanUp(ctx, s.now())
+	s.prune()
+	return err
 }
 
 // prune forgets claims that expired.
--- a/transport/claims/writer.go
+++ b/transport/claims/writer.go
@@ -211,7 +211,8 @@
 }
 
 // cleanUp deletes the segments whose claims have all expired, oldest first, and those outside the log. It never deletes
-// the newest, which keeps the sequence from starting again, and stops at the first error so that no gap arises.
+// the newest, which keeps the sequence from starting again, and stops at the first error so that no gap arises. It does
+// not touch the view, so that records can be appended meanwhile.
 func (w *writer) cleanUp(ctx context.Context, now time.Time) error {
 	segments, objects, err := w.list(ctx)
 	if err != nil || len(segments) == 0 {
@@ -233,9 +234,6 @@
 			return err
 		}
 	}
-	if w.log != nil {
-		w.log.Prune(now)
-	}
 	return nil
 }
 
