--- a/transport/claims/service.go
+++ b/transport/claims/service.go
@@ -42,8 +42,9 @@
 func DefaultConfig() Config {
 	return Config{
 		TTL: claims.DefaultTTL,
-		// 32 shards with 10 writes a second make 320, within the several hundred that the object API takes.
-		WritesPerSecond: 10,
+		// 32 shards with 4 writes a second make 128, and a day later as many deletes: 256 of the several hundred writes
+		// that the object API takes. At 10 an API that takes 300 refused claims.
+		WritesPerSecond: 4,
 		WriteBurst:      4,
 		WriteTimeout:    4 * time.Second,
 		OwnerTimeout:    time.Second,
