--- a/bench/capacity/transfer_test.go
+++ b/bench/capacity/transfer_test.go
@@ -105,7 +105,7 @@
 	for _, chunks := range []int{100, 1750, 7000} {
 		b.Run(fmt.Sprintf("chunks=%d", chunks), func(b *testing.B) {
 			s := newSource(b, chunks, 16)
-			client := weights.NewPeerClient(core.Host{ID: "host-0001"})
+			client := weights.NewPeerClient(core.Host{ID: "host-0001"}, table.NewChunks())
 			defer client.Close()
 			s.bytes.Store(0)
 			for b.Loop() {
@@ -123,7 +123,7 @@
 	for _, size := range []int{256 << 10, 1 << 20, 4 << 20} {
 		b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) {
 			s := newSource(b, 4, size)
-			client := weights.NewPeerClient(core.Host{ID: "host-0001"})
+			client := weights.NewPeerClient(core.Host{ID: "host-0001"}, table.NewChunks())
 			defer client.Close()
 			before := cpu(b)
 			for b.Loop() {
