--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,10 @@
 SKIP := $(shell scripts/known-red.sh)
 # Seed of the property tests in `make test`; `make fuzz` draws fresh ones.
 SEED ?= 1
+# Checks per property of the claims, which take longer than others, and time for the frame reader's fuzz test.
+CLAIM_CHECKS ?= 200
+FUZZ_TIME ?= 20s
+FUZZ_WORKERS ?= 4
 
 .PHONY: build test demo lint generate fuzz
 
@@ -26,4 +30,6 @@
 # Runs the property tests with a fresh seed and more checks; the seed is printed so that a failure can be repeated.
 fuzz:
 	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
-	RAPID_SEED=$$seed RAPID_CHECKS=2000 $(GO) test -count=1 ./coordination/... ./state/...
+	RAPID_SEED=$$seed RAPID_CHECKS=2000 $(GO) test -count=1 ./coordination/... ./state/... && \
+	RAPID_SEED=$$seed RAPID_CHECKS=$(CLAIM_CHECKS) $(GO) test -count=1 ./transport/claims/... && \
+	$(GO) test -run '^$$' -fuzz '^FuzzReader$$' -fuzztime $(FUZZ_TIME) -parallel $(FUZZ_WORKERS) ./protocol/frame
--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -44,6 +45,9 @@
 	return &Caller{client: &http.Client{Transport: transport}}
 }
 
+// SetTLS makes the caller use TLS; call it before the first request.
+func (c *Caller) SetTLS(cfg *tls.Config) { c.client.Transport.(*http.Transport).TLSClientConfig = cfg }
+
 // Close releases idle connections.
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
--- a/bench/cluster/apply.go
+++ b/bench/cluster/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 
 	"github.com/go-resty/resty/v2"
 	"github.com/rotisserie/eris"
@@ -23,11 +24,29 @@
 	return fmt.Sprintf("apply %s: status %d, code %q: %s", e.Path, e.Status, e.Refusal.Code, e.Refusal.Message)
 }
 
+// Retire replaces a settings document by a tombstone; base is the version that is retired.
+func Retire(ctx context.Context, entry *Process, path string, base uint64) error {
+	var refusal api.Refusal
+	response, err := resty.NewWithClient(entry.client).R().
+		SetContext(ctx).
+		SetAuthToken(AdminToken).
+		SetQueryParam("base_version", strconv.FormatUint(base, 10)).
+		SetError(&refusal).
+		Delete(entry.URL() + "/admin/v1/settings" + path)
+	if err != nil {
+		return eris.Wrapf(err, "retire %s", path)
+	}
+	if response.IsError() {
+		return &ApplyError{Path: path, Status: response.StatusCode(), Refusal: refusal}
+	}
+	return nil
+}
+
 // Apply sends a settings document to an entry's admin API; base is the version that the edit is based on.
 func Apply(ctx context.Context, entry *Process, path string, base uint64, body any) (settings.Document, error) {
 	var doc settings.Document
 	var refusal api.Refusal
-	response, err := resty.New().R().
+	response, err := resty.NewWithClient(entry.client).R().
 		SetContext(ctx).
 		SetAuthToken(AdminToken).
 		SetBody(map[string]any{"base_version": base, "body": body}).
--- a/bench/cluster/observe.go
+++ b/bench/cluster/observe.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return eris.Wrap(err, "build request")
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := p.client.Do(request)
 	if err != nil {
 		return eris.Wrapf(err, "read %s of %s", path, p.Host.ID)
 	}
--- a/bench/cluster/process.go
+++ b/bench/cluster/process.go
@@ -32,6 +32,10 @@
 	// Service is the service stand-in beside an agent, if any.
 	Service *service.Server
 
+	// client calls the process; with TLS it shows the process's own certificate.
+	client *http.Client
+	scheme string
+	cfg    config.Config
 	run    runner
 	log    *os.File
 	exited chan struct{}
@@ -71,18 +75,33 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create log file")
 	}
+	client, scheme, err := c.clientOf(cfg)
+	if err != nil {
+		return nil, err
+	}
 	run, err := c.run(path, cfg, log)
 	if err != nil {
 		return nil, err
 	}
-	return c.adopt(hostOf(cfg), run, log), nil
+	return c.adopt(&Process{Host: hostOf(cfg), cfg: cfg, run: run, log: log, client: client, scheme: scheme}), nil
+}
+
+// Replace starts a fresh process with the configuration of p, which must have ended, at its addresses and beside its
+// back end.
+func (c *Cluster) Replace(ctx context.Context, p *Process) (*Process, error) {
+	fresh, err := c.launch(p.cfg)
+	if err != nil {
+		return nil, err
+	}
+	fresh.Engine, fresh.Service = p.Engine, p.Service
+	return fresh, fresh.WaitReady(ctx)
 }
 
 // adopt adds a started process to the cluster, which stops it when it closes.
-func (c *Cluster) adopt(host core.Host, run runner, log *os.File) *Process {
-	p := &Process{Host: host, run: run, log: log, exited: make(chan struct{})}
+func (c *Cluster) adopt(p *Process) *Process {
+	p.exited = make(chan struct{})
 	go func() {
-		p.err = run.wait()
+		p.err = p.run.wait()
 		close(p.exited)
 	}()
 	c.mu.Lock()
@@ -121,7 +140,7 @@
 	if err != nil {
 		return false
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := p.client.Do(request)
 	if err != nil {
 		return false
 	}
@@ -130,10 +149,10 @@
 }
 
 // URL returns the base URL of the process's data listener.
-func (p *Process) URL() string { return "http://" + p.Host.DataAddr }
+func (p *Process) URL() string { return p.scheme + "://" + p.Host.DataAddr }
 
 // ControlURL returns the base URL of the process's control listener.
-func (p *Process) ControlURL() string { return "http://" + p.Host.ControlAddr }
+func (p *Process) ControlURL() string { return p.scheme + "://" + p.Host.ControlAddr }
 
 // PID returns the process ID; it is 0 for a process that runs inside the experiment.
 func (p *Process) PID() int { return p.run.pid() }
--- a/bench/cluster/runner.go
+++ b/bench/cluster/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -79,7 +80,13 @@
 	if err := cmd.Start(); err != nil {
 		return nil, eris.Wrapf(err, "start %s", program)
 	}
-	p := c.adopt(core.Host{ID: id, DataAddr: addr}, command{cmd: cmd}, log)
+	p := c.adopt(&Process{
+		Host:   core.Host{ID: id, DataAddr: addr},
+		run:    command{cmd: cmd},
+		log:    log,
+		client: http.DefaultClient,
+		scheme: "http",
+	})
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	err = WaitFor(ctx, func() bool { return listens(ctx, addr) })
--- a/bench/e2e/weights_test.go
+++ b/bench/e2e/weights_test.go
@@ -33,7 +33,7 @@
 	w.apply(settings.UpstreamPath(upstream), base, settings.UpstreamSettings{
 		Kind: settings.KindModel, Model: model,
 		Target: &settings.VersionRef{Version: version, Digest: digest}, Withdrawn: withdrawn,
-		ColdLimit: coldLimit, WarmLimit: warmLimit, WarmupCompletions: warmup,
+		ColdLimit: coldLimit, WarmLimit: warmLimit, WarmupCompletions: warmup, MinWarm: w.minWarm,
 	})
 }
 
--- a/bench/e2e/world_test.go
+++ b/bench/e2e/world_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
@@ -43,6 +44,9 @@
 	modelBytes = 1 << 20
 	chunkBytes = 256 << 10
 
+	// parallelWorlds is how many worlds run at once: each is up to ten processes under load.
+	parallelWorlds = "4"
+
 	// hangLimit ends a test that waits for something that never comes.
 	hangLimit = 25 * time.Second
 )
@@ -72,6 +76,11 @@
 
 // runWithoutLeaks fails a run that leaves goroutines behind.
 func runWithoutLeaks(m *testing.M) int {
+	flag.Parse()
+	if err := flag.Set("test.parallel", parallelWorlds); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	status := m.Run()
 	http.DefaultClient.CloseIdleConnections()
 	if err := goleak.Find(); err != nil && status == 0 {
@@ -92,6 +101,7 @@
 	services []*cluster.Process
 	digest   core.Digest
 	next     atomic.Int64
+	minWarm  int
 }
 
 // worldSpec is what a world consists of.
@@ -99,12 +109,14 @@
 	entries, agents, services int
 	engine                    engine.Config
 	service                   service.Config
+	// minWarm is the number of warm hosts that a rollout keeps in each failure domain.
+	minWarm int
 	// unpinned leaves the version out of the team's settings.
 	unpinned bool
 	// queueLength is the number of requests of the team that may wait at an entry; 0 means defaultQueue.
 	queueLength int
-	// options apply to each agent of the model.
-	options []cluster.Option
+	// options apply to each agent of the model, and shared to every process.
+	options, shared []cluster.Option
 }
 
 func defaultEngine() engine.Config {
@@ -117,10 +129,11 @@
 
 func newWorld(t *testing.T, spec worldSpec) *world {
 	t.Helper()
+	t.Parallel()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*hangLimit)
 	c, err := cluster.New(binary)
 	require.NoError(t, err)
-	w := &world{Cluster: c, t: t, ctx: ctx, caller: caller.New(false)}
+	w := &world{Cluster: c, t: t, ctx: ctx, caller: caller.New(false), minWarm: spec.minWarm}
 	t.Cleanup(func() {
 		cancel()
 		w.caller.Close()
@@ -132,17 +145,17 @@
 
 func (w *world) start(spec worldSpec) {
 	for i := range spec.entries {
-		p, err := w.Entry(w.ctx, core.HostID(fmt.Sprintf("entry-%d", i)), domains[i%len(domains)])
+		p, err := w.Entry(w.ctx, core.HostID(fmt.Sprintf("entry-%d", i)), domains[i%len(domains)], spec.shared...)
 		require.NoError(w.t, err)
 		w.entries = append(w.entries, p)
 	}
 	for i := range spec.agents {
-		p, err := w.Agent(w.ctx, core.HostID(fmt.Sprintf("agent-%d", i)), domains[i%len(domains)], upstream, spec.engine, spec.options...)
+		p, err := w.Agent(w.ctx, core.HostID(fmt.Sprintf("agent-%d", i)), domains[i%len(domains)], upstream, spec.engine, append(spec.options, spec.shared...)...)
 		require.NoError(w.t, err)
 		w.agents = append(w.agents, p)
 	}
 	for i := range spec.services {
-		p, err := w.Service(w.ctx, core.HostID(fmt.Sprintf("service-%d", i)), domains[i%len(domains)], bookings, spec.service)
+		p, err := w.Service(w.ctx, core.HostID(fmt.Sprintf("service-%d", i)), domains[i%len(domains)], bookings, spec.service, spec.shared...)
 		require.NoError(w.t, err)
 		w.services = append(w.services, p)
 	}
@@ -162,7 +175,7 @@
 	}
 	w.apply(settings.UpstreamPath(upstream), 0, settings.UpstreamSettings{
 		Kind: settings.KindModel, Model: model, Target: &settings.VersionRef{Version: "v1", Digest: digest},
-		ColdLimit: coldLimit, WarmLimit: warmLimit, WarmupCompletions: warmup,
+		ColdLimit: coldLimit, WarmLimit: warmLimit, WarmupCompletions: warmup, MinWarm: w.minWarm,
 	})
 	w.apply(settings.UpstreamPath(bookings), 0, settings.UpstreamSettings{
 		Kind: settings.KindService, ColdLimit: warmLimit, WarmLimit: warmLimit,
@@ -231,6 +244,13 @@
 	return caller.Booking(base, token, bookings, w.prompt())
 }
 
+// keyedBooking is a booking with an idempotency key, which the entry claims before the call.
+func (w *world) keyedBooking(base string) caller.Request {
+	request := w.booking(base)
+	request.Key = w.prompt()
+	return request
+}
+
 // steady is a closed loop of callers.
 type steady struct {
 	stopped   chan struct{}
