Keep the admin calls of tests apart from shared clients

resty.NewWithClient changes the http.Client that it is given, which the race detector reported once worlds ran in parallel (go test -C bench -race ./e2e). Admin calls now share only the transport.

--- a/bench/cluster/apply.go
+++ b/bench/cluster/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 
 	"github.com/go-resty/resty/v2"
@@ -27,7 +28,7 @@
 // Retire replaces a settings document by a tombstone; base is the version that is retired.
 func Retire(ctx context.Context, entry *Process, path string, base uint64) error {
 	var refusal api.Refusal
-	response, err := resty.NewWithClient(entry.client).R().
+	response, err := entry.calls().R().
 		SetContext(ctx).
 		SetAuthToken(AdminToken).
 		SetQueryParam("base_version", strconv.FormatUint(base, 10)).
@@ -46,7 +47,7 @@
 func Apply(ctx context.Context, entry *Process, path string, base uint64, body any) (settings.Document, error) {
 	var doc settings.Document
 	var refusal api.Refusal
-	response, err := resty.NewWithClient(entry.client).R().
+	response, err := entry.calls().R().
 		SetContext(ctx).
 		SetAuthToken(AdminToken).
 		SetBody(map[string]any{"base_version": base, "body": body}).
@@ -61,3 +62,12 @@
 	}
 	return doc, nil
 }
+
+// calls returns a resty client over the process's transport; resty changes the http.Client that it is given.
+func (p *Process) calls() *resty.Client {
+	base := p.client.Transport
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	return resty.NewWithClient(&http.Client{Transport: base})
+}
