Check that claims use the given transport

The fallback to an own write hid a transport that does not reach the owner, so the end-to-end test with TLS would not notice.

--- a/transport/claims/service_test.go
+++ b/transport/claims/service_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,7 +54,10 @@
 	server  *httptest.Server
 }
 
-func startEntries(t *testing.T, n int) []testEntry {
+func startEntries(t *testing.T, n int) []testEntry { return startEntriesOver(t, n, nil) }
+
+// startEntriesOver starts entries that call each other through transport.
+func startEntriesOver(t *testing.T, n int, transport http.RoundTripper) []testEntry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	shared, mu := newFakeStore(), &sync.Mutex{}
@@ -64,7 +69,7 @@
 		cfg.WritesPerSecond = 1000
 		e := testEntry{store: &lockedStore{fakeStore: shared, mu: mu}}
 		host := core.Host{ID: core.HostID(fmt.Sprintf("entry-%d", i)), Role: core.RoleEntry, State: core.HostLive}
-		e.service = New(Parts{Config: cfg, Self: host, Store: e.store, Members: members, Now: time.Now, Log: logrus.NewEntry(log)})
+		e.service = New(Parts{Config: cfg, Self: host, Store: e.store, Members: members, Transport: transport, Now: time.Now, Log: logrus.NewEntry(log)})
 		e.server = httptest.NewServer(wire.NewClaimsServer(NewServer(e.service)))
 		host.ControlAddr = e.server.Listener.Addr().String()
 		hosts = append(hosts, host)
@@ -78,15 +83,43 @@
 	return entries
 }
 
+// countedTransport counts the calls that it carries.
+type countedTransport struct {
+	http.Transport
+	calls atomic.Int64
+}
+
+func (c *countedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.calls.Add(1)
+	return c.Transport.RoundTrip(r)
+}
+
+// TestOwnerIsCalledThroughTheGivenTransport guards against claims that bypass the transport with the process's TLS.
+func TestOwnerIsCalledThroughTheGivenTransport(t *testing.T) {
+	transport := &countedTransport{}
+	entries := startEntriesOver(t, 2, transport)
+	key := keyOwnedBy(entries[0].service, "entry-1")
+	first := entries[0].service.NewClaim(key, hash("a"), time.Now().Add(time.Minute))
+	outcome, _, err := entries[0].service.Claim(t.Context(), first)
+	require.NoError(t, err)
+	require.Equal(t, claims.Granted, outcome)
+	require.EqualValues(t, 1, transport.calls.Load())
+}
+
+func keyOwnedBy(s *Service, owner core.HostID) claims.Key {
+	for i := 0; ; i++ {
+		if key := KeyOf("litoral", "pedidos", fmt.Sprint(i)); s.owner(shardIndex(key)).ID == owner {
+			return key
+		}
+	}
+}
+
 // TestOwnerBatchesAndOthersWriteWithoutIt guards against more writes than needed, and against claims that depend on the
 // owner of a shard.
 func TestOwnerBatchesAndOthersWriteWithoutIt(t *testing.T) {
 	ctx := context.Background()
 	entries := startEntries(t, 2)
-	key := claims.Key("")
-	for i := 0; entries[0].service.owner(shardIndex(key)).ID != "entry-1" || key == ""; i++ {
-		key = KeyOf("litoral", "pedidos", fmt.Sprint(i))
-	}
+	key := keyOwnedBy(entries[0].service, "entry-1")
 	deadline := time.Now().Add(time.Minute)
 	first := entries[0].service.NewClaim(key, hash("a"), deadline)
 	outcome, _, err := entries[0].service.Claim(ctx, first)
