Report an agent without limits as cold

Before its settings arrived, a new agent's gate counted 0 completions of 0 needed and reported warm, although it admitted nothing. The state is now cold until the limits are known.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -20,6 +20,9 @@
 	MaxReportAge time.Duration
 }
 
+// configured reports whether the limits are known.
+func (c Config) configured() bool { return c.WarmLimit > 0 }
+
 // Report is what the back end last said about itself.
 type Report struct {
 	BootID   string
--- a/coordination/admission/snapshot.go
+++ b/coordination/admission/snapshot.go
@@ -45,7 +45,7 @@
 
 func (g *Gate) state() core.UpstreamState {
 	switch {
-	case !g.identified:
+	case !g.identified || !g.cfg.configured():
 		return core.UpstreamCold
 	case g.completed >= g.cfg.WarmupCompletions:
 		return core.UpstreamWarm
