--- a/bench/cluster/apply.go
+++ b/bench/cluster/apply.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strconv"
 
 	"github.com/go-resty/resty/v2"
 	"github.com/rotisserie/eris"
@@ -23,11 +25,29 @@
 	return fmt.Sprintf("apply %s: status %d, code %q: %s", e.Path, e.Status, e.Refusal.Code, e.Refusal.Message)
 }
 
+// Retire replaces a settings document by a tombstone; base is the version that is retired.
+func Retire(ctx context.Context, entry *Process, path string, base uint64) error {
+	var refusal api.Refusal
+	response, err := entry.calls().R().
+		SetContext(ctx).
+		SetAuthToken(AdminToken).
+		SetQueryParam("base_version", strconv.FormatUint(base, 10)).
+		SetError(&refusal).
+		Delete(entry.URL() + "/admin/v1/settings" + path)
+	if err != nil {
+		return eris.Wrapf(err, "retire %s", path)
+	}
+	if response.IsError() {
+		return &ApplyError{Path: path, Status: response.StatusCode(), Refusal: refusal}
+	}
+	return nil
+}
+
 // Apply sends a settings document to an entry's admin API; base is the version that the edit is based on.
 func Apply(ctx context.Context, entry *Process, path string, base uint64, body any) (settings.Document, error) {
 	var doc settings.Document
 	var refusal api.Refusal
-	response, err := resty.New().R().
+	response, err := entry.calls().R().
 		SetContext(ctx).
 		SetAuthToken(AdminToken).
 		SetBody(map[string]any{"base_version": base, "body": body}).
@@ -46,7 +66,7 @@
 // Rollouts reads the rollout status from an entry's admin API.
 func Rollouts(ctx context.Context, entry *Process) (api.RolloutStatus, error) {
 	var status api.RolloutStatus
-	response, err := resty.New().R().
+	response, err := entry.calls().R().
 		SetContext(ctx).
 		SetAuthToken(AdminToken).
 		SetResult(&status).
@@ -59,3 +79,12 @@
 	}
 	return status, nil
 }
+
+// calls returns a resty client over the process's transport; resty changes the http.Client that it is given.
+func (p *Process) calls() *resty.Client {
+	base := p.client.Transport
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	return resty.NewWithClient(&http.Client{Transport: base})
+}
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -22,7 +22,7 @@
 	TLS *TLS `yaml:"tls,omitempty"`
 	// Spread tunes how settings and membership spread.
 	Spread Spread `yaml:"spread"`
-	// ShutdownTimeout bounds the graceful shutdown.
+	// ShutdownTimeout bounds the graceful shutdown; it must exceed the time of the longest request.
 	ShutdownTimeout time.Duration `yaml:"shutdown_timeout" validate:"gt=0"`
 	// Seed seeds random choices; 0 draws a fresh seed.
 	Seed uint64 `yaml:"seed"`
@@ -116,6 +116,9 @@
 // defaultProgressTimeout leaves time for the first byte of a response that is generated whole before it is sent.
 const defaultProgressTimeout = 30 * time.Second
 
+// defaultShutdownTimeout exceeds the default request timeout, so that a planned stop cuts off no request.
+const defaultShutdownTimeout = 90 * time.Second
+
 // defaultDrainGrace lets a load balancer that checks every second or two see that an entry is not ready.
 const defaultDrainGrace = 5 * time.Second
 
@@ -123,7 +126,7 @@
 func Default() Config {
 	return Config{
 		LogLevel:        "info",
-		ShutdownTimeout: 30 * time.Second,
+		ShutdownTimeout: defaultShutdownTimeout,
 		Platform:        Platform{Namespace: "guavatrestle", HostListInterval: 2 * time.Second},
 		Spread: Spread{
 			ExchangeInterval: 1500 * time.Millisecond,
--- a/state/config/config_test.go
+++ b/state/config/config_test.go
@@ -62,3 +62,11 @@
 	_, err = config.ParseWith("e.yaml", []byte(entryFile), getenv)
 	require.ErrorContains(t, err, "log_level: want one of debug, info, warning, error")
 }
+
+// TestShutdownOutlastsTheLongestRequest guards against an entry that cuts off a request at a planned stop.
+func TestShutdownOutlastsTheLongestRequest(t *testing.T) {
+	_, err := config.Parse("e.yaml", []byte(entryFile+"shutdown_timeout: 30s\n"))
+	require.ErrorContains(t, err, "e.yaml:9: shutdown_timeout: want at least entry.request_timeout, which is 1m0s")
+	_, err = config.Parse("e.yaml", []byte(entryFile))
+	require.NoError(t, err)
+}
--- a/state/config/parse.go
+++ b/state/config/parse.go
@@ -60,6 +60,7 @@
 	faults := src.otherRole(cfg.Role)
 	dropOtherRole(&cfg)
 	faults = append(faults, src.ruleFaults(cfg)...)
+	faults = append(faults, src.shutdownFaults(cfg)...)
 	if len(faults) > 0 {
 		return Config{}, eris.New(strings.Join(faults, "\n"))
 	}
@@ -135,6 +136,15 @@
 	return faults
 }
 
+// shutdownFaults reports an entry whose shutdown would cut off a request that may still run.
+func (s source) shutdownFaults(cfg Config) []string {
+	if cfg.Entry == nil || cfg.ShutdownTimeout >= cfg.Entry.RequestTimeout {
+		return nil
+	}
+	return []string{fmt.Sprintf("%s: shutdown_timeout: want at least entry.request_timeout, which is %s",
+		s.place("shutdown_timeout"), cfg.Entry.RequestTimeout)}
+}
+
 func yamlKey(f reflect.StructField) string {
 	key, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
 	return key
