Close connections to peers that are no longer asked

A process kept its connection to every former neighbour and to every process that it had ever pushed to.

Ruled out: fewer neighbours, which leaves the push trees.

gtbench capacity gets a warm-up and the intervals as flags. In-process nodes of gtbench config get the defaults that a file would give them.

--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -27,14 +27,12 @@
 	// drainTime is the time in which requests under way end, and their cost with them.
 	drainTime = time.Second
 
+	phaseWarmup  = "warmup"
 	phaseMeasure = "measure"
 )
 
-// The intervals are the product's defaults.
-const (
-	hostListInterval = 2 * time.Second
-	statusInterval   = time.Second
-)
+// hostListInterval is the product's default.
+const hostListInterval = 2 * time.Second
 
 // eventCounts are the events of a response in the parts of a run.
 var eventCounts = []int{1, 32, 256}
@@ -51,10 +49,12 @@
 	Seed   uint64
 	// Agents is the number of agents behind the entry.
 	Agents int
-	// Idle is the time without requests, and Measure that of each part with requests.
-	Idle, Measure time.Duration
+	// Idle is the time without requests, Warmup that with requests before each part, and Measure that of each part.
+	Idle, Warmup, Measure time.Duration
 	// PollInterval is the time between two reads of an engine's status by its agent.
 	PollInterval time.Duration
+	// StatusInterval is the time between two heartbeats of the entry.
+	StatusInterval time.Duration
 }
 
 // Use is what one process uses.
@@ -117,11 +117,11 @@
 func start(ctx context.Context, cfg Config, events int) (*scene.Scene, error) {
 	return scene.New(ctx, scene.Spec{
 		Binary: cfg.Binary, Entries: 1, Workers: cfg.Agents, Teams: []scene.Team{team},
-		Engine: engine.Config{Tokens: events, TokenDelay: tokenDelay, ColdLimit: limit, WarmLimit: limit},
+		Engine: engine.Config{Tokens: events, TokenDelay: tokenDelay, ColdLimit: limit, WarmLimit: limit, WarmupCompletions: 1},
 		Options: []cluster.Option{func(c *config.Config) {
 			c.Platform.HostListInterval = hostListInterval
 			if c.Entry != nil {
-				c.Entry.StatusInterval = statusInterval
+				c.Entry.StatusInterval = cfg.StatusInterval
 			}
 			if c.Agent != nil {
 				c.Agent.PollInterval = cfg.PollInterval
@@ -155,9 +155,10 @@
 		request.Due = due
 		return client.Do(ctx, request)
 	}
-	var runner *load.Runner
+	runner := load.Start(ctx, load.Config{Rate: out.Rate, Seed: cfg.Seed, Send: send}, phaseWarmup)
+	load.Pause(ctx, cfg.Warmup)
 	entry, agent, err := useWhile(s, func() {
-		runner = load.Start(ctx, load.Config{Rate: out.Rate, Seed: cfg.Seed, Send: send}, phaseMeasure)
+		runner.Enter(phaseMeasure)
 		load.Pause(ctx, cfg.Measure)
 		runner.Stop()
 	})
--- a/bench/cmd/gtbench/capacity.go
+++ b/bench/cmd/gtbench/capacity.go
@@ -30,8 +30,10 @@
 	flags := cmd.Flags()
 	flags.IntVar(&cfg.Agents, "agents", 2, "number of agents behind the entry")
 	flags.DurationVar(&cfg.Idle, "idle", 8*time.Second, "time without requests")
+	flags.DurationVar(&cfg.Warmup, "warmup", 4*time.Second, "time with requests before each part")
 	flags.DurationVar(&cfg.Measure, "measure", 5*time.Second, "time of each of the three parts with requests")
 	flags.DurationVar(&cfg.PollInterval, "poll", 500*time.Millisecond, "time between two reads of an engine's status by its agent")
+	flags.DurationVar(&cfg.StatusInterval, "status", time.Second, "time between two heartbeats of the entry")
 	return cmd
 }
 
--- a/bench/spread/spread.go
+++ b/bench/spread/spread.go
@@ -132,6 +132,7 @@
 
 func (r *run) start(ctx context.Context, i int) error {
 	domain := core.FailureDomain(fmt.Sprintf("domain-%d", i%r.cfg.Domains))
+	transfer, activation := config.DefaultTransfer(), config.DefaultActivation()
 	options := func(cfg *config.Config) {
 		cfg.Seed = r.cfg.Seed + uint64(i) + 1
 		cfg.Platform.HostListInterval = hostListInterval
@@ -141,6 +142,8 @@
 		}
 		if cfg.Agent != nil {
 			cfg.Agent.PollInterval = backEndInterval
+			// A process that runs inside the experiment reads no file, which would set the defaults.
+			cfg.Agent.Transfer, cfg.Agent.Activation = &transfer, &activation
 		}
 	}
 	var err error
--- a/transport/daemon/control.go
+++ b/transport/daemon/control.go
@@ -40,12 +40,17 @@
 // about eight such connections, and probes every two seconds would cost as much as the exchanges.
 const peerPingAfter = 10 * time.Second
 
+// peerIdleTimeout is the time after which an unused connection to a peer is closed. A neighbour is asked every 6 s on
+// average, but neighbours change every 15 s and every path has a push tree of its own: without a limit a process keeps a
+// connection to each process of its failure domain.
+const peerIdleTimeout = 30 * time.Second
+
 // peerTransport returns a transport that keeps one HTTP/2 connection per peer. Header compression
 // makes an idle exchange small. With TLS it also takes http URLs over TLS.
 func (p *process) peerTransport() http.RoundTripper {
 	settings := server.HTTP2()
 	settings.SendPingTimeout = peerPingAfter
-	base := &http.Transport{HTTP2: settings}
+	base := &http.Transport{HTTP2: settings, IdleConnTimeout: peerIdleTimeout}
 	if p.credentials != nil {
 		return p.credentials.Transport(base)
 	}
