Name the membership rules in standard terms

Cause: lingers and patience said nothing to a reader who had not read the comments.

Ruled out: longer comments on the old names.

Measured: go test ./coordination/membership ./transport/control passes as before; no behaviour changed.

--- a/coordination/membership/record.go
+++ b/coordination/membership/record.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// ListPatience is the time for which the host list may disagree with a record before the list
+	// ListGracePeriod is the time for which the host list may disagree with a record before the list
 	// wins. The list lags, so a disagreement is not yet a fault of the record.
-	ListPatience = 30 * time.Second
+	ListGracePeriod = 30 * time.Second
 	// GoneKeep is the time for which the record of a host that is gone is kept, so that an old copy
 	// of its record does not bring it back.
 	GoneKeep = 10 * time.Minute
--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -81,7 +81,7 @@
 		switch {
 		case record.Host.ID == v.self.ID && (record.Host != v.self || record.Gone):
 			record = Record{Host: v.self, Stamp: stampAfter(record.Stamp, now)}
-		case ok && v.lingers(held, record):
+		case ok && v.contradictsLeave(held, record):
 			// A process that leaves never comes back; every process gives the same stamp here.
 			record = Record{Host: held.Host, Stamp: record.Stamp + 1, Gone: held.Gone}
 		}
@@ -102,7 +102,7 @@
 
 // ReadList compares the platform's host list with the records and returns the records that it changes.
 //
-// A change between two reads counts at once. Any other disagreement counts after ListPatience, since
+// A change between two reads counts at once. Any other disagreement counts after ListGracePeriod, since
 // the record may come from a process that saw a newer list, or from the host itself.
 func (v *View) ReadList(hosts []core.Host, now time.Time) []Record {
 	next := make(map[core.HostID]core.Host, len(hosts))
@@ -132,11 +132,11 @@
 	if ok && listed.Host.Incarnation == "" {
 		listed.Host.Incarnation = held.Host.Incarnation
 	}
-	if id == v.self.ID || ok && (agree(held, listed) || v.lingers(held, listed)) {
+	if id == v.self.ID || ok && (agree(held, listed) || v.contradictsLeave(held, listed)) {
 		delete(v.differs, id)
 		return nil
 	}
-	if ok && !changed && !v.patienceEnded(id, now) {
+	if ok && !changed && !v.gracePeriodEnded(id, now) {
 		return nil
 	}
 	delete(v.differs, id)
@@ -157,8 +157,8 @@
 	}
 }
 
-// lingers reports that other still shows a process as live that is known to be leaving or to have left.
-func (v *View) lingers(held, other Record) bool {
+// contradictsLeave reports that other still shows a process as live that is known to be leaving or to have left.
+func (v *View) contradictsLeave(held, other Record) bool {
 	if other.Gone || other.Host.State != core.HostLive {
 		return false
 	}
@@ -166,13 +166,13 @@
 	return left || held.Host.State == core.HostLeaving && held.Host.Incarnation == other.Host.Incarnation
 }
 
-func (v *View) patienceEnded(id core.HostID, now time.Time) bool {
+func (v *View) gracePeriodEnded(id core.HostID, now time.Time) bool {
 	since, ok := v.differs[id]
 	if !ok {
 		v.differs[id] = now
 		return false
 	}
-	return now.Sub(since) >= ListPatience
+	return now.Sub(since) >= ListGracePeriod
 }
 
 func (v *View) prune(now time.Time) {
--- a/coordination/membership/view_test.go
+++ b/coordination/membership/view_test.go
@@ -162,10 +162,10 @@
 	}
 }
 
-// heal lets the list catch up, patience end and messages flow.
+// heal lets the list catch up, its grace period end and messages flow.
 func (c *cluster) heal(t *rapid.T) {
 	for range 3 {
-		c.now = c.now.Add(membership.ListPatience)
+		c.now = c.now.Add(membership.ListGracePeriod)
 		for _, id := range c.running() {
 			c.views[id].ReadList(c.lists[len(c.lists)-1].hosts, c.now)
 		}
