Route by two choices on the load that agents report

Cause: with grants as the condition for new work, a free slot granted to an entry without requests stays unused until the grant lapses, while the other entry's requests wait. The default policy now takes the less loaded of two agents with a free slot by the load in frames and heartbeats and leaves the rest to the agents' refusals. A refusal without a grant still keeps new work away. The agent's gate alone enforces the cold limit, as before. The routing oracle covers all policies.

--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -29,9 +29,10 @@
 
 // Policies.
 const (
-	// PolicyGrants heeds grants and takes the less loaded of two random agents. It is the default.
+	// PolicyGrants heeds grants and takes the less loaded of two random agents.
 	PolicyGrants Policy = "grants"
-	// PolicyTwoChoices takes the less loaded of two random agents and leaves the rest to the agents' refusals.
+	// PolicyTwoChoices takes the less loaded of two random agents and leaves the rest to the agents' refusals. It is
+	// the default.
 	PolicyTwoChoices Policy = "two_choices"
 	// PolicyLeastInFlight takes the least loaded agent and leaves the rest to the agents' refusals.
 	PolicyLeastInFlight Policy = "least_in_flight"
@@ -44,7 +45,7 @@
 	InService func(core.FailureDomain) bool
 	Own       core.FailureDomain
 	OwnRegion core.Region
-	// Policy is PolicyGrants when it is empty.
+	// Policy is PolicyTwoChoices when it is empty.
 	Policy Policy
 }
 
@@ -105,16 +106,18 @@
 	return snapshot.free(agent) && Eligible(snapshot, request, agent)
 }
 
-// free reports whether an agent has a slot. A grant in force always counts; without one only a warm agent takes work,
-// because the limit of a cold one may have fallen since the last report.
+// free reports whether an agent has a slot. With PolicyGrants, a grant in force always counts; without one only a warm
+// agent takes work, because the limit of a cold one may have fallen since the last report.
 func (s *Snapshot) free(agent *core.AgentStatus) bool {
-	if agent.InFlight >= agent.Limit {
+	granted := s.Now.Before(agent.Grant.Expires)
+	switch {
+	case agent.InFlight >= agent.Limit:
 		return false
-	}
-	if s.Policy == PolicyTwoChoices || s.Policy == PolicyLeastInFlight {
+	case granted && agent.Grant.Blocks():
+		return false
+	case s.Policy != PolicyGrants:
 		return true
-	}
-	if s.Now.Before(agent.Grant.Expires) {
+	case granted:
 		return agent.Grant.Slots > 0
 	}
 	return agent.State == core.UpstreamWarm
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -36,6 +36,7 @@
 	out    map[core.FailureDomain]bool
 	told   map[core.HostID]*facts
 	own    map[core.HostID]int
+	policy routing.Policy
 }
 
 type facts struct {
@@ -44,6 +45,7 @@
 	limit     int
 	version   core.Digest
 	slots     int
+	blocked   bool
 	slotsEnd  time.Time
 	sentSince int
 	warm      bool
@@ -95,7 +97,7 @@
 		return
 	}
 	m.table.SetGrant(id, incarnation(told.run), table.BlockedGrant(m.now.Add(time.Second)))
-	told.slots, told.slotsEnd, told.sentSince = 0, m.now.Add(time.Second), 0
+	told.slots, told.slotsEnd, told.sentSince, told.blocked = 0, m.now.Add(time.Second), 0, true
 }
 
 func (m *routingModel) toggle(t *rapid.T) {
@@ -118,7 +120,7 @@
 func (m *routingModel) choose(t *rapid.T) {
 	want := rapid.SampledFrom([]core.Digest{"", "v1"}).Draw(t, "want")
 	snapshot := routing.Snapshot{
-		Now: m.now, Agents: m.table.List(), Own: domains[0], OwnRegion: regions[domains[0]],
+		Now: m.now, Agents: m.table.List(), Own: domains[0], OwnRegion: regions[domains[0]], Policy: m.policy,
 		InService: func(d core.FailureDomain) bool { return !m.out[d] },
 	}
 	affinity := routing.Affinity(rapid.IntRange(0, 3).Draw(t, "affinity"))
@@ -152,9 +154,9 @@
 		if told == nil || told.leaving || m.out[host.FailureDomain] || told.version == "" || want != "" && told.version != want {
 			continue
 		}
-		granted := told.warm
+		granted := told.warm || m.policy != routing.PolicyGrants
 		if m.now.Before(told.slotsEnd) {
-			granted = told.slots-max(0, told.sentSince) > 0
+			granted = told.slots-max(0, told.sentSince) > 0 || m.policy != routing.PolicyGrants && !told.blocked
 		}
 		if granted && m.own[host.ID] < told.limit {
 			ids = append(ids, host.ID)
@@ -163,12 +165,13 @@
 	return ids
 }
 
-// TestNoRequestGoesWhereTheEntryKnowsItMustNot guards against requests to agents that are leaving, full, cold without a
-// grant, on another version or in a failure domain that is out, and against needless spill-over.
+// TestNoRequestGoesWhereTheEntryKnowsItMustNot guards against requests to agents that are leaving, full, just refused a
+// request, cold without a grant when grants decide, on another version or in a failure domain that is out, and against needless spill-over.
 func TestNoRequestGoesWhereTheEntryKnowsItMustNot(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &routingModel{
-			table: table.NewUpstreams(), random: rand.New(rand.NewPCG(1, 2)), now: start,
+			policy: rapid.SampledFrom([]routing.Policy{"", routing.PolicyGrants, routing.PolicyLeastInFlight}).Draw(t, "policy"),
+			table:  table.NewUpstreams(), random: rand.New(rand.NewPCG(1, 2)), now: start,
 			out: map[core.FailureDomain]bool{}, told: map[core.HostID]*facts{}, own: map[core.HostID]int{},
 		}
 		t.Repeat(map[string]func(*rapid.T){
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -105,7 +105,7 @@
 	RequestTimeout time.Duration `yaml:"request_timeout" validate:"gt=0"`
 	// StatusInterval is the time between heartbeats to agents.
 	StatusInterval time.Duration `yaml:"status_interval" validate:"gt=0"`
-	// RoutingPolicy selects how an agent is chosen; empty means grants.
+	// RoutingPolicy selects how an agent is chosen; empty means two_choices.
 	RoutingPolicy string `yaml:"routing_policy,omitempty" validate:"omitempty,oneof=grants two_choices least_in_flight"`
 }
 
@@ -138,5 +138,5 @@
 }
 
 func defaultEntry() Entry {
-	return Entry{MaxBodyBytes: 4 << 20, RequestTimeout: 60 * time.Second, StatusInterval: time.Second, RoutingPolicy: "grants"}
+	return Entry{MaxBodyBytes: 4 << 20, RequestTimeout: 60 * time.Second, StatusInterval: time.Second, RoutingPolicy: "two_choices"}
 }
--- a/state/core/status.go
+++ b/state/core/status.go
@@ -18,6 +18,13 @@
 	Expires time.Time
 }
 
+// BlockedSlots is the number of slots of a grant that keeps new work away. A grant of 0 slots only says that none is set
+// aside.
+const BlockedSlots = -1
+
+// Blocks reports whether the grant keeps new work away while it is in force.
+func (g Grant) Blocks() bool { return g.Slots < 0 }
+
 // AgentStatus is what an entry knows about an agent and the back end beside it.
 type AgentStatus struct {
 	Host          Host          `json:"host"`
--- a/state/table/upstreams.go
+++ b/state/table/upstreams.go
@@ -188,7 +188,9 @@
 func (r agentRecord) current(sent int) core.AgentStatus {
 	status := r.status
 	status.InFlight = max(sent, status.InFlight+sent-r.sentAtReport)
-	status.Grant.Slots -= max(0, sent-r.sentAtGrant)
+	if !status.Grant.Blocks() {
+		status.Grant.Slots = max(0, status.Grant.Slots-max(0, sent-r.sentAtGrant))
+	}
 	return status
 }
 
@@ -249,5 +251,7 @@
 	u.changed = make(chan struct{})
 }
 
-// BlockedGrant returns a grant without slots, which keeps new work away until expires.
-func BlockedGrant(expires time.Time) core.Grant { return core.Grant{Expires: expires} }
+// BlockedGrant returns a grant that keeps new work away until expires, whatever the routing policy.
+func BlockedGrant(expires time.Time) core.Grant {
+	return core.Grant{Slots: core.BlockedSlots, Expires: expires}
+}
