Count each latency from the request's own due time

Cause: the goroutine of a request read the due time after the loop had moved it on to the next request, so latencies came out short by up to one gap between arrivals: 50 ms for the small team of gtbench fairness at 20/s, 3 to 4 ms at 240 to 300/s. Found because fairness gave a median of 35 ms for streams that take at least 50 ms; the clock was ruled out with a program that times five timers of 10 ms. Counts of outcomes and processor times were right.

--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -104,9 +104,11 @@
 // time, so that a stalled system does not hide its own delay.
 func (r *Runner) arrive(arrivals, requests context.Context, cfg Config) {
 	random := rand.New(rand.NewPCG(cfg.Seed, seedStream))
-	due := time.Now()
+	last := time.Now()
 	for n := 0; ; n++ {
-		due = due.Add(time.Duration(random.ExpFloat64() / cfg.Rate * float64(time.Second)))
+		// Each request needs a variable of its own, because its goroutine may start after the next round.
+		due := last.Add(time.Duration(random.ExpFloat64() / cfg.Rate * float64(time.Second)))
+		last = due
 		if !waitUntil(arrivals, due) {
 			return
 		}
