Overload the agent for good in the refusal test

TestOverloadRefusalIsTrueAndSaysWhenToComeBack sent from 40 callers and needs refusals to check. Since agents grant again, one agent answers all 40 within the 2 s that a request may wait, so that none is refused and the test fails for want of refusals. 200 callers take longer than that. No assertion changed.

--- a/bench/e2e/refusal_test.go
+++ b/bench/e2e/refusal_test.go
@@ -14,7 +14,7 @@
 // TestOverloadRefusalIsTrueAndSaysWhenToComeBack guards against refusals that say not_run of a request that ran, and
 // against refusals without Retry-After where asking again makes sense.
 func TestOverloadRefusalIsTrueAndSaysWhenToComeBack(t *testing.T) {
-	const callers, wanted = 40, 200
+	const callers, wanted = 200, 200
 	w := newWorld(t, worldSpec{entries: 2, agents: 1, engine: defaultEngine()})
 	refused := collectRefusals(w, callers, wanted)
 	require.NotEmpty(t, refused)
