Kill agents and stop the origin during a measured rollout

A killed agent is replaced by a fresh one under a new host ID. The report shows how many were replaced.

--- a/bench/cmd/gtbench/rollout.go
+++ b/bench/cmd/gtbench/rollout.go
@@ -20,6 +20,9 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			cfg.Binary, cfg.Seed = o.binary, o.seed
+			if cfg.Kill > 0 && cfg.Agents > rollout.MaxProcesses {
+				return eris.Errorf("--kill needs agents that are processes of their own, at most %d", rollout.MaxProcesses)
+			}
 			report, err := rollout.Run(cmd.Context(), cfg)
 			if report.Agents == 0 {
 				return err
@@ -35,6 +38,8 @@
 	flags.DurationVar(&cfg.Target, "target", 4*time.Second, "target time; the rates of the links follow from it")
 	flags.DurationVar(&cfg.RegionDelay, "region-delay", 2*time.Millisecond, "one-way delay between regions")
 	flags.Int64Var(&cfg.Corrupt, "corrupt", 2, "number of the origin's responses that arrive corrupted")
+	flags.IntVar(&cfg.Kill, "kill", 0, "number of agents that are killed and replaced mid-run; at most 40 agents in all")
+	flags.DurationVar(&cfg.Outage, "outage", 0, "time for which the origin is away mid-run")
 	flags.DurationVar(&cfg.Limit, "limit", 40*time.Second, "time after which an incomplete rollout ends")
 	return cmd
 }
--- a/bench/rollout/rollout.go
+++ b/bench/rollout/rollout.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -59,6 +61,10 @@
 	RegionDelay time.Duration
 	// Corrupt is the number of responses of the origin that are corrupted.
 	Corrupt int64
+	// Kill is the number of agents that are killed and replaced once the origin has sent half a copy.
+	Kill int
+	// Outage is the time for which the origin is away from then on.
+	Outage time.Duration
 	// Limit ends a run that does not complete.
 	Limit time.Duration
 }
@@ -85,6 +91,8 @@
 	CorruptRejected  int64    `json:"corrupt_rejected"`
 	MixedActivations int      `json:"mixed_activations"`
 	AgentsComplete   int      `json:"agents_complete"`
+	AgentsReplaced   int      `json:"agents_replaced"`
+	OutageSeconds    float64  `json:"outage_seconds"`
 	// Polls, BusyResponses and FailedFetches are the product's metrics, summed over agents.
 	Polls         int64 `json:"polls"`
 	BusyResponses int64 `json:"busy_responses"`
@@ -100,6 +108,10 @@
 	agents  []*cluster.Process
 	body    []byte
 	digest  core.Digest
+
+	// mu guards agents once faults replace them.
+	mu     sync.Mutex
+	killed []*cluster.Process
 }
 
 // Run rolls one version out and measures it. The report is valid for an incomplete rollout too.
@@ -143,12 +155,13 @@
 		return err
 	}
 	r.agents = make([]*cluster.Process, r.cfg.Agents)
-	return cluster.Each(r.cfg.Agents, func(i int) error { return r.startAgent(ctx, i) })
+	return cluster.Each(r.cfg.Agents, func(i int) error { return r.startAgent(ctx, i, fmt.Sprintf("agent-%d", i)) })
 }
 
-func (r *run) startAgent(ctx context.Context, i int) error {
+// startAgent starts an agent at place i of the fleet.
+func (r *run) startAgent(ctx context.Context, i int, name string) error {
 	place := domains[i%len(domains)]
-	id := core.HostID(fmt.Sprintf("agent-%d", i))
+	id := core.HostID(name)
 	source, err := r.links.origin(id, place.region, originRegion, r.cluster.Platform().WeightSource)
 	if err != nil {
 		return err
@@ -166,6 +179,8 @@
 	}
 	r.links.add(agent)
 	agent.Engine.Expect(r.digest, core.DigestOf(r.body))
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.agents[i] = agent
 	return nil
 }
@@ -182,6 +197,8 @@
 		Kind: settings.KindModel, Model: model, Target: &settings.VersionRef{Version: version, Digest: r.digest},
 		ColdLimit: 2, WarmLimit: 8, WarmupCompletions: 4,
 	}
+	stopFaults := r.startFaults(ctx)
+	defer func() { _ = stopFaults() }()
 	start := time.Now()
 	if _, err := cluster.Apply(ctx, r.entry, settings.UpstreamPath(upstream), 0, spec); err != nil {
 		return Report{}, err
@@ -200,13 +217,14 @@
 		}
 		return all != nil
 	})
+	err = errors.Join(err, stopFaults())
 	report := r.report(context.WithoutCancel(ctx), half, all)
 	return report, eris.Wrapf(err, "%d of %d agents hold the version after %s", report.AgentsComplete, r.cfg.Agents, r.cfg.Limit)
 }
 
 func (r *run) complete() int {
 	n := 0
-	for _, agent := range r.agents {
+	for _, agent := range r.running() {
 		if status := agent.Engine.Status(); status.Complete && status.Digest == r.digest {
 			n++
 		}
@@ -229,6 +247,8 @@
 		SecondsToAll:   all,
 		BoundSeconds:   r.cfg.bound(),
 		AgentsComplete: r.complete(),
+		AgentsReplaced: len(r.killed),
+		OutageSeconds:  r.cfg.Outage.Seconds(),
 	}
 	if r.cluster.InProcess {
 		out.AgentsRun = "in process"
@@ -242,7 +262,7 @@
 		ratio := *all / out.BoundSeconds
 		out.RatioToBound = &ratio
 	}
-	for _, agent := range r.agents {
+	for _, agent := range append(r.running(), r.killed...) {
 		out.MixedActivations += agent.Engine.Counts().Mixed
 	}
 	out.CorruptRejected = max(0, r.cluster.Origin.CorruptSent()-int64(out.MixedActivations))
@@ -263,7 +283,7 @@
 
 // metricSums adds up the product's metrics over agents; it is empty when no agent answers.
 func (r *run) metricSums(ctx context.Context) map[string]int64 {
-	agents := r.agents
+	agents := r.running()
 	if r.cluster.InProcess {
 		// Metrics are shared by all agents inside this process.
 		agents = agents[:1]
