Let a busy peer name a pause shorter than a second

Cause: all upload slots taken meant a pause of one second, the finest that Retry-After can say, while a slot comes free after the time of one chunk. The response now names that time in milliseconds, between 0.1 and 1 s.

--- a/coordination/transfer/planner.go
+++ b/coordination/transfer/planner.go
@@ -165,12 +165,20 @@
 	case OutcomeBad, OutcomeFailed:
 		p.fault(now, known)
 	case OutcomeBusy:
-		known.busyUntil = now.Add(max(result.RetryAfter, p.cfg.RetryBase))
+		known.busyUntil = now.Add(p.busyPause(result.RetryAfter))
 	case OutcomeMissing:
 		p.setHeld(known, known.held.without(result.Fetch.Index))
 	}
 }
 
+// busyPause returns the pause that a busy peer asked for, or RetryBase when it named none.
+func (p *Planner) busyPause(asked time.Duration) time.Duration {
+	if asked > 0 {
+		return asked
+	}
+	return p.cfg.RetryBase
+}
+
 // fromPeers starts fetches from peers, rarest chunk first.
 func (p *Planner) fromPeers(now time.Time) []Fetch {
 	var fetches []Fetch
--- a/transport/weights/limits.go
+++ b/transport/weights/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -63,6 +64,12 @@
 	return l.wait(ctx, n, l.out)
 }
 
+// UploadTime returns the time that n bytes to peers take at the rate of now; 0 means no limit.
+func (l *Limits) UploadTime(n int64) time.Duration {
+	l.adjust(l.out)
+	return time.Duration(float64(n) / float64(l.out.limiter.Limit()) * float64(time.Second))
+}
+
 func (l *Limits) wait(ctx context.Context, n int64, buckets ...bucket) error {
 	for n > 0 {
 		part := min(n, paceBytes)
--- a/transport/weights/peers.go
+++ b/transport/weights/peers.go
@@ -117,11 +117,20 @@
 		return protocol.Errorf(protocol.CodeNotFound, "peer does not hold the chunk")
 	case http.StatusTooManyRequests:
 		err := protocol.Errorf(protocol.CodeRateLimited, "peer has no upload slot")
-		if seconds, parseErr := strconv.Atoi(response.Header.Get("Retry-After")); parseErr == nil && seconds > 0 {
-			err.RetryAfter = time.Duration(seconds) * time.Second
-		}
+		err.RetryAfter = retryAfter(response.Header)
 		return err
 	default:
 		return protocol.Errorf(protocol.CodeUnavailable, "peer returned status %d", response.StatusCode)
 	}
 }
+
+// retryAfter returns the pause that a peer asks for, to the millisecond when it says so.
+func retryAfter(header http.Header) time.Duration {
+	if millis, err := strconv.Atoi(header.Get(headerRetryMillis)); err == nil && millis > 0 {
+		return time.Duration(millis) * time.Millisecond
+	}
+	if seconds, err := strconv.Atoi(header.Get("Retry-After")); err == nil && seconds > 0 {
+		return time.Duration(seconds) * time.Second
+	}
+	return 0
+}
--- a/transport/weights/serve.go
+++ b/transport/weights/serve.go
@@ -11,8 +11,15 @@
 	"github.com/guavatrestle/guavatrestle/transport/upstream"
 )
 
-// uploadRetryAfter is the pause in seconds that a peer is asked for when all upload slots are taken.
-const uploadRetryAfter = "1"
+const (
+	// uploadRetryAfter is the pause in seconds that clients other than agents are asked for when all slots are taken.
+	uploadRetryAfter = "1"
+	// headerRetryMillis is the pause in milliseconds after which an upload slot is likely to be free.
+	headerRetryMillis = "Gt-Retry-After-Ms"
+	// minUploadPause and maxUploadPause bound that pause.
+	minUploadPause = 100 * time.Millisecond
+	maxUploadPause = time.Second
+)
 
 // ChunkHandler serves GET /chunks/{digest}/{index}.
 type ChunkHandler struct {
@@ -56,6 +63,7 @@
 		defer func() { <-h.slots }()
 	default:
 		w.Header().Set("Retry-After", uploadRetryAfter)
+		w.Header().Set(headerRetryMillis, strconv.FormatInt(h.pause(len(data)).Milliseconds(), 10))
 		http.Error(w, "all upload slots are taken", http.StatusTooManyRequests)
 		return
 	}
@@ -63,6 +71,11 @@
 	h.send(w, r, data)
 }
 
+// pause returns the mean time until one of the busy slots has sent a chunk of n bytes.
+func (h *ChunkHandler) pause(n int) time.Duration {
+	return min(max(h.limits.UploadTime(int64(n)), minUploadPause), maxUploadPause)
+}
+
 // send writes data at the rate that the limits allow. The deadline frees the slot of a reader that stalls.
 func (h *ChunkHandler) send(w http.ResponseWriter, r *http.Request, data []byte) {
 	ctx, cancel := context.WithTimeout(r.Context(), h.timeout)
