Run large rollouts as processes and close idle peer connections

Cause: gtbench rollout with 200 agents inside one process completed at no host. Its log says "accept4: too many open files": with relays each connection between two agents takes four files, and idle ones stayed for 90 s.

What limits 200 agents is not known.

--- a/bench/rollout/rollout.go
+++ b/bench/rollout/rollout.go
@@ -23,8 +23,8 @@
 	// OriginCopies and HostCopies are the copies that the links carry within the target time.
 	OriginCopies = 4
 	HostCopies   = 2
-	// MaxProcesses is the largest number of agents that run as processes of their own.
-	MaxProcesses = 40
+	// DefaultProcesses is the largest number of agents that run as processes of their own unless a run says otherwise.
+	DefaultProcesses = 40
 
 	model        = core.Model("guava")
 	upstream     = core.Upstream("guava-llm")
@@ -65,6 +65,8 @@
 	Kill int
 	// Outage is the time for which the origin is away from then on.
 	Outage time.Duration
+	// Processes is the largest number of agents that run as processes of their own; more run inside gtbench.
+	Processes int
 	// Limit ends a run that does not complete.
 	Limit time.Duration
 }
@@ -121,7 +123,7 @@
 		return Report{}, err
 	}
 	defer c.Close()
-	c.InProcess = cfg.Agents > MaxProcesses
+	c.InProcess = cfg.Agents > cfg.Processes
 	r := &run{cfg: cfg, cluster: c, links: newLinks(cfg.hostRate(), cfg.RegionDelay)}
 	c.OnClose(r.links.close)
 	c.Hosts.SetView(r.links.view)
--- a/transport/weights/peers.go
+++ b/transport/weights/peers.go
@@ -25,6 +25,9 @@
 	pollTimeout = 2 * time.Second
 	// idlePeerConns bounds the idle connections kept to one peer.
 	idlePeerConns = 2
+	// idlePeerTimeout closes connections to peers that are not asked any more. An agent asks the ranked hosts of many
+	// chunks, and with the default of 90 s 200 agents in one process used up 20,000 files.
+	idlePeerTimeout = 10 * time.Second
 )
 
 // PeerClient asks other agents for chunks.
@@ -38,6 +41,7 @@
 func NewPeerClient(self core.Host, chunks *table.Chunks) *PeerClient {
 	base := http.DefaultTransport.(*http.Transport).Clone()
 	base.MaxIdleConnsPerHost = idlePeerConns
+	base.IdleConnTimeout = idlePeerTimeout
 	return &PeerClient{self: self, chunks: chunks, http: &http.Client{Transport: base}}
 }
 
