Show progress and time left in the rollout status

Cause: an operator could see which hosts were behind, but not how far the rollout was or how long it would take.

Ruled out: a time left from a single look, because agents report no rate.

Change: progress is the mean share of chunks that hosts hold; the time left follows from the mean rate since the first status call for the target.

Conclusion: the time left shows from the second call on.

--- /dev/null
+++ b/coordination/transfer/estimate.go
@@ -0,0 +1,32 @@
+package transfer
+
+import (
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+// Estimate works out how long the rollout of one target still takes from the progress seen so far.
+//
+// Estimate is not safe for concurrent use.
+type Estimate struct {
+	target  core.Digest
+	started time.Time
+	first   float64
+}
+
+// Left records the progress of target, between 0 and 1, and returns the time until it reaches 1 at the mean rate since
+// the first call for the target. It reports false while no progress was seen since then.
+func (e *Estimate) Left(now time.Time, target core.Digest, progress float64) (time.Duration, bool) {
+	if e.target != target || progress < e.first {
+		*e = Estimate{target: target, started: now, first: progress}
+	}
+	if progress >= 1 {
+		return 0, true
+	}
+	gained, elapsed := progress-e.first, now.Sub(e.started)
+	if gained <= 0 || elapsed <= 0 {
+		return 0, false
+	}
+	return time.Duration((1 - progress) / gained * float64(elapsed)), true
+}
--- a/protocol/api/admin.go
+++ b/protocol/api/admin.go
@@ -76,6 +76,10 @@
 	Hosts         int           `json:"hosts"`
 	Complete      int           `json:"complete"`
 	Behind        []BehindHost  `json:"behind,omitempty"`
+	// Progress is the mean share of the target's chunks that the hosts hold, between 0 and 1; a complete host counts 1.
+	Progress float64 `json:"progress"`
+	// SecondsLeft is worked out from the progress between calls for the status; nil until two calls have seen some.
+	SecondsLeft *float64 `json:"seconds_left"`
 	// OriginBytes is what the hosts together report as fetched from the origin.
 	OriginBytes int64 `json:"origin_bytes"`
 	// OriginCopies is OriginBytes over the target's size; 0 when the settings name no size.
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -4,11 +4,13 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/guavatrestle/guavatrestle/coordination/transfer"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/settings"
@@ -46,6 +48,9 @@
 	Parts
 	editor *editor
 	auth   *authenticator
+
+	estimatesMu sync.Mutex
+	estimates   map[core.Upstream]*transfer.Estimate
 }
 
 // NewHandler returns a Handler.
@@ -54,9 +59,10 @@
 		parts.Accepted = func(context.Context, []settings.Document) {}
 	}
 	return &Handler{
-		Parts:  parts,
-		editor: &editor{store: parts.Store, table: parts.Settings, now: parts.Now, nonce: uuid.NewString},
-		auth:   newAuthenticator(parts.Settings, parts.TokenHashes, parts.Now),
+		Parts:     parts,
+		estimates: make(map[core.Upstream]*transfer.Estimate),
+		editor:    &editor{store: parts.Store, table: parts.Settings, now: parts.Now, nonce: uuid.NewString},
+		auth:      newAuthenticator(parts.Settings, parts.TokenHashes, parts.Now),
 	}
 }
 
--- a/transport/admin/admin_test.go
+++ b/transport/admin/admin_test.go
@@ -296,4 +296,6 @@
 	require.Equal(t, "fetching", got.Behind[0].Reason)
 	require.Equal(t, "no response to heartbeats", got.Behind[1].Reason)
 	require.InDelta(t, 2.0, got.OriginCopies, 0.001)
+	require.InDelta(t, (1+0.2)/3, got.Progress, 0.001)
+	require.Nil(t, got.SecondsLeft, "one look shows no rate")
 }
--- a/transport/cli/read.go
+++ b/transport/cli/read.go
@@ -226,10 +226,18 @@
 	return cmd
 }
 
+func timeLeft(seconds *float64) string {
+	if seconds == nil {
+		return "time left not known yet"
+	}
+	left := time.Duration(*seconds * float64(time.Second))
+	return left.Round(time.Second).String() + " left"
+}
+
 func printRollouts(w io.Writer, status api.RolloutStatus) {
 	for _, u := range status.Upstreams {
-		fmt.Fprintf(w, "%s\t%s %s\t%d of %d hosts complete\torigin %d bytes (%.2f copies)\n",
-			u.Upstream, u.Model, u.TargetVersion, u.Complete, u.Hosts, u.OriginBytes, u.OriginCopies)
+		fmt.Fprintf(w, "%s\t%s %s\t%d of %d hosts complete\t%.0f %% done, %s\torigin %d bytes (%.2f copies)\n",
+			u.Upstream, u.Model, u.TargetVersion, u.Complete, u.Hosts, u.Progress*100, timeLeft(u.SecondsLeft), u.OriginBytes, u.OriginCopies)
 		for _, b := range u.Behind {
 			fmt.Fprintf(w, "  %s\t%s\t%d/%d chunks\t%s\n", b.Host, b.FailureDomain, b.ChunksHeld, b.ChunksTotal, b.Reason)
 		}
