Name the retry budget and stale reports at the entry

Cause: the type chance and the method hasten did not say what they hold or do.

Ruled out: keeping the names with longer comments.

Measured: go test -race ./transport/entry passes; no behaviour changed.

Conclusion: they are retryBudget and expediteStale.

--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -40,7 +40,7 @@
 //
 // An outcome that was unknown once stays unknown: a later refusal does not undo an earlier try that may have run.
 func (h *Handler) forward(ctx context.Context, out responder, c call) error {
-	h.chance.request()
+	h.retries.request()
 	varForwarded.Add(1)
 	run := api.RunNotRun
 	var last *transport.Error
@@ -83,7 +83,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	pause, ok := h.chance.retry(a.number)
+	pause, ok := h.retries.retry(a.number)
 	if !ok {
 		return false
 	}
--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -30,7 +30,7 @@
 	settings  *table.Settings
 	upstreams *table.Upstreams
 	pool      *connPool
-	chance    *chance
+	retries   *retryBudget
 	dispatch  *dispatcher
 	claims    Claims
 	now       func() time.Time
@@ -72,7 +72,7 @@
 		settings:  p.Settings,
 		upstreams: p.Upstreams,
 		pool:      newConnPool(p.Secure),
-		chance:    newChance(p.Tuning.Retry, rand.New(rand.NewPCG(p.Random.Uint64(), 0))),
+		retries:   newRetryBudget(p.Tuning.Retry, rand.New(rand.NewPCG(p.Random.Uint64(), 0))),
 		dispatch:  newDispatcher(),
 		claims:    p.Claims,
 		random:    rand.New(rand.NewPCG(p.Random.Uint64(), 1)),
--- a/transport/entry/heartbeat.go
+++ b/transport/entry/heartbeat.go
@@ -91,7 +91,7 @@
 	subset := routing.Subset(h.self.ID, h.members.List(), routing.MaxAgents)
 	interval := routing.Interval(h.interval, len(subset))
 	if h.urgent() {
-		h.hasten()
+		h.expediteStale()
 	}
 	listed := make(map[core.HostID]bool, len(subset))
 	group := pool.NewGroup()
@@ -106,9 +106,9 @@
 	h.forget(listed)
 }
 
-// hasten makes the agents due that may have a slot for waiting requests by now: those that are not warm, or full by their
-// last report, and of which no frame or heartbeat told anything for a while.
-func (h *Heartbeat) hasten() {
+// expediteStale makes the agents due that may have a slot for waiting requests by now: those that are not warm, or full
+// by their last report, and of which no frame or heartbeat told anything for a while.
+func (h *Heartbeat) expediteStale() {
 	now := h.now()
 	for _, agent := range h.upstreams.List() {
 		full := agent.InFlight >= agent.Limit
