--- a/transport/cli/cli_test.go
+++ b/transport/cli/cli_test.go
@@ -168,3 +168,14 @@
 	}
 	visit((&app{}).root())
 }
+
+// TestDirectoryStandsForItsFiles guards against a directory of settings that is refused or read in part.
+func TestDirectoryStandsForItsFiles(t *testing.T) {
+	f := newFixture(t)
+	status, out, errOut := f.run("validate", "-f", "../../examples/litoral/settings")
+	require.Zero(t, status, errOut)
+	name := f.file("bad.yaml", "path: /failure-domains/a\nbodi: {}\n")
+	status, _, errOut = f.run("validate", "-f", filepath.Dir(name))
+	require.Equal(t, exitUsage, status, out)
+	require.Contains(t, errOut, name+`:2: unknown field "bodi"`)
+}
--- a/transport/cli/edit.go
+++ b/transport/cli/edit.go
@@ -15,7 +15,7 @@
 	"github.com/guavatrestle/guavatrestle/state/settings"
 )
 
-const fileUsage = "settings file; - reads standard input (repeatable)"
+const fileUsage = "settings file, or directory of .yaml files; - reads standard input (repeatable)"
 
 func (a *app) applyCommand() *cobra.Command {
 	var files []string
--- a/transport/cli/file.go
+++ b/transport/cli/file.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -41,7 +42,7 @@
 func (a *app) readFiles(names []string) ([]fileDocument, error) {
 	var all []fileDocument
 	var failed []error
-	for _, name := range names {
+	for _, name := range expandDirectories(names) {
 		documents, err := a.readFile(name)
 		all = append(all, documents...)
 		failed = append(failed, err)
@@ -56,6 +57,22 @@
 	return all, nil
 }
 
+// expandDirectories replaces each directory by the YAML files in it, sorted by name.
+func expandDirectories(names []string) []string {
+	var files []string
+	for _, name := range names {
+		info, err := os.Stat(name)
+		if err != nil || !info.IsDir() {
+			files = append(files, name)
+			continue
+		}
+		// The pattern is constant, so Glob reports no error for it.
+		inside, _ := filepath.Glob(filepath.Join(name, "*.yaml"))
+		files = append(files, inside...)
+	}
+	return files
+}
+
 // order puts failure domains before upstreams before teams, because teams name both.
 func order(path string) int {
 	prefixes := []string{settings.FailureDomainPrefix, settings.UpstreamPrefix, settings.TeamPrefix}
