Decide who watches the object API in a pure package

Cause: transport/control decided which processes watch, although decisions belong below the protocol, where fuzzing can drive them.

Ruled out: moving the whole watch state; contact times need the I/O around them.

Conclusion: membership.IsWatcher and WatchersOfSpare hold the rule.

--- a/coordination/membership/rank.go
+++ b/coordination/membership/rank.go
@@ -39,6 +39,32 @@
 	return slices.IndexFunc(order, func(h core.Host) bool { return h.ID == id })
 }
 
+// IsWatcher reports whether a host watches the object API: the first watchers hosts of the order do, and as many spares
+// after them when one of the first is cut off from the platform.
+func IsWatcher(order []core.Host, self core.HostID, watchers int, cutOff func(core.HostID) bool) bool {
+	position := Position(order, self)
+	first := min(watchers, len(order))
+	if position < first {
+		return position >= 0
+	}
+	for _, host := range order[:first] {
+		if cutOff(host.ID) {
+			return position < first+watchers
+		}
+	}
+	return false
+}
+
+// WatchersOfSpare returns the watchers that a host probes as one of their spares, and none when it is no spare.
+func WatchersOfSpare(order []core.Host, self core.HostID, watchers int) []core.Host {
+	position := Position(order, self)
+	first := min(watchers, len(order))
+	if position < first || position >= first+watchers {
+		return nil
+	}
+	return order[:first]
+}
+
 // Roots returns the hosts to which a document is pushed first in a failure domain.
 func Roots(order []core.Host, fanout int) []core.Host {
 	return order[:min(fanout, len(order))]
--- a/transport/control/watch.go
+++ b/transport/control/watch.go
@@ -68,26 +68,16 @@
 	}
 }
 
-// isWatcher reports whether this process watches the object API: the first hosts of its failure domain
-// in rendezvous order do, and as many spares when one of the first is cut off from the platform.
+// isWatcher reports whether this process watches the object API now.
 func (n *Node) isWatcher() bool {
 	if !n.knowsHosts() {
 		return false
 	}
 	order := membership.WatchOrder(n.Members.Snapshot(), n.Self.FailureDomain)
-	position := membership.Position(order, n.Self.ID)
-	first := min(n.Config.Watchers, len(order))
-	if position < first {
-		return position >= 0
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, host := range order[:first] {
-		if n.watch.cutOff[host.ID] {
-			return position < first+n.Config.Watchers
-		}
-	}
-	return false
+	cutOff := func(id core.HostID) bool { return n.watch.cutOff[id] }
+	return membership.IsWatcher(order, n.Self.ID, n.Config.Watchers, cutOff)
 }
 
 func (n *Node) knowsHosts() bool {
@@ -99,12 +89,7 @@
 // watchersToProbe returns the watchers when this process is one of their spares. The caller holds the lock.
 func (n *Node) watchersToProbe(hosts []core.Host) []core.Host {
 	order := membership.WatchOrder(hosts, n.Self.FailureDomain)
-	position := membership.Position(order, n.Self.ID)
-	first := min(n.Config.Watchers, len(order))
-	if position < first || position >= first+n.Config.Watchers {
-		return nil
-	}
-	return order[:first]
+	return membership.WatchersOfSpare(order, n.Self.ID, n.Config.Watchers)
 }
 
 // noteAge records whether a peer that watches is cut off from the platform.
