Serve callers on the users' platform through an adapter

Cause: the product had no way to run where the platform keeps the configuration, lists the replicas and sends callers to entry hosts.

The product gains a table of the fleet with views (state/fleet), a follower of the store, a balancer over replicas (coordination/dispatch), pass-through of HTTP/1.1 requests (transport/ingress, transport/backend), load reports from agents to entries (transport/loadshare) and staging of weights at the worker on the planner that exists already (transport/staging).

Tests for the new packages are still to come.

--- a/cmd/guavatrestled/main.go
+++ b/cmd/guavatrestled/main.go
@@ -45,6 +45,7 @@
 	}
 	cmd.Flags().StringVarP(&path, "config", "c", "", "path of the YAML configuration")
 	_ = cmd.MarkFlagRequired("config")
+	cmd.AddCommand(newHostedCommand())
 	return cmd
 }
 
--- a/coordination/limits/bucket.go
+++ b/coordination/limits/bucket.go
@@ -46,3 +46,9 @@
 	b.tokens = min(b.tokens+elapsed.Seconds()*b.rate, b.burst)
 	b.at = now
 }
+
+// Ready reports whether Take would take a token now.
+func (b *Bucket) Ready(now time.Time) bool {
+	b.fill(now)
+	return b.tokens >= 1
+}
--- /dev/null
+++ b/internal/bootclock/bootclock.go
@@ -0,0 +1,24 @@
+// Package bootclock reads the clock that counts the time for which the host was suspended.
+package bootclock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Instant is the time since the host's boot.
+type Instant time.Duration
+
+// Now returns the time since boot, suspended time included. The monotonic clock of package time leaves that out, so a
+// lease measured with it would outlive a suspension.
+func Now() Instant {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		panic("clock_gettime(CLOCK_BOOTTIME): " + err.Error())
+	}
+	return Instant(now.Nano())
+}
+
+// Since returns the time from i to now.
+func Since(i Instant) time.Duration { return time.Duration(Now() - i) }
--- /dev/null
+++ b/state/fleet/view.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+// Member is a replica with what this process has learned about it.
+type Member struct {
+	Replica
+	// ColdUntil is the time until which the replica counts as cold.
+	ColdUntil time.Time
+	// Evacuated says that the replica's failure domain is out of service.
+	Evacuated bool
+}
+
+// Usable reports whether the replica may get new work.
+func (m *Member) Usable() bool { return !m.Draining && !m.Evacuated }
+
+// Wanted is the version of a model that every replica should serve.
+type Wanted struct {
+	Version int64
+	// Since is the time at which this process learned of the version.
+	Since time.Time
+}
+
+// View is an immutable picture of the fleet at one moment.
+type View struct {
+	Configuration *Configuration
+	Members       []Member
+	Wanted        map[core.Model]Wanted
+
+	routes map[string][]*Route
+	teams  map[string]*Team
+}
+
+// Known reports whether the view holds a configuration and has seen the list of replicas.
+func (v *View) Known() bool { return v != nil && v.Configuration != nil }
+
+// Route returns the route of a host name and path: the one with the longest prefix that begins the path.
+func (v *View) Route(host, path string) *Route {
+	for _, route := range v.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Team returns the team that holds an API key.
+func (v *View) Team(key string) *Team { return v.teams[key] }
+
+// index builds the lookups of routes and keys.
+func (v *View) index() {
+	v.routes = make(map[string][]*Route)
+	v.teams = make(map[string]*Team)
+	if v.Configuration == nil {
+		return
+	}
+	for i := range v.Configuration.Routes {
+		route := &v.Configuration.Routes[i]
+		host := strings.ToLower(route.Host)
+		v.routes[host] = append(v.routes[host], route)
+	}
+	for _, routes := range v.routes {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	for i := range v.Configuration.Teams {
+		team := &v.Configuration.Teams[i]
+		for _, key := range team.Keys {
+			v.teams[key] = team
+		}
+	}
+}
+
+// HasAddress reports whether a replica of the view is at an address. Without a view every address counts.
+func (v *View) HasAddress(address string) bool {
+	if v == nil {
+		return true
+	}
+	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.Address == address })
+}
+
+// WithoutKeys returns a copy of the view for dumps, without API keys.
+func (v *View) WithoutKeys() *View {
+	if v == nil {
+		return nil
+	}
+	shown := &View{Members: v.Members, Wanted: v.Wanted}
+	if v.Configuration != nil {
+		configuration := *v.Configuration
+		configuration.Teams = slices.Clone(configuration.Teams)
+		for i := range configuration.Teams {
+			configuration.Teams[i].Keys = nil
+		}
+		shown.Configuration = &configuration
+	}
+	return shown
+}
--- a/transport/entry/response.go
+++ b/transport/entry/response.go
@@ -9,6 +9,7 @@
 
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/protocol/sse"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/transport"
 )
@@ -67,7 +68,7 @@
 func (r *callerResponse) writeEvents() error {
 	ready := 0
 	for {
-		size := eventLength(r.pending[ready:])
+		size := sse.EventLength(r.pending[ready:])
 		if size == 0 || isDone(r.pending[ready:]) {
 			break
 		}
@@ -140,15 +141,3 @@
 	head := data[:min(len(data), 2*len(donePrefix))]
 	return bytes.HasPrefix(bytes.ReplaceAll(head, []byte(" "), nil), []byte(donePrefix))
 }
-
-// eventLength returns the length of the first whole event including its blank line, or 0 when none is whole.
-func eventLength(data []byte) int {
-	length := 0
-	for _, separator := range []string{"\n\n", "\r\n\r\n", "\r\r"} {
-		at := bytes.Index(data, []byte(separator))
-		if at >= 0 && (length == 0 || at+len(separator) < length) {
-			length = at + len(separator)
-		}
-	}
-	return length
-}
--- /dev/null
+++ b/transport/follow/follow.go
@@ -0,0 +1,312 @@
+// Package follow keeps a view of the fleet current from the platform's store.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/feed"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+const (
+	// watchWait is the wait of all other watches; the store allows 30 s.
+	watchWait = 25 * time.Second
+	// callSlack is the time that the store has to answer beyond the wait of a watch.
+	callSlack = 1200 * time.Millisecond
+	// listTimeout bounds one read of a whole list.
+	listTimeout = 3 * time.Second
+	// retryBase and retryCap bound the pause after a failed call.
+	retryBase = 100 * time.Millisecond
+	retryCap  = 800 * time.Millisecond
+	// coalesce is the pause after a change, so that changes in quick succession cost one call.
+	coalesce = 120 * time.Millisecond
+	// outageSlack is the time beyond the wait of the probing watch after which a silent store counts as having been away.
+	outageSlack = 1500 * time.Millisecond
+	// expireInterval is the time between two looks for registrations that did not come back.
+	expireInterval = 200 * time.Millisecond
+)
+
+// Follower keeps a view of the fleet current.
+type Follower struct {
+	source feed.Source
+	kinds  []feed.Kind
+	// probeWait is the wait of the watch that also shows whether the store is reachable.
+	probeWait time.Duration
+	log       *logrus.Entry
+
+	mu       sync.Mutex
+	table    *fleet.Table
+	listed   map[feed.Kind]bool
+	answered time.Time
+	random   *rand.Rand
+
+	view      atomic.Pointer[fleet.View]
+	confirmed atomic.Int64
+	onChange  []func(*fleet.View)
+
+	// broken is closed and replaced when the store stops answering, so that waiting watches start again.
+	broken context.CancelFunc
+	watch  context.Context
+}
+
+// New returns a Follower of the given kinds. The watch of the first kind also shows whether the store is reachable, and so
+// waits no longer than probeWait.
+func New(source feed.Source, kinds []feed.Kind, probeWait time.Duration, random *rand.Rand, log *logrus.Entry) *Follower {
+	return &Follower{
+		source:    source,
+		kinds:     kinds,
+		probeWait: probeWait,
+		log:       log,
+		table:     fleet.NewTable(),
+		listed:    make(map[feed.Kind]bool),
+		random:    random,
+	}
+}
+
+// OnChange adds a function that gets every new view; it is called in order and must not wait.
+func (f *Follower) OnChange(fn func(*fleet.View)) { f.onChange = append(f.onChange, fn) }
+
+// View returns the current view, or nil before all kinds have been listed.
+func (f *Follower) View() *fleet.View { return f.view.Load() }
+
+// Age returns the time since the store last confirmed that the configuration in force is the newest.
+func (f *Follower) Age() time.Duration {
+	at := f.confirmed.Load()
+	if at == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return bootclock.Since(bootclock.Instant(at))
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.watch, f.broken = context.WithCancel(ctx)
+	var loops sync.WaitGroup
+	for i, kind := range f.kinds {
+		loops.Go(func() { f.follow(ctx, kind, i == 0) })
+	}
+	loops.Go(func() { f.expire(ctx) })
+	loops.Wait()
+	f.broken()
+}
+
+func (f *Follower) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.mu.Lock()
+			if f.table.Expire(time.Now()) {
+				f.publish()
+			}
+			f.mu.Unlock()
+		}
+	}
+}
+
+// follow lists a kind and watches it from there, again and again.
+func (f *Follower) follow(ctx context.Context, kind feed.Kind, probe bool) {
+	failures := 0
+	since := int64(-1)
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, kind, since, probe)
+		if err == nil {
+			since, failures = next, 0
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if protocol.CodeOf(err) == protocol.CodeExpired {
+			since = -1
+			continue
+		}
+		if failures == 0 {
+			f.log.WithError(err).WithField("kind", kind).Warn("store does not answer")
+		}
+		if probe {
+			f.breakWatches(ctx)
+		}
+		f.pause(ctx, failures)
+		failures++
+	}
+}
+
+// step makes one call and returns the revision to watch from.
+func (f *Follower) step(ctx context.Context, kind feed.Kind, since int64, probe bool) (int64, error) {
+	if since < 0 {
+		return f.list(ctx, kind)
+	}
+	wait, parent := watchWait, f.watchContext()
+	if probe {
+		wait, parent = f.probeWait, ctx
+	}
+	call, cancel := context.WithTimeout(parent, wait+callSlack)
+	defer cancel()
+	sent := bootclock.Now()
+	batch, err := f.source.Watch(call, kind, since, wait)
+	if err != nil {
+		if parent.Err() != nil && ctx.Err() == nil {
+			return since, nil
+		}
+		return since, err
+	}
+	f.take(kind, batch, false, sent)
+	if len(batch.Records) > 0 {
+		sleep(ctx, coalesce)
+	}
+	return batch.At, nil
+}
+
+func (f *Follower) list(ctx context.Context, kind feed.Kind) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	sent := bootclock.Now()
+	batch, err := f.source.List(call, kind)
+	if err != nil {
+		return -1, err
+	}
+	f.take(kind, batch, true, sent)
+	return batch.At, nil
+}
+
+// take puts a batch into the table. sent is the time of the call: the batch holds all changes before it.
+func (f *Follower) take(kind feed.Kind, batch feed.Batch, whole bool, sent bootclock.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if !f.answered.IsZero() && now.Sub(f.answered) > f.probeWait+outageSlack {
+		f.log.WithField("silent_ms", now.Sub(f.answered).Milliseconds()).Info("store answers again")
+		f.table.StoreReturned(now)
+	}
+	f.answered = now
+	if kind == feed.KindConfiguration {
+		f.confirmed.Store(int64(sent))
+	}
+	for _, record := range batch.Records {
+		f.apply(now, kind, record)
+	}
+	if whole {
+		f.reconcile(now, kind, batch.Records)
+	}
+	first := !f.listed[kind]
+	f.listed[kind] = true
+	if len(batch.Records) > 0 || whole || first {
+		f.publish()
+	}
+}
+
+func (f *Follower) apply(now time.Time, kind feed.Kind, record feed.Record) {
+	if record.Fault != nil {
+		f.log.WithError(record.Fault).WithField("kind", kind).WithField("name", record.Name).Warn("skip record")
+	}
+	if record.Removed || record.Fault != nil {
+		f.remove(now, kind, record.Name)
+		return
+	}
+	switch value := record.Value.(type) {
+	case *fleet.Configuration:
+		if f.table.SetConfiguration(value) {
+			f.log.WithField("version", value.Version).WithField("routes", len(value.Routes)).Info("configuration in force")
+		}
+	case *fleet.Replica:
+		f.table.SetReplica(now, record.Revision, value)
+	case fleet.Evacuation:
+		f.table.SetEvacuated(now, value.FailureDomain, true)
+		f.log.WithField("failure_domain", value.FailureDomain).Info("failure domain out of service")
+	case fleet.WeightTarget:
+		f.table.SetWanted(now, value)
+		f.log.WithField("model", value.Model).WithField("version", value.Version).Info("version wanted")
+	}
+}
+
+func (f *Follower) remove(now time.Time, kind feed.Kind, name string) {
+	switch kind {
+	case feed.KindReplicas:
+		f.table.RemoveReplica(now, fleet.ReplicaID(name))
+	case feed.KindEvacuations:
+		f.table.SetEvacuated(now, core.FailureDomain(name), false)
+		f.log.WithField("failure_domain", name).Info("failure domain back in service")
+	}
+}
+
+// reconcile removes what a full list no longer shows.
+func (f *Follower) reconcile(now time.Time, kind feed.Kind, records []feed.Record) {
+	listed := make(map[string]bool, len(records))
+	for _, record := range records {
+		// A registration that no longer decodes names no replica to use.
+		if record.Fault == nil && !record.Removed {
+			listed[record.Name] = true
+		}
+	}
+	switch kind {
+	case feed.KindReplicas:
+		replicas := make(map[fleet.ReplicaID]bool, len(listed))
+		for name := range listed {
+			replicas[fleet.ReplicaID(name)] = true
+		}
+		f.table.KeepReplicas(now, replicas)
+	case feed.KindEvacuations:
+		for _, domain := range f.table.Evacuated() {
+			if !listed[string(domain)] {
+				f.table.SetEvacuated(now, domain, false)
+			}
+		}
+	}
+}
+
+// publish makes a new view once every kind has been listed; the caller holds the lock.
+func (f *Follower) publish() {
+	if len(f.listed) < len(f.kinds) {
+		return
+	}
+	view := f.table.View()
+	f.view.Store(view)
+	for _, fn := range f.onChange {
+		fn(view)
+	}
+}
+
+func (f *Follower) watchContext() context.Context {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watch
+}
+
+// breakWatches ends the waiting watches: their connections may be as dead as the one that failed.
+func (f *Follower) breakWatches(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broken()
+	f.watch, f.broken = context.WithCancel(ctx)
+}
+
+// pause waits for a jittered time that doubles with each failure in a row.
+func (f *Follower) pause(ctx context.Context, failures int) {
+	bound := min(retryBase<<min(failures, 8), retryCap)
+	f.mu.Lock()
+	wait := bound/2 + time.Duration(f.random.Int64N(int64(bound/2)+1))
+	f.mu.Unlock()
+	sleep(ctx, wait)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/transport/hosted/agent.go
@@ -0,0 +1,123 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/protocol/feed"
+	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport/follow"
+	"github.com/guavatrestle/guavatrestle/transport/loadshare"
+	"github.com/guavatrestle/guavatrestle/transport/server"
+	"github.com/guavatrestle/guavatrestle/transport/staging"
+)
+
+// agentProbe is the wait of an agent's watch that shows whether the store is reachable.
+const agentProbe = 3 * time.Second
+
+// AgentParts are the parts of an agent process.
+type AgentParts struct {
+	Host Host
+	// Replica is the address of the worker on the host.
+	Replica  string
+	Upstream core.Upstream
+	Source   feed.Source
+	Worker   worker.Worker
+	Origin   worker.Origin
+	Staging  staging.Config
+	Random   *rand.Rand
+	Log      *logrus.Entry
+}
+
+// RunAgent runs an agent process until ctx ends.
+func RunAgent(ctx context.Context, parts AgentParts) error {
+	kinds := []feed.Kind{feed.KindWeightTargets, feed.KindReplicas, feed.KindConfiguration}
+	follower := follow.New(parts.Source, kinds, agentProbe, newRandom(parts.Random), parts.Log)
+	reporter, err := loadshare.NewReporter(parts.Host.Address, parts.Host.PeerPort, parts.Log)
+	if err != nil {
+		return err
+	}
+	agent := staging.New(staging.Parts{
+		Config:        parts.Staging,
+		Address:       parts.Host.Address,
+		Replica:       parts.Replica,
+		Upstream:      parts.Upstream,
+		Region:        parts.Host.Region,
+		FailureDomain: parts.Host.FailureDomain,
+		Regions:       parts.Host.Regions,
+		PeerPort:      parts.Host.PeerPort,
+		Worker:        parts.Worker,
+		Origin:        parts.Origin,
+		View:          follower.View,
+		Publish:       publisher(reporter),
+		Silence:       reporter.Forget,
+		Random:        newRandom(parts.Random),
+		Now:           time.Now,
+		Log:           parts.Log,
+	})
+	follower.OnChange(func(*fleet.View) { agent.Wake() })
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	if err := listenAgent(parts, agent, follower); err != nil {
+		return err
+	}
+	loops.Go(func() { follower.Run(ctx) })
+	loops.Go(func() { reporter.Run(ctx) })
+	loops.Go(func() { agent.Run(ctx) })
+	parts.Log.WithField("replica", parts.Replica).Info("process started")
+	<-ctx.Done()
+	parts.Log.Info("process stopped")
+	return nil
+}
+
+func publisher(reporter *loadshare.Reporter) func(int64, dispatch.Report, bool) {
+	return func(born int64, report dispatch.Report, urgent bool) {
+		reporter.Set(born, report)
+		if urgent {
+			reporter.Send()
+		}
+	}
+}
+
+// agentState is the state dump of an agent process.
+type agentState struct {
+	Host    core.HostID
+	Replica string
+	View    *fleet.View
+	Agent   staging.State
+}
+
+func listenAgent(parts AgentParts, agent *staging.Agent, follower *follow.Follower) error {
+	peers := &http.Server{Handler: agent.Handler(), ReadHeaderTimeout: headerTimeout}
+	address := net.JoinHostPort(parts.Host.Address, strconv.Itoa(parts.Host.PeerPort))
+	if err := serve(peers, address, parts.Log); err != nil {
+		return err
+	}
+	debug := http.NewServeMux()
+	server.AddDebug(debug, server.Introspection{
+		State: func() any {
+			return agentState{
+				Host: parts.Host.ID, Replica: parts.Replica, View: follower.View().WithoutKeys(), Agent: agent.State(),
+			}
+		},
+		Ready: func() (bool, string) {
+			if !follower.View().Known() {
+				return false, "no configuration yet"
+			}
+			return true, ""
+		},
+	})
+	return serve(&http.Server{Handler: debug, ReadHeaderTimeout: headerTimeout}, debugAddress(parts.Host), parts.Log)
+}
--- /dev/null
+++ b/transport/ingress/config.go
@@ -0,0 +1,83 @@
+// Package ingress serves callers on routes of the fleet: it checks a request against the configuration in force, sends it
+// to a replica and passes the answer on, or refuses it with a reason.
+package ingress
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/retry"
+	"github.com/guavatrestle/guavatrestle/protocol/headers"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport/backend"
+)
+
+// Config holds the settings of a Handler.
+type Config struct {
+	Dispatch dispatch.Config
+	Retry    retry.Config
+	// HoldShare is the share of a request's latency objective for which it waits for room at a replica.
+	HoldShare float64
+	// HoldPause is the time between two looks for room.
+	HoldPause time.Duration
+	// KeyLife is the age of the configuration up to which API keys are taken from it; 0 means that age does not matter.
+	KeyLife time.Duration
+	// ReadyLife is the age of the configuration up to which the host says that it is ready; 0 means that age does not matter.
+	ReadyLife time.Duration
+	// Activate is the time after which only replicas with the newest version of a model get its requests; 0 means never.
+	Activate time.Duration
+	// FirstEvent is the number of latency objectives after which a stream without an event is tried elsewhere.
+	FirstEvent float64
+	// FirstEventMin is the least time after which a stream without an event is tried elsewhere.
+	FirstEventMin time.Duration
+	// SafeShare is the share of the time left after which a safe request without an answer is tried elsewhere.
+	SafeShare float64
+	// FreshUnsafe is the idle time after which a connection is not reused for a request that must not be repeated.
+	FreshUnsafe time.Duration
+	// MaxAnswerBytes bounds an answer that is held until it is whole.
+	MaxAnswerBytes int64
+	// RetryAfterMin and RetryAfterMax bound the time after which a refused caller may come back.
+	RetryAfterMin time.Duration
+	RetryAfterMax time.Duration
+	// RetryAfterShare is the share of the caller's remaining time that RetryAfter may take.
+	RetryAfterShare float64
+}
+
+// DefaultConfig returns the settings used unless others are given.
+func DefaultConfig() Config {
+	return Config{
+		Dispatch: dispatch.DefaultConfig(),
+		Retry: retry.Config{
+			BudgetRatio: 0.15,
+			BudgetBurst: 8,
+		},
+		HoldShare:       0.12,
+		HoldPause:       10 * time.Millisecond,
+		FirstEvent:      3,
+		FirstEventMin:   1200 * time.Millisecond,
+		SafeShare:       0.5,
+		FreshUnsafe:     time.Second,
+		MaxAnswerBytes:  8 << 20,
+		RetryAfterMin:   50 * time.Millisecond,
+		RetryAfterMax:   time.Second,
+		RetryAfterShare: 0.25,
+	}
+}
+
+// Parts are the parts that a Handler works with.
+type Parts struct {
+	Config  Config
+	Headers headers.Names
+	// View returns the current view of the fleet, or nil while there is none; Age tells how long ago the store confirmed it.
+	View func() *fleet.View
+	Age  func() time.Duration
+	// Leaving reports whether the process is shutting down.
+	Leaving func() bool
+	// RetryAfter formats the value of the Retry-After header.
+	RetryAfter func(time.Duration) string
+	Pool       *backend.Pool
+	Now        func() time.Time
+	Log        *logrus.Entry
+}
--- /dev/null
+++ b/transport/ingress/handler.go
@@ -0,0 +1,213 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/protocol/headers"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport"
+)
+
+const (
+	bearerPrefix = "Bearer "
+	// defaultBodyBytes bounds a request body when the configuration names no limit.
+	defaultBodyBytes = 4 << 20
+	// maxPriority is the last priority that back ends know.
+	maxPriority = 9
+	// defaultTimeout bounds a request when neither the caller nor the route names a deadline.
+	defaultTimeout = 30 * time.Second
+)
+
+// Handler serves callers.
+type Handler struct {
+	Parts
+	router *Router
+	log    *requestLog
+}
+
+// NewHandler returns a Handler that routes with router.
+func NewHandler(parts Parts, router *Router) *Handler {
+	return &Handler{Parts: parts, router: router, log: newRequestLog(parts.Log, parts.Now)}
+}
+
+// Ready reports whether the host should get new callers, and if not, why.
+func (h *Handler) Ready() (bool, string) {
+	switch {
+	case h.Leaving():
+		return false, "leaving"
+	case !h.View().Known():
+		return false, "no configuration yet"
+	case h.Config.ReadyLife > 0 && h.Age() > h.Config.ReadyLife:
+		return false, "configuration not confirmed by the store"
+	}
+	return true, ""
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	varRequests.Add(1)
+	c := &call{
+		h:       h,
+		w:       w,
+		r:       r,
+		id:      core.RequestID(r.Header.Get(h.Headers.RequestID)),
+		arrived: h.Now(),
+		view:    h.View(),
+	}
+	if h.Leaving() {
+		// The caller's next request goes to a host that stays.
+		w.Header().Set("Connection", "close")
+	}
+	if err := c.prepare(); err != nil {
+		c.refuse(err)
+		return
+	}
+	c.run()
+}
+
+// prepare finds the route and the team of a request and reads its body.
+func (c *call) prepare() *transport.Error {
+	if !c.view.Known() {
+		return transport.Errorf(http.StatusServiceUnavailable, api.CodeStoreUnavailable, api.RunNotRun,
+			"no configuration has been read yet")
+	}
+	target := requestTarget(c.r)
+	path, _, _ := strings.Cut(target, "?")
+	c.target = target
+	c.route = c.view.Route(hostName(c.r.Host), path)
+	if c.route == nil {
+		return transport.Errorf(http.StatusNotFound, api.CodeNotFound, api.RunNotRun, "no route for %s%s", c.r.Host, path)
+	}
+	if err := c.authorize(); err != nil {
+		return err
+	}
+	if err := c.readBody(); err != nil {
+		return err
+	}
+	return c.setDeadline()
+}
+
+// authorize finds the team of a request by its API key.
+func (c *call) authorize() *transport.Error {
+	key, present := strings.CutPrefix(c.r.Header.Get("Authorization"), bearerPrefix)
+	if len(c.view.Configuration.Teams) == 0 {
+		return nil
+	}
+	if present {
+		c.team = c.view.Team(key)
+	}
+	if c.route.Anonymous && c.team == nil {
+		return nil
+	}
+	if life := c.h.Config.KeyLife; life > 0 && c.h.Age() > life {
+		// The key may have been revoked since; another host may know.
+		c.w.Header().Set("Connection", "close")
+		return transport.Errorf(http.StatusServiceUnavailable, api.CodeStoreUnavailable, api.RunNotRun,
+			"API keys cannot be checked: the store has not answered for %s", c.h.Age().Round(time.Millisecond))
+	}
+	if c.team == nil {
+		return transport.Errorf(http.StatusUnauthorized, api.CodeUnauthorized, api.RunNotRun, "the API key is not known")
+	}
+	return nil
+}
+
+func (c *call) readBody() *transport.Error {
+	limit := c.view.Configuration.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	c.hasBody = c.r.ContentLength != 0
+	if c.r.ContentLength > limit {
+		return tooLarge(limit)
+	}
+	if !c.hasBody {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	if err != nil {
+		return transport.Errorf(http.StatusBadRequest, api.CodeBadRequest, api.RunNotRun, "read request body: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return tooLarge(limit)
+	}
+	c.body = body
+	return nil
+}
+
+func tooLarge(limit int64) *transport.Error {
+	return transport.Errorf(http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge, api.RunNotRun,
+		"the body is larger than %d bytes", limit)
+}
+
+// setDeadline takes the earlier of the caller's deadline and the route's timeout.
+func (c *call) setDeadline() *transport.Error {
+	limit := c.route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if value := c.r.Header.Get(c.h.Headers.Deadline); value != "" {
+		ms, err := strconv.ParseInt(value, 10, 64)
+		if err != nil || ms < 0 {
+			return transport.Errorf(http.StatusBadRequest, api.CodeBadRequest, api.RunNotRun,
+				"%s: want milliseconds, got %q", c.h.Headers.Deadline, value)
+		}
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	c.deadline = c.arrived.Add(limit)
+	return nil
+}
+
+// outgoing returns the headers that go to a replica, without those that differ between attempts.
+func (c *call) outgoing() http.Header {
+	header := c.r.Header.Clone()
+	headers.RemoveHopByHop(header)
+	names := &c.h.Headers
+	for _, name := range []string{
+		"Authorization", "Content-Length", "Expect", names.Team, names.ExpectReplica, names.ExpectVersion, names.Priority,
+	} {
+		delete(header, name)
+	}
+	if c.team != nil {
+		header.Set(names.Team, string(c.team.Name))
+	}
+	header.Set(names.Priority, strconv.Itoa(min(max(c.priority(), 0), maxPriority)))
+	return header
+}
+
+func (c *call) priority() int {
+	if c.team != nil && c.team.HasPriority {
+		return c.team.Priority
+	}
+	return c.route.Priority
+}
+
+// requestTarget returns the path and query as the caller sent them.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// hostName returns a Host header without its port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// homes returns the regions that bind a request by its team.
+func homes(team *fleet.Team) []core.Region {
+	if team == nil {
+		return nil
+	}
+	return team.HomeRegions
+}
--- /dev/null
+++ b/transport/ingress/router.go
@@ -0,0 +1,129 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/retry"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+// Router guards a Balancer and the retry budgets of the upstreams.
+type Router struct {
+	mu       sync.Mutex
+	cfg      Config
+	balancer *dispatch.Balancer
+	budgets  map[core.Upstream]*retry.Budget
+	random   *rand.Rand
+	now      func() time.Time
+}
+
+// NewRouter returns a Router that knows no replica.
+func NewRouter(cfg Config, random *rand.Rand, now func() time.Time) *Router {
+	return &Router{
+		cfg:      cfg,
+		balancer: dispatch.NewBalancer(cfg.Dispatch, random),
+		budgets:  make(map[core.Upstream]*retry.Budget),
+		random:   random,
+		now:      now,
+	}
+}
+
+// SetView takes a new view of the fleet.
+func (r *Router) SetView(view *fleet.View) {
+	if !view.Known() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.SetView(view)
+}
+
+// Report takes a load report.
+func (r *Router) Report(id fleet.ReplicaID, report dispatch.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Report(r.now(), id, report)
+}
+
+func (r *Router) cold(id fleet.ReplicaID, remaining time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Cold(r.now(), id, remaining)
+}
+
+func (r *Router) pick(request dispatch.Request) (dispatch.Choice, dispatch.Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.Pick(r.now(), request)
+}
+
+func (r *Router) done(choice dispatch.Choice, outcome dispatch.Outcome, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Done(r.now(), choice, outcome, latency)
+}
+
+// target draws the upstream of a request by the weights of its route.
+func (r *Router) target(route *fleet.Route) core.Upstream {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Upstream
+	}
+	total := 0.0
+	for _, target := range route.Targets {
+		total += target.Weight
+	}
+	r.mu.Lock()
+	drawn := r.random.Float64() * total
+	r.mu.Unlock()
+	for _, target := range route.Targets {
+		drawn -= target.Weight
+		if drawn < 0 {
+			return target.Upstream
+		}
+	}
+	return route.Targets[len(route.Targets)-1].Upstream
+}
+
+// request counts a request towards the retry budget of its upstream.
+func (r *Router) request(upstream core.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(upstream).Request()
+}
+
+// mayRetry takes a retry from the budget of an upstream, or reports that none is left.
+func (r *Router) mayRetry(upstream core.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(upstream).Retry()
+}
+
+func (r *Router) budget(upstream core.Upstream) *retry.Budget {
+	budget := r.budgets[upstream]
+	if budget == nil {
+		budget = retry.NewBudget(r.cfg.Retry)
+		r.budgets[upstream] = budget
+	}
+	return budget
+}
+
+// jitter returns a time between half of d and d.
+func (r *Router) jitter(d time.Duration) time.Duration {
+	if d <= 1 {
+		return d
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return d/2 + time.Duration(r.random.Int64N(int64(d/2)))
+}
+
+// State returns what is known about every replica, for dumps.
+func (r *Router) State() []dispatch.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.States(r.now())
+}
--- /dev/null
+++ b/transport/loadshare/agent.go
@@ -0,0 +1,104 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+)
+
+// Reporter sends load reports to the entry hosts that asked for them lately.
+type Reporter struct {
+	conn *net.UDPConn
+	log  *logrus.Entry
+
+	mu      sync.Mutex
+	askers  map[netip.AddrPort]time.Time
+	current dispatch.Report
+	born    int64
+	known   bool
+}
+
+// NewReporter opens the socket of an agent at ip.
+func NewReporter(ip string, port int, log *logrus.Entry) (*Reporter, error) {
+	conn, err := listenUDP(ip, port)
+	if err != nil {
+		return nil, err
+	}
+	return &Reporter{conn: conn, log: log, askers: make(map[netip.AddrPort]time.Time)}, nil
+}
+
+// Run answers requests and sends reports until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(r.receive)
+	ticker := time.NewTicker(ReportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = r.conn.Close()
+			loops.Wait()
+			return
+		case <-ticker.C:
+			r.Send()
+		}
+	}
+}
+
+// Set replaces the report that is sent.
+func (r *Reporter) Set(born int64, report dispatch.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born, r.current, r.known = born, report, true
+}
+
+// Forget stops the reports until the next Set, because the worker does not answer.
+func (r *Reporter) Forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known = false
+}
+
+// Send sends the report now.
+func (r *Reporter) Send() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for asker, at := range r.askers {
+		if now.Sub(at) > askLife {
+			delete(r.askers, asker)
+		}
+	}
+	if !r.known || len(r.askers) == 0 {
+		return
+	}
+	r.current.Senders = len(r.askers)
+	body, err := encodeReport(r.born, r.current)
+	if err != nil {
+		r.log.WithError(err).Error("encode load report")
+		return
+	}
+	for asker := range r.askers {
+		// A lost report is followed by another.
+		_, _ = r.conn.WriteToUDPAddrPort(body, asker)
+	}
+}
+
+func (r *Reporter) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		_, from, err := r.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.askers[from] = time.Now()
+		r.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/transport/loadshare/entry.go
@@ -0,0 +1,113 @@
+package loadshare
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+// Listener asks agents for load reports and hands them on.
+type Listener struct {
+	conn *net.UDPConn
+	port uint16
+	view func() *fleet.View
+	take func(fleet.ReplicaID, dispatch.Report)
+	log  *logrus.Entry
+	// byHost holds the replicas with an agent by the IP number of their host.
+	byHost atomic.Pointer[map[netip.Addr][]fleet.Member]
+}
+
+// Listen opens the socket of an entry host at ip. take gets every report.
+func Listen(ip string, port int, view func() *fleet.View, take func(fleet.ReplicaID, dispatch.Report), log *logrus.Entry) (*Listener, error) {
+	conn, err := listenUDP(ip, port)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{conn: conn, port: uint16(port), view: view, take: take, log: log}, nil
+}
+
+// Run asks and listens until ctx ends.
+func (l *Listener) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(l.receive)
+	ticker := time.NewTicker(AskInterval)
+	defer ticker.Stop()
+	for {
+		l.ask()
+		select {
+		case <-ctx.Done():
+			_ = l.conn.Close()
+			loops.Wait()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// ask asks the agents of all engine replicas for reports.
+func (l *Listener) ask() {
+	view := l.view()
+	if !view.Known() {
+		return
+	}
+	byHost := make(map[netip.Addr][]fleet.Member)
+	for _, member := range view.Members {
+		if view.Configuration.Upstreams[member.Upstream].Engine == nil {
+			continue
+		}
+		address, err := netip.ParseAddrPort(member.Address)
+		if err != nil {
+			l.log.WithError(err).WithField("replica", member.ID).Warn("replica has no IP address")
+			continue
+		}
+		byHost[address.Addr()] = append(byHost[address.Addr()], member)
+	}
+	l.byHost.Store(&byHost)
+	body, err := json.Marshal(message{})
+	if err != nil {
+		l.log.WithError(err).Error("encode request for reports")
+		return
+	}
+	for host := range byHost {
+		// A lost request is followed by another.
+		_, _ = l.conn.WriteToUDPAddrPort(body, netip.AddrPortFrom(host, l.port))
+	}
+}
+
+func (l *Listener) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := l.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		var received message
+		if json.Unmarshal(buffer[:n], &received) != nil || received.Report == nil {
+			continue
+		}
+		byHost := l.byHost.Load()
+		if byHost == nil {
+			continue
+		}
+		for _, member := range (*byHost)[from.Addr().Unmap()] {
+			if member.Born == received.Report.Born || member.Born == 0 {
+				l.take(member.ID, received.Report.decode())
+			}
+		}
+	}
+}
+
+func listenUDP(ip string, port int) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: port})
+	return conn, eris.Wrapf(err, "listen on UDP port %d", port)
+}
--- /dev/null
+++ b/transport/loadshare/message.go
@@ -0,0 +1,68 @@
+// Package loadshare carries load reports from agents to the entry hosts that send to their workers.
+//
+// An entry host asks an agent for reports by a datagram and goes on asking; the agent sends reports to those that asked
+// lately. A lost datagram costs nothing: reports follow each other and age out.
+package loadshare
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+const (
+	// AskInterval is the time between two requests for reports to one agent.
+	AskInterval = time.Second
+	// askLife is the time for which a request for reports holds; two may be lost.
+	askLife = 3500 * time.Millisecond
+	// ReportInterval is the time between two reports.
+	ReportInterval = 200 * time.Millisecond
+	// maxDatagram holds the largest report.
+	maxDatagram = 2048
+)
+
+// message is a datagram. One without a report asks for reports.
+type message struct {
+	Report *report `json:"r,omitempty"`
+}
+
+type report struct {
+	Born    int64   `json:"b"`
+	Running int     `json:"n"`
+	Waiting int     `json:"w"`
+	Slots   int     `json:"s"`
+	Loading bool    `json:"l,omitempty"`
+	Models  []model `json:"m"`
+	Senders int     `json:"f"`
+	Pace    float64 `json:"p,omitempty"`
+}
+
+type model struct {
+	Name    string `json:"n"`
+	Version int64  `json:"v"`
+	Layers  int    `json:"l"`
+}
+
+func encodeReport(born int64, r dispatch.Report) ([]byte, error) {
+	wire := &report{
+		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Senders: r.Senders, Pace: r.Pace,
+	}
+	for _, m := range r.Models {
+		wire.Models = append(wire.Models, model{Name: string(m.Model), Version: m.Version, Layers: m.Layers})
+	}
+	return json.Marshal(message{Report: wire})
+}
+
+func (r *report) decode() dispatch.Report {
+	decoded := dispatch.Report{
+		Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Senders: r.Senders, Pace: r.Pace,
+		Models: []fleet.LoadedModel{},
+	}
+	for _, m := range r.Models {
+		decoded.Models = append(decoded.Models, fleet.LoadedModel{Model: core.Model(m.Name), Version: m.Version, Layers: m.Layers})
+	}
+	return decoded
+}
--- /dev/null
+++ b/transport/staging/peers.go
@@ -0,0 +1,124 @@
+package staging
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/go-resty/resty/v2"
+
+	"github.com/guavatrestle/guavatrestle/coordination/transfer"
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/transport/netdial"
+)
+
+// headerHeld carries the bitmap of the pieces that the sender of a response holds.
+const headerHeld = "Gt-Held"
+
+// peerServer gives pieces to peers.
+type peerServer struct {
+	pieces *pieces
+	// slots bounds the pieces sent at once.
+	slots  int32
+	active atomic.Int32
+}
+
+func (s *peerServer) register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /weights/{model}/{version}/held", s.serveHeld)
+	mux.HandleFunc("GET /weights/{model}/{version}/pieces/{index}", s.servePiece)
+}
+
+func targetOf(r *http.Request) (target, error) {
+	version, err := strconv.ParseInt(r.PathValue("version"), 10, 64)
+	return target{model: core.Model(r.PathValue("model")), version: version}, err
+}
+
+func (s *peerServer) serveHeld(w http.ResponseWriter, r *http.Request) {
+	t, err := targetOf(r)
+	if err != nil {
+		http.Error(w, "version is not a number", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(headerHeld, base64.StdEncoding.EncodeToString(s.pieces.held(t)))
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *peerServer) servePiece(w http.ResponseWriter, r *http.Request) {
+	t, err := targetOf(r)
+	index, indexErr := strconv.Atoi(r.PathValue("index"))
+	if err != nil || indexErr != nil {
+		http.Error(w, "version or index is not a number", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(headerHeld, base64.StdEncoding.EncodeToString(s.pieces.held(t)))
+	data, ok := s.pieces.get(t, index)
+	if !ok {
+		http.Error(w, "piece is not held", http.StatusNotFound)
+		return
+	}
+	if s.active.Add(1) > s.slots {
+		s.active.Add(-1)
+		http.Error(w, "all upload slots are in use", http.StatusTooManyRequests)
+		return
+	}
+	defer s.active.Add(-1)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
+}
+
+// peerClient gets pieces from peers.
+type peerClient struct {
+	client *resty.Client
+}
+
+func newPeerClient() *peerClient {
+	return &peerClient{client: resty.New().SetTransport(netdial.NewTransport())}
+}
+
+func (c *peerClient) held(ctx context.Context, address string, t target) (transfer.Bitmap, error) {
+	response, err := c.client.R().SetContext(ctx).Get(peerURL(address, t) + "/held")
+	if err != nil {
+		return nil, protocol.Wrap(protocol.CodeUnavailable, err, "ask peer for held pieces")
+	}
+	if status := response.StatusCode(); status != http.StatusOK {
+		return nil, protocol.Errorf(protocol.CodeUnavailable, "ask peer for held pieces: status %d", status)
+	}
+	return decodeHeld(response.Header())
+}
+
+// piece returns a piece and the bitmap of the pieces that the peer holds.
+func (c *peerClient) piece(ctx context.Context, address string, t target, index int) ([]byte, transfer.Bitmap, error) {
+	response, err := c.client.R().SetContext(ctx).Get(peerURL(address, t) + "/pieces/" + strconv.Itoa(index))
+	if err != nil {
+		return nil, nil, protocol.Wrap(protocol.CodeUnavailable, err, "get piece from peer")
+	}
+	switch status := response.StatusCode(); status {
+	case http.StatusOK:
+		held, err := decodeHeld(response.Header())
+		return response.Body(), held, err
+	case http.StatusNotFound:
+		return nil, nil, protocol.Errorf(protocol.CodeNotFound, "peer does not hold piece %d", index)
+	case http.StatusTooManyRequests:
+		return nil, nil, protocol.Errorf(protocol.CodeRateLimited, "peer has no upload slot")
+	default:
+		return nil, nil, protocol.Errorf(protocol.CodeUnavailable, "get piece from peer: status %d", status)
+	}
+}
+
+func peerURL(address string, t target) string {
+	return fmt.Sprintf("http://%s/weights/%s/%d", address, url.PathEscape(string(t.model)), t.version)
+}
+
+func decodeHeld(header http.Header) (transfer.Bitmap, error) {
+	bitmap, err := base64.StdEncoding.DecodeString(header.Get(headerHeld))
+	if err != nil {
+		return nil, protocol.Wrap(protocol.CodeMalformed, err, "decode held pieces of peer")
+	}
+	return bitmap, nil
+}
