Give each named version its own time to come into force

The time was also kept on the monotonic clock, which stops while a host is suspended.

Change: the table keeps the versions named with a time each; an entry that finds a version at its start learns the time from the agents' load reports. All ages are measured on CLOCK_BOOTTIME.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,8 +29,9 @@
 
 // State is what a decision is made on.
 type State struct {
-	Now    time.Time
-	Wanted fleet.Wanted
+	Now time.Time
+	// Wanted is the version to serve; 0 means none.
+	Wanted int64
 	// Loaded is the version that the worker has loaded whole; 0 means none.
 	Loaded int64
 	// Busy says that the worker is carrying out an order.
@@ -58,7 +60,7 @@
 // Decide returns the next action of a host. A worker without any version loads as soon as it can.
 func Decide(state State) Action {
 	switch {
-	case state.Wanted.Version == 0, state.Loaded >= state.Wanted.Version:
+	case state.Wanted == 0, state.Loaded >= state.Wanted:
 		return ActionNone
 	case !state.Complete:
 		return ActionFetch
@@ -71,9 +73,10 @@
 	}
 }
 
-// Turn returns the earliest time at which the replica at address loads a version. Replicas of one failure domain are spread
+// Turn returns the earliest time at which the replica at address loads, when named is the oldest version that it lacks.
+// Replicas of one failure domain are spread
 // over the waves in an order that differs between versions.
-func Turn(cfg Config, wanted fleet.Wanted, members []fleet.Member, upstream core.Upstream, address string) time.Time {
+func Turn(cfg Config, named fleet.Named, members []fleet.Member, upstream core.Upstream, address string) time.Time {
 	var own *fleet.Member
 	for i := range members {
 		if members[i].Address == address {
@@ -81,19 +84,19 @@
 		}
 	}
 	if own == nil {
-		return wanted.Since.Add(cfg.First)
+		return named.Since.Add(cfg.First)
 	}
-	wave := position(wanted, members, upstream, own) % max(cfg.Waves, 1)
-	return wanted.Since.Add(cfg.First + time.Duration(wave)*cfg.Interval)
+	wave := position(named.Version, members, upstream, own) % max(cfg.Waves, 1)
+	return named.Since.Add(cfg.First + time.Duration(wave)*cfg.Interval)
 }
 
 // position returns the place of a replica in the order of its failure domain, shifted by the place of the failure domain so
 // that failure domains with one replica each do not all load first.
-func position(wanted fleet.Wanted, members []fleet.Member, upstream core.Upstream, own *fleet.Member) int {
+func position(version int64, members []fleet.Member, upstream core.Upstream, own *fleet.Member) int {
 	place := 0
 	var domains []core.FailureDomain
 	weight := func(m *fleet.Member) uint64 {
-		return xxhash.Sum64String(string(m.ID) + "/" + string(rune('0'+wanted.Version%10)))
+		return xxhash.Sum64String(string(m.ID) + "/" + strconv.FormatInt(version, 10))
 	}
 	for i := range members {
 		m := &members[i]
--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -20,5 +20,8 @@
 	return Instant(now.Nano())
 }
 
+// Time returns the time since boot as a time.Time, for code that compares times. It says nothing about the time of day.
+func Time() time.Time { return time.Unix(0, int64(Now())) }
+
 // Since returns the time from i to now.
 func Since(i Instant) time.Duration { return time.Duration(Now() - i) }
--- a/state/fleet/table.go
+++ b/state/fleet/table.go
@@ -116,11 +116,19 @@
 // Evacuated returns the failure domains out of service.
 func (t *Table) Evacuated() []core.FailureDomain { return slices.Collect(maps.Keys(t.evacuated)) }
 
-// SetWanted takes a weight target unless a later version is known.
-func (t *Table) SetWanted(now time.Time, target WeightTarget) {
-	if t.wanted[target.Model].Version < target.Version {
-		t.wanted[target.Model] = Wanted{Version: target.Version, Since: now}
+// SetWanted takes a weight target unless a later version is known. since is the latest time at which it can have been
+// named, or zero.
+func (t *Table) SetWanted(since time.Time, target WeightTarget) {
+	t.wanted[target.Model] = t.wanted[target.Model].With(Named{Version: target.Version, Since: since})
+}
+
+// LearnNamed takes the time at which a version was named, where it was not known. It reports whether it was taken.
+func (t *Table) LearnNamed(model core.Model, version int64, since time.Time) bool {
+	next, taken := t.wanted[model].Learn(version, since)
+	if taken {
+		t.wanted[model] = next
 	}
+	return taken
 }
 
 // Expire removes registrations that did not come back after an outage and reports whether there were any.
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -20,13 +20,6 @@
 // Usable reports whether the replica may get new work.
 func (m *Member) Usable() bool { return !m.Draining && !m.Evacuated }
 
-// Wanted is the version of a model that every replica should serve.
-type Wanted struct {
-	Version int64
-	// Since is the time at which this process learned of the version.
-	Since time.Time
-}
-
 // View is an immutable picture of the fleet at one moment.
 type View struct {
 	Configuration *Configuration
--- /dev/null
+++ b/state/fleet/wanted.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// maxNamed bounds the versions of a model that are remembered; two may be named within the time that one has.
+const maxNamed = 8
+
+// Named is a version that operators named.
+type Named struct {
+	Version int64
+	// Since is the latest time at which the version can have been named; zero means that it is not known.
+	Since time.Time
+}
+
+// Wanted holds the versions of a model that operators named, the newest last. Each has its own time to come into force.
+type Wanted []Named
+
+// Newest returns the version that every replica should serve, or 0.
+func (w Wanted) Newest() int64 {
+	if len(w) == 0 {
+		return 0
+	}
+	return w[len(w)-1].Version
+}
+
+// Due returns the newest version that was named at least after ago, or 0. A version whose time is not known is due.
+func (w Wanted) Due(now time.Time, after time.Duration) int64 {
+	for _, named := range slices.Backward(w) {
+		if now.Sub(named.Since) >= after {
+			return named.Version
+		}
+	}
+	return 0
+}
+
+// Pending returns the oldest version named that is newer than loaded.
+func (w Wanted) Pending(loaded int64) (Named, bool) {
+	for _, named := range w {
+		if named.Version > loaded {
+			return named, true
+		}
+	}
+	return Named{}, false
+}
+
+// With returns w with a version added, unless w holds a newer one.
+func (w Wanted) With(named Named) Wanted {
+	if named.Version <= w.Newest() {
+		return w
+	}
+	next := append(slices.Clone(w), named)
+	return next[max(len(next)-maxNamed, 0):]
+}
+
+// Learn returns w with the time at which a version was named, where w does not know it.
+func (w Wanted) Learn(version int64, since time.Time) (Wanted, bool) {
+	for i, named := range w {
+		if named.Version == version && named.Since.IsZero() {
+			next := slices.Clone(w)
+			next[i].Since = since
+			return next, true
+		}
+	}
+	return w, false
+}
--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
@@ -68,7 +69,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: make(map[string][]*conn), dial: netdial.Dial, now: time.Now}
+	return &Pool{idle: make(map[string][]*conn), dial: netdial.Dial, now: bootclock.Time}
 }
 
 // get returns an unused connection that was used within maxAge, or a new one. reused tells which.
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -31,6 +31,8 @@
 	coalesce = 120 * time.Millisecond
 	// outageSlack is the time beyond the wait of the probing watch after which a silent store counts as having been away.
 	outageSlack = 1500 * time.Millisecond
+	// promptAnswer bounds the time in which a slow store answers a watch whose changes were made before the call.
+	promptAnswer = 500 * time.Millisecond
 	// expireInterval is the time between two looks for registrations that did not come back.
 	expireInterval = 200 * time.Millisecond
 )
@@ -43,9 +45,11 @@
 	probeWait time.Duration
 	log       *logrus.Entry
 
-	mu       sync.Mutex
-	table    *fleet.Table
-	listed   map[feed.Kind]bool
+	mu     sync.Mutex
+	table  *fleet.Table
+	listed map[feed.Kind]bool
+	// current holds the time up to which all changes of a kind are known.
+	current  map[feed.Kind]time.Time
 	answered time.Time
 	random   *rand.Rand
 
@@ -68,6 +72,7 @@
 		log:       log,
 		table:     fleet.NewTable(),
 		listed:    make(map[feed.Kind]bool),
+		current:   make(map[feed.Kind]time.Time),
 		random:    random,
 	}
 }
@@ -87,6 +92,22 @@
 	return bootclock.Since(bootclock.Instant(at))
 }
 
+// LearnNamed takes from another process how long ago a version was named, if this process does not know.
+func (f *Follower) LearnNamed(model core.Model, version int64, age time.Duration) {
+	view := f.View()
+	if !view.Known() {
+		return
+	}
+	if named, ok := view.Wanted[model].Pending(version - 1); !ok || named.Version != version || !named.Since.IsZero() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table.LearnNamed(model, version, bootclock.Time().Add(-age)) {
+		f.publish()
+	}
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.watch, f.broken = context.WithCancel(ctx)
@@ -108,7 +129,7 @@
 			return
 		case <-ticker.C:
 			f.mu.Lock()
-			if f.table.Expire(time.Now()) {
+			if f.table.Expire(bootclock.Time()) {
 				f.publish()
 			}
 			f.mu.Unlock()
@@ -186,7 +207,7 @@
 func (f *Follower) take(kind feed.Kind, batch feed.Batch, whole bool, sent bootclock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := bootclock.Time()
 	if !f.answered.IsZero() && now.Sub(f.answered) > f.probeWait+outageSlack {
 		f.log.WithField("silent_ms", now.Sub(f.answered).Milliseconds()).Info("store answers again")
 		f.table.StoreReturned(now)
@@ -195,9 +216,15 @@
 	if kind == feed.KindConfiguration {
 		f.confirmed.Store(int64(sent))
 	}
+	since := f.current[kind]
+	if !whole && bootclock.Since(sent) > promptAnswer {
+		// The change ended the wait, so it has just been made.
+		since = now
+	}
 	for _, record := range batch.Records {
-		f.apply(now, kind, record)
+		f.apply(now, since, kind, record)
 	}
+	f.current[kind] = time.Unix(0, int64(sent))
 	if whole {
 		f.reconcile(now, kind, batch.Records)
 	}
@@ -208,7 +235,8 @@
 	}
 }
 
-func (f *Follower) apply(now time.Time, kind feed.Kind, record feed.Record) {
+// apply takes a record; since is the latest time at which it can have been written, or zero.
+func (f *Follower) apply(now, since time.Time, kind feed.Kind, record feed.Record) {
 	if record.Fault != nil {
 		f.log.WithError(record.Fault).WithField("kind", kind).WithField("name", record.Name).Warn("skip record")
 	}
@@ -227,7 +255,7 @@
 		f.table.SetEvacuated(now, value.FailureDomain, true)
 		f.log.WithField("failure_domain", value.FailureDomain).Info("failure domain out of service")
 	case fleet.WeightTarget:
-		f.table.SetWanted(now, value)
+		f.table.SetWanted(since, value)
 		f.log.WithField("model", value.Model).WithField("version", value.Version).Info("version wanted")
 	}
 }
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -43,7 +44,7 @@
 func RunAgent(ctx context.Context, parts AgentParts) error {
 	kinds := []feed.Kind{feed.KindWeightTargets, feed.KindReplicas, feed.KindConfiguration}
 	follower := follow.New(parts.Source, kinds, agentProbe, newRandom(parts.Random), parts.Log)
-	reporter, err := loadshare.NewReporter(parts.Host.Address, parts.Host.PeerPort, parts.Log)
+	reporter, err := loadshare.NewReporter(parts.Host.Address, parts.Host.PeerPort, follower.View, parts.Log)
 	if err != nil {
 		return err
 	}
@@ -62,7 +63,7 @@
 		Publish:       publisher(reporter),
 		Silence:       reporter.Forget,
 		Random:        newRandom(parts.Random),
-		Now:           time.Now,
+		Now:           bootclock.Time,
 		Log:           parts.Log,
 	})
 	follower.OnChange(func(*fleet.View) { agent.Wake() })
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -92,7 +93,8 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	listener, err := loadshare.Listen(parts.Host.Address, parts.Host.PeerPort, e.follower.View, e.router.Report, parts.Log)
+	sink := loadshare.Sink{Report: e.router.Report, Named: e.follower.LearnNamed}
+	listener, err := loadshare.Listen(parts.Host.Address, parts.Host.PeerPort, e.follower.View, sink, parts.Log)
 	if err != nil {
 		return err
 	}
@@ -113,7 +115,7 @@
 	e := &entry{EntryParts: parts, pool: backend.NewPool()}
 	kinds := []feed.Kind{feed.KindConfiguration, feed.KindReplicas, feed.KindEvacuations, feed.KindWeightTargets}
 	e.follower = follow.New(parts.Source, kinds, entryProbe, newRandom(parts.Random), parts.Log)
-	e.router = ingress.NewRouter(parts.Ingress, newRandom(parts.Random), time.Now)
+	e.router = ingress.NewRouter(parts.Ingress, newRandom(parts.Random), bootclock.Time)
 	e.follower.OnChange(e.router.SetView)
 	e.handler = ingress.NewHandler(ingress.Parts{
 		Config:     parts.Ingress,
@@ -123,7 +125,7 @@
 		Leaving:    e.leaving.Load,
 		RetryAfter: parts.RetryAfter,
 		Pool:       e.pool,
-		Now:        time.Now,
+		Now:        bootclock.Time,
 		Log:        parts.Log,
 	}, e.router)
 	return e
@@ -242,4 +244,6 @@
 }
 
 // newRandom derives a source of its own, since sources must not be shared.
-func newRandom(from *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(from.Uint64(), from.Uint64())) }
+func newRandom(from *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(from.Uint64(), from.Uint64()))
+}
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -67,7 +67,7 @@
 func (c *call) run() {
 	c.upstream = c.h.router.target(c.route)
 	c.h.router.request(c.upstream)
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(c.h.Now()))
 	defer cancel()
 	for {
 		choice, err := c.pick(ctx)
@@ -158,12 +158,11 @@
 
 // minVersion returns the version that a model's requests need once the time to activate it is over.
 func (c *call) minVersion(model core.Model) int64 {
-	// The view at arrival may be older than the newest version, so the current one counts.
-	wanted, ok := c.h.View().Wanted[model]
-	if !ok || c.h.Config.Activate <= 0 || c.h.Now().Sub(wanted.Since) < c.h.Config.Activate {
+	if c.h.Config.Activate <= 0 {
 		return 0
 	}
-	return wanted.Version
+	// The view at arrival may be older than the newest version, so the current one counts.
+	return c.h.View().Wanted[model].Due(c.h.Now(), c.h.Config.Activate)
 }
 
 // mayTryAgain decides whether a failed try may be followed by another.
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -10,11 +10,14 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
 // Reporter sends load reports to the entry hosts that asked for them lately.
 type Reporter struct {
 	conn *net.UDPConn
+	view func() *fleet.View
 	log  *logrus.Entry
 
 	mu      sync.Mutex
@@ -25,12 +28,12 @@
 }
 
 // NewReporter opens the socket of an agent at ip.
-func NewReporter(ip string, port int, log *logrus.Entry) (*Reporter, error) {
+func NewReporter(ip string, port int, view func() *fleet.View, log *logrus.Entry) (*Reporter, error) {
 	conn, err := listenUDP(ip, port)
 	if err != nil {
 		return nil, err
 	}
-	return &Reporter{conn: conn, log: log, askers: make(map[netip.AddrPort]time.Time)}, nil
+	return &Reporter{conn: conn, view: view, log: log, askers: make(map[netip.AddrPort]time.Time)}, nil
 }
 
 // Run answers requests and sends reports until ctx ends.
@@ -69,7 +72,7 @@
 func (r *Reporter) Send() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := bootclock.Time()
 	for asker, at := range r.askers {
 		if now.Sub(at) > askLife {
 			delete(r.askers, asker)
@@ -79,7 +82,7 @@
 		return
 	}
 	r.current.Senders = len(r.askers)
-	body, err := encodeReport(r.born, r.current)
+	body, err := encodeReport(r.born, r.current, recentNames(now, r.view()))
 	if err != nil {
 		r.log.WithError(err).Error("encode load report")
 		return
@@ -98,7 +101,9 @@
 			return
 		}
 		r.mu.Lock()
-		r.askers[from] = time.Now()
+		if _, known := r.askers[from]; known || len(r.askers) < maxAskers {
+			r.askers[from] = bootclock.Time()
+		}
 		r.mu.Unlock()
 	}
 }
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -13,27 +13,34 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
+// Sink takes what agents report.
+type Sink struct {
+	Report func(fleet.ReplicaID, dispatch.Report)
+	Named  func(model core.Model, version int64, age time.Duration)
+}
+
 // Listener asks agents for load reports and hands them on.
 type Listener struct {
 	conn *net.UDPConn
 	port uint16
 	view func() *fleet.View
-	take func(fleet.ReplicaID, dispatch.Report)
+	sink Sink
 	log  *logrus.Entry
 	// byHost holds the replicas with an agent by the IP number of their host.
 	byHost atomic.Pointer[map[netip.Addr][]fleet.Member]
 }
 
-// Listen opens the socket of an entry host at ip. take gets every report.
-func Listen(ip string, port int, view func() *fleet.View, take func(fleet.ReplicaID, dispatch.Report), log *logrus.Entry) (*Listener, error) {
+// Listen opens the socket of an entry host at ip.
+func Listen(ip string, port int, view func() *fleet.View, sink Sink, log *logrus.Entry) (*Listener, error) {
 	conn, err := listenUDP(ip, port)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{conn: conn, port: uint16(port), view: view, take: take, log: log}, nil
+	return &Listener{conn: conn, port: uint16(port), view: view, sink: sink, log: log}, nil
 }
 
 // Run asks and listens until ctx ends.
@@ -101,9 +108,12 @@
 		}
 		for _, member := range (*byHost)[from.Addr().Unmap()] {
 			if member.Born == received.Report.Born || member.Born == 0 {
-				l.take(member.ID, received.Report.decode())
+				l.sink.Report(member.ID, received.Report.decode())
 			}
 		}
+		for _, name := range received.Report.Named {
+			l.sink.Named(core.Model(name.Model), name.Version, time.Duration(name.AgeMS)*time.Millisecond)
+		}
 	}
 }
 
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -20,6 +20,10 @@
 	askLife = 3500 * time.Millisecond
 	// ReportInterval is the time between two reports.
 	ReportInterval = 200 * time.Millisecond
+	// namedLife is the time for which reports tell when a version was named; it is longer than any bound on activation.
+	namedLife = 20 * time.Second
+	// maxAskers bounds the entry hosts that one agent reports to.
+	maxAskers = 4096
 	// maxDatagram holds the largest report.
 	maxDatagram = 2048
 )
@@ -38,6 +42,14 @@
 	Models  []model `json:"m"`
 	Senders int     `json:"f"`
 	Pace    float64 `json:"p,omitempty"`
+	Named   []named `json:"v,omitempty"`
+}
+
+// named tells how long ago a version was named.
+type named struct {
+	Model   string `json:"n"`
+	Version int64  `json:"v"`
+	AgeMS   int64  `json:"a"`
 }
 
 type model struct {
@@ -46,9 +58,27 @@
 	Layers  int    `json:"l"`
 }
 
-func encodeReport(born int64, r dispatch.Report) ([]byte, error) {
+// recentNames lists the versions that were named lately, at known times.
+func recentNames(now time.Time, view *fleet.View) []named {
+	if !view.Known() {
+		return nil
+	}
+	var list []named
+	for model, wanted := range view.Wanted {
+		for _, version := range wanted {
+			age := now.Sub(version.Since)
+			if !version.Since.IsZero() && age < namedLife {
+				list = append(list, named{Model: string(model), Version: version.Version, AgeMS: age.Milliseconds()})
+			}
+		}
+	}
+	return list
+}
+
+func encodeReport(born int64, r dispatch.Report, names []named) ([]byte, error) {
 	wire := &report{
 		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Senders: r.Senders, Pace: r.Pace,
+		Named: names,
 	}
 	for _, m := range r.Models {
 		wire.Models = append(wire.Models, model{Name: string(m.Model), Version: m.Version, Layers: m.Layers})
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -225,9 +225,9 @@
 	wanted, ok := view.Wanted[model]
 	if !ok {
 		// Versions start at 1, and nothing newer has been named.
-		wanted = fleet.Wanted{Version: 1}
+		wanted = fleet.Wanted{{Version: 1}}
 	}
-	t := target{model: model, version: wanted.Version}
+	t := target{model: model, version: wanted.Newest()}
 	state, report := a.state(view, wanted, t, spec)
 	switch rollout.Decide(state) {
 	case rollout.ActionFetch:
@@ -256,13 +256,14 @@
 	now := a.Now()
 	loaded, _ := fleet.LoadedVersion(a.report.Models, t.model, spec.Layers)
 	settling := now.Sub(a.ordered) < a.Config.SettleTime
+	pending, _ := wanted.Pending(loaded)
 	return rollout.State{
 		Now:      now,
-		Wanted:   wanted,
+		Wanted:   t.version,
 		Loaded:   loaded,
 		Busy:     !a.answered || a.report.Busy || settling,
 		Complete: a.complete == t,
-		Turn:     rollout.Turn(a.Config.Rollout, wanted, view.Members, a.Upstream, a.Replica),
+		Turn:     rollout.Turn(a.Config.Rollout, pending, view.Members, a.Upstream, a.Replica),
 	}, a.report
 }
 
@@ -361,7 +362,7 @@
 // wants reports whether a version is the newest one wanted.
 func (a *Agent) wants(t target) bool {
 	wanted, ok := a.View().Wanted[t.model]
-	return !ok || wanted.Version <= t.version
+	return !ok || wanted.Newest() <= t.version
 }
 
 // State is the state of an Agent, for dumps.
