--- a/state/fleet/wanted.go
+++ b/state/fleet/wanted.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -55,14 +56,17 @@
 	return next[max(len(next)-maxNamed, 0):]
 }
 
-// Learn returns w with the time at which a version was named, where w does not know it.
+// Learn returns w with the time at which a version was named, where w does not know it. A version older than the newest is
+// added: a process that has started since saw only the newest.
 func (w Wanted) Learn(version int64, since time.Time) (Wanted, bool) {
-	for i, named := range w {
-		if named.Version == version && named.Since.IsZero() {
-			next := slices.Clone(w)
-			next[i].Since = since
-			return next, true
-		}
+	at, found := slices.BinarySearchFunc(w, version, func(n Named, v int64) int { return cmp.Compare(n.Version, v) })
+	if at == len(w) || found && !w[at].Since.IsZero() {
+		return w, false
+	}
+	next := slices.Clone(w)
+	if found {
+		next[at].Since = since
+		return next, true
 	}
-	return w, false
+	return slices.Insert(next, at, Named{Version: version, Since: since}), true
 }
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -98,12 +98,13 @@
 	if !view.Known() {
 		return
 	}
-	if named, ok := view.Wanted[model].Pending(version - 1); !ok || named.Version != version || !named.Since.IsZero() {
+	since := bootclock.Time().Add(-age)
+	if _, news := view.Wanted[model].Learn(version, since); !news {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.table.LearnNamed(model, version, bootclock.Time().Add(-age)) {
+	if f.table.LearnNamed(model, version, since) {
 		f.publish()
 	}
 }
