End the notice of a load with the load

Change: the notice ends when the worker reports the version ordered. Only replicas with the newest due version get work from 0.9 of the bound on, not 0.85.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -24,7 +24,7 @@
 	// readyLifeShare is the share after which the host sends new callers elsewhere.
 	readyLifeShare = 0.6
 	// activateShare is the share of the platform's bound after which only the newest version of a model is used.
-	activateShare = 0.85
+	activateShare = 0.9
 )
 
 // newHostedCommand returns the command that runs a process with the settings that the platform gives it.
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -107,7 +107,9 @@
 	loading bool
 	// complete is the version whose pieces have all been staged in the worker's present run.
 	complete target
-	ordered  time.Time
+	// ordered is the time of the last order, and order the version that it named.
+	ordered time.Time
+	order   target
 	changed  chan struct{}
 }
 
@@ -196,6 +198,9 @@
 		a.loading = false
 	}
 	a.noteLoaded(report)
+	if slices.ContainsFunc(report.Models, a.order.isLoaded) {
+		a.loading = false
+	}
 	a.report, a.answered = report, true
 	a.publish(false)
 }
@@ -340,7 +345,7 @@
 	})
 	varLoads.Add(1)
 	a.mu.Lock()
-	a.ordered = a.Now()
+	a.ordered, a.order = a.Now(), t
 	a.mu.Unlock()
 	if err != nil {
 		varLoadFaults.Add(1)
--- a/transport/staging/pieces.go
+++ b/transport/staging/pieces.go
@@ -8,6 +8,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/transfer"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
 const bitsPerByte = 8
@@ -18,6 +19,11 @@
 	version int64
 }
 
+// isLoaded reports whether a worker that has loaded the given version holds at least this one.
+func (t target) isLoaded(loaded fleet.LoadedModel) bool {
+	return loaded.Model == t.model && loaded.Version >= t.version
+}
+
 // pieces holds the checked pieces of one version.
 type pieces struct {
 	mu       sync.Mutex
