--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -25,6 +25,9 @@
 	readyLifeShare = 0.6
 	// activateShare is the share of the platform's bound after which only the newest version of a model is used.
 	activateShare = 0.9
+	// activateSoonShare is the share after which older versions get only requests that begin at once; under load a request
+	// waits for about a second.
+	activateSoonShare = 0.78
 )
 
 // newHostedCommand returns the command that runs a process with the settings that the platform gives it.
@@ -84,6 +87,7 @@
 	cfg.KeyLife = share(settings.Bounds.Revoke, keyLifeShare)
 	cfg.ReadyLife = share(settings.Bounds.Revoke, readyLifeShare)
 	cfg.Activate = share(settings.Bounds.Activate, activateShare)
+	cfg.ActivateSoon = share(settings.Bounds.Activate, activateSoonShare)
 	return hosted.EntryParts{
 		Host:         hostOf(settings),
 		CallerListen: settings.CallerListen,
--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		verdict = VerdictFull
-		if !b.hasRoom(now, candidate) {
+		if !b.hasRoom(now, candidate) || !b.beginsInTime(now, &request, candidate) {
 			continue
 		}
 		score := b.score(now, candidate, usual)
@@ -155,6 +155,15 @@
 	return b.coldRoom(now, r)
 }
 
+// beginsInTime reports whether a replica with an older version begins on a request before that version is refused.
+func (b *Balancer) beginsInTime(now time.Time, request *Request, r *replica) bool {
+	if request.Model == "" || request.SoonVersion <= request.MinVersion {
+		return true
+	}
+	version, _ := r.version(&b.cfg, now, request)
+	return version >= request.SoonVersion || float64(r.load(&b.cfg, now)) < b.cfg.IdleShare*float64(r.slots())
+}
+
 // coldRoom reports whether this host's share of a cold replica's rate allows one more request.
 func (b *Balancer) coldRoom(now time.Time, r *replica) bool {
 	if !now.Before(r.member.ColdUntil) {
--- /dev/null
+++ b/coordination/dispatch/balancer_test.go
@@ -0,0 +1,234 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func config() dispatch.Config {
+	cfg := dispatch.DefaultConfig()
+	cfg.Region, cfg.FailureDomain = "ra", "a"
+	cfg.Regions = map[core.FailureDomain]core.Region{"a": "ra", "b": "rb"}
+	return cfg
+}
+
+func newBalancer(members ...fleet.Member) *dispatch.Balancer {
+	b := dispatch.NewBalancer(config(), rand.New(rand.NewPCG(1, 1)))
+	b.SetView(view(members...))
+	return b
+}
+
+func view(members ...fleet.Member) *fleet.View {
+	return &fleet.View{
+		Configuration: &fleet.Configuration{Upstreams: map[core.Upstream]fleet.UpstreamSpec{
+			"llm": {ColdPerSecond: 24, Engine: &fleet.EngineSpec{Layers: 16}},
+		}},
+		Members: members,
+	}
+}
+
+func member(id fleet.ReplicaID, domain core.FailureDomain) fleet.Member {
+	return fleet.Member{Replica: fleet.Replica{
+		ID: id, Upstream: "llm", Address: string(id) + ":80", FailureDomain: domain, Slots: 4, Born: 1,
+		Models: []fleet.LoadedModel{{Model: "m", Version: 1, Layers: 16}},
+	}}
+}
+
+func request() dispatch.Request { return dispatch.Request{Upstream: "llm", Model: "m", Layers: 16} }
+
+// TestReplicaGetsNoMoreThanItHasRoomFor guards against requests that queue without bound at a replica.
+func TestReplicaGetsNoMoreThanItHasRoomFor(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	placed := 0
+	for range 20 {
+		if _, verdict := b.Pick(start, request()); verdict == dispatch.VerdictChosen {
+			placed++
+		} else {
+			require.Equal(t, dispatch.VerdictFull, verdict)
+		}
+	}
+	require.Equal(t, 4+config().Overcommit, placed)
+}
+
+// TestLoadOfOtherHostsCounts guards against a host that sees only its own requests.
+func TestLoadOfOtherHostsCounts(t *testing.T) {
+	b := newBalancer(member("r1", "a"), member("r2", "b"))
+	b.Report(start, "r1", dispatch.Report{Running: 4, Waiting: 2})
+	choice, verdict := b.Pick(start, request())
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+	require.EqualValues(t, "r2", choice.ID)
+
+	choice, _ = b.Pick(start.Add(10*time.Second), request())
+	require.EqualValues(t, "r1", choice.ID, "an old report says nothing")
+}
+
+// TestLeavingAndEvacuatedReplicasGetNothing guards against new work for replicas that are out of service.
+func TestLeavingAndEvacuatedReplicasGetNothing(t *testing.T) {
+	leaving, out := member("r1", "a"), member("r2", "b")
+	leaving.Draining, out.Evacuated = true, true
+	_, verdict := newBalancer(leaving, out).Pick(start, request())
+	require.Equal(t, dispatch.VerdictNone, verdict)
+}
+
+// TestPartlyLoadedReplicaGetsNoModelRequest guards against requests at a replica without all layers.
+func TestPartlyLoadedReplicaGetsNoModelRequest(t *testing.T) {
+	part := member("r1", "a")
+	part.Models[0].Layers = 15
+	_, verdict := newBalancer(part).Pick(start, request())
+	require.Equal(t, dispatch.VerdictNone, verdict)
+}
+
+// TestOlderVersionIsRefusedOnceTheNewerIsDue guards against requests on weights that have been replaced.
+func TestOlderVersionIsRefusedOnceTheNewerIsDue(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	wants := request()
+	wants.MinVersion = 2
+	_, verdict := b.Pick(start, wants)
+	require.Equal(t, dispatch.VerdictNone, verdict)
+
+	b.Report(start, "r1", dispatch.Report{Models: []fleet.LoadedModel{{Model: "m", Version: 2, Layers: 16}}})
+	choice, verdict := b.Pick(start, wants)
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+	require.EqualValues(t, 2, choice.Version)
+}
+
+// TestBusyReplicaWithOlderVersionGetsNothingShortlyBeforeTheNewerIsDue replays a request that was sent 7.0 s after a naming
+// and began 1.1 s later on the older version, past the bound of 8 s.
+func TestBusyReplicaWithOlderVersionGetsNothingShortlyBeforeTheNewerIsDue(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	soon := request()
+	soon.SoonVersion = 2
+	b.Report(start, "r1", dispatch.Report{Running: 3, Models: []fleet.LoadedModel{{Model: "m", Version: 1, Layers: 16}}})
+	_, verdict := b.Pick(start, soon)
+	require.Equal(t, dispatch.VerdictFull, verdict)
+
+	b.Report(start, "r1", dispatch.Report{Running: 0, Models: []fleet.LoadedModel{{Model: "m", Version: 1, Layers: 16}}})
+	_, verdict = b.Pick(start.Add(time.Second), soon)
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+}
+
+// TestColdReplicaStaysUnderItsRateOverAllHosts guards against the sum of what all hosts send to a cold replica.
+func TestColdReplicaStaysUnderItsRateOverAllHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		senders := rapid.IntRange(1, 24).Draw(t, "senders")
+		cold := member("r1", "a")
+		cold.Slots = 1000
+		cold.ColdUntil = start.Add(time.Hour)
+		total := 0
+		for host := range senders {
+			b := dispatch.NewBalancer(config(), rand.New(rand.NewPCG(1, uint64(host))))
+			b.SetView(view(cold))
+			for ms := range 1000 {
+				now := start.Add(time.Duration(ms) * time.Millisecond)
+				b.Report(now, "r1", dispatch.Report{Senders: senders, Models: cold.Models})
+				if _, verdict := b.Pick(now, request()); verdict == dispatch.VerdictChosen {
+					total++
+				}
+			}
+		}
+		// 24 a second, and one at once for each host.
+		require.LessOrEqual(t, total, 24+senders)
+	})
+}
+
+// TestReplicaIsLeftOutAfterFailuresInARow guards against a dead replica that goes on getting requests, and against one that
+// never comes back.
+func TestReplicaIsLeftOutAfterFailuresInARow(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	for range config().EjectAfter {
+		choice, verdict := b.Pick(start, request())
+		require.Equal(t, dispatch.VerdictChosen, verdict)
+		b.Done(start, choice, dispatch.OutcomeBroken, 0)
+	}
+	_, verdict := b.Pick(start, request())
+	require.Equal(t, dispatch.VerdictFull, verdict)
+
+	later := start.Add(config().EjectBase)
+	choice, verdict := b.Pick(later, request())
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+	_, verdict = b.Pick(later, request())
+	require.Equal(t, dispatch.VerdictFull, verdict, "one request probes the replica")
+	b.Done(later, choice, dispatch.OutcomeServed, time.Millisecond)
+	_, verdict = b.Pick(later, request())
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+}
+
+// TestAddressThatAnotherReplicaTookGetsNothing guards against requests for a replica whose address was given away.
+func TestAddressThatAnotherReplicaTookGetsNothing(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	choice, _ := b.Pick(start, request())
+	b.Done(start, choice, dispatch.OutcomeMoved, 0)
+	_, verdict := b.Pick(start, request())
+	require.Equal(t, dispatch.VerdictNone, verdict)
+}
+
+// TestLoadingReplicaGetsNothing guards against requests that wait for a load to end.
+func TestLoadingReplicaGetsNothing(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	b.Report(start, "r1", dispatch.Report{Loading: true, Models: member("r1", "a").Models})
+	_, verdict := b.Pick(start, request())
+	require.Equal(t, dispatch.VerdictFull, verdict)
+}
+
+// TestHomeRegionsBind guards against a request that leaves the regions of its route or team.
+func TestHomeRegionsBind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []fleet.Member
+		for i := range rapid.IntRange(1, 6).Draw(t, "replicas") {
+			domain := rapid.SampledFrom([]core.FailureDomain{"a", "b"}).Draw(t, "domain")
+			members = append(members, member(fleet.ReplicaID(fmt.Sprint("r", i)), domain))
+		}
+		wants := request()
+		wants.Regions = []core.Region{"rb"}
+		wants.AlsoRegions = rapid.SampledFrom([][]core.Region{nil, {"ra"}, {"rb"}}).Draw(t, "team")
+		choice, verdict := newBalancer(members...).Pick(start, wants)
+		if verdict != dispatch.VerdictChosen {
+			return
+		}
+		for _, m := range members {
+			if m.ID == choice.ID {
+				require.EqualValues(t, "b", m.FailureDomain)
+				require.NotEqual(t, []core.Region{"ra"}, wants.AlsoRegions)
+			}
+		}
+	})
+}
+
+// TestCountsComeBackToZero guards against requests in flight that are never counted down.
+func TestCountsComeBackToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBalancer(member("r1", "a"), member("r2", "b"))
+		outcomes := []dispatch.Outcome{
+			dispatch.OutcomeServed, dispatch.OutcomeFailed, dispatch.OutcomeBroken, dispatch.OutcomeShed, dispatch.OutcomeAbandoned,
+		}
+		now := start
+		var open []dispatch.Choice
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if choice, verdict := b.Pick(now, request()); verdict == dispatch.VerdictChosen {
+				open = append(open, choice)
+			}
+			if len(open) > 0 && rapid.Bool().Draw(t, "end") {
+				b.Done(now, open[0], rapid.SampledFrom(outcomes).Draw(t, "outcome"), time.Millisecond)
+				open = open[1:]
+			}
+		}
+		for _, choice := range open {
+			b.Done(now, choice, dispatch.OutcomeServed, time.Millisecond)
+		}
+		for _, state := range b.States(now) {
+			require.Zero(t, state.InFlight)
+		}
+	})
+}
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -31,6 +31,8 @@
 	EjectCap  time.Duration
 	// EjectAfter is the number of failures in a row after which a replica is left out.
 	EjectAfter int
+	// IdleShare is the share of a replica's slots below which a request begins at once.
+	IdleShare float64
 	// ShedPause is the time for which a replica that refused work as full is left out.
 	ShedPause time.Duration
 	// FailureWeight is the load that a replica which fails every request seems to have on top.
@@ -59,6 +61,7 @@
 		EjectBase:      800 * time.Millisecond,
 		EjectCap:       6 * time.Second,
 		EjectAfter:     2,
+		IdleShare:      0.5,
 		ShedPause:      80 * time.Millisecond,
 		FailureWeight:  1.5,
 		SlowWeight:     0.25,
@@ -79,6 +82,9 @@
 	Layers int
 	// MinVersion is the oldest version that may answer; 0 means any.
 	MinVersion int64
+	// SoonVersion is the version that will be the oldest allowed before long; a replica with an older one gets the request
+	// only if it begins on it at once.
+	SoonVersion int64
 	// Regions and AlsoRegions list the regions that may serve the request; an empty list allows all. Both bind.
 	Regions     []core.Region
 	AlsoRegions []core.Region
--- /dev/null
+++ b/state/fleet/table_test.go
@@ -0,0 +1,122 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func replica(id fleet.ReplicaID, born int64) *fleet.Replica {
+	return &fleet.Replica{ID: id, Upstream: "llm", Address: "10.0.0.1:80", FailureDomain: "a", Slots: 4, Born: born}
+}
+
+func ids(view *fleet.View) []fleet.ReplicaID {
+	var list []fleet.ReplicaID
+	for _, member := range view.Members {
+		list = append(list, member.ID)
+	}
+	return list
+}
+
+// TestOlderConfigurationDoesNotReplaceNewer guards against a configuration that goes back.
+func TestOlderConfigurationDoesNotReplaceNewer(t *testing.T) {
+	table := fleet.NewTable()
+	require.True(t, table.SetConfiguration(&fleet.Configuration{Version: 7}))
+	require.False(t, table.SetConfiguration(&fleet.Configuration{Version: 6}))
+	require.EqualValues(t, 7, table.View().Configuration.Version)
+}
+
+// TestRegistrationThatLapsedDuringOutageIsKeptForAWhile guards against losing live replicas whose registrations expired
+// while the store was away.
+func TestRegistrationThatLapsedDuringOutageIsKeptForAWhile(t *testing.T) {
+	table := fleet.NewTable()
+	table.SetReplica(start, 1, replica("r1", 1))
+	table.SetReplica(start, 2, replica("r2", 1))
+	table.StoreReturned(start.Add(10 * time.Second))
+	table.KeepReplicas(start.Add(10*time.Second), map[fleet.ReplicaID]bool{})
+	require.Equal(t, []fleet.ReplicaID{"r1", "r2"}, ids(table.View()))
+
+	table.SetReplica(start.Add(11*time.Second), 9, replica("r1", 1))
+	require.True(t, table.Expire(start.Add(13*time.Second)))
+	require.Equal(t, []fleet.ReplicaID{"r1"}, ids(table.View()))
+}
+
+// TestRemovedReplicaIsGoneAtOnceWithoutOutage guards against work for a replica that has left.
+func TestRemovedReplicaIsGoneAtOnceWithoutOutage(t *testing.T) {
+	table := fleet.NewTable()
+	table.SetReplica(start, 1, replica("r1", 1))
+	table.RemoveReplica(start, "r1")
+	require.Empty(t, table.View().Members)
+}
+
+// TestDrainingReplicaIsNotKeptAfterOutage guards against work for a replica that was leaving before the outage.
+func TestDrainingReplicaIsNotKeptAfterOutage(t *testing.T) {
+	table := fleet.NewTable()
+	leaving := replica("r1", 1)
+	leaving.Draining = true
+	table.SetReplica(start, 1, leaving)
+	table.StoreReturned(start)
+	table.RemoveReplica(start, "r1")
+	require.Empty(t, table.View().Members)
+}
+
+// TestDrainingHoldsUntilReplicaRestarts guards against a late registration that hides that a replica leaves.
+func TestDrainingHoldsUntilReplicaRestarts(t *testing.T) {
+	table := fleet.NewTable()
+	leaving := replica("r1", 1)
+	leaving.Draining = true
+	table.SetReplica(start, 2, leaving)
+	table.SetReplica(start, 1, replica("r1", 1))
+	table.SetReplica(start, 3, replica("r1", 1))
+	require.False(t, table.View().Members[0].Usable())
+
+	table.SetReplica(start, 4, replica("r1", 2))
+	require.True(t, table.View().Members[0].Usable())
+}
+
+// TestReplicasAreColdAfterTheirFailureDomainReturns guards against full load on replicas that turned cold meanwhile.
+func TestReplicasAreColdAfterTheirFailureDomainReturns(t *testing.T) {
+	table := fleet.NewTable()
+	table.SetConfiguration(&fleet.Configuration{
+		Version:   1,
+		Upstreams: map[core.Upstream]fleet.UpstreamSpec{"llm": {ColdStart: 3 * time.Second}},
+	})
+	table.SetReplica(start, 1, replica("r1", 1))
+	table.SetEvacuated(start, "a", true)
+	require.False(t, table.View().Members[0].Usable())
+
+	table.SetEvacuated(start.Add(time.Second), "a", false)
+	member := table.View().Members[0]
+	require.True(t, member.Usable())
+	require.Equal(t, start.Add(4*time.Second), member.ColdUntil)
+}
+
+// TestRouteWithLongestPrefixWins guards against a request that a more general route takes.
+func TestRouteWithLongestPrefixWins(t *testing.T) {
+	table := fleet.NewTable()
+	table.SetConfiguration(&fleet.Configuration{Version: 1, Routes: []fleet.Route{
+		{Name: "general", Host: "a.example", PathPrefix: "/x/"},
+		{Name: "special", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/"},
+	}})
+	view := table.View()
+	require.Equal(t, "special", view.Route("A.example", "/x/y/z").Name)
+	require.Equal(t, "general", view.Route("a.example", "/x/yz").Name)
+	require.Nil(t, view.Route("a.example", "/xy"))
+	require.Nil(t, view.Route("c.example", "/x/"))
+}
+
+// TestDumpHoldsNoKeys guards against API keys in state dumps.
+func TestDumpHoldsNoKeys(t *testing.T) {
+	table := fleet.NewTable()
+	table.SetConfiguration(&fleet.Configuration{Version: 1, Teams: []fleet.Team{{Name: "t", Keys: []string{"secret"}}}})
+	view := table.View()
+	require.Nil(t, view.WithoutKeys().Configuration.Teams[0].Keys)
+	require.EqualValues(t, "t", view.Team("secret").Name)
+}
--- /dev/null
+++ b/transport/backend/backend_test.go
@@ -0,0 +1,193 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/guavatrestle/guavatrestle/transport/backend"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script serves each connection with a function that gets the connection and its number.
+func script(t *testing.T, serve func(conn net.Conn, number int)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serve(conn, number)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+	})
+	return listener.Addr().String()
+}
+
+func readRequest(t *testing.T, reader *bufio.Reader) *http.Request {
+	t.Helper()
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return request
+}
+
+func request(address, id string) *backend.Request {
+	return &backend.Request{
+		Address: address, Method: http.MethodPost, Target: "/x?y=%2F", Host: "a.example", Body: []byte("body"), HasBody: true,
+		Header: http.Header{"Req-Id": {id}}, EchoHeader: "Req-Id", MaxIdle: time.Hour,
+	}
+}
+
+func read(t *testing.T, response *backend.Response) string {
+	t.Helper()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+// TestLateAnswerOfEarlierRequestIsSkipped guards against an answer that belongs to another request.
+func TestLateAnswerOfEarlierRequestIsSkipped(t *testing.T) {
+	address := script(t, func(conn net.Conn, _ int) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		readRequest(t, reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nReq-Id: old\r\nContent-Length: 3\r\n\r\nold")
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nReq-Id: new\r\nContent-Length: 3\r\n\r\nnew")
+		readRequest(t, reader)
+	})
+	pool := backend.NewPool()
+	defer pool.Close()
+	response, err := pool.Do(context.Background(), request(address, "new"))
+	require.NoError(t, err)
+	require.Equal(t, "new", read(t, response))
+}
+
+// TestConnectionWithSecondAnswerIsNotReused guards against the bytes of a second answer before the next request.
+func TestConnectionWithSecondAnswerIsNotReused(t *testing.T) {
+	sent := make(chan struct{})
+	address := script(t, func(conn net.Conn, number int) {
+		defer conn.Close()
+		readRequest(t, bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"+string(rune('0'+number)))
+		if number == 0 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX")
+			close(sent)
+		}
+	})
+	pool := backend.NewPool()
+	defer pool.Close()
+	response, err := pool.Do(context.Background(), request(address, "1"))
+	require.NoError(t, err)
+	require.Equal(t, "0", read(t, response))
+	<-sent
+	response, err = pool.Do(context.Background(), request(address, "2"))
+	require.NoError(t, err)
+	require.Equal(t, "1", read(t, response))
+}
+
+// TestAnswerWithoutLengthThatIsResetIsNotComplete guards against a cut answer that looks whole.
+func TestAnswerWithoutLengthThatIsResetIsNotComplete(t *testing.T) {
+	address := script(t, func(conn net.Conn, number int) {
+		readRequest(t, bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		if number == 1 {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+	})
+	pool := backend.NewPool()
+	defer pool.Close()
+	whole, err := pool.Do(context.Background(), request(address, "1"))
+	require.NoError(t, err)
+	require.False(t, whole.Framed)
+	require.Equal(t, "part", read(t, whole))
+
+	cut, err := pool.Do(context.Background(), request(address, "2"))
+	if err == nil {
+		_, err = io.ReadAll(cut.Body)
+	}
+	require.Error(t, err)
+}
+
+// TestRefusedConnectionIsNotSent guards against a request that counts as possibly run although no byte of it left.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = backend.NewPool().Do(context.Background(), request(address, "1"))
+	var failed *backend.Error
+	require.True(t, errors.As(err, &failed))
+	require.False(t, failed.Sent)
+}
+
+// TestRequestThatGotNoAnswerCountsAsSentAndIsNotRepeated guards against a second run of a request.
+func TestRequestThatGotNoAnswerCountsAsSentAndIsNotRepeated(t *testing.T) {
+	requests := make(chan struct{}, 8)
+	address := script(t, func(conn net.Conn, _ int) {
+		readRequest(t, bufio.NewReader(conn))
+		requests <- struct{}{}
+		_ = conn.Close()
+	})
+	_, err := backend.NewPool().Do(context.Background(), request(address, "1"))
+	var failed *backend.Error
+	require.True(t, errors.As(err, &failed))
+	require.True(t, failed.Sent)
+	require.Len(t, requests, 1)
+}
+
+// TestEndOfContextClosesConnection guards against a back end that works on for a caller that is gone.
+func TestEndOfContextClosesConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address := script(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReader(conn)
+		readRequest(t, reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")
+		_, _ = reader.ReadByte()
+		_ = conn.Close()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := backend.NewPool().Do(ctx, request(address, "1"))
+	require.NoError(t, err)
+	cancel()
+	_, err = io.ReadAll(response.Body)
+	require.Error(t, err)
+	<-closed
+}
+
+// TestAnnouncedIdleTimeoutEndsReuse guards against a request on a connection that the back end is about to close.
+func TestAnnouncedIdleTimeoutEndsReuse(t *testing.T) {
+	address := script(t, func(conn net.Conn, number int) {
+		defer conn.Close()
+		readRequest(t, bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 1\r\n\r\n"+string(rune('0'+number)))
+	})
+	pool := backend.NewPool()
+	defer pool.Close()
+	for _, want := range []string{"0", "1"} {
+		response, err := pool.Do(context.Background(), request(address, "1"))
+		require.NoError(t, err)
+		require.Equal(t, want, read(t, response))
+	}
+}
--- /dev/null
+++ b/transport/follow/follow_test.go
@@ -0,0 +1,206 @@
+package follow_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/feed"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport/follow"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// source is a store whose records the test changes.
+type source struct {
+	mu      sync.Mutex
+	records map[feed.Kind]map[string]feed.Record
+	events  map[feed.Kind][]feed.Record
+	at      int64
+	expired bool
+	changed chan struct{}
+}
+
+func newSource() *source {
+	return &source{
+		records: map[feed.Kind]map[string]feed.Record{}, events: map[feed.Kind][]feed.Record{}, changed: make(chan struct{}),
+	}
+}
+
+func (s *source) put(kind feed.Kind, record feed.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	record.Revision = s.at
+	if s.records[kind] == nil {
+		s.records[kind] = map[string]feed.Record{}
+	}
+	s.records[kind][record.Name] = record
+	if record.Removed {
+		delete(s.records[kind], record.Name)
+	}
+	s.events[kind] = append(s.events[kind], record)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// forget drops the history and cuts the watches.
+func (s *source) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expired = true
+	s.events = map[feed.Kind][]feed.Record{}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *source) List(_ context.Context, kind feed.Kind) (feed.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := feed.Batch{At: s.at}
+	for _, record := range s.records[kind] {
+		batch.Records = append(batch.Records, record)
+	}
+	return batch, nil
+}
+
+func (s *source) Watch(ctx context.Context, kind feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		batch, changed, expired := feed.Batch{At: s.at}, s.changed, s.expired
+		for _, record := range s.events[kind] {
+			if record.Revision > since {
+				batch.Records = append(batch.Records, record)
+			}
+		}
+		s.mu.Unlock()
+		if expired && since < batch.At {
+			return feed.Batch{}, protocol.Errorf(protocol.CodeExpired, "history is gone")
+		}
+		if len(batch.Records) > 0 {
+			return batch, nil
+		}
+		select {
+		case <-ctx.Done():
+			return feed.Batch{}, protocol.Wrap(protocol.CodeUnavailable, ctx.Err(), "watch")
+		case <-timer.C:
+			return batch, nil
+		case <-changed:
+		}
+	}
+}
+
+func start(t *testing.T, s *source) *follow.Follower {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	follower := follow.New(s, follow.Config{
+		Kinds: []follow.Kind{
+			{Kind: feed.KindConfiguration}, {Kind: feed.KindReplicas}, {Kind: feed.KindEvacuations}, {Kind: feed.KindWeightTargets},
+		},
+		ProbeWait: 50 * time.Millisecond,
+	}, rand.New(rand.NewPCG(1, 1)), logrus.NewEntry(logger))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { follower.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return follower
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, 10*time.Second, time.Millisecond)
+}
+
+func configuration(version int64) feed.Record {
+	return feed.Record{Name: "main", Value: &fleet.Configuration{Version: version}}
+}
+
+func replica(id fleet.ReplicaID) feed.Record {
+	return feed.Record{Name: string(id), Value: &fleet.Replica{ID: id, FailureDomain: "a"}}
+}
+
+// TestChangesReachTheView guards against a view that stays behind the store.
+func TestChangesReachTheView(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	follower := start(t, s)
+	eventually(t, func() bool { return follower.View().Known() })
+
+	s.put(feed.KindConfiguration, configuration(2))
+	s.put(feed.KindReplicas, replica("r1"))
+	s.put(feed.KindEvacuations, feed.Record{Name: "a", Value: fleet.Evacuation{FailureDomain: "a"}})
+	eventually(t, func() bool {
+		view := follower.View()
+		return view.Configuration.Version == 2 && len(view.Members) == 1 && view.Members[0].Evacuated
+	})
+	require.Less(t, follower.Age(), 10*time.Second)
+	s.put(feed.KindEvacuations, feed.Record{Name: "a", Removed: true})
+	s.put(feed.KindReplicas, feed.Record{Name: "r1", Removed: true})
+	eventually(t, func() bool { return len(follower.View().Members) == 0 })
+}
+
+// TestLostHistoryIsListedAgain guards against changes that are missed when the store drops its history: a replica that left
+// in the gap, and a failure domain that was taken back.
+func TestLostHistoryIsListedAgain(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	s.put(feed.KindReplicas, replica("r1"))
+	s.put(feed.KindEvacuations, feed.Record{Name: "a", Value: fleet.Evacuation{FailureDomain: "a"}})
+	follower := start(t, s)
+	eventually(t, func() bool { return follower.View().Known() && len(follower.View().Members) == 1 })
+
+	s.mu.Lock()
+	delete(s.records[feed.KindReplicas], "r1")
+	delete(s.records[feed.KindEvacuations], "a")
+	s.records[feed.KindReplicas]["r2"] = replica("r2")
+	s.at += 5
+	s.mu.Unlock()
+	s.forget()
+	eventually(t, func() bool {
+		members := follower.View().Members
+		return len(members) == 1 && members[0].ID == "r2" && !members[0].Evacuated
+	})
+}
+
+// TestRecordThatNoLongerDecodesNamesNoReplica guards against work for a replica whose record another writer replaced.
+func TestRecordThatNoLongerDecodesNamesNoReplica(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	s.put(feed.KindReplicas, replica("r1"))
+	follower := start(t, s)
+	eventually(t, func() bool { return follower.View().Known() && len(follower.View().Members) == 1 })
+	s.put(feed.KindReplicas, feed.Record{Name: "r1", Fault: io.ErrUnexpectedEOF})
+	eventually(t, func() bool { return len(follower.View().Members) == 0 })
+}
+
+// TestVersionFoundAtStartHasNoKnownTime guards against a process that takes its own start for the naming of a version.
+func TestVersionFoundAtStartHasNoKnownTime(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 3}})
+	follower := start(t, s)
+	eventually(t, func() bool { return follower.View().Known() })
+	require.True(t, follower.View().Wanted["m"][0].Since.IsZero())
+
+	follower.LearnNamed("m", 3, 2*time.Second)
+	follower.LearnNamed("m", 2, 6*time.Second)
+	wanted := follower.View().Wanted["m"]
+	require.Len(t, wanted, 2)
+	require.EqualValues(t, 2, wanted[0].Version)
+	require.False(t, wanted[1].Since.IsZero())
+}
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -44,6 +44,8 @@
 	tried  []fleet.ReplicaID
 	// ran says that a replica may have run the request.
 	ran bool
+	// failed is a replica's own failure, passed on unless a later try does better.
+	failed *answer
 	// next is the replica chosen for the next try, when one was chosen before the last try ended.
 	next   *dispatch.Choice
 	stream stream
@@ -72,7 +74,7 @@
 	for {
 		choice, err := c.pick(ctx)
 		if err != nil {
-			c.giveUp(err, nil)
+			c.giveUp(err)
 			return
 		}
 		last := c.try(ctx, choice)
@@ -83,6 +85,9 @@
 			return
 		}
 		c.note(choice, last)
+		if last.answer != nil {
+			c.failed = last.answer
+		}
 		if c.r.Context().Err() != nil {
 			c.release()
 			c.abandon()
@@ -90,7 +95,7 @@
 		}
 		if !c.mayTryAgain(choice, last) {
 			c.release()
-			c.giveUp(c.failure(ctx, last), last.answer)
+			c.giveUp(c.failure(ctx, last))
 			return
 		}
 		varRetries.Add(1)
@@ -152,17 +157,13 @@
 	}
 	request.Model = core.Model(c.r.Header.Get(c.h.Headers.Model))
 	request.Layers = spec.Engine.Layers
-	request.MinVersion = c.minVersion(request.Model)
-	return request
-}
-
-// minVersion returns the version that a model's requests need once the time to activate it is over.
-func (c *call) minVersion(model core.Model) int64 {
-	if c.h.Config.Activate <= 0 {
-		return 0
+	if c.h.Config.Activate > 0 {
+		// The view at arrival may be older than the newest version, so the current one counts.
+		wanted := c.h.View().Wanted[request.Model]
+		request.MinVersion = wanted.Due(c.h.Now(), c.h.Config.Activate)
+		request.SoonVersion = wanted.Due(c.h.Now(), c.h.Config.ActivateSoon)
 	}
-	// The view at arrival may be older than the newest version, so the current one counts.
-	return c.h.View().Wanted[model].Due(c.h.Now(), c.h.Config.Activate)
+	return request
 }
 
 // mayTryAgain decides whether a failed try may be followed by another.
@@ -200,14 +201,14 @@
 }
 
 // giveUp ends a request that is not answered. A replica's own failure is passed on as it is.
-func (c *call) giveUp(err *transport.Error, answer *answer) {
+func (c *call) giveUp(err *transport.Error) {
 	switch {
 	case c.stream.started:
 		varCut.Add(1)
 		c.h.log.write("stream cut", c.fields(logrus.Fields{"reason": err.Error()}))
 		panic(http.ErrAbortHandler)
-	case answer != nil:
-		answer.write(c)
+	case c.failed != nil:
+		c.failed.write(c)
 	case c.ran && err.Run == api.RunNotRun:
 		c.refuse(transport.Errorf(http.StatusBadGateway, api.CodeUpstreamFailed, api.RunUnknown,
 			"an earlier try may have run, and %v", err))
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -28,6 +28,8 @@
 	ReadyLife time.Duration
 	// Activate is the time after which only replicas with the newest version of a model get its requests; 0 means never.
 	Activate time.Duration
+	// ActivateSoon is the time after which a replica with an older version gets only requests that it begins on at once.
+	ActivateSoon time.Duration
 	// FirstEvent is the number of latency objectives after which a stream without an event is tried elsewhere.
 	FirstEvent float64
 	// FirstEventMin is the least time after which a stream without an event is tried elsewhere.
--- /dev/null
+++ b/transport/ingress/harness_test.go
@@ -0,0 +1,195 @@
+package ingress_test
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/protocol/headers"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport/backend"
+	"github.com/guavatrestle/guavatrestle/transport/ingress"
+)
+
+var names = headers.Names{
+	RequestID: "Req-Id", Deadline: "Req-Deadline", Stamp: "Res-Stamp", Team: "Req-Team", ExpectReplica: "Req-Replica",
+	ExpectVersion: "Req-Version", Load: "Res-Load", NotRun: "Res-Not-Run", Replica: "Res-Replica", ColdRemaining: "Res-Cold",
+	Model: "Req-Model", Priority: "Req-Priority",
+}.Canonical()
+
+// arrival is a request as a replica got it.
+type arrival struct {
+	replica fleet.ReplicaID
+	header  http.Header
+	target  string
+	body    string
+}
+
+// world is an entry with replicas whose answers the test scripts.
+type world struct {
+	t       *testing.T
+	table   *fleet.Table
+	router  *ingress.Router
+	view    atomic.Pointer[fleet.View]
+	age     atomic.Int64
+	leaving atomic.Bool
+	front   *httptest.Server
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+func newWorld(t *testing.T, routes ...fleet.Route) *world {
+	t.Helper()
+	w := &world{t: t, table: fleet.NewTable()}
+	cfg := ingress.DefaultConfig()
+	cfg.KeyLife, cfg.ReadyLife = 4*time.Second, 3*time.Second
+	cfg.FirstEvent, cfg.FirstEventMin = 0, 100*time.Millisecond
+	cfg.HoldShare = 0
+	cfg.Activate, cfg.ActivateSoon = time.Minute, time.Minute
+	cfg.Dispatch.Jitter = 0
+	w.router = ingress.NewRouter(cfg, rand.New(rand.NewPCG(1, 1)), time.Now)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	pool := backend.NewPool()
+	handler := ingress.NewHandler(ingress.Parts{
+		Config:     cfg,
+		Headers:    names,
+		View:       w.view.Load,
+		Age:        func() time.Duration { return time.Duration(w.age.Load()) },
+		Leaving:    w.leaving.Load,
+		RetryAfter: func(d time.Duration) string { return d.String() },
+		Pool:       pool,
+		Now:        time.Now,
+		Log:        logrus.NewEntry(logger),
+	}, w.router)
+	w.front = httptest.NewServer(handler)
+	t.Cleanup(func() {
+		w.front.Close()
+		pool.Close()
+	})
+	w.table.SetConfiguration(&fleet.Configuration{
+		Version: 1,
+		Routes:  routes,
+		Upstreams: map[core.Upstream]fleet.UpstreamSpec{
+			"orders": {Name: "orders"},
+			"llm":    {Name: "llm", Engine: &fleet.EngineSpec{Layers: 2}},
+		},
+		Teams: []fleet.Team{{Name: "blue", Keys: []string{"key-1"}}},
+	})
+	w.publish()
+	return w
+}
+
+func (w *world) publish() {
+	view := w.table.View()
+	w.view.Store(view)
+	w.router.SetView(view)
+}
+
+// replica adds a replica that answers with serve.
+func (w *world) replica(id fleet.ReplicaID, upstream core.Upstream, serve http.HandlerFunc) {
+	w.t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.mu.Lock()
+		w.arrivals = append(w.arrivals, arrival{id, r.Header.Clone(), r.RequestURI, string(body)})
+		w.mu.Unlock()
+		rw.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		serve(rw, r)
+	}))
+	w.t.Cleanup(server.Close)
+	w.table.SetReplica(time.Now(), 1, &fleet.Replica{
+		ID: id, Upstream: upstream, Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8, Born: 1,
+		Models: []fleet.LoadedModel{{Model: "m", Version: 1, Layers: 2}},
+	})
+	w.publish()
+}
+
+func (w *world) seen() []arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]arrival(nil), w.arrivals...)
+}
+
+// answer is what the caller got; err says that the answer ended early.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (w *world) call(method, path, body string, change func(http.Header)) answer {
+	w.t.Helper()
+	request, err := http.NewRequest(method, w.front.URL+path, strings.NewReader(body))
+	require.NoError(w.t, err)
+	request.Host = "a.example"
+	request.Header.Set(names.RequestID, "id-1")
+	request.Header.Set(names.Deadline, "2000")
+	request.Header.Set(names.Model, "m")
+	request.Header.Set("Authorization", "Bearer key-1")
+	if change != nil {
+		change(request.Header)
+	}
+	response, err := w.front.Client().Do(request)
+	require.NoError(w.t, err)
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(content), err}
+}
+
+func safeRoute() fleet.Route {
+	return fleet.Route{
+		Name: "safe", Host: "a.example", PathPrefix: "/safe/", Kind: fleet.KindSafe, Attempts: 2, Timeout: 2 * time.Second,
+		Targets: []fleet.Target{{Upstream: "orders", Weight: 1}},
+	}
+}
+
+func unsafeRoute() fleet.Route {
+	return fleet.Route{
+		Name: "unsafe", Host: "a.example", PathPrefix: "/unsafe/", Kind: fleet.KindUnsafe, Attempts: 2, Timeout: 2 * time.Second,
+		Targets: []fleet.Target{{Upstream: "orders", Weight: 1}},
+	}
+}
+
+func streamRoute() fleet.Route {
+	return fleet.Route{
+		Name: "stream", Host: "a.example", PathPrefix: "/stream/", Kind: fleet.KindStreaming, Resumable: true, Attempts: 2,
+		Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, Targets: []fleet.Target{{Upstream: "llm", Weight: 1}},
+	}
+}
+
+func stamped(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(names.Stamp, "s")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func status(code int, header string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if header != "" {
+			w.Header().Set(header, "1")
+		}
+		w.WriteHeader(code)
+	}
+}
+
+// reset breaks the connection after the request has been read.
+func reset(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/transport/loadshare/loadshare_test.go
@@ -0,0 +1,80 @@
+package loadshare_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport/loadshare"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const port = 17744
+
+// TestReportReachesOnlyTheRunItSpeaksOf guards against the load of a restarted replica that counts for the one before it,
+// and against reports that lose what a process that restarted needs.
+func TestReportReachesOnlyTheRunItSpeaksOf(t *testing.T) {
+	table := fleet.NewTable()
+	table.SetConfiguration(&fleet.Configuration{Version: 1, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
+		"llm": {Engine: &fleet.EngineSpec{}}, "orders": {},
+	}})
+	for id, born := range map[fleet.ReplicaID]int64{"now": 2, "before": 1} {
+		table.SetReplica(time.Now(), 1, &fleet.Replica{ID: id, Upstream: "llm", Address: "127.0.10.1:80", Born: born})
+	}
+	table.SetReplica(time.Now(), 1, &fleet.Replica{ID: "plain", Upstream: "orders", Address: "127.0.10.1:81", Born: 2})
+	table.SetWanted(bootclock.Time().Add(-3*time.Second), fleet.WeightTarget{Model: "m", Version: 4})
+	view := table.View()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := logrus.NewEntry(logger)
+
+	var mu sync.Mutex
+	got := map[fleet.ReplicaID]dispatch.Report{}
+	var age time.Duration
+	listener, err := loadshare.Listen("127.0.10.2", port, func() *fleet.View { return view }, loadshare.Sink{
+		Report: func(id fleet.ReplicaID, report dispatch.Report) {
+			mu.Lock()
+			defer mu.Unlock()
+			got[id] = report
+		},
+		Named: func(model core.Model, version int64, since time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
+			if model == "m" && version == 4 {
+				age = since
+			}
+		},
+	}, log)
+	require.NoError(t, err)
+	reporter, err := loadshare.NewReporter("127.0.10.1", port, func() *fleet.View { return view }, log)
+	require.NoError(t, err)
+	reporter.Set(2, dispatch.Report{Running: 3, Waiting: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}}})
+
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { listener.Run(ctx) })
+	running.Go(func() { reporter.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	require.Eventually(t, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(got) > 0 && age >= 3*time.Second
+	}, 10*time.Second, time.Millisecond)
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, map[fleet.ReplicaID]dispatch.Report{"now": {
+		Running: 3, Waiting: 1, Senders: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}},
+	}}, got)
+}
