Probe a store that is away with one call at a time

Cause: while the store was away, four loops of every process retried, each call at a price; and an entry trusted keys for 3.8 s from a confirmation that was up to 3 s old when the store went, so it refused from 1 s into the outage on.

Ruled out: 4.7 s is not too long: the age counts from the sending of the call that confirmed the configuration, and a watch sent in the second in which the store holds back changes is cut before its wait ends.

Change: only the probing watch retries, the others wait for it; its wait is 0.8 s at entries; keys live for 0.94 of the bound.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	// keyLifeShare is the share of the platform's bound for revoked keys that the age of the configuration may take; the
-	// rest covers changes that the store tells of late.
-	keyLifeShare = 0.76
+	// keyLifeShare is the share of the platform's bound for revoked keys that the age of the configuration may take; the age
+	// counts from the sending of the call that confirmed it, so the rest only covers the check itself.
+	keyLifeShare = 0.94
 	// readyLifeShare is the share after which the host sends new callers elsewhere.
-	readyLifeShare = 0.6
+	readyLifeShare = 0.7
 	// activateShare is the share of the platform's bound after which only the newest version of a model is used.
 	activateShare = 0.9
 	// activateSoonShare is the share after which older versions get only requests that begin at once; under load a request
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -24,9 +24,11 @@
 	callSlack = 1200 * time.Millisecond
 	// listTimeout bounds one read of a whole list.
 	listTimeout = 3 * time.Second
-	// retryBase and retryCap bound the pause after a failed call.
-	retryBase = 100 * time.Millisecond
-	retryCap  = 800 * time.Millisecond
+	// retryBase and retryCap bound the pause after a failed call of the probing watch.
+	retryBase = 150 * time.Millisecond
+	retryCap  = 600 * time.Millisecond
+	// followerPause bounds the time for which the other watches wait for the probing one to be answered again.
+	followerPause = 4 * time.Second
 	// outageSlack is the time beyond the wait of the probing watch after which a silent store counts as having been away.
 	outageSlack = 1500 * time.Millisecond
 	// promptAnswer bounds the time in which a slow store answers a watch whose changes were made before the call.
@@ -63,6 +65,8 @@
 	current  map[feed.Kind]time.Time
 	answered time.Time
 	random   *rand.Rand
+	// probed is closed and replaced whenever the probing watch is answered.
+	probed chan struct{}
 
 	view      atomic.Pointer[fleet.View]
 	confirmed atomic.Int64
@@ -82,6 +86,7 @@
 		table:   fleet.NewTable(),
 		listed:  make(map[feed.Kind]bool),
 		current: make(map[feed.Kind]time.Time),
+		probed:  make(chan struct{}),
 		random:  random,
 	}
 }
@@ -169,8 +174,10 @@
 		}
 		if probe {
 			f.breakWatches(ctx)
+			f.pause(ctx, failures)
+		} else {
+			f.awaitProbe(ctx)
 		}
-		f.pause(ctx, failures)
 		failures++
 	}
 }
@@ -223,6 +230,10 @@
 		f.table.StoreReturned(now)
 	}
 	f.answered = now
+	if kind == f.cfg.Kinds[0].Kind {
+		close(f.probed)
+		f.probed = make(chan struct{})
+	}
 	if kind == feed.KindConfiguration {
 		f.confirmed.Store(int64(sent))
 	}
@@ -331,6 +342,21 @@
 	f.watch, f.broken = context.WithCancel(ctx)
 }
 
+// awaitProbe waits until the probing watch has been answered again, so that an unavailable store gets few calls.
+func (f *Follower) awaitProbe(ctx context.Context) {
+	f.mu.Lock()
+	answered := f.probed
+	f.mu.Unlock()
+	// The failure may concern one connection only, so the probe may go on without a pause.
+	timer := time.NewTimer(followerPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-answered:
+	}
+}
+
 // pause waits for a jittered time that doubles with each failure in a row.
 func (f *Follower) pause(ctx context.Context, failures int) {
 	bound := min(retryBase<<min(failures, 8), retryCap)
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -51,12 +51,12 @@
 // which the platform wants drains, configurations and evacuations in force.
 var entryFeed = follow.Config{
 	Kinds: []follow.Kind{
-		{Kind: feed.KindConfiguration, Coalesce: 500 * time.Millisecond},
-		{Kind: feed.KindReplicas, Coalesce: 600 * time.Millisecond},
+		{Kind: feed.KindConfiguration, Coalesce: 700 * time.Millisecond},
+		{Kind: feed.KindReplicas, Coalesce: 700 * time.Millisecond},
 		{Kind: feed.KindEvacuations, Coalesce: 600 * time.Millisecond},
 		{Kind: feed.KindWeightTargets, Coalesce: 300 * time.Millisecond},
 	},
-	ProbeWait: 1500 * time.Millisecond,
+	ProbeWait: 800 * time.Millisecond,
 }
 
 // Host is what a process knows about its own host.
