Give versions their time again after an outage of the store

Agents learned of its return up to 4.6 s late, since a hung watch of 6 s was followed by another, and entries refused all requests from 28 to 32 s, because the version counted as due although no host could have learned of it.

Ruled out: a host that was cut off alone must not get that time; so entries tell agents that the store is silent, and only a silence of 7 in 10 of at least 3 entries counts as an outage.

Change: after a failure the probing watch waits 0.1 s only; StoreReturned shifts the times of versions for a shared outage.

--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -61,7 +61,7 @@
 		EjectBase:      800 * time.Millisecond,
 		EjectCap:       6 * time.Second,
 		EjectAfter:     2,
-		IdleShare:      0.5,
+		IdleShare:      0.3,
 		ShedPause:      80 * time.Millisecond,
 		FailureWeight:  1.5,
 		SlowWeight:     0.25,
--- a/state/fleet/table.go
+++ b/state/fleet/table.go
@@ -43,8 +43,17 @@
 	}
 }
 
-// StoreReturned records that the store answers again after an outage.
-func (t *Table) StoreReturned(now time.Time) { t.returned = now }
+// StoreReturned records that the store answers again after an outage. shared says that it was away for most processes and
+// not for this one alone; then the time that versions have to come into force starts anew.
+func (t *Table) StoreReturned(now time.Time, shared bool) {
+	t.returned = now
+	if !shared {
+		return
+	}
+	for model, wanted := range t.wanted {
+		t.wanted[model] = wanted.NotBefore(now)
+	}
+}
 
 // SetConfiguration takes a configuration unless a later one is in force. It reports whether it was taken.
 func (t *Table) SetConfiguration(c *Configuration) bool {
--- a/state/fleet/wanted.go
+++ b/state/fleet/wanted.go
@@ -56,6 +56,18 @@
 	return next[max(len(next)-maxNamed, 0):]
 }
 
+// NotBefore returns w with no version named before the given time: for a store that was away until then, the versions named
+// before come into force as if they had been named at its return.
+func (w Wanted) NotBefore(at time.Time) Wanted {
+	next := slices.Clone(w)
+	for i := range next {
+		if next[i].Since.Before(at) {
+			next[i].Since = at
+		}
+	}
+	return next
+}
+
 // Learn returns w with the time at which a version was named, where w does not know it. A version older than the newest is
 // added: a process that has started since saw only the newest.
 func (w Wanted) Learn(version int64, since time.Time) (Wanted, bool) {
--- a/state/fleet/wanted_test.go
+++ b/state/fleet/wanted_test.go
@@ -52,3 +52,15 @@
 	require.True(t, ok)
 	require.EqualValues(t, 3, pending.Version)
 }
+
+// TestOutageOfTheStoreGivesVersionsTheirTimeAgain replays a version named shortly before the store was away for 8 s: no host
+// could learn of it, so the older one must go on serving after the return. A host that was cut off alone must not wait.
+func TestOutageOfTheStoreGivesVersionsTheirTimeAgain(t *testing.T) {
+	for shared, want := range map[bool]int64{true: 0, false: 2} {
+		table := fleet.NewTable()
+		table.SetWanted(start, fleet.WeightTarget{Model: "m", Version: 2})
+		table.StoreReturned(start.Add(8*time.Second), shared)
+		require.EqualValues(t, want, table.View().Wanted["m"].Due(start.Add(9*time.Second), activate))
+		require.EqualValues(t, 2, table.View().Wanted["m"].Due(start.Add(15*time.Second), activate))
+	}
+}
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -33,6 +33,12 @@
 	outageSlack = 1500 * time.Millisecond
 	// promptAnswer bounds the time in which a slow store answers a watch whose changes were made before the call.
 	promptAnswer = 500 * time.Millisecond
+	// outageQuorum is the number of entry hosts, and outageShare the share of them, that must miss the store for it to count
+	// as away; a fault on the way to some hosts leaves most others in touch.
+	outageQuorum = 3
+	outageShare  = 0.7
+	// retryWait is the wait of the probing watch after a failure, so that the return of the store shows soon.
+	retryWait = 100 * time.Millisecond
 	// expireInterval is the time between two looks for registrations that did not come back.
 	expireInterval = 100 * time.Millisecond
 	// quickFailure is the time below which a failed call is followed by a pause; a longer one was a pause by itself.
@@ -67,6 +73,8 @@
 	current  map[feed.Kind]time.Time
 	answered time.Time
 	random   *rand.Rand
+	// sharedOutage says that most other processes do not reach the store either.
+	sharedOutage bool
 	// probed is closed and replaced whenever the probing watch is answered.
 	probed chan struct{}
 
@@ -108,6 +116,27 @@
 	return bootclock.Since(bootclock.Instant(at))
 }
 
+// Silent reports whether the store has not answered this process for longer than it does in good times.
+func (f *Follower) Silent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent(bootclock.Time())
+}
+
+// silent is Silent with the lock held.
+func (f *Follower) silent(now time.Time) bool {
+	return !f.answered.IsZero() && now.Sub(f.answered) > f.cfg.ProbeWait+outageSlack
+}
+
+// NoteOthers takes how many of the entry hosts known to an agent do not reach the store.
+func (f *Follower) NoteOthers(hosts, silent int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if hosts >= outageQuorum && float64(silent) >= outageShare*float64(hosts) && f.silent(bootclock.Time()) {
+		f.sharedOutage = true
+	}
+}
+
 // LearnNamed takes from another process how long ago a version was named, if this process does not know.
 func (f *Follower) LearnNamed(model core.Model, version int64, age time.Duration) {
 	view := f.View()
@@ -160,7 +189,7 @@
 	since := int64(-1)
 	for ctx.Err() == nil {
 		began := bootclock.Now()
-		next, err := f.step(ctx, kind, since, probe)
+		next, err := f.step(ctx, kind, since, probe, failures > 0)
 		if err == nil {
 			since, failures = next, 0
 			continue
@@ -188,7 +217,7 @@
 }
 
 // step makes one call and returns the revision to watch from.
-func (f *Follower) step(ctx context.Context, kind Kind, since int64, probe bool) (int64, error) {
+func (f *Follower) step(ctx context.Context, kind Kind, since int64, probe, failing bool) (int64, error) {
 	if since < 0 {
 		return f.list(ctx, kind.Kind)
 	}
@@ -196,6 +225,9 @@
 	if probe {
 		wait, parent = f.cfg.ProbeWait, ctx
 	}
+	if probe && failing {
+		wait = retryWait
+	}
 	call, cancel := context.WithTimeout(parent, wait+callSlack)
 	defer cancel()
 	sent := bootclock.Now()
@@ -230,10 +262,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := bootclock.Time()
-	if !f.answered.IsZero() && now.Sub(f.answered) > f.cfg.ProbeWait+outageSlack {
-		f.log.WithField("silent_ms", now.Sub(f.answered).Milliseconds()).Info("store answers again")
-		f.table.StoreReturned(now)
+	if f.silent(now) {
+		f.log.WithField("silent_ms", now.Sub(f.answered).Milliseconds()).WithField("shared", f.sharedOutage).
+			Info("store answers again")
+		f.table.StoreReturned(now, f.sharedOutage)
 	}
+	f.sharedOutage = false
 	f.answered = now
 	if kind == f.cfg.Kinds[0].Kind {
 		close(f.probed)
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -50,7 +50,7 @@
 // RunAgent runs an agent process until ctx ends.
 func RunAgent(ctx context.Context, parts AgentParts) error {
 	follower := follow.New(parts.Source, agentFeed, newRandom(parts.Random), parts.Log)
-	reporter, err := loadshare.NewReporter(parts.Host.Address, parts.Host.PeerPort, follower.View, parts.Log)
+	reporter, err := loadshare.NewReporter(parts.Host.Address, parts.Host.PeerPort, follower.View, follower.NoteOthers, parts.Log)
 	if err != nil {
 		return err
 	}
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -105,8 +105,9 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	sink := loadshare.Sink{Report: e.router.Report, Named: e.follower.LearnNamed}
-	listener, err := loadshare.Listen(parts.Host.Address, parts.Host.PeerPort, e.follower.View, sink, parts.Log)
+	sink := loadshare.Sink{Report: e.router.Report, Named: e.follower.LearnNamed, Others: e.follower.NoteOthers}
+	listener, err := loadshare.Listen(parts.Host.Address, parts.Host.PeerPort, e.follower.View, e.follower.Silent, sink,
+		parts.Log)
 	if err != nil {
 		return err
 	}
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/netip"
 	"sync"
@@ -14,26 +15,35 @@
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
+// asker is an entry host that asked for reports.
+type asker struct {
+	at time.Time
+	// silent says that the store does not answer the host.
+	silent bool
+}
+
 // Reporter sends load reports to the entry hosts that asked for them lately.
 type Reporter struct {
 	conn *net.UDPConn
 	view func() *fleet.View
-	log  *logrus.Entry
+	// others gets the number of entry hosts that ask, and how many of them the store does not answer.
+	others func(hosts, silent int)
+	log    *logrus.Entry
 
 	mu      sync.Mutex
-	askers  map[netip.AddrPort]time.Time
+	askers  map[netip.AddrPort]asker
 	current dispatch.Report
 	born    int64
 	known   bool
 }
 
 // NewReporter opens the socket of an agent at ip.
-func NewReporter(ip string, port int, view func() *fleet.View, log *logrus.Entry) (*Reporter, error) {
+func NewReporter(ip string, port int, view func() *fleet.View, others func(hosts, silent int), log *logrus.Entry) (*Reporter, error) {
 	conn, err := listenUDP(ip, port)
 	if err != nil {
 		return nil, err
 	}
-	return &Reporter{conn: conn, view: view, log: log, askers: make(map[netip.AddrPort]time.Time)}, nil
+	return &Reporter{conn: conn, view: view, others: others, log: log, askers: make(map[netip.AddrPort]asker)}, nil
 }
 
 // Run answers requests and sends reports until ctx ends.
@@ -73,36 +83,44 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := bootclock.Time()
-	for asker, at := range r.askers {
-		if now.Sub(at) > askLife {
-			delete(r.askers, asker)
+	silent := 0
+	for address, known := range r.askers {
+		if now.Sub(known.at) > askLife {
+			delete(r.askers, address)
+		} else if known.silent {
+			silent++
 		}
 	}
+	r.others(len(r.askers), silent)
 	if !r.known || len(r.askers) == 0 {
 		return
 	}
 	r.current.Senders = len(r.askers)
-	body, err := encodeReport(r.born, r.current, recentNames(now, r.view()))
+	body, err := encodeReport(r.born, r.current, silent, recentNames(now, r.view()))
 	if err != nil {
 		r.log.WithError(err).Error("encode load report")
 		return
 	}
-	for asker := range r.askers {
+	for address := range r.askers {
 		// A lost report is followed by another.
-		_, _ = r.conn.WriteToUDPAddrPort(body, asker)
+		_, _ = r.conn.WriteToUDPAddrPort(body, address)
 	}
 }
 
 func (r *Reporter) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
-		_, from, err := r.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := r.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
+		var asked message
+		if json.Unmarshal(buffer[:n], &asked) != nil || asked.Report != nil {
+			continue
+		}
 		r.mu.Lock()
 		if _, known := r.askers[from]; known || len(r.askers) < maxAskers {
-			r.askers[from] = bootclock.Time()
+			r.askers[from] = asker{at: bootclock.Time(), silent: asked.Silent}
 		}
 		r.mu.Unlock()
 	}
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -21,6 +21,8 @@
 type Sink struct {
 	Report func(fleet.ReplicaID, dispatch.Report)
 	Named  func(model core.Model, version int64, age time.Duration)
+	// Others gets the number of entry hosts that ask an agent, and how many of them the store does not answer.
+	Others func(hosts, silent int)
 }
 
 // Listener asks agents for load reports and hands them on.
@@ -28,6 +30,9 @@
 	conn *net.UDPConn
 	port uint16
 	view func() *fleet.View
+	// silent reports whether the store does not answer this host.
+	silent func() bool
+
 	sink Sink
 	log  *logrus.Entry
 	// byHost holds the replicas with an agent by the IP number of their host.
@@ -35,12 +40,12 @@
 }
 
 // Listen opens the socket of an entry host at ip.
-func Listen(ip string, port int, view func() *fleet.View, sink Sink, log *logrus.Entry) (*Listener, error) {
+func Listen(ip string, port int, view func() *fleet.View, silent func() bool, sink Sink, log *logrus.Entry) (*Listener, error) {
 	conn, err := listenUDP(ip, port)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{conn: conn, port: uint16(port), view: view, sink: sink, log: log}, nil
+	return &Listener{conn: conn, port: uint16(port), view: view, silent: silent, sink: sink, log: log}, nil
 }
 
 // Run asks and listens until ctx ends.
@@ -80,7 +85,7 @@
 		byHost[address.Addr()] = append(byHost[address.Addr()], member)
 	}
 	l.byHost.Store(&byHost)
-	body, err := json.Marshal(message{})
+	body, err := json.Marshal(message{Silent: l.silent()})
 	if err != nil {
 		l.log.WithError(err).Error("encode request for reports")
 		return
@@ -111,6 +116,7 @@
 				l.sink.Report(member.ID, received.Report.decode())
 			}
 		}
+		l.sink.Others(received.Report.Senders, received.Report.Silent)
 		for _, name := range received.Report.Named {
 			l.sink.Named(core.Model(name.Model), name.Version, time.Duration(name.AgeMS)*time.Millisecond)
 		}
--- a/transport/loadshare/loadshare_test.go
+++ b/transport/loadshare/loadshare_test.go
@@ -42,12 +42,18 @@
 	var mu sync.Mutex
 	got := map[fleet.ReplicaID]dispatch.Report{}
 	var age time.Duration
-	listener, err := loadshare.Listen("127.0.10.2", port, func() *fleet.View { return view }, loadshare.Sink{
+	var others [2]int
+	listener, err := loadshare.Listen("127.0.10.2", port, func() *fleet.View { return view }, func() bool { return true }, loadshare.Sink{
 		Report: func(id fleet.ReplicaID, report dispatch.Report) {
 			mu.Lock()
 			defer mu.Unlock()
 			got[id] = report
 		},
+		Others: func(hosts, silent int) {
+			mu.Lock()
+			defer mu.Unlock()
+			others = [2]int{hosts, silent}
+		},
 		Named: func(model core.Model, version int64, since time.Duration) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -57,7 +63,7 @@
 		},
 	}, log)
 	require.NoError(t, err)
-	reporter, err := loadshare.NewReporter("127.0.10.1", port, func() *fleet.View { return view }, log)
+	reporter, err := loadshare.NewReporter("127.0.10.1", port, func() *fleet.View { return view }, func(int, int) {}, log)
 	require.NoError(t, err)
 	reporter.Set(2, dispatch.Report{Running: 3, Waiting: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}}})
 
@@ -74,6 +80,7 @@
 	}, 10*time.Second, time.Millisecond)
 	mu.Lock()
 	defer mu.Unlock()
+	require.Equal(t, [2]int{1, 1}, others, "one entry host asks, and the store does not answer it")
 	require.Equal(t, map[fleet.ReplicaID]dispatch.Report{"now": {
 		Running: 3, Waiting: 1, Senders: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}},
 	}}, got)
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -31,6 +31,8 @@
 // message is a datagram. One without a report asks for reports.
 type message struct {
 	Report *report `json:"r,omitempty"`
+	// Silent says, in a request for reports, that the store does not answer the sender.
+	Silent bool `json:"x,omitempty"`
 }
 
 type report struct {
@@ -43,6 +45,8 @@
 	Senders int     `json:"f"`
 	Pace    float64 `json:"p,omitempty"`
 	Named   []named `json:"v,omitempty"`
+	// Silent is the number of senders that the store does not answer.
+	Silent int `json:"x,omitempty"`
 }
 
 // named tells how long ago a version was named.
@@ -75,10 +79,10 @@
 	return list
 }
 
-func encodeReport(born int64, r dispatch.Report, names []named) ([]byte, error) {
+func encodeReport(born int64, r dispatch.Report, silent int, names []named) ([]byte, error) {
 	wire := &report{
 		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Senders: r.Senders, Pace: r.Pace,
-		Named: names,
+		Named: names, Silent: silent,
 	}
 	for _, m := range r.Models {
 		wire.Models = append(wire.Models, model{Name: string(m.Model), Version: m.Version, Layers: m.Layers})
