Read a storm of configurations once

Cause: a watch sends every version of the configuration in full, 100 KB each with 260 routes.

Change: when changes follow each other quickly, an entry lists the newest configuration after its pause and does not watch from the revision before it; agents, which need only engines and origin, refresh it by stale lists every 20 s.

--- a/protocol/feed/feed.go
+++ b/protocol/feed/feed.go
@@ -42,8 +42,8 @@
 // Source is the platform's store as a process reads it. Errors are of type *protocol.Error: CodeExpired says that the
 // history since a revision is gone, so that the kind must be listed again.
 type Source interface {
-	// List returns all records of a kind.
-	List(ctx context.Context, kind Kind) (Batch, error)
+	// List returns all records of a kind. A stale list costs less and may be seconds old.
+	List(ctx context.Context, kind Kind, stale bool) (Batch, error)
 	// Watch returns the changes of a kind since a revision as soon as there is one, and an empty batch after wait.
 	Watch(ctx context.Context, kind Kind, since int64, wait time.Duration) (Batch, error)
 }
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -39,6 +39,12 @@
 	outageShare  = 0.7
 	// retryWait is the wait of the probing watch after a failure, so that the return of the store shows soon.
 	retryWait = 100 * time.Millisecond
+	// emptyRefresh is the mean time between two stale lists of a kind of which there is no record yet.
+	emptyRefresh = 500 * time.Millisecond
+	// unknownRevision stands for a kind that must be listed.
+	unknownRevision = -1
+	// successionPauses is the number of pauses within which changes count as following each other quickly.
+	successionPauses = 3
 	// expireInterval is the time between two looks for registrations that did not come back.
 	expireInterval = 100 * time.Millisecond
 	// quickFailure is the time below which a failed call is followed by a pause; a longer one was a pause by itself.
@@ -50,6 +56,11 @@
 	feed.Kind
 	// Coalesce is the pause after a change, so that changes in quick succession cost one call.
 	Coalesce time.Duration
+	// NewestOnly says that a record replaces those before it, so that after a change in quick succession a list of what is
+	// there now stands in for all changes of the pause.
+	NewestOnly bool
+	// Refresh, when it is set, is the mean time between two stale lists, which take the place of watches.
+	Refresh time.Duration
 }
 
 // Config says what a Follower follows.
@@ -73,6 +84,8 @@
 	current  map[feed.Kind]time.Time
 	answered time.Time
 	random   *rand.Rand
+	// changedAt holds the time of the last change of a kind.
+	changedAt map[feed.Kind]time.Time
 	// sharedOutage says that most other processes do not reach the store either.
 	sharedOutage bool
 	// probed is closed and replaced whenever the probing watch is answered.
@@ -97,7 +110,9 @@
 		listed:  make(map[feed.Kind]bool),
 		current: make(map[feed.Kind]time.Time),
 		probed:  make(chan struct{}),
-		random:  random,
+
+		changedAt: make(map[feed.Kind]time.Time),
+		random:    random,
 	}
 }
 
@@ -186,7 +201,7 @@
 // follow lists a kind and watches it from there, again and again.
 func (f *Follower) follow(ctx context.Context, kind Kind, probe bool) {
 	failures := 0
-	since := int64(-1)
+	since := int64(unknownRevision)
 	for ctx.Err() == nil {
 		began := bootclock.Now()
 		next, err := f.step(ctx, kind, since, probe, failures > 0)
@@ -198,7 +213,7 @@
 			return
 		}
 		if protocol.CodeOf(err) == protocol.CodeExpired {
-			since = -1
+			since = unknownRevision
 			continue
 		}
 		if failures == 0 {
@@ -218,8 +233,8 @@
 
 // step makes one call and returns the revision to watch from.
 func (f *Follower) step(ctx context.Context, kind Kind, since int64, probe, failing bool) (int64, error) {
-	if since < 0 {
-		return f.list(ctx, kind.Kind)
+	if since == unknownRevision || kind.Refresh > 0 {
+		return f.list(ctx, kind)
 	}
 	wait, parent := watchWait, f.watchContext()
 	if probe {
@@ -238,27 +253,61 @@
 		}
 		return since, err
 	}
-	f.take(kind.Kind, batch, false, sent)
-	if len(batch.Records) > 0 {
-		sleep(ctx, kind.Coalesce)
+	f.take(kind.Kind, batch, false, false, sent)
+	if len(batch.Records) == 0 {
+		return batch.At, nil
+	}
+	sleep(ctx, kind.Coalesce)
+	if kind.NewestOnly && f.inQuickSuccession(kind) {
+		return unknownRevision, nil
 	}
 	return batch.At, nil
 }
 
-func (f *Follower) list(ctx context.Context, kind feed.Kind) (int64, error) {
+// inQuickSuccession reports whether the last two changes of a kind were taken within a few pauses.
+func (f *Follower) inQuickSuccession(kind Kind) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := bootclock.Time()
+	last := f.changedAt[kind.Kind]
+	f.changedAt[kind.Kind] = now
+	return !last.IsZero() && now.Sub(last) < successionPauses*kind.Coalesce
+}
+
+func (f *Follower) list(ctx context.Context, kind Kind) (int64, error) {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	stale := kind.Refresh > 0
 	sent := bootclock.Now()
-	batch, err := f.source.List(call, kind)
+	batch, err := f.source.List(call, kind.Kind, stale)
 	if err != nil {
-		return -1, err
+		return unknownRevision, err
+	}
+	f.take(kind.Kind, batch, true, stale, sent)
+	if stale {
+		f.jitteredSleep(ctx, refreshAfter(kind, batch))
 	}
-	f.take(kind, batch, true, sent)
 	return batch.At, nil
 }
 
+// refreshAfter returns the mean time to the next stale list, which is short while there is nothing yet.
+func refreshAfter(kind Kind, batch feed.Batch) time.Duration {
+	if len(batch.Records) == 0 {
+		return min(kind.Refresh, emptyRefresh)
+	}
+	return kind.Refresh
+}
+
+// jitteredSleep waits for half to one and a half times the mean, so that processes do not act together.
+func (f *Follower) jitteredSleep(ctx context.Context, mean time.Duration) {
+	f.mu.Lock()
+	wait := mean/2 + time.Duration(f.random.Int64N(int64(mean)+1))
+	f.mu.Unlock()
+	sleep(ctx, wait)
+}
+
 // take puts a batch into the table. sent is the time of the call: the batch holds all changes before it.
-func (f *Follower) take(kind feed.Kind, batch feed.Batch, whole bool, sent bootclock.Instant) {
+func (f *Follower) take(kind feed.Kind, batch feed.Batch, whole, stale bool, sent bootclock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := bootclock.Time()
@@ -273,7 +322,7 @@
 		close(f.probed)
 		f.probed = make(chan struct{})
 	}
-	if kind == feed.KindConfiguration {
+	if kind == feed.KindConfiguration && !stale {
 		f.confirmed.Store(int64(sent))
 	}
 	since := f.current[kind]
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -28,11 +28,15 @@
 	at      int64
 	expired bool
 	changed chan struct{}
+	// lists counts the lists, sent the records sent by watches.
+	lists map[feed.Kind]int
+	sent  map[feed.Kind]int
 }
 
 func newSource() *source {
 	return &source{
 		records: map[feed.Kind]map[string]feed.Record{}, events: map[feed.Kind][]feed.Record{}, changed: make(chan struct{}),
+		lists: map[feed.Kind]int{}, sent: map[feed.Kind]int{},
 	}
 }
 
@@ -63,9 +67,10 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *source) List(_ context.Context, kind feed.Kind) (feed.Batch, error) {
+func (s *source) List(_ context.Context, kind feed.Kind, _ bool) (feed.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lists[kind]++
 	batch := feed.Batch{At: s.at}
 	for _, record := range s.records[kind] {
 		batch.Records = append(batch.Records, record)
@@ -89,6 +94,9 @@
 			return feed.Batch{}, protocol.Errorf(protocol.CodeExpired, "history is gone")
 		}
 		if len(batch.Records) > 0 {
+			s.mu.Lock()
+			s.sent[kind] += len(batch.Records)
+			s.mu.Unlock()
 			return batch, nil
 		}
 		select {
@@ -102,12 +110,17 @@
 }
 
 func start(t *testing.T, s *source) *follow.Follower {
+	t.Helper()
+	return startWith(t, s, follow.Kind{Kind: feed.KindConfiguration})
+}
+
+func startWith(t *testing.T, s *source, first follow.Kind) *follow.Follower {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	follower := follow.New(s, follow.Config{
 		Kinds: []follow.Kind{
-			{Kind: feed.KindConfiguration}, {Kind: feed.KindReplicas}, {Kind: feed.KindEvacuations}, {Kind: feed.KindWeightTargets},
+			first, {Kind: feed.KindReplicas}, {Kind: feed.KindEvacuations}, {Kind: feed.KindWeightTargets},
 		},
 		ProbeWait: 50 * time.Millisecond,
 	}, rand.New(rand.NewPCG(1, 1)), logrus.NewEntry(logger))
@@ -204,3 +217,36 @@
 	require.EqualValues(t, 2, wanted[0].Version)
 	require.False(t, wanted[1].Since.IsZero())
 }
+
+// TestStormOfConfigurationsIsReadOnce guards against a link that fills up: a watch sends every version of the configuration
+// in full, 100 KB each where there are 260 routes, and the newest one is enough.
+func TestStormOfConfigurationsIsReadOnce(t *testing.T) {
+	const versions = 40
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	follower := startWith(t, s, follow.Kind{Kind: feed.KindConfiguration, Coalesce: 50 * time.Millisecond, NewestOnly: true})
+	eventually(t, func() bool { return follower.View().Known() })
+	for version := range int64(versions) {
+		s.put(feed.KindConfiguration, configuration(version+2))
+		if version%4 == 3 {
+			eventually(t, func() bool { return follower.View().Configuration.Version == version+2 })
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// Each group of four costs one record from a watch and one from a list, and may take one watch more.
+	require.LessOrEqual(t, s.sent[feed.KindConfiguration]+s.lists[feed.KindConfiguration], 3*versions/4+1)
+}
+
+// TestRefreshedKindIsListedAndNotWatched guards against hosts that watch what they need only once in a while.
+func TestRefreshedKindIsListedAndNotWatched(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	follower := startWith(t, s, follow.Kind{Kind: feed.KindConfiguration, Refresh: time.Millisecond})
+	eventually(t, func() bool { return follower.View().Known() })
+	s.put(feed.KindConfiguration, configuration(2))
+	eventually(t, func() bool { return follower.View().Configuration.Version == 2 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Zero(t, s.sent[feed.KindConfiguration])
+}
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -28,7 +28,8 @@
 	Kinds: []follow.Kind{
 		{Kind: feed.KindWeightTargets, Coalesce: 100 * time.Millisecond},
 		{Kind: feed.KindReplicas, Coalesce: 5 * time.Second},
-		{Kind: feed.KindConfiguration, Coalesce: 5 * time.Second},
+		// Of the configuration an agent needs the engines and the origin, which seldom change.
+		{Kind: feed.KindConfiguration, Refresh: 20 * time.Second},
 	},
 	ProbeWait: 6 * time.Second,
 }
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -51,7 +51,7 @@
 // which the platform wants drains, configurations and evacuations in force.
 var entryFeed = follow.Config{
 	Kinds: []follow.Kind{
-		{Kind: feed.KindConfiguration, Coalesce: 700 * time.Millisecond},
+		{Kind: feed.KindConfiguration, Coalesce: 700 * time.Millisecond, NewestOnly: true},
 		{Kind: feed.KindReplicas, Coalesce: 700 * time.Millisecond},
 		{Kind: feed.KindEvacuations, Coalesce: 600 * time.Millisecond},
 		{Kind: feed.KindWeightTargets, Coalesce: 300 * time.Millisecond},
