Refuse older versions from 0.78 of the bound on

Ruled out: limiting each entry to its share near the bound; 12 prompts at once take 0.9 s, so the share would be next to nothing.

Change: 0.78 and 0.70; the last load is ordered 5.2 s after the naming.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -24,10 +24,10 @@
 	// readyLifeShare is the share after which the host sends new callers elsewhere.
 	readyLifeShare = 0.7
 	// activateShare is the share of the platform's bound after which only the newest version of a model is used.
-	activateShare = 0.84
+	activateShare = 0.78
 	// activateSoonShare is the share after which older versions get only requests that begin at once; under load a request
 	// waits for about a second.
-	activateSoonShare = 0.75
+	activateSoonShare = 0.7
 )
 
 // newHostedCommand returns the command that runs a process with the settings that the platform gives it.
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -28,7 +28,7 @@
 
 // DefaultConfig returns the settings used unless others are given. The times fit a bound of 8 s for the activation.
 func DefaultConfig() Config {
-	return Config{First: 3 * time.Second, Last: 5800 * time.Millisecond, Fetch: 3500 * time.Millisecond}
+	return Config{First: 3 * time.Second, Last: 5200 * time.Millisecond, Fetch: 3500 * time.Millisecond}
 }
 
 // Target returns the version that a host brings in next, or 0. It is the newest one, unless an older one that the worker
