Keep the notice of a load until the order

Cause: an agent compared the worker's report with the version of its last order; the report of an earlier load, read between the notice and the next order, ended the notice, and entries sent requests that waited for the load.

Measured: the new test failed before (1 order without notice) and passes after.

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -107,7 +107,7 @@
 	loading bool
 	// complete is the version whose pieces have all been staged in the worker's present run.
 	complete target
-	// ordered is the time of the last order, and order the version that it named.
+	// order is the version last announced or ordered, and ordered the time of the last order.
 	ordered time.Time
 	order   target
 	changed chan struct{}
@@ -228,6 +228,14 @@
 	}, urgent)
 }
 
+// announce tells entry hosts that the worker takes no new work until it has loaded a version.
+func (a *Agent) announce(t target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.order, a.loading = t, true
+	a.publish(true)
+}
+
 func (a *Agent) setLoading(loading bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -332,7 +340,7 @@
 	if err := a.verify(ctx, t); err != nil {
 		return err
 	}
-	a.setLoading(true)
+	a.announce(t)
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
@@ -345,7 +353,7 @@
 	})
 	varLoads.Add(1)
 	a.mu.Lock()
-	a.ordered, a.order = a.Now(), t
+	a.ordered = a.Now()
 	a.mu.Unlock()
 	if err != nil {
 		varLoadFaults.Add(1)
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -48,6 +48,8 @@
 	wrong []string
 	// rot is the number of times that the piece with index 5 turns bad right after it was staged.
 	rot int
+	// beforeLoad runs when an order arrives.
+	beforeLoad func()
 }
 
 func newWorker() *fakeWorker { return &fakeWorker{born: 1, staged: map[int][]byte{}} }
@@ -80,6 +82,9 @@
 }
 
 func (w *fakeWorker) Load(_ context.Context, order worker.Load) error {
+	if w.beforeLoad != nil {
+		w.beforeLoad()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if order.ExpectedOrders != w.orders {
@@ -174,6 +179,11 @@
 
 // agent starts an agent at a loopback address of its own beside w and returns its load reports.
 func (g *group) agent(ip string, w worker.Worker) *reports {
+	g.t.Helper()
+	return g.agentWith(ip, w, func(*staging.Config) {})
+}
+
+func (g *group) agentWith(ip string, w worker.Worker, change func(*staging.Config)) *reports {
 	g.t.Helper()
 	g.mu.Lock()
 	g.table.SetReplica(time.Now(), 1, &fleet.Replica{
@@ -189,6 +199,7 @@
 	cfg.Rollout.First, cfg.Rollout.Last = 0, 50*time.Millisecond
 	cfg.Transfer.TakeOver, cfg.Transfer.Avoid = 200*time.Millisecond, 50*time.Millisecond
 	cfg.Transfer.RetryBase, cfg.Transfer.RetryCap = 5*time.Millisecond, 20*time.Millisecond
+	change(&cfg)
 	agent := staging.New(staging.Parts{
 		Config: cfg, Address: ip, Replica: ip + ":80", Upstream: "llm", Region: "ra", FailureDomain: "a",
 		Regions: map[core.FailureDomain]core.Region{"a": "ra"}, PeerPort: peerPort,
@@ -339,6 +350,34 @@
 	})
 }
 
+// TestNoticeOfALoadHoldsUntilTheOrder guards against requests for a worker that is about to load: they would wait for the
+// load and begin seconds later. The report of an earlier load must not end the notice of the next.
+func TestNoticeOfALoadHoldsUntilTheOrder(t *testing.T) {
+	g := newGroup(t)
+	g.want(2)
+	w := newWorker()
+	var seen *reports
+	var mu sync.Mutex
+	var unannounced int
+	w.beforeLoad = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		// The agent reads the worker's report every 5 ms, and so several times between the notice and the order.
+		if seen != nil && !seen.last().Loading {
+			unannounced++
+		}
+	}
+	mu.Lock()
+	seen = g.agentWith("127.0.11.1", w, func(cfg *staging.Config) { cfg.Announce = 50 * time.Millisecond })
+	mu.Unlock()
+	eventually(t, func() bool { return w.version() == 2 })
+	g.want(3)
+	eventually(t, func() bool { return w.version() == 3 })
+	mu.Lock()
+	defer mu.Unlock()
+	require.Zero(t, unannounced)
+}
+
 // TestNewHostsGetPiecesFromHostsThatHaveLoaded guards against a copy from the origin for every host that is added.
 func TestNewHostsGetPiecesFromHostsThatHaveLoaded(t *testing.T) {
 	g := newGroup(t)
