Share the room of a replica among the entries that see it

Cause: all entries see the same load report. Besides, a host finished version 2 before it fetched version 3, named 3 s later, and no replica served for about 3 s.

Change: within the time of a report an entry sends no more than its share of the room, times 1.5; an older version is finished only when it is staged; the next version is fetched while the worker ends its requests before a load.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -151,6 +151,8 @@
 		return false
 	case r.load(&b.cfg, now) >= r.slots()+b.cfg.Overcommit:
 		return false
+	case r.rushed(&b.cfg, now):
+		return false
 	}
 	return b.coldRoom(now, r)
 }
--- a/coordination/dispatch/balancer_test.go
+++ b/coordination/dispatch/balancer_test.go
@@ -73,6 +73,27 @@
 	require.EqualValues(t, "r1", choice.ID, "an old report says nothing")
 }
 
+// TestHostsDoNotRushToTheFirstReplicaWithRoom replays the moment after a rollout at which one replica has loaded and 22 entries
+// see it empty: together they sent it 60 requests, which waited up to 3 s.
+func TestHostsDoNotRushToTheFirstReplicaWithRoom(t *testing.T) {
+	const hosts = 22
+	loaded := member("r1", "a")
+	loaded.Slots = 12
+	total := 0
+	for host := range hosts {
+		b := dispatch.NewBalancer(config(), rand.New(rand.NewPCG(1, uint64(host))))
+		b.SetView(view(loaded))
+		b.Report(start, "r1", dispatch.Report{Senders: hosts, Models: loaded.Models})
+		for range 20 {
+			if _, verdict := b.Pick(start, request()); verdict == dispatch.VerdictChosen {
+				total++
+			}
+		}
+	}
+	require.LessOrEqual(t, total, 2*loaded.Slots)
+	require.GreaterOrEqual(t, total, loaded.Slots)
+}
+
 // TestLeavingAndEvacuatedReplicasGetNothing guards against new work for replicas that are out of service.
 func TestLeavingAndEvacuatedReplicasGetNothing(t *testing.T) {
 	leaving, out := member("r1", "a"), member("r2", "b")
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -22,6 +22,9 @@
 	Jitter float64
 	// Overcommit is the number of requests beyond its slots that a replica is sent.
 	Overcommit int
+	// RushFactor is the number of times that the free room of a replica is shared out to the hosts that send to it, within the
+	// time that a report takes. It is above 1 because not all of them send at once.
+	RushFactor float64
 	// ReportLife is the time for which a load report is used.
 	ReportLife time.Duration
 	// ReportLag is the age that a load report has when it arrives.
@@ -56,6 +59,7 @@
 		DomainPenalty:  0.1,
 		Jitter:         0.12,
 		Overcommit:     1,
+		RushFactor:     1.5,
 		ReportLife:     1500 * time.Millisecond,
 		ReportLag:      250 * time.Millisecond,
 		EjectBase:      800 * time.Millisecond,
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/limits"
@@ -49,6 +50,17 @@
 	return max(r.inFlight, r.report.Running+r.report.Waiting+r.unseen(cfg))
 }
 
+// rushed reports whether this host has sent its share of the room that the last report showed. All hosts see the same report,
+// and after a scarcity all would send to the first replica with room.
+func (r *replica) rushed(cfg *Config, now time.Time) bool {
+	if !r.fresh(cfg, now) || r.report.Senders < 2 {
+		return false
+	}
+	room := r.slots() + cfg.Overcommit - r.report.Running - r.report.Waiting
+	share := math.Ceil(cfg.RushFactor * float64(room) / float64(r.report.Senders))
+	return float64(r.unseen(cfg)) >= max(share, 1)
+}
+
 // unseen returns the number of requests sent after the moment that the report shows.
 func (r *replica) unseen(cfg *Config) int {
 	from := r.reported.Add(-cfg.ReportLag)
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -32,10 +32,10 @@
 }
 
 // Target returns the version that a host brings in next, or 0. It is the newest one, unless an older one that the worker
-// lacks comes into force before the newest could be there.
-func Target(cfg Config, now time.Time, wanted fleet.Wanted, loaded int64) int64 {
+// lacks is staged and comes into force before the newest could be there. loaded is the version loaded or being loaded.
+func Target(cfg Config, now time.Time, wanted fleet.Wanted, loaded, staged int64) int64 {
 	pending, ok := wanted.Pending(loaded)
-	if !ok || cfg.Activate <= 0 {
+	if !ok || cfg.Activate <= 0 || pending.Version != staged {
 		return wanted.Newest()
 	}
 	for _, named := range wanted {
@@ -53,7 +53,7 @@
 	Now time.Time
 	// Wanted is the version to serve; 0 means none.
 	Wanted int64
-	// Loaded is the version that the worker has loaded whole; 0 means none.
+	// Loaded is the version that the worker has loaded whole or is loading; 0 means none.
 	Loaded int64
 	// Busy says that the worker is carrying out an order.
 	Busy bool
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -22,24 +22,33 @@
 	return cfg
 }
 
-// TestOlderVersionIsFinishedWhereNewestComesTooLate replays two versions 4 s apart: the first is due before the second could
-// have been fetched, so leaving it would leave no replica to serve.
+// TestOlderVersionIsFinishedWhereNewestComesTooLate replays two versions 4 s apart: the first is staged and due before the
+// second could have been fetched, so leaving it would leave no replica to serve.
 func TestOlderVersionIsFinishedWhereNewestComesTooLate(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: start}, {Version: 3, Since: start.Add(4 * time.Second)}}
-	require.EqualValues(t, 2, rollout.Target(config(), start.Add(4*time.Second), wanted, 1))
-	require.EqualValues(t, 3, rollout.Target(config(), start.Add(4*time.Second), wanted, 2))
+	require.EqualValues(t, 2, rollout.Target(config(), start.Add(4*time.Second), wanted, 1, 2))
+	require.EqualValues(t, 3, rollout.Target(config(), start.Add(4*time.Second), wanted, 2, 2))
 }
 
 // TestOlderVersionIsPassedOverWhereNewestComesInTime replays two versions 2 s apart, of which one load is enough.
 func TestOlderVersionIsPassedOverWhereNewestComesInTime(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: start}, {Version: 3, Since: start.Add(2 * time.Second)}}
-	require.EqualValues(t, 3, rollout.Target(config(), start.Add(2*time.Second), wanted, 1))
+	require.EqualValues(t, 3, rollout.Target(config(), start.Add(2*time.Second), wanted, 1, 2))
+}
+
+// TestOlderVersionThatIsNotStagedIsPassedOver replays two versions 3 s apart on a large upstream: bringing in both took until
+// 5 s after the second was due, with no replica to serve for 3 s.
+func TestOlderVersionThatIsNotStagedIsPassedOver(t *testing.T) {
+	wanted := fleet.Wanted{{Version: 2, Since: start}, {Version: 3, Since: start.Add(3 * time.Second)}}
+	now := start.Add(3500 * time.Millisecond)
+	require.EqualValues(t, 3, rollout.Target(config(), now, wanted, 1, 1))
+	require.EqualValues(t, 2, rollout.Target(config(), now.Add(time.Second), wanted, 1, 2))
 }
 
 // TestVersionPastItsTimeIsPassedOver guards against loading a version that no request may use any more.
 func TestVersionPastItsTimeIsPassedOver(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: start}, {Version: 3, Since: start.Add(4 * time.Second)}}
-	require.EqualValues(t, 3, rollout.Target(config(), start.Add(8*time.Second), wanted, 1))
+	require.EqualValues(t, 3, rollout.Target(config(), start.Add(8*time.Second), wanted, 1, 2))
 }
 
 // TestReplicasDoNotLoadTogether guards against a rollout that takes much of an upstream at one moment, and against one that
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -110,7 +110,9 @@
 	// order is the version last announced or ordered, and ordered the time of the last order.
 	ordered time.Time
 	order   target
-	changed chan struct{}
+	// accepted is the version of the last order if the worker accepted it.
+	accepted target
+	changed  chan struct{}
 }
 
 // New returns an Agent.
@@ -194,7 +196,7 @@
 	}
 	if report.Born != a.report.Born {
 		// A restarted worker may have lost what was staged.
-		a.complete = target{}
+		a.complete, a.accepted = target{}, target{}
 		a.loading = false
 	}
 	a.noteLoaded(report)
@@ -277,7 +279,9 @@
 	case rollout.ActionLoad:
 		return a.load(ctx, t, report)
 	case rollout.ActionNone:
-		a.setLoading(false)
+		if !state.Busy {
+			a.setLoading(false)
+		}
 		return a.keepForPeers(ctx, t, state)
 	}
 	return nil
@@ -296,14 +300,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Now()
-	loaded, _ := fleet.LoadedVersion(a.report.Models, t.model, spec.Layers)
-	settling := now.Sub(a.ordered) < a.Config.SettleTime
+	loaded := a.loadedOrLoading(t.model, spec.Layers)
 	pending, _ := wanted.Pending(loaded)
 	return rollout.State{
 		Now:      now,
 		Wanted:   t.version,
 		Loaded:   loaded,
-		Busy:     !a.answered || a.report.Busy || settling,
+		Busy:     !a.answered || a.carryingOut(),
 		Complete: a.complete == t,
 		Turn:     rollout.Turn(a.Config.Rollout, pending, view.Members, a.Upstream, a.Replica),
 	}, a.report
@@ -353,7 +356,10 @@
 	})
 	varLoads.Add(1)
 	a.mu.Lock()
-	a.ordered = a.Now()
+	a.ordered, a.accepted = a.Now(), target{}
+	if err == nil {
+		a.accepted = t
+	}
 	a.mu.Unlock()
 	if err != nil {
 		varLoadFaults.Add(1)
@@ -412,8 +418,26 @@
 func (a *Agent) targetVersion(wanted fleet.Wanted, model core.Model, layers int) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	staged := int64(0)
+	if a.complete.model == model {
+		staged = a.complete.version
+	}
+	return rollout.Target(a.Config.Rollout, a.Now(), wanted, a.loadedOrLoading(model, layers), staged)
+}
+
+// carryingOut reports whether the worker is at an order, or may not show it in its report yet; the caller holds the lock.
+func (a *Agent) carryingOut() bool {
+	return a.report.Busy || a.Now().Sub(a.ordered) < a.Config.SettleTime
+}
+
+// loadedOrLoading returns the version that the worker has loaded or was ordered to load; the caller holds the lock. The pieces
+// of the next version may come in while the worker still ends its requests before a load.
+func (a *Agent) loadedOrLoading(model core.Model, layers int) int64 {
 	loaded, _ := fleet.LoadedVersion(a.report.Models, model, layers)
-	return rollout.Target(a.Config.Rollout, a.Now(), wanted, loaded)
+	if a.accepted.model == model && a.carryingOut() {
+		loaded = max(loaded, a.accepted.version)
+	}
+	return loaded
 }
 
 // State is the state of an Agent, for dumps.
