Keep requests near and share room more tightly

Cause: a replica that all entries send to is judged by reports of others' requests that are up to 0.45 s old; the fewer entries share it, the better the judgement.

Change: the penalty for another region is 0.5 of the slots (0.25 before), the share of the room 0.7 (1.5 before).

--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -55,11 +55,11 @@
 // DefaultConfig returns the settings used unless others are given.
 func DefaultConfig() Config {
 	return Config{
-		RegionPenalty:  0.25,
+		RegionPenalty:  0.5,
 		DomainPenalty:  0.1,
 		Jitter:         0.12,
 		Overcommit:     1,
-		RushFactor:     1.5,
+		RushFactor:     0.7,
 		ReportLife:     1500 * time.Millisecond,
 		ReportLag:      250 * time.Millisecond,
 		EjectBase:      800 * time.Millisecond,
