--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -4,7 +4,9 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -73,3 +75,33 @@
 	}
 	return -1
 }
+
+// adapter is the folder that knows the users' platform.
+const adapter = module + "platform"
+
+// TestOnlyTheProgramImportsTheAdapter guards against product code that depends on the users' platform.
+func TestOnlyTheProgramImportsTheAdapter(t *testing.T) {
+	for _, dir := range append(slices.Clone(layers), "internal", "bench") {
+		walkGoFiles(t, filepath.Join(root, dir), func(path, imported string) {
+			require.NotEqual(t, adapter, imported, "%s imports the adapter", path)
+		})
+	}
+}
+
+// TestAdapterNamesStayInTheAdapter guards against names of the users' platform in product code.
+func TestAdapterNamesStayInTheAdapter(t *testing.T) {
+	names := []string{"X-Guavatrestle-", "GUAVATRESTLE_BOOT", "cold_remaining_ms", "stage-put", "stage-get", "api_keys"}
+	for _, dir := range append(slices.Clone(layers), "cmd", "internal/bootclock") {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			body, err := os.ReadFile(path)
+			for _, name := range names {
+				require.NotContains(t, string(body), name, "%s names what only the adapter knows", path)
+			}
+			return err
+		})
+		require.NoError(t, err)
+	}
+}
--- a/transport/ingress/metrics.go
+++ b/transport/ingress/metrics.go
@@ -1,6 +1,19 @@
 package ingress
 
-import "expvar"
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxLatency is the longest latency that the histogram tells apart; no deadline is longer.
+	maxLatency = 2 * time.Minute
+	// latencyDigits is the precision of the histogram in decimal digits.
+	latencyDigits = 2
+)
 
 // Counters of the request path.
 var (
@@ -13,4 +26,48 @@
 	varCut       = expvar.NewInt("ingress_streams_cut")
 	varAbandoned = expvar.NewInt("ingress_abandoned")
 	varLogLost   = expvar.NewInt("ingress_log_lines_dropped")
+
+	varLatency = newLatency()
 )
+
+func init() { expvar.Publish("ingress_latency_ms", expvar.Func(varLatency.quantiles)) }
+
+// latency is a histogram of the time from the arrival of a request to its answer or to the first event of its stream.
+type latency struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+func newLatency() *latency {
+	return &latency{histogram: hdrhistogram.New(1, maxLatency.Milliseconds(), latencyDigits)}
+}
+
+func (l *latency) record(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// A value out of range is longer than any deadline and counts as the longest.
+	_ = l.histogram.RecordValue(min(max(d.Milliseconds(), 1), maxLatency.Milliseconds()))
+}
+
+// latencyQuantiles is how the histogram is shown, in milliseconds.
+type latencyQuantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P90   int64 `json:"p90"`
+	P95   int64 `json:"p95"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+func (l *latency) quantiles() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return latencyQuantiles{
+		Count: l.histogram.TotalCount(),
+		P50:   l.histogram.ValueAtQuantile(50),
+		P90:   l.histogram.ValueAtQuantile(90),
+		P95:   l.histogram.ValueAtQuantile(95),
+		P99:   l.histogram.ValueAtQuantile(99),
+		Max:   l.histogram.Max(),
+	}
+}
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -121,6 +121,7 @@
 		return
 	}
 	c.stream.started = true
+	varLatency.record(c.h.Now().Sub(c.arrived))
 	target := c.w.Header()
 	headers.RemoveHopByHop(response.Header)
 	delete(response.Header, "Content-Length")
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -205,6 +205,7 @@
 		return last
 	}
 	guard.settle()
+	varLatency.record(c.h.Now().Sub(c.arrived))
 	whole := &answer{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
 		return end{outcome: dispatch.OutcomeFailed, answer: whole, err: eris.Errorf("replica answered %d", response.Status)}
