--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -155,7 +155,6 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          nil,
 	}}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+e.ReadyPath, e.serveReady)
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport"
 )
 
 const (
@@ -186,7 +187,7 @@
 		r.Log.WithError(err).WithField("piece", fetch.Index).WithField("version", r.target.version).
 			WithField("peer", fetch.Source.Peer).Info("fetch piece")
 	}
-	result := transfer.Result{Fetch: fetch, Outcome: outcomeOf(err)}
+	result := transfer.Result{Fetch: fetch, Outcome: transport.FetchOutcome(err)}
 	countPiece(fetch, result.Outcome, len(data))
 	r.send(ctx, func(now time.Time) {
 		if held != nil {
@@ -249,22 +250,6 @@
 	return a.Worker.Staged(ctx, model, index)
 }
 
-func outcomeOf(err error) transfer.Outcome {
-	if err == nil {
-		return transfer.OutcomeHeld
-	}
-	switch protocol.CodeOf(err) {
-	case protocol.CodeMalformed:
-		return transfer.OutcomeBad
-	case protocol.CodeRateLimited:
-		return transfer.OutcomeBusy
-	case protocol.CodeNotFound:
-		return transfer.OutcomeMissing
-	default:
-		return transfer.OutcomeFailed
-	}
-}
-
 // digestOf makes the key by which the hosts of a rollout rank each other.
 func digestOf(t target) core.Digest {
 	return core.Digest(string(t.model) + "/" + strconv.FormatInt(t.version, 10))
--- a/transport/weights/fetch.go
+++ b/transport/weights/fetch.go
@@ -17,6 +17,7 @@
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/settings"
 	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport"
 	"github.com/guavatrestle/guavatrestle/transport/upstream"
 )
 
@@ -204,7 +205,7 @@
 	} else {
 		held, err = r.fromPeer(ctx, fetch, peer)
 	}
-	result := transfer.Result{Fetch: fetch, Outcome: outcomeOf(err), RetryAfter: retryAfterOf(err)}
+	result := transfer.Result{Fetch: fetch, Outcome: transport.FetchOutcome(err), RetryAfter: retryAfterOf(err)}
 	countFetch(result.Outcome)
 	if err == nil {
 		r.reason.Store("")
@@ -280,22 +281,6 @@
 	return protocol.Errorf(protocol.CodeMalformed, "chunk %d of version %s does not match its hash", index, r.digest)
 }
 
-func outcomeOf(err error) transfer.Outcome {
-	if err == nil {
-		return transfer.OutcomeHeld
-	}
-	switch protocol.CodeOf(err) {
-	case protocol.CodeMalformed:
-		return transfer.OutcomeBad
-	case protocol.CodeRateLimited:
-		return transfer.OutcomeBusy
-	case protocol.CodeNotFound:
-		return transfer.OutcomeMissing
-	default:
-		return transfer.OutcomeFailed
-	}
-}
-
 func retryAfterOf(err error) time.Duration {
 	var e *protocol.Error
 	if eris.As(err, &e) {
