--- a/transport/hosted/hosted_test.go
+++ b/transport/hosted/hosted_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -81,9 +82,12 @@
 		_, _ = io.WriteString(w, "whole")
 	}))
 	defer replica.Close()
+	releaseReplica := sync.OnceFunc(func() { close(release) })
+	defer releaseReplica()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
 	ended := make(chan error, 1)
 	go func() {
 		ended <- hosted.RunEntry(ctx, hosted.EntryParts{
@@ -116,7 +120,7 @@
 	status, body := get(t, callers, "/late")
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, "whole", body)
-	close(release)
+	releaseReplica()
 	require.Equal(t, "whole", <-answers)
 	require.NoError(t, <-ended)
 }
