Read the platform's store less often

A stale list tells no time of naming. An empty list is read again soon only for kinds that a running fleet has. A watch that ended its wait confirms the configuration up to that end, not up to its sending, so entries probe each 1.6 s at no greater age of keys.

--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -61,6 +61,8 @@
 	NewestOnly bool
 	// Refresh, when it is set, is the mean time between two stale lists, which take the place of watches.
 	Refresh time.Duration
+	// AwaitFirst says that a running fleet has records of the kind, so that an empty list is soon followed by another.
+	AwaitFirst bool
 }
 
 // Config says what a Follower follows.
@@ -152,6 +154,21 @@
 	}
 }
 
+// HearNamed takes from another process that a version was named, and how long ago.
+func (f *Follower) HearNamed(model core.Model, version int64, age time.Duration) {
+	view := f.View()
+	if !view.Known() || version <= view.Wanted[model].Newest() {
+		f.LearnNamed(model, version, age)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.SetWanted(bootclock.Time().Add(-age), fleet.WeightTarget{Model: model, Version: version})
+	f.log.WithField("model", model).WithField("version", version).WithField("age_ms", age.Milliseconds()).
+		Info("version wanted, as another host says")
+	f.publish()
+}
+
 // LearnNamed takes from another process how long ago a version was named, if this process does not know.
 func (f *Follower) LearnNamed(model core.Model, version int64, age time.Duration) {
 	view := f.View()
@@ -253,10 +270,11 @@
 		}
 		return since, err
 	}
-	f.take(kind.Kind, batch, false, false, sent)
 	if len(batch.Records) == 0 {
+		f.take(kind.Kind, batch, false, false, waited(sent, wait))
 		return batch.At, nil
 	}
+	f.take(kind.Kind, batch, false, false, sent)
 	sleep(ctx, kind.Coalesce)
 	if kind.NewestOnly && f.inQuickSuccession(kind) {
 		return unknownRevision, nil
@@ -264,6 +282,15 @@
 	return batch.At, nil
 }
 
+// waited returns the time up to which a watch without a change tells that there was none: the store answers it at the end of
+// its wait, unless it was cut off before.
+func waited(sent bootclock.Instant, wait time.Duration) bootclock.Instant {
+	if bootclock.Since(sent) < wait {
+		return sent
+	}
+	return sent + bootclock.Instant(wait)
+}
+
 // inQuickSuccession reports whether the last two changes of a kind were taken within a few pauses.
 func (f *Follower) inQuickSuccession(kind Kind) bool {
 	f.mu.Lock()
@@ -290,9 +317,9 @@
 	return batch.At, nil
 }
 
-// refreshAfter returns the mean time to the next stale list, which is short while there is nothing yet.
+// refreshAfter returns the mean time to the next stale list.
 func refreshAfter(kind Kind, batch feed.Batch) time.Duration {
-	if len(batch.Records) == 0 {
+	if kind.AwaitFirst && len(batch.Records) == 0 {
 		return min(kind.Refresh, emptyRefresh)
 	}
 	return kind.Refresh
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -116,14 +116,19 @@
 
 func startWith(t *testing.T, s *source, first follow.Kind) *follow.Follower {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	follower := follow.New(s, follow.Config{
+	return startConfigured(t, s, follow.Config{
 		Kinds: []follow.Kind{
 			first, {Kind: feed.KindReplicas}, {Kind: feed.KindEvacuations}, {Kind: feed.KindWeightTargets},
 		},
 		ProbeWait: 50 * time.Millisecond,
-	}, rand.New(rand.NewPCG(1, 1)), logrus.NewEntry(logger))
+	})
+}
+
+func startConfigured(t *testing.T, s feed.Source, cfg follow.Config) *follow.Follower {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	follower := follow.New(s, cfg, rand.New(rand.NewPCG(1, 1)), logrus.NewEntry(logger))
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { follower.Run(ctx) })
@@ -250,3 +255,80 @@
 	defer s.mu.Unlock()
 	require.Zero(t, s.sent[feed.KindConfiguration])
 }
+
+// TestQuietWatchConfirmsUpToTheEndOfItsWait guards against API keys that age while the store says that nothing changed.
+func TestQuietWatchConfirmsUpToTheEndOfItsWait(t *testing.T) {
+	const wait = 400 * time.Millisecond
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	follower := startConfigured(t, s, follow.Config{Kinds: []follow.Kind{{Kind: feed.KindConfiguration}}, ProbeWait: wait})
+	eventually(t, func() bool { return follower.View().Known() && follower.Age() >= wait })
+	eventually(t, func() bool { return follower.Age() < wait/2 })
+}
+
+// TestWatchCutOffEarlyConfirmsNothingMore guards against keys that are trusted for a wait that never was.
+func TestWatchCutOffEarlyConfirmsNothingMore(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	follower := startConfigured(t, &hasty{source: s}, follow.Config{
+		Kinds: []follow.Kind{{Kind: feed.KindConfiguration}}, ProbeWait: time.Hour,
+	})
+	eventually(t, func() bool { return follower.View().Known() })
+	for range 50 {
+		require.GreaterOrEqual(t, follower.Age(), time.Duration(0))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// hasty is a source that ends every watch before its wait.
+type hasty struct{ *source }
+
+func (h *hasty) Watch(ctx context.Context, kind feed.Kind, since int64, _ time.Duration) (feed.Batch, error) {
+	return h.source.Watch(ctx, kind, since, time.Millisecond)
+}
+
+// TestVersionHeardFromAnotherHostIsWantedAtOnce guards against hosts that wait for their next stale list to bring a version in.
+func TestVersionHeardFromAnotherHostIsWantedAtOnce(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 3}})
+	follower := start(t, s)
+	eventually(t, func() bool { return follower.View().Known() })
+	follower.HearNamed("m", 4, time.Second)
+	wanted := follower.View().Wanted["m"]
+	require.EqualValues(t, 4, wanted.Newest())
+	require.False(t, wanted[len(wanted)-1].Since.IsZero())
+	follower.HearNamed("m", 3, 2*time.Second)
+	require.EqualValues(t, 4, follower.View().Wanted["m"].Newest())
+}
+
+// TestStaleListTellsNoTimeOfNaming guards against a version whose time begins late: a stale list may show it long after it was
+// named.
+func TestStaleListTellsNoTimeOfNaming(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	follower := startConfigured(t, s, follow.Config{Kinds: []follow.Kind{
+		{Kind: feed.KindWeightTargets, Refresh: 10 * time.Millisecond}, {Kind: feed.KindConfiguration},
+	}, ProbeWait: time.Second})
+	eventually(t, func() bool { return follower.View().Known() })
+	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 3}})
+	eventually(t, func() bool { return follower.View().Wanted["m"].Newest() == 3 })
+	require.True(t, follower.View().Wanted["m"][0].Since.IsZero())
+}
+
+// TestEmptyKindIsListedSeldom guards against calls that go on for as long as nothing is named.
+func TestEmptyKindIsListedSeldom(t *testing.T) {
+	s := newSource()
+	startConfigured(t, s, follow.Config{Kinds: []follow.Kind{
+		{Kind: feed.KindConfiguration, Refresh: time.Minute, AwaitFirst: true},
+		{Kind: feed.KindWeightTargets, Refresh: time.Minute},
+	}, ProbeWait: time.Second})
+	eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.lists[feed.KindConfiguration] >= 3
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Equal(t, 1, s.lists[feed.KindWeightTargets])
+}
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -9,8 +9,8 @@
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
-// take puts a batch into the table. sent is the time of the call: the batch holds all changes before it.
-func (f *Follower) take(kind feed.Kind, batch feed.Batch, whole, stale bool, sent bootclock.Instant) {
+// take puts a batch into the table. asOf is the time up to which the batch holds all changes, unless it is stale.
+func (f *Follower) take(kind feed.Kind, batch feed.Batch, whole, stale bool, asOf bootclock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := bootclock.Time()
@@ -26,17 +26,19 @@
 		f.probed = make(chan struct{})
 	}
 	if kind == feed.KindConfiguration && !stale {
-		f.confirmed.Store(int64(sent))
+		f.confirmed.Store(int64(asOf))
 	}
 	since := f.current[kind]
-	if !whole && bootclock.Since(sent) > promptAnswer {
+	if !whole && bootclock.Since(asOf) > promptAnswer {
 		// The change ended the wait, so it has just been made.
 		since = now
 	}
 	for _, record := range batch.Records {
 		f.apply(now, since, kind, record)
 	}
-	f.current[kind] = time.Unix(0, int64(sent))
+	if !stale {
+		f.current[kind] = time.Unix(0, int64(asOf))
+	}
 	if whole {
 		f.reconcile(now, kind, batch.Records)
 	}
@@ -47,7 +49,7 @@
 	}
 }
 
-// apply takes a record; since is the latest time at which it can have been written, or zero.
+// apply takes a record; since is a time before which it was not written, or zero where none is known.
 func (f *Follower) apply(now, since time.Time, kind feed.Kind, record feed.Record) {
 	if record.Fault != nil {
 		f.log.WithError(record.Fault).WithField("kind", kind).WithField("name", record.Name).Warn("skip record")
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -26,10 +26,11 @@
 // agentFeed is what an agent follows.
 var agentFeed = follow.Config{
 	Kinds: []follow.Kind{
-		{Kind: feed.KindWeightTargets, Coalesce: 100 * time.Millisecond},
-		{Kind: feed.KindReplicas, Coalesce: 5 * time.Second},
+		// Entry hosts tell versions named as soon as they ask for reports.
+		{Kind: feed.KindWeightTargets, Refresh: 4 * time.Second},
+		{Kind: feed.KindReplicas, Refresh: 5 * time.Second, AwaitFirst: true},
 		// Of the configuration an agent needs the engines and the origin, which seldom change.
-		{Kind: feed.KindConfiguration, Refresh: 20 * time.Second},
+		{Kind: feed.KindConfiguration, Refresh: 20 * time.Second, AwaitFirst: true},
 	},
 	ProbeWait: 6 * time.Second,
 }
@@ -51,7 +52,8 @@
 // RunAgent runs an agent process until ctx ends.
 func RunAgent(ctx context.Context, parts AgentParts) error {
 	follower := follow.New(parts.Source, agentFeed, newRandom(parts.Random), parts.Log)
-	reporter, err := loadshare.NewReporter(parts.Host.Address, parts.Host.PeerPort, follower.View, follower.NoteOthers, parts.Log)
+	sink := loadshare.AskSink{Others: follower.NoteOthers, Named: follower.HearNamed}
+	reporter, err := loadshare.NewReporter(parts.Host.Address, parts.Host.PeerPort, follower.View, sink, parts.Log)
 	if err != nil {
 		return err
 	}
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -56,7 +56,7 @@
 		{Kind: feed.KindEvacuations, Coalesce: 600 * time.Millisecond},
 		{Kind: feed.KindWeightTargets, Coalesce: 300 * time.Millisecond},
 	},
-	ProbeWait: 800 * time.Millisecond,
+	ProbeWait: 1600 * time.Millisecond,
 }
 
 // Host is what a process knows about its own host.
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
+	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
@@ -22,13 +23,20 @@
 	silent bool
 }
 
+// AskSink takes what entry hosts say when they ask for reports.
+type AskSink struct {
+	// Others gets the number of entry hosts that ask, and how many of them the store does not answer.
+	Others func(hosts, silent int)
+	// Named gets a version that an entry host saw named, and how long ago.
+	Named func(model core.Model, version int64, age time.Duration)
+}
+
 // Reporter sends load reports to the entry hosts that asked for them lately.
 type Reporter struct {
 	conn *net.UDPConn
 	view func() *fleet.View
-	// others gets the number of entry hosts that ask, and how many of them the store does not answer.
-	others func(hosts, silent int)
-	log    *logrus.Entry
+	sink AskSink
+	log  *logrus.Entry
 
 	mu      sync.Mutex
 	askers  map[netip.AddrPort]asker
@@ -38,12 +46,12 @@
 }
 
 // NewReporter opens the socket of an agent at ip.
-func NewReporter(ip string, port int, view func() *fleet.View, others func(hosts, silent int), log *logrus.Entry) (*Reporter, error) {
+func NewReporter(ip string, port int, view func() *fleet.View, sink AskSink, log *logrus.Entry) (*Reporter, error) {
 	conn, err := listenUDP(ip, port)
 	if err != nil {
 		return nil, err
 	}
-	return &Reporter{conn: conn, view: view, others: others, log: log, askers: make(map[netip.AddrPort]asker)}, nil
+	return &Reporter{conn: conn, view: view, sink: sink, log: log, askers: make(map[netip.AddrPort]asker)}, nil
 }
 
 // Run answers requests and sends reports until ctx ends.
@@ -91,7 +99,7 @@
 			silent++
 		}
 	}
-	r.others(len(r.askers), silent)
+	r.sink.Others(len(r.askers), silent)
 	if !r.known || len(r.askers) == 0 {
 		return
 	}
@@ -123,5 +131,6 @@
 			r.askers[from] = asker{at: bootclock.Time(), silent: asked.Silent}
 		}
 		r.mu.Unlock()
+		hear(asked.Named, r.sink.Named)
 	}
 }
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
@@ -85,7 +86,7 @@
 		byHost[address.Addr()] = append(byHost[address.Addr()], member)
 	}
 	l.byHost.Store(&byHost)
-	body, err := json.Marshal(message{Silent: l.silent()})
+	body, err := json.Marshal(message{Silent: l.silent(), Named: recentNames(bootclock.Time(), view)})
 	if err != nil {
 		l.log.WithError(err).Error("encode request for reports")
 		return
@@ -117,9 +118,7 @@
 			}
 		}
 		l.sink.Others(received.Report.Senders, received.Report.Silent)
-		for _, name := range received.Report.Named {
-			l.sink.Named(core.Model(name.Model), name.Version, time.Duration(name.AgeMS)*time.Millisecond)
-		}
+		hear(received.Report.Named, l.sink.Named)
 	}
 }
 
--- a/transport/loadshare/loadshare_test.go
+++ b/transport/loadshare/loadshare_test.go
@@ -41,7 +41,7 @@
 
 	var mu sync.Mutex
 	got := map[fleet.ReplicaID]dispatch.Report{}
-	var age time.Duration
+	var age, heard time.Duration
 	var others [2]int
 	listener, err := loadshare.Listen("127.0.10.2", port, func() *fleet.View { return view }, func() bool { return true }, loadshare.Sink{
 		Report: func(id fleet.ReplicaID, report dispatch.Report) {
@@ -63,7 +63,16 @@
 		},
 	}, log)
 	require.NoError(t, err)
-	reporter, err := loadshare.NewReporter("127.0.10.1", port, func() *fleet.View { return view }, func(int, int) {}, log)
+	reporter, err := loadshare.NewReporter("127.0.10.1", port, func() *fleet.View { return view }, loadshare.AskSink{
+		Others: func(int, int) {},
+		Named: func(model core.Model, version int64, since time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
+			if model == "m" && version == 4 {
+				heard = since
+			}
+		},
+	}, log)
 	require.NoError(t, err)
 	reporter.Set(2, dispatch.Report{Running: 3, Waiting: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}}})
 
@@ -76,7 +85,7 @@
 	require.Eventually(t, func() bool {
 		mu.Lock()
 		defer mu.Unlock()
-		return len(got) > 0 && age >= 3*time.Second
+		return len(got) > 0 && age >= 3*time.Second && heard >= 3*time.Second
 	}, 10*time.Second, time.Millisecond)
 	mu.Lock()
 	defer mu.Unlock()
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -33,6 +33,8 @@
 	Report *report `json:"r,omitempty"`
 	// Silent says, in a request for reports, that the store does not answer the sender.
 	Silent bool `json:"x,omitempty"`
+	// Named lists, in a request for reports, the versions that the sender saw named lately.
+	Named []named `json:"v,omitempty"`
 }
 
 type report struct {
@@ -79,6 +81,13 @@
 	return list
 }
 
+// hear hands versions named on.
+func hear(names []named, sink func(model core.Model, version int64, age time.Duration)) {
+	for _, name := range names {
+		sink(core.Model(name.Model), name.Version, time.Duration(name.AgeMS)*time.Millisecond)
+	}
+}
+
 func encodeReport(born int64, r dispatch.Report, silent int, names []named) ([]byte, error) {
 	wire := &report{
 		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Senders: r.Senders, Pace: r.Pace,
