Take back requests that wait too long for an old version

Ruled out: counting other entries' sends in that window: with 23 entries and 12 slots no replica would ever count as idle, and 0.6 s of capacity would go.

Change: a try at a replica with an older version ends at 0.95 of the bound unless its answer has begun; the request goes elsewhere where it may.

Test: TestRequestThatWaitsTooLongForAnOldVersionIsTakenBack failed before (504 at the deadline in place of 502).

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -28,6 +28,9 @@
 	// activateSoonShare is the share after which older versions get only requests that begin at once; under load a request
 	// waits for about a second.
 	activateSoonShare = 0.7
+	// beginShare is the share after which a request that still waits at a replica with an older version is taken back; the rest
+	// is for the way to the replica.
+	beginShare = 0.95
 )
 
 // newHostedCommand returns the command that runs a process with the settings that the platform gives it.
@@ -88,6 +91,7 @@
 	cfg.ReadyLife = share(settings.Bounds.Revoke, readyLifeShare)
 	cfg.Activate = share(settings.Bounds.Activate, activateShare)
 	cfg.ActivateSoon = share(settings.Bounds.Activate, activateSoonShare)
+	cfg.BeginWithin = share(settings.Bounds.Activate, beginShare)
 	return hosted.EntryParts{
 		Host:         hostOf(settings),
 		CallerListen: settings.CallerListen,
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -30,6 +30,9 @@
 	Activate time.Duration
 	// ActivateSoon is the time after which a replica with an older version gets only requests that it begins on at once.
 	ActivateSoon time.Duration
+	// BeginWithin is the time after the naming of a version up to which a request may begin on an older one; one that still
+	// waits at the replica then is taken back. 0 means that there is no bound.
+	BeginWithin time.Duration
 	// FirstEvent is the number of latency objectives after which a stream without an event is tried elsewhere.
 	FirstEvent float64
 	// FirstEventMin is the least time after which a stream without an event is tried elsewhere.
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -56,7 +56,7 @@
 	cfg.KeyLife, cfg.ReadyLife = 4*time.Second, 3*time.Second
 	cfg.FirstEvent, cfg.FirstEventMin = 0, 100*time.Millisecond
 	cfg.HoldShare = 0
-	cfg.Activate, cfg.ActivateSoon = time.Minute, time.Minute
+	cfg.Activate, cfg.ActivateSoon, cfg.BeginWithin = time.Minute, time.Minute, 30*time.Second
 	cfg.Dispatch.Jitter = 0
 	w.router = ingress.NewRouter(cfg, rand.New(rand.NewPCG(1, 1)), time.Now)
 	logger := logrus.New()
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -256,6 +256,17 @@
 	require.Len(t, w.seen(), 1)
 }
 
+// TestRequestThatWaitsTooLongForAnOldVersionIsTakenBack replays a large fleet 6.1 s after the naming of a version: 23 entries
+// sent to the same idle replica at once, and requests began on the old version 1.9 s later, after its time.
+func TestRequestThatWaitsTooLongForAnOldVersionIsTakenBack(t *testing.T) {
+	w := newWorld(t, streamRoute())
+	w.replica("r1", "llm", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	w.table.SetWanted(time.Now().Add(-29*time.Second), fleet.WeightTarget{Model: "m", Version: 2})
+	w.publish()
+	got := w.call(http.MethodPost, "/stream/x", "prompt", nil)
+	require.Equal(t, http.StatusBadGateway, got.status, "the deadline of 2 s has not passed")
+}
+
 // TestReplicaChosenInPlaceOfASilentOneHasTheVersionDueByThen replays a request that was moved from a silent replica 7.6 s after
 // a naming, by a choice made with the versions that were due when the request came.
 func TestReplicaChosenInPlaceOfASilentOneHasTheVersionDueByThen(t *testing.T) {
--- a/transport/ingress/metrics.go
+++ b/transport/ingress/metrics.go
@@ -22,6 +22,7 @@
 	varRefused   = expvar.NewMap("ingress_refused")
 	varAttempts  = expvar.NewInt("ingress_attempts")
 	varRetries   = expvar.NewInt("ingress_retries")
+	varTakenBack = expvar.NewInt("ingress_taken_back")
 	varResumed   = expvar.NewInt("ingress_streams_resumed")
 	varCut       = expvar.NewInt("ingress_streams_cut")
 	varAbandoned = expvar.NewInt("ingress_abandoned")
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -41,8 +40,8 @@
 		n, err := response.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if sse.EventLength(pending) > 0 && latency == 0 {
-			if !guard.settle() {
-				return end{outcome: dispatch.OutcomeBroken, err: errSlow}
+			if cause := guard.settle(); cause != nil {
+				return end{outcome: givenUpAs(cause), err: cause}
 			}
 			latency = c.h.Now().Sub(sent)
 		}
@@ -69,9 +68,7 @@
 	last := end{outcome: dispatch.OutcomeBroken, err: err}
 	if cause := context.Cause(ctx); cause != nil {
 		last.err = cause
-		if !errors.Is(cause, errSlow) {
-			last.outcome = dispatch.OutcomeAbandoned
-		}
+		last.outcome = givenUpAs(cause)
 	}
 	return last
 }
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -21,7 +21,7 @@
 const anyIdle = time.Hour
 
 // errOutdated ends a try whose replica has weights that were replaced meanwhile.
-var errOutdated = errors.New("the replica's version was replaced before the request was sent")
+var errOutdated = errors.New("the replica's version may not be begun on any more")
 
 // answer is a whole answer of a replica.
 type answer struct {
@@ -132,13 +132,19 @@
 	last := end{outcome: dispatch.OutcomeBroken, notRun: !sent, unsent: !sent, err: err}
 	if cause := context.Cause(ctx); cause != nil {
 		last.err = cause
-		if !errors.Is(cause, errSlow) {
-			last.outcome = dispatch.OutcomeAbandoned
-		}
+		last.outcome = givenUpAs(cause)
 	}
 	return last
 }
 
+// givenUpAs returns the outcome of a try that was ended for a cause: a slow replica counts as one that broke off.
+func givenUpAs(cause error) dispatch.Outcome {
+	if errors.Is(cause, errSlow) {
+		return dispatch.OutcomeBroken
+	}
+	return dispatch.OutcomeAbandoned
+}
+
 // learn takes what a response says about the replica's load and state.
 func (c *call) learn(choice dispatch.Choice, header http.Header) {
 	if report, ok := parseLoad(header.Get(c.h.Headers.Load)); ok {
@@ -199,12 +205,13 @@
 	}
 	if err != nil {
 		last := end{outcome: dispatch.OutcomeBroken, err: err}
-		if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errSlow) {
-			last.outcome = dispatch.OutcomeAbandoned
+		if cause := context.Cause(ctx); cause != nil {
+			last.outcome = givenUpAs(cause)
 		}
 		return last
 	}
-	guard.settle()
+	// An answer that is there is passed on, also when it came late.
+	_ = guard.settle()
 	varLatency.record(c.h.Now().Sub(c.arrived))
 	whole := &answer{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
