Finish an older version in the making, and spread loads further

Hosts gave up the first version, whose pieces were all among them, for one that could not come, and served nothing from 24.2 s to 31 s. Loads were spread over 2.2 s while each takes a replica out for about 1.7 s (order to loaded, median, with traffic).

Change: the fetch of an older version goes on where at least half of its usual time had passed when the newer one was named, and ends with its usual time; a staged one is loaded unless the newest could serve before it is due. Loads are spread up to the time in force, over 2.2 s for a version that a newer one has followed.

Tests failed before the change. TestReplicasDoNotLoadTogether passes the versions in place of one of them; its bound is as it was.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"github.com/guavatrestle/guavatrestle/coordination/rollout"
 	"github.com/guavatrestle/guavatrestle/platform"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/transport/hosted"
@@ -108,7 +109,7 @@
 
 func agentParts(settings platform.Settings, log *logrus.Entry) hosted.AgentParts {
 	cfg := staging.DefaultConfig()
-	cfg.Rollout.Activate = share(settings.Bounds.Activate, activateShare)
+	cfg.Rollout = rollout.ConfigFor(share(settings.Bounds.Activate, activateShare))
 	return hosted.AgentParts{
 		Host:     hostOf(settings),
 		Replica:  settings.Replica,
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -19,35 +19,76 @@
 	// First and Last are the times from the naming of a version to the first and to the last load.
 	First time.Duration
 	Last  time.Duration
+	// Hurry is the time over which loads are spread when a newer version has been named meanwhile.
+	Hurry time.Duration
 	// Fetch is the time that the pieces of a version usually take to reach a host.
 	Fetch time.Duration
+	// Load is the time that a worker usually takes to end its requests and to load.
+	Load time.Duration
 	// Activate is the time from the naming of a version to the moment from which only replicas that serve it get work; 0
 	// means that there is none.
 	Activate time.Duration
 }
 
-// DefaultConfig returns the settings used unless others are given. The times fit a bound of 8 s for the activation.
+// DefaultConfig returns the settings used where versions have no bound.
 func DefaultConfig() Config {
-	return Config{First: 3 * time.Second, Last: 5200 * time.Millisecond, Fetch: 3500 * time.Millisecond}
+	return Config{
+		First: 3 * time.Second,
+		Last:  5200 * time.Millisecond,
+		Hurry: 2200 * time.Millisecond,
+		Fetch: 3500 * time.Millisecond,
+		Load:  time.Second,
+	}
+}
+
+// lastLoadMargin is the time between the last load and the moment from which the older version gets no work.
+const lastLoadMargin = 100 * time.Millisecond
+
+// ConfigFor returns the settings for a version that gets all work from the time activate after its naming. Loads are spread
+// over all of the time that is left, because a worker takes no work while it ends its requests and loads.
+func ConfigFor(activate time.Duration) Config {
+	cfg := DefaultConfig()
+	cfg.Activate = activate
+	if activate > 0 {
+		cfg.First = min(cfg.First, activate/2)
+		cfg.Last = max(activate-lastLoadMargin, cfg.First)
+	}
+	return cfg
 }
 
 // Target returns the version that a host brings in next, or 0. It is the newest one, unless an older one that the worker
-// lacks is staged and comes into force before the newest could be there. loaded is the version loaded or being loaded.
+// lacks is staged and comes into force before the newest could be there, or is about to be staged: the origin may fail before
+// the newest has left it. loaded is the version loaded or being loaded.
 func Target(cfg Config, now time.Time, wanted fleet.Wanted, loaded, staged int64) int64 {
 	pending, ok := wanted.Pending(loaded)
-	if !ok || cfg.Activate <= 0 || pending.Version != staged {
+	if !ok || cfg.Activate <= 0 || pending.Version == wanted.Newest() {
 		return wanted.Newest()
 	}
-	for _, named := range wanted {
-		due := named.Since.Add(cfg.Activate)
-		arrives := now.Add(cfg.Fetch)
-		if named.Version == pending.Version && due.After(now) && due.Before(arrives) {
-			return named.Version
-		}
+	goesOn := collects
+	if pending.Version == staged {
+		goesOn = finishes
+	}
+	if goesOn(cfg, now, wanted, pending) {
+		return pending.Version
 	}
 	return wanted.Newest()
 }
 
+// finishes reports whether a staged version is loaded although a newer one has been named.
+func finishes(cfg Config, now time.Time, _ fleet.Wanted, pending fleet.Named) bool {
+	due := pending.Since.Add(cfg.Activate)
+	newestServes := now.Add(cfg.Fetch + cfg.Load)
+	return due.After(now) && due.Before(newestServes)
+}
+
+// collects reports whether the fetch of a version goes on although a newer one has been named: it does when at least half of
+// its usual time had passed by then, and ends with its usual time, so that enough is left for the newer one.
+func collects(cfg Config, now time.Time, wanted fleet.Wanted, pending fleet.Named) bool {
+	next, _ := wanted.Pending(pending.Version)
+	head := next.Since.Sub(pending.Since)
+	return !pending.Since.IsZero() && head >= cfg.Fetch/2 && now.Before(pending.Since.Add(cfg.Fetch))
+}
+
 // State is what a decision is made on.
 type State struct {
 	Now time.Time
@@ -94,9 +135,14 @@
 	}
 }
 
-// Turn returns the earliest time at which the replica at address loads, when named is the oldest version that it lacks.
-// The loads are spread evenly, in an order that differs between versions.
-func Turn(cfg Config, named fleet.Named, members []fleet.Member, upstream core.Upstream, address string) time.Time {
+// Turn returns the earliest time at which the replica at address loads when its worker has the version loaded. The loads are
+// spread evenly, in an order that differs between versions.
+func Turn(cfg Config, wanted fleet.Wanted, loaded int64, members []fleet.Member, upstream core.Upstream, address string) time.Time {
+	named, _ := wanted.Pending(loaded)
+	spread := cfg.Last - cfg.First
+	if named.Version != wanted.Newest() {
+		spread = min(spread, cfg.Hurry)
+	}
 	var own *fleet.Member
 	for i := range members {
 		if members[i].Address == address {
@@ -106,7 +152,7 @@
 	if own == nil {
 		return named.Since.Add(cfg.First)
 	}
-	return named.Since.Add(cfg.First + time.Duration(place(named.Version, members, upstream, own)*float64(cfg.Last-cfg.First)))
+	return named.Since.Add(cfg.First + time.Duration(place(named.Version, members, upstream, own)*float64(spread)))
 }
 
 // place returns the place of a replica among those of its upstream, from 0 for the first to 1 for the last. The order
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -45,6 +45,41 @@
 	require.EqualValues(t, 2, rollout.Target(config(), now.Add(time.Second), wanted, 1, 2))
 }
 
+// TestOlderVersionInTheMakingIsFinished replays two versions 3 s apart whose origin failed half a second before the second:
+// hosts gave up the first with all of its pieces among them, and had nothing to serve for 7 s.
+func TestOlderVersionInTheMakingIsFinished(t *testing.T) {
+	wanted := fleet.Wanted{{Version: 2, Since: start}, {Version: 3, Since: start.Add(3 * time.Second)}}
+	require.EqualValues(t, 2, rollout.Target(config(), start.Add(3*time.Second), wanted, 1, 0))
+	require.EqualValues(t, 3, rollout.Target(config(), start.Add(3500*time.Millisecond), wanted, 1, 0))
+	require.EqualValues(t, 2, rollout.Target(config(), start.Add(3500*time.Millisecond), wanted, 1, 2))
+	require.EqualValues(t, 3, rollout.Target(config(), start.Add(3200*time.Millisecond), wanted, 2, 2))
+}
+
+// TestOlderVersionHardlyBegunIsPassedOver guards against a newest version that waits for one which helps nobody.
+func TestOlderVersionHardlyBegunIsPassedOver(t *testing.T) {
+	wanted := fleet.Wanted{{Version: 2, Since: start}, {Version: 3, Since: start.Add(time.Second)}}
+	require.EqualValues(t, 3, rollout.Target(config(), start.Add(time.Second), wanted, 1, 0))
+	wanted = fleet.Wanted{{Version: 2}, {Version: 3, Since: start.Add(3 * time.Second)}}
+	require.EqualValues(t, 3, rollout.Target(config(), start.Add(3*time.Second), wanted, 1, 0))
+}
+
+// TestLoadsHurryWhenANewerVersionIsNamed guards against a newest version that waits until the last host has had its turn for
+// the one before.
+func TestLoadsHurryWhenANewerVersionIsNamed(t *testing.T) {
+	var members []fleet.Member
+	for i := range 20 {
+		members = append(members, fleet.Member{Replica: fleet.Replica{
+			ID: fleet.ReplicaID(fmt.Sprint("r", i)), Upstream: "llm", Address: fmt.Sprint("10.0.0.", i, ":80"), FailureDomain: "a",
+		}})
+	}
+	wanted := fleet.Wanted{{Version: 2, Since: start}, {Version: 3, Since: start.Add(3 * time.Second)}}
+	cfg := config()
+	for _, member := range members {
+		turn := rollout.Turn(cfg, wanted, 1, members, "llm", member.Address)
+		require.False(t, turn.After(start.Add(cfg.First+cfg.Hurry)))
+	}
+}
+
 // TestVersionPastItsTimeIsPassedOver guards against loading a version that no request may use any more.
 func TestVersionPastItsTimeIsPassedOver(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: start}, {Version: 3, Since: start.Add(4 * time.Second)}}
@@ -67,10 +102,10 @@
 			}})
 		}
 		cfg := config()
-		named := fleet.Named{Version: rapid.Int64Range(1, 99).Draw(t, "version"), Since: start}
+		wanted := fleet.Wanted{{Version: rapid.Int64Range(1, 99).Draw(t, "version"), Since: start}}
 		var turns []time.Duration
 		for _, member := range members {
-			turns = append(turns, rollout.Turn(cfg, named, members, "llm", member.Address).Sub(start))
+			turns = append(turns, rollout.Turn(cfg, wanted, 0, members, "llm", member.Address).Sub(start))
 		}
 		slices.Sort(turns)
 		step := (cfg.Last - cfg.First) / time.Duration(count-1)
@@ -81,6 +116,20 @@
 	})
 }
 
+// TestLoadsAreSpreadUpToTheTimeInForce replays loads within 2.2 s: each replica was out for 1.7 s, so that most of them were
+// out at once.
+func TestLoadsAreSpreadUpToTheTimeInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		activate := time.Duration(rapid.Int64Range(1, int64(time.Minute)).Draw(t, "activate"))
+		cfg := rollout.ConfigFor(activate)
+		require.LessOrEqual(t, cfg.First, cfg.Last)
+		require.LessOrEqual(t, cfg.Last, activate)
+	})
+	cfg := rollout.ConfigFor(6800 * time.Millisecond)
+	require.Equal(t, 3*time.Second, cfg.First)
+	require.Equal(t, 6700*time.Millisecond, cfg.Last)
+}
+
 // TestWorkerWithoutWeightsLoadsAtOnce guards against a new replica that waits for its turn while it serves nothing.
 func TestWorkerWithoutWeightsLoadsAtOnce(t *testing.T) {
 	state := rollout.State{Now: start, Wanted: 2, Complete: true, Turn: start.Add(time.Second)}
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -308,14 +308,13 @@
 	defer a.mu.Unlock()
 	now := a.Now()
 	loaded := a.loadedOrLoading(t.model, spec.Layers)
-	pending, _ := wanted.Pending(loaded)
 	return rollout.State{
 		Now:      now,
 		Wanted:   t.version,
 		Loaded:   loaded,
 		Busy:     !a.answered || a.carryingOut(),
 		Complete: a.complete == t,
-		Turn:     rollout.Turn(a.Config.Rollout, pending, view.Members, a.Upstream, a.Replica),
+		Turn:     rollout.Turn(a.Config.Rollout, wanted, loaded, view.Members, a.Upstream, a.Replica),
 	}, a.report
 }
 
