Give other regions upload slots of their own

Change: 3 upload slots for all hosts and 3 more for other regions, 4 downloads, 40 KB/s for polls while a version comes in.

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -14,6 +14,7 @@
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/coordination/rollout"
+	"github.com/guavatrestle/guavatrestle/coordination/transfer"
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
 	"github.com/guavatrestle/guavatrestle/state/config"
@@ -37,25 +38,27 @@
 	SettleTime time.Duration
 	// RetryPause is the pause after a failure.
 	RetryPause time.Duration
+	// CrossRegionSlots is the number of pieces sent to other regions at once beyond the upload slots.
+	CrossRegionSlots int
 	// LinkShare is the share of the host's link that weights sent to peers may take.
 	LinkShare float64
 }
 
 // DefaultConfig returns the settings used unless others are given.
 func DefaultConfig() Config {
-	transfer := config.DefaultTransfer()
-	transfer.DownloadSlots = 3
-	transfer.UploadSlots = 4
-	transfer.OriginSlots = 1
-	transfer.TakeOver = time.Second
-	transfer.ChunkTimeout = 3 * time.Second
-	transfer.Avoid = 700 * time.Millisecond
-	transfer.PollInterval = 200 * time.Millisecond
-	transfer.ControlBytesPerSecond = 12 << 10
-	transfer.RetryBase = 150 * time.Millisecond
-	transfer.RetryCap = time.Second
+	settings := config.DefaultTransfer()
+	settings.DownloadSlots = 4
+	settings.UploadSlots = 3
+	settings.OriginSlots = 1
+	settings.TakeOver = time.Second
+	settings.ChunkTimeout = 3 * time.Second
+	settings.Avoid = 700 * time.Millisecond
+	settings.PollInterval = 200 * time.Millisecond
+	settings.ControlBytesPerSecond = 40 << 10
+	settings.RetryBase = 150 * time.Millisecond
+	settings.RetryCap = time.Second
 	return Config{
-		Transfer:       transfer,
+		Transfer:       settings,
 		Rollout:        rollout.DefaultConfig(),
 		ReportInterval: 200 * time.Millisecond,
 		ReportTimeout:  time.Second,
@@ -64,6 +67,8 @@
 		SettleTime:     800 * time.Millisecond,
 		RetryPause:     300 * time.Millisecond,
 		LinkShare:      0.85,
+
+		CrossRegionSlots: 3,
 	}
 }
 
@@ -130,7 +135,8 @@
 // Handler serves pieces to peers.
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
-	server := &peerServer{pieces: a.pieces, slots: int32(a.Config.Transfer.UploadSlots), pace: a.pace()}
+	uploads := transfer.NewUploads(a.Config.Transfer.UploadSlots, a.Config.CrossRegionSlots)
+	server := &peerServer{pieces: a.pieces, uploads: uploads, pace: a.pace()}
 	server.register(mux)
 	return mux
 }
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -209,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Config.Transfer.ChunkTimeout)
 	defer cancel()
 	if !fetch.Source.Origin() {
-		return r.peers.piece(ctx, r.peerAddress(string(fetch.Source.Peer)), r.target, fetch.Index)
+		return r.peers.piece(ctx, r.peerAddress(string(fetch.Source.Peer)), r.target, fetch)
 	}
 	origin, ok := r.origin()
 	if !ok {
--- a/transport/staging/peers.go
+++ b/transport/staging/peers.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"slices"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/go-resty/resty/v2"
 	"golang.org/x/time/rate"
@@ -22,15 +21,16 @@
 // headerHeld carries the bitmap of the pieces that the sender of a response holds.
 const headerHeld = "Gt-Held"
 
+// headerCrossRegion marks the request of a host in another region.
+const headerCrossRegion = "Gt-Cross-Region"
+
 // paceBytes is the size of the slices in which pieces are sent; one delays a live request by about 7 ms at 9.4 Mbit/s.
 const paceBytes = 8 << 10
 
 // peerServer gives pieces to peers.
 type peerServer struct {
-	pieces *pieces
-	// slots bounds the pieces sent at once.
-	slots  int32
-	active atomic.Int32
+	pieces  *pieces
+	uploads *transfer.Uploads
 	// pace leaves room for live requests on the host's link.
 	pace *rate.Limiter
 }
@@ -68,12 +68,11 @@
 		http.Error(w, "piece is not held", http.StatusNotFound)
 		return
 	}
-	if s.active.Add(1) > s.slots {
-		s.active.Add(-1)
+	if !s.uploads.Take(r.Header.Get(headerCrossRegion) != "") {
 		http.Error(w, "all upload slots are in use", http.StatusTooManyRequests)
 		return
 	}
-	defer s.active.Add(-1)
+	defer s.uploads.Release()
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	s.send(w, r, data)
@@ -115,8 +114,12 @@
 }
 
 // piece returns a piece and the bitmap of the pieces that the peer holds.
-func (c *peerClient) piece(ctx context.Context, address string, t target, index int) ([]byte, transfer.Bitmap, error) {
-	response, err := c.client.R().SetContext(ctx).Get(peerURL(address, t) + "/pieces/" + strconv.Itoa(index))
+func (c *peerClient) piece(ctx context.Context, address string, t target, fetch transfer.Fetch) ([]byte, transfer.Bitmap, error) {
+	request := c.client.R().SetContext(ctx)
+	if fetch.CrossRegion {
+		request.SetHeader(headerCrossRegion, "1")
+	}
+	response, err := request.Get(peerURL(address, t) + "/pieces/" + strconv.Itoa(fetch.Index))
 	if err != nil {
 		return nil, nil, protocol.Wrap(protocol.CodeUnavailable, err, "get piece from peer")
 	}
@@ -125,7 +128,7 @@
 		held, err := decodeHeld(response.Header())
 		return response.Body(), held, err
 	case http.StatusNotFound:
-		return nil, nil, protocol.Errorf(protocol.CodeNotFound, "peer does not hold piece %d", index)
+		return nil, nil, protocol.Errorf(protocol.CodeNotFound, "peer does not hold piece %d", fetch.Index)
 	case http.StatusTooManyRequests:
 		return nil, nil, protocol.Errorf(protocol.CodeRateLimited, "peer has no upload slot")
 	default:
