--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -25,10 +25,10 @@
 	// readyLifeShare is the share after which the host sends new callers elsewhere.
 	readyLifeShare = 0.7
 	// activateShare is the share of the platform's bound after which only the newest version of a model is used.
-	activateShare = 0.78
+	activateShare = 0.85
 	// activateSoonShare is the share after which older versions get only requests that begin at once; under load a request
 	// waits for about a second.
-	activateSoonShare = 0.7
+	activateSoonShare = 0.79
 	// beginShare is the share after which a request that still waits at a replica with an older version is taken back; the rest
 	// is for the way to the replica.
 	beginShare = 0.95
