--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -20,7 +22,7 @@
 
 const (
 	// keyLifeShare is the share of the platform's bound for revoked keys that the age of the configuration may take; the age
-	// counts from the sending of the call that confirmed it, so the rest only covers the check itself.
+	// counts from a time at which the store still had that configuration, so the rest only covers the check itself.
 	keyLifeShare = 0.94
 	// readyLifeShare is the share after which the host sends new callers elsewhere.
 	readyLifeShare = 0.7
@@ -32,6 +34,9 @@
 	// beginShare is the share after which a request that still waits at a replica with an older version is taken back; the rest
 	// is for the way to the replica.
 	beginShare = 0.95
+	// heapGrowth is the growth of the heap in percent at which garbage is collected; 100 took a third more memory, 25 takes 4 %
+	// more processor time.
+	heapGrowth = 25
 )
 
 // newHostedCommand returns the command that runs a process with the settings that the platform gives it.
@@ -57,7 +62,9 @@
 	defer stop()
 	// The platform may announce changed settings; those that a process uses do not change while it runs.
 	signal.Ignore(syscall.SIGHUP)
+	debug.SetGCPercent(heapGrowth)
 	logger := logrus.New()
+	logger.SetOutput(os.Stdout)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	log := logger.WithFields(logrus.Fields{
 		"role": role, "host": settings.Host, "failure_domain": settings.FailureDomain,
