--- a/transport/platform/objects.go
+++ b/transport/platform/objects.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -227,18 +226,7 @@
 	if resp.IsSuccess() {
 		return nil
 	}
-	code := serverFailure
-	switch resp.StatusCode() {
-	case http.StatusConflict:
-		code = protocol.CodeConflict
-	case http.StatusNotFound:
-		code = protocol.CodeNotFound
-	case http.StatusGone:
-		code = protocol.CodeExpired
-	case http.StatusTooManyRequests:
-		code = protocol.CodeRateLimited
-	}
-	e := protocol.Errorf(code, "object API returned status %d", resp.StatusCode())
+	e := protocol.Errorf(protocol.CodeOfStatus(resp.StatusCode(), serverFailure), "object API returned status %d", resp.StatusCode())
 	e.RetryAfter = retryAfter(resp)
 	return e
 }
