--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -64,18 +64,20 @@
 	if !ok || cfg.Activate <= 0 || pending.Version == wanted.Newest() {
 		return wanted.Newest()
 	}
-	goesOn := collects
+	goesOn := false
 	if pending.Version == staged {
-		goesOn = finishes
+		goesOn = finishes(cfg, now, pending)
+	} else {
+		goesOn = collects(cfg, now, wanted, pending)
 	}
-	if goesOn(cfg, now, wanted, pending) {
+	if goesOn {
 		return pending.Version
 	}
 	return wanted.Newest()
 }
 
 // finishes reports whether a staged version is loaded although a newer one has been named.
-func finishes(cfg Config, now time.Time, _ fleet.Wanted, pending fleet.Named) bool {
+func finishes(cfg Config, now time.Time, pending fleet.Named) bool {
 	due := pending.Since.Add(cfg.Activate)
 	newestServes := now.Add(cfg.Fetch + cfg.Load)
 	return due.After(now) && due.Before(newestServes)
--- a/state/fleet/table.go
+++ b/state/fleet/table.go
@@ -127,10 +127,15 @@
 // Evacuated returns the failure domains out of service.
 func (t *Table) Evacuated() []core.FailureDomain { return slices.Collect(maps.Keys(t.evacuated)) }
 
-// SetWanted takes a weight target unless a later version is known. since is the latest time at which it can have been
-// named, or zero.
-func (t *Table) SetWanted(since time.Time, target WeightTarget) {
-	t.wanted[target.Model] = t.wanted[target.Model].With(Named{Version: target.Version, Since: since})
+// SetWanted takes a weight target unless a later version is known. since is when it was named, or a time before that, or
+// zero. It reports whether the version was taken.
+func (t *Table) SetWanted(since time.Time, target WeightTarget) bool {
+	known := t.wanted[target.Model]
+	if target.Version <= known.Newest() {
+		return false
+	}
+	t.wanted[target.Model] = known.With(Named{Version: target.Version, Since: since})
+	return true
 }
 
 // LearnNamed takes the time at which a version was named, where it was not known. It reports whether it was taken.
--- a/state/fleet/wanted.go
+++ b/state/fleet/wanted.go
@@ -12,7 +12,7 @@
 // Named is a version that operators named.
 type Named struct {
 	Version int64
-	// Since is the latest time at which the version can have been named; zero means that it is not known.
+	// Since is when the version was named, or a time before that; zero means that it is not known.
 	Since time.Time
 }
 
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -69,8 +69,9 @@
 		f.table.SetEvacuated(now, value.FailureDomain, true)
 		f.log.WithField("failure_domain", value.FailureDomain).Info("failure domain out of service")
 	case fleet.WeightTarget:
-		f.table.SetWanted(since, value)
-		f.log.WithField("model", value.Model).WithField("version", value.Version).Info("version wanted")
+		if f.table.SetWanted(since, value) {
+			f.log.WithField("model", value.Model).WithField("version", value.Version).Info("version wanted")
+		}
 	}
 }
 
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
 	"fmt"
 	"io"
@@ -402,3 +403,38 @@
 	require.Empty(t, added.wrong)
 	require.Zero(t, g.origin.sent())
 }
+
+// TestRequestsAcrossRegionsAreMarked guards against copies for another region that wait behind near hosts at the holder.
+func TestRequestsAcrossRegionsAreMarked(t *testing.T) {
+	g := newGroup(t)
+	g.origin.spoil = func(_, _ int, data []byte) []byte {
+		time.Sleep(20 * time.Millisecond)
+		return data
+	}
+	marked := make(chan bool, 1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.9.40:%d", peerPort))
+	require.NoError(t, err)
+	far := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Gt-Held", base64.StdEncoding.EncodeToString([]byte{0xff}))
+		if strings.HasSuffix(r.URL.Path, "/held") {
+			return
+		}
+		select {
+		case marked <- r.Header.Get("Gt-Cross-Region") != "":
+		default:
+		}
+		w.WriteHeader(http.StatusTooManyRequests)
+	})}
+	go func() { _ = far.Serve(listener) }()
+	t.Cleanup(func() { _ = far.Close() })
+	g.table.SetReplica(time.Now(), 1, &fleet.Replica{
+		ID: "far", Upstream: "llm", Address: "127.0.9.40:80", FailureDomain: "elsewhere", Born: 1,
+	})
+	g.agent("127.0.9.41", newWorker())
+	select {
+	case mark := <-marked:
+		require.True(t, mark)
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "no piece was asked of the host in the other region")
+	}
+}
