Keep locks out of decisions and the adapter out of the bench

Change: the peer server locks the upload slots, as other state of decisions is locked by its owner; callers of the soak speak through platform/platformtest. Behaviour is the same.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/guavatrestle/guavatrestle/platform"
+	"github.com/guavatrestle/guavatrestle/platform/platformtest"
 )
 
 const (
@@ -72,16 +72,13 @@
 	// A caller that stops gives its last request the time that is left.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerDeadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, s.method, "http://"+c.entry+s.path, strings.NewReader(s.body))
+	request, err := platformtest.Call{
+		ID: s.id, Method: s.method, Host: callerHost, Path: s.path, Body: s.body, Key: s.key, Model: modelName,
+		Deadline: callerDeadline,
+	}.Request(ctx, c.entry)
 	if err != nil {
 		return got{}
 	}
-	names := platform.Headers()
-	request.Host = callerHost
-	request.Header.Set(names.RequestID, s.id)
-	request.Header.Set(names.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
-	request.Header.Set(names.Model, modelName)
-	request.Header.Set("Authorization", "Bearer "+s.key)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return got{}
@@ -89,6 +86,6 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	return got{
-		status: response.StatusCode, stamp: response.Header.Get(names.Stamp), body: string(body), whole: err == nil,
+		status: response.StatusCode, stamp: platformtest.Stamp(response), body: string(body), whole: err == nil,
 	}
 }
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -12,7 +12,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/guavatrestle/guavatrestle/platform"
 	"github.com/guavatrestle/guavatrestle/platform/platformtest"
 )
 
@@ -239,12 +238,7 @@
 	client := &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	order := random.Perm(len(f.entries))
 	for _, i := range order {
-		response, err := client.Get("http://" + hostPort(f.ip(1, i), readyPort) + platform.ReadinessPath)
-		if err != nil {
-			continue
-		}
-		_ = response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+		if platformtest.IsReady(client, hostPort(f.ip(1, i), readyPort)) {
 			return hostPort(f.ip(1, i), callersPort)
 		}
 	}
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -10,7 +10,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/guavatrestle/guavatrestle/platform"
 	"github.com/guavatrestle/guavatrestle/platform/platformtest"
 )
 
@@ -54,7 +53,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	command := exec.Command(p.binary, "hosted", p.role)
-	command.Env = append(os.Environ(), platform.EnvSettings+"="+p.settings)
+	command.Env = append(os.Environ(), platformtest.Environment(p.settings))
 	command.Stdout, command.Stderr = p.log, p.log
 	if err := command.Start(); err != nil {
 		return eris.Wrapf(err, "start %s", p.name)
--- a/coordination/transfer/uploads.go
+++ b/coordination/transfer/uploads.go
@@ -1,14 +1,10 @@
 package transfer
 
-import "sync"
-
 // Uploads bounds the chunks that a host sends at once. A copy for another region serves all hosts there, so it gets slots that
-// near hosts cannot fill. It is safe for concurrent use.
+// near hosts cannot fill. It is not safe for concurrent use.
 type Uploads struct {
-	near int
-	all  int
-
-	mu     sync.Mutex
+	near   int
+	all    int
 	active int
 }
 
@@ -19,8 +15,6 @@
 
 // Take takes a slot and reports whether there was one.
 func (u *Uploads) Take(crossRegion bool) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	limit := u.near
 	if crossRegion {
 		limit = u.all
@@ -33,8 +27,4 @@
 }
 
 // Release gives a slot back.
-func (u *Uploads) Release() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.active--
-}
+func (u *Uploads) Release() { u.active-- }
--- a/transport/staging/peers.go
+++ b/transport/staging/peers.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/go-resty/resty/v2"
 	"golang.org/x/time/rate"
@@ -29,7 +30,9 @@
 
 // peerServer gives pieces to peers.
 type peerServer struct {
-	pieces  *pieces
+	pieces *pieces
+
+	mu      sync.Mutex
 	uploads *transfer.Uploads
 	// pace leaves room for live requests on the host's link.
 	pace *rate.Limiter
@@ -68,16 +71,28 @@
 		http.Error(w, "piece is not held", http.StatusNotFound)
 		return
 	}
-	if !s.uploads.Take(r.Header.Get(headerCrossRegion) != "") {
+	if !s.take(r.Header.Get(headerCrossRegion) != "") {
 		http.Error(w, "all upload slots are in use", http.StatusTooManyRequests)
 		return
 	}
-	defer s.uploads.Release()
+	defer s.release()
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	s.send(w, r, data)
 }
 
+func (s *peerServer) take(crossRegion bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.uploads.Take(crossRegion)
+}
+
+func (s *peerServer) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.uploads.Release()
+}
+
 // send writes data in slices at the pace for weights. A peer that is gone ends it.
 func (s *peerServer) send(w http.ResponseWriter, r *http.Request, data []byte) {
 	for slice := range slices.Chunk(data, paceBytes) {
