--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -40,14 +40,6 @@
 	idle     time.Duration
 }
 
-// abort closes the connection with a reset, so that the back end does not get what of a request is still on its way.
-func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
 // quiet reports whether the connection is open and nothing has arrived on it.
 func (c *conn) quiet() bool {
 	if c.reader.Buffered() > 0 {
--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -57,18 +57,18 @@
 	Framed bool
 }
 
-// Do sends a request and returns the head of its response. The end of ctx resets the connection, also while the body is
+// Do sends a request and returns the head of its response. The end of ctx closes the connection, also while the body is
 // read. An error is of type *Error.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
 	c, reused, err := p.get(ctx, request.Address, request.MaxIdle)
 	if err != nil {
 		return nil, &Error{err: eris.Wrap(err, "connect to back end")}
 	}
-	stop := context.AfterFunc(ctx, c.abort)
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := c.exchange(request)
 	if err != nil {
 		stop()
-		c.abort()
+		_ = c.Close()
 		return nil, &Error{Sent: true, Reused: reused, err: eris.Wrap(err, "exchange with back end")}
 	}
 	body := &body{pool: p, conn: c, address: request.Address, response: response, stop: stop}
@@ -169,7 +169,7 @@
 func (b *body) Close() error {
 	b.once.Do(func() {
 		b.stop()
-		b.conn.abort()
+		_ = b.conn.Close()
 	})
 	return nil
 }
