Bring about what two flaky tests are meant to check

TestPausedPermitHolderDoesNotUseExpiredLease ended its load when all engines held the version, which may be before a request succeeded.

Change: the good peer waits until the corrupt one has sent a chunk. The load goes on until a request has succeeded. The checks are as they were.

--- a/bench/e2e/recovery_test.go
+++ b/bench/e2e/recovery_test.go
@@ -111,6 +111,7 @@
 		tc.permitHolder(objects, next)
 		return tc.allEnginesHold(next)
 	})
+	tc.eventually("requests succeed after the rollout", func() bool { return load.succeeded.Load() > 0 })
 	load.requireNoneLost(t)
 	for _, agent := range tc.agents {
 		require.Zero(t, agent.Engine.Counts().OldToken, agent.Host.ID)
--- a/transport/weights/fetch_test.go
+++ b/transport/weights/fetch_test.go
@@ -162,10 +162,24 @@
 // TestCorruptChunkIsRejectedAndFetchedElsewhere guards against storing corrupt bytes from a peer.
 func TestCorruptChunkIsRejectedAndFetchedElsewhere(t *testing.T) {
 	f := newFixture(t)
+	var once sync.Once
+	corruptSent := make(chan struct{})
 	f.startPeer("bad", func(http.Handler) http.Handler {
-		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, testChunk)) })
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, testChunk))
+			once.Do(func() { close(corruptSent) })
+		})
+	})
+	// The good peer waits for the bad one, so that it cannot send all chunks before the bad one is asked for any.
+	f.startPeer("good", func(chunks http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-corruptSent:
+				chunks.ServeHTTP(w, r)
+			case <-r.Context().Done():
+			}
+		})
 	})
-	f.startPeer("good", unwrapped)
 	require.NoError(t, f.fetch(t.Context(), always))
 	f.requireComplete()
 	require.Positive(t, f.counters.RejectedChunks())
