Rebuild the view when the store comes back from an older copy

Cause: the users' store may come back from a copy some seconds old. Its revisions then go back and are given out again, and what it acknowledged since is gone until it is written again. A view that compares revisions of both histories misses changes, and one that follows the copy forgets an evacuation, drops live replicas and uses replicas that have left.

A later era lists every kind again; revisions of two eras are never compared; answers of an earlier era are errors. The configuration and the wanted versions never go back. Missing registrations stay 1.9 s as after an outage, missing evacuations 5 s, and registrations that had been removed are not used for 5 s. For 2 s the store confirms no configuration, since the newest one may not be written again yet, so API keys run out as during an outage.

--- a/protocol/feed/feed.go
+++ b/protocol/feed/feed.go
@@ -37,6 +37,9 @@
 	Records []Record
 	// Revision is the revision after which the next Watch continues.
 	Revision int64
+	// Era numbers the histories of the store, 0 if it has only one. It rises when the store comes back from an older copy. The
+	// store then gives out revisions again, so revisions of two eras must not be compared.
+	Era int64
 }
 
 // Source is read access to the platform's store. Errors are of type *protocol.Error: CodeExpired means that the store no
--- a/protocol/headers/headers.go
+++ b/protocol/headers/headers.go
@@ -26,13 +26,18 @@
 	ColdRemaining string
 	Model         string
 	Priority      string
+	// Leaving marks, with the value LeavingValue, the responses of a back end that is about to leave and wants no new requests.
+	Leaving string
 }
 
+// LeavingValue is the value of the header Names.Leaving.
+const LeavingValue = "1"
+
 // Canonical returns the names in canonical form.
 func (n Names) Canonical() Names {
 	for _, name := range []*string{
 		&n.RequestID, &n.Deadline, &n.Stamp, &n.Team, &n.ExpectReplica, &n.ExpectVersion, &n.Load, &n.NotRun, &n.Replica,
-		&n.ColdRemaining, &n.Model, &n.Priority,
+		&n.ColdRemaining, &n.Model, &n.Priority, &n.Leaving,
 	} {
 		*name = textproto.CanonicalMIMEHeaderKey(*name)
 	}
--- a/state/fleet/table.go
+++ b/state/fleet/table.go
@@ -14,22 +14,51 @@
 // seconds after which the platform expects removals to be honored again.
 const registrationGrace = 1900 * time.Millisecond
 
+const (
+	// evacuationGrace is how long after the store came back from an older copy a missing evacuation is kept. Operators write
+	// it again, and work sent to the failure domain meanwhile would break the promise that it receives none.
+	evacuationGrace = 5 * time.Second
+	// reappearanceGrace is how long after the store came back from an older copy a registration that had been removed before is
+	// not used. The store removes it after three missed heartbeats, about 4 s, unless the replica writes it again.
+	reappearanceGrace = 5 * time.Second
+	// departureRetention is how long a removed registration is remembered. The copies that the store comes back from are at
+	// most its history old, 20 s.
+	departureRetention = time.Minute
+)
+
 // registration is a replica's registration and the revision that set it.
 type registration struct {
 	member   Member
 	revision int64
 	// removeAt is set while a registration is missing from the store but may be renewed; it is removed at this time.
 	removeAt time.Time
+	// unconfirmedUntil is set while a registration may only be part of an older copy of the store.
+	unconfirmedUntil time.Time
+}
+
+// departure is what is remembered of a removed registration.
+type departure struct {
+	born     int64
+	draining bool
+	at       time.Time
+}
+
+// evacuation is the record that a failure domain is out of service.
+type evacuation struct {
+	// removeAt is set while the record is missing from a store that came back from an older copy; it is removed at this time.
+	removeAt time.Time
 }
 
 // Table collects the records of the store and builds views of them. It is not safe for concurrent use.
 type Table struct {
 	configuration *Configuration
 	replicas      map[ReplicaID]*registration
-	evacuated     map[core.FailureDomain]bool
+	departed      map[ReplicaID]departure
+	evacuated     map[core.FailureDomain]*evacuation
 	wanted        map[core.Model]Wanted
-	// storeRecoveredAt is the end of the store's last outage.
+	// storeRecoveredAt is the end of the store's last outage, restoredAt the time at which it last came back from an older copy.
 	storeRecoveredAt time.Time
+	restoredAt       time.Time
 
 	// indexed caches the lookup maps of the configuration; nil after a change.
 	indexed *View
@@ -39,7 +68,8 @@
 func NewTable() *Table {
 	return &Table{
 		replicas:  make(map[ReplicaID]*registration),
-		evacuated: make(map[core.FailureDomain]bool),
+		departed:  make(map[ReplicaID]departure),
+		evacuated: make(map[core.FailureDomain]*evacuation),
 		wanted:    make(map[core.Model]Wanted),
 	}
 }
@@ -56,6 +86,16 @@
 	}
 }
 
+// StoreRestored records that the store came back from an older copy. What it acknowledged since that copy is missing until it is
+// written again, what was deleted since is there again, and its revisions have gone back. The table keeps what it knows: missing
+// registrations and evacuations for a grace period, and the newest configuration and wanted versions for good.
+func (t *Table) StoreRestored(now time.Time) {
+	t.storeRecoveredAt, t.restoredAt = now, now
+	for _, existing := range t.replicas {
+		existing.revision = 0
+	}
+}
+
 // SetConfiguration stores a configuration unless a later one is in force. It reports whether it was stored.
 func (t *Table) SetConfiguration(c *Configuration) bool {
 	if t.configuration != nil && c.Version <= t.configuration.Version {
@@ -78,12 +118,29 @@
 		// Draining is final within one run of the replica; a late registration must not undo it.
 		next.member.Draining = r.Draining || previous.member.Draining && previous.member.Born == r.Born
 	}
+	if previous == nil {
+		t.recallDeparture(now, next)
+	}
 	if r.ColdRemaining > 0 {
 		next.member.ColdUntil = later(next.member.ColdUntil, now.Add(r.ColdRemaining))
 	}
 	t.replicas[r.ID] = next
 }
 
+// recallDeparture applies what is known of an earlier, removed registration of the same process. Draining is final. A registration
+// that reappears in an older copy of the store is not used until the store has had time to remove it again.
+func (t *Table) recallDeparture(now time.Time, next *registration) {
+	left, ok := t.departed[next.member.ID]
+	if !ok || left.born != next.member.Born {
+		return
+	}
+	next.member.Draining = next.member.Draining || left.draining
+	graceEnd := t.restoredAt.Add(reappearanceGrace)
+	if !t.restoredAt.IsZero() && left.at.Before(t.restoredAt) && now.Before(graceEnd) {
+		next.unconfirmedUntil = graceEnd
+	}
+}
+
 // RemoveReplica removes a registration. Within the grace period after an outage it only schedules the removal, unless the
 // replica was draining.
 func (t *Table) RemoveReplica(now time.Time, id ReplicaID) {
@@ -93,12 +150,18 @@
 	}
 	graceEnd := t.storeRecoveredAt.Add(registrationGrace)
 	if existing.member.Draining || t.storeRecoveredAt.IsZero() || !now.Before(graceEnd) {
-		delete(t.replicas, id)
+		t.deleteReplica(now, existing)
 		return
 	}
 	existing.removeAt = graceEnd
 }
 
+// deleteReplica deletes a registration and remembers its departure.
+func (t *Table) deleteReplica(now time.Time, existing *registration) {
+	delete(t.replicas, existing.member.ID)
+	t.departed[existing.member.ID] = departure{born: existing.member.Born, draining: existing.member.Draining, at: now}
+}
+
 // RemoveUnlisted calls RemoveReplica for every registration that is missing from a full list.
 func (t *Table) RemoveUnlisted(now time.Time, listed map[ReplicaID]bool) {
 	for id := range t.replicas {
@@ -108,16 +171,19 @@
 	}
 }
 
-// SetEvacuated takes a failure domain out of service or returns it to service. Returned replicas count as cold,
-// because they may have become cold meanwhile.
+// SetEvacuated takes a failure domain out of service or returns it to service.
 func (t *Table) SetEvacuated(now time.Time, domain core.FailureDomain, out bool) {
-	if t.evacuated[domain] == out {
-		return
-	}
 	if out {
-		t.evacuated[domain] = true
+		t.evacuated[domain] = &evacuation{}
 		return
 	}
+	if t.evacuated[domain] != nil {
+		t.returnToService(now, domain)
+	}
+}
+
+// returnToService returns a failure domain to service. Its replicas count as cold, because they may have become cold meanwhile.
+func (t *Table) returnToService(now time.Time, domain core.FailureDomain) {
 	delete(t.evacuated, domain)
 	for _, e := range t.replicas {
 		if e.member.FailureDomain == domain && t.configuration != nil {
@@ -127,8 +193,20 @@
 	}
 }
 
-// Evacuated returns the failure domains that are out of service, in no order.
-func (t *Table) Evacuated() []core.FailureDomain { return slices.Collect(maps.Keys(t.evacuated)) }
+// ReturnUnlisted returns the failure domains to service that are missing from a full list of the evacuations. Soon after the
+// store came back from an older copy it only schedules the return.
+func (t *Table) ReturnUnlisted(now time.Time, listed map[core.FailureDomain]bool) {
+	graceEnd := t.restoredAt.Add(evacuationGrace)
+	for domain, existing := range t.evacuated {
+		switch {
+		case listed[domain]:
+		case !t.restoredAt.IsZero() && now.Before(graceEnd):
+			existing.removeAt = graceEnd
+		default:
+			t.returnToService(now, domain)
+		}
+	}
+}
 
 // SetWanted stores a weight target unless the same or a newer version is wanted. since is the time at which operators set the
 // target, a lower bound of it, or zero when it is unknown. It reports whether the version was stored.
@@ -150,15 +228,33 @@
 	return changed
 }
 
-// Expire removes registrations that were not renewed in time after an outage and reports whether there were any.
+// Expire ends the grace periods that are over and reports whether that changed the view: it removes registrations and evacuations
+// that were not renewed, and confirms registrations that are still there.
 func (t *Table) Expire(now time.Time) bool {
-	before := len(t.replicas)
-	maps.DeleteFunc(t.replicas, func(_ ReplicaID, e *registration) bool {
-		return !e.removeAt.IsZero() && !now.Before(e.removeAt)
-	})
-	return len(t.replicas) != before
+	changed := false
+	for _, existing := range t.replicas {
+		switch {
+		case expired(existing.removeAt, now):
+			t.deleteReplica(now, existing)
+			changed = true
+		case expired(existing.unconfirmedUntil, now):
+			existing.unconfirmedUntil = time.Time{}
+			changed = true
+		}
+	}
+	for domain, existing := range t.evacuated {
+		if expired(existing.removeAt, now) {
+			t.returnToService(now, domain)
+			changed = true
+		}
+	}
+	maps.DeleteFunc(t.departed, func(_ ReplicaID, d departure) bool { return now.Sub(d.at) > departureRetention })
+	return changed
 }
 
+// expired reports whether a grace period that ends at the given time, if it is set, is over.
+func expired(end, now time.Time) bool { return !end.IsZero() && !now.Before(end) }
+
 // View returns a snapshot of the table. Members are sorted by ID.
 func (t *Table) View() *View {
 	if t.indexed == nil {
@@ -172,8 +268,10 @@
 		teams:         t.indexed.teams,
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.replicas)) {
-		member := t.replicas[id].member
-		member.Evacuated = t.evacuated[member.FailureDomain]
+		existing := t.replicas[id]
+		member := existing.member
+		member.Evacuated = t.evacuated[member.FailureDomain] != nil
+		member.Unconfirmed = !existing.unconfirmedUntil.IsZero()
 		view.Members = append(view.Members, member)
 	}
 	return view
--- a/state/fleet/table_test.go
+++ b/state/fleet/table_test.go
@@ -135,3 +135,55 @@
 	require.Nil(t, view.WithoutKeys().Configuration.Teams[0].Keys)
 	require.EqualValues(t, "t", view.Team("secret").Name)
 }
+
+// TestEvacuationMissingFromRestoredStoreIsKept guards against work sent to a failure domain whose evacuation the store
+// acknowledged and then lost. Operators write it again, or else the failure domain returns to service after a while.
+func TestEvacuationMissingFromRestoredStoreIsKept(t *testing.T) {
+	table := fleet.NewTable()
+	table.SetReplica(start, 1, replica("r1", 1))
+	table.SetEvacuated(start, "a", true)
+	table.StoreRestored(start)
+	table.ReturnUnlisted(start, nil)
+	table.Expire(start.Add(4 * time.Second))
+	require.True(t, table.View().Members[0].Evacuated)
+
+	table.SetEvacuated(start.Add(4*time.Second), "a", true)
+	require.False(t, table.Expire(start.Add(time.Minute)), "the evacuation was written again")
+	require.True(t, table.View().Members[0].Evacuated)
+
+	table.StoreRestored(start.Add(2 * time.Minute))
+	table.ReturnUnlisted(start.Add(2*time.Minute), nil)
+	require.True(t, table.Expire(start.Add(3*time.Minute)))
+	require.False(t, table.View().Members[0].Evacuated)
+}
+
+// TestRemovedReplicaIsNotUsedFromRestoredStore guards against requests to a replica that has left and that is listed again
+// because the store came back from a copy that still holds its registration.
+func TestRemovedReplicaIsNotUsedFromRestoredStore(t *testing.T) {
+	table := fleet.NewTable()
+	draining := replica("drained", 1)
+	draining.Draining = true
+	table.SetReplica(start, 1, draining)
+	table.SetReplica(start, 2, replica("gone", 1))
+	table.SetReplica(start, 3, replica("restarted", 1))
+	for _, id := range []fleet.ReplicaID{"drained", "gone", "restarted"} {
+		table.RemoveReplica(start, id)
+	}
+	restored := start.Add(time.Second)
+	table.StoreRestored(restored)
+	table.SetReplica(restored, 1, replica("drained", 1))
+	table.SetReplica(restored, 2, replica("gone", 1))
+	table.SetReplica(restored, 9, replica("restarted", 2))
+	usable := func() []fleet.ReplicaID {
+		var list []fleet.ReplicaID
+		for _, member := range table.View().Members {
+			if member.Usable() {
+				list = append(list, member.ID)
+			}
+		}
+		return list
+	}
+	require.Equal(t, []fleet.ReplicaID{"restarted"}, usable())
+	require.True(t, table.Expire(restored.Add(5*time.Second)))
+	require.Equal(t, []fleet.ReplicaID{"gone", "restarted"}, usable(), "a registration that stays is of a live replica")
+}
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -15,10 +15,12 @@
 	ColdUntil time.Time
 	// Evacuated is true if the replica's failure domain is out of service.
 	Evacuated bool
+	// Unconfirmed is true if the registration may only be part of an older copy from which the store came back.
+	Unconfirmed bool
 }
 
 // Usable reports whether the replica may get new requests.
-func (m *Member) Usable() bool { return !m.Draining && !m.Evacuated }
+func (m *Member) Usable() bool { return !m.Draining && !m.Evacuated && !m.Unconfirmed }
 
 // View is an immutable snapshot of the fleet.
 type View struct {
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -43,8 +43,6 @@
 	probeRetryWait = 100 * time.Millisecond
 	// emptyRefreshInterval bounds the mean time between two stale lists of a kind with PollWhileEmpty while it has no records.
 	emptyRefreshInterval = 500 * time.Millisecond
-	// unknownRevision means that the kind must be listed before it can be watched.
-	unknownRevision = -1
 	// burstDelays is the number of coalescing delays within which two changes count as a burst.
 	burstDelays = 3
 	// shortListRecords is the number of records up to which a stale list is read at its refresh interval. The interval of a
@@ -53,6 +51,9 @@
 	shortListRecords = 150
 	// expireInterval is the time between two checks for registrations that did not reappear after an outage.
 	expireInterval = 100 * time.Millisecond
+	// restoreSettleTime is how long after the store came back from an older copy its configuration may not be the newest one that
+	// it acknowledged. Operators and replicas write again within about two seconds what it lost.
+	restoreSettleTime = 2 * time.Second
 	// quickFailureLimit is the duration below which a failed call is followed by a backoff; a call that took longer needs none.
 	quickFailureLimit = 400 * time.Millisecond
 )
@@ -81,6 +82,14 @@
 	ProbeWait time.Duration
 }
 
+// position is a point in the store's history from which a kind can be watched. The zero position means that the kind must be
+// listed first.
+type position struct {
+	known    bool
+	revision int64
+	era      int64
+}
+
 // Follower keeps a view of the fleet up to date.
 type Follower struct {
 	source feed.Source
@@ -93,7 +102,11 @@
 	// completeUntil holds, by kind, the time up to which all changes are known.
 	completeUntil map[feed.Kind]time.Time
 	lastAnswered  time.Time
-	random        *rand.Rand
+	// era is the latest era of the store; it is valid once lastAnswered is set.
+	era int64
+	// settledAt is the time from which the store confirms the configuration again after it came back from an older copy.
+	settledAt time.Time
+	random    *rand.Rand
 	// lastChange holds the time of the last change by kind.
 	lastChange map[feed.Kind]time.Time
 	// sharedOutage reports whether most other processes do not reach the store either.
@@ -231,19 +244,19 @@
 // followKind lists a kind and then watches it until ctx ends. It lists again when the store no longer has the history.
 func (f *Follower) followKind(ctx context.Context, kind Kind, probe bool) {
 	failures := 0
-	revision := int64(unknownRevision)
+	var from position
 	for ctx.Err() == nil {
 		started := bootclock.Now()
-		next, err := f.listOrWatch(ctx, kind, revision, probe, failures > 0)
+		next, err := f.listOrWatch(ctx, kind, from, probe, failures > 0)
 		if err == nil {
-			revision, failures = next, 0
+			from, failures = next, 0
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		if protocol.CodeOf(err) == protocol.CodeExpired {
-			revision = unknownRevision
+			from = position{}
 			continue
 		}
 		if failures == 0 {
@@ -261,9 +274,9 @@
 	}
 }
 
-// listOrWatch makes one list or watch call from the given revision and returns the revision from which to watch next.
-func (f *Follower) listOrWatch(ctx context.Context, kind Kind, revision int64, probe, failing bool) (int64, error) {
-	if revision == unknownRevision || kind.RefreshInterval > 0 {
+// listOrWatch makes one list or watch call from the given position and returns the position from which to watch next.
+func (f *Follower) listOrWatch(ctx context.Context, kind Kind, from position, probe, failing bool) (position, error) {
+	if kind.RefreshInterval > 0 || !f.canWatch(from) {
 		return f.list(ctx, kind)
 	}
 	wait, parent := watchWait, f.watchContext()
@@ -276,23 +289,35 @@
 	callCtx, cancel := context.WithTimeout(parent, wait+watchTimeoutSlack)
 	defer cancel()
 	sent := bootclock.Now()
-	batch, err := f.source.Watch(callCtx, kind.Kind, revision, wait)
+	batch, err := f.source.Watch(callCtx, kind.Kind, from.revision, wait)
 	if err != nil {
 		if parent.Err() != nil && ctx.Err() == nil {
-			return revision, nil
+			return from, nil
 		}
-		return revision, err
+		return from, err
 	}
+	if batch.Era != from.era {
+		// The revision is of another history, so the changes do not continue what was read before.
+		return position{}, f.enterEra(ctx, batch.Era)
+	}
+	next := position{known: true, revision: batch.Revision, era: batch.Era}
 	if len(batch.Records) == 0 {
 		f.applyBatch(kind.Kind, batch, false, false, confirmedUntil(sent, wait))
-		return batch.Revision, nil
+		return next, nil
 	}
 	f.applyBatch(kind.Kind, batch, false, false, sent)
 	sleep(ctx, kind.CoalesceDelay)
 	if kind.NewestOnly && f.inBurst(kind) {
-		return unknownRevision, nil
+		return position{}, nil
 	}
-	return batch.Revision, nil
+	return next, nil
+}
+
+// canWatch reports whether a position can be watched: it is known and of the store's latest era.
+func (f *Follower) canWatch(from position) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return from.known && from.era == f.era
 }
 
 // confirmedUntil returns the time up to which a watch without changes confirms that there were none. That is the end of its
@@ -314,20 +339,23 @@
 	return !last.IsZero() && now.Sub(last) < burstDelays*kind.CoalesceDelay
 }
 
-func (f *Follower) list(ctx context.Context, kind Kind) (int64, error) {
+func (f *Follower) list(ctx context.Context, kind Kind) (position, error) {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	stale := kind.RefreshInterval > 0
 	sent := bootclock.Now()
 	batch, err := f.source.List(callCtx, kind.Kind, stale)
 	if err != nil {
-		return unknownRevision, err
+		return position{}, err
+	}
+	if err := f.enterEra(ctx, batch.Era); err != nil {
+		return position{}, err
 	}
 	f.applyBatch(kind.Kind, batch, true, stale, sent)
 	if stale {
 		f.jitteredSleep(ctx, refreshAfter(kind, batch))
 	}
-	return batch.Revision, nil
+	return position{known: true, revision: batch.Revision, era: batch.Era}, nil
 }
 
 // refreshAfter returns the mean time until the next stale list.
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -27,6 +27,7 @@
 	records  map[feed.Kind]map[string]feed.Record
 	events   map[feed.Kind][]feed.Record
 	revision int64
+	era      int64
 	expired  bool
 	changed  chan struct{}
 	// lists counts the list calls and watched the records returned by watches, by kind.
@@ -72,7 +73,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists[kind]++
-	batch := feed.Batch{Revision: s.revision}
+	batch := feed.Batch{Revision: s.revision, Era: s.era}
 	for _, record := range s.records[kind] {
 		batch.Records = append(batch.Records, record)
 	}
@@ -84,7 +85,7 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		batch, changed, expired := feed.Batch{Revision: s.revision}, s.changed, s.expired
+		batch, changed, expired := feed.Batch{Revision: s.revision, Era: s.era}, s.changed, s.expired
 		for _, record := range s.events[kind] {
 			if record.Revision > since {
 				batch.Records = append(batch.Records, record)
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -14,6 +14,10 @@
 func (f *Follower) applyBatch(kind feed.Kind, batch feed.Batch, isList, stale bool, asOf bootclock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if batch.Era != f.era {
+		// The store came back from an older copy after it sent the batch.
+		return
+	}
 	now := bootclock.Time()
 	if f.storeUnresponsive(now) {
 		f.log.WithField("silent_ms", now.Sub(f.lastAnswered).Milliseconds()).WithField("shared", f.sharedOutage).
@@ -26,7 +30,7 @@
 		close(f.probeAnswered)
 		f.probeAnswered = make(chan struct{})
 	}
-	if kind == feed.KindConfiguration && !stale {
+	if kind == feed.KindConfiguration && !stale && !time.Unix(0, int64(asOf)).Before(f.settledAt) {
 		f.confirmedAt.Store(int64(asOf))
 	}
 	since := f.completeUntil[kind]
@@ -103,11 +107,11 @@
 		}
 		f.table.RemoveUnlisted(now, replicas)
 	case feed.KindEvacuations:
-		for _, domain := range f.table.Evacuated() {
-			if !listed[string(domain)] {
-				f.table.SetEvacuated(now, domain, false)
-			}
+		domains := make(map[core.FailureDomain]bool, len(listed))
+		for name := range listed {
+			domains[core.FailureDomain(name)] = true
 		}
+		f.table.ReturnUnlisted(now, domains)
 	}
 }
 
