--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -29,7 +29,7 @@
 		f.killProcess, f.stopEntry, f.pauseProcess, f.sendHangup, f.makeStoreUnavailable, f.degradeStoreLink,
 		f.degradeWorkerLink, f.degradeWorkerLink, f.crashWorker, f.loseWorkerResponses, f.compactStore,
 		f.setTargetVersion, f.revokeKey, f.revokeKeyDuringStoreLoss, f.revokeKeyDuringStoreLoss,
-		f.repeatConfiguration,
+		f.repeatConfiguration, f.restoreStore,
 	}
 	var faults []fault
 	for range cfg.Faults {
@@ -135,6 +135,23 @@
 	return fault{name: "compact history", inject: func(context.Context) { f.store.CompactHistory() }}
 }
 
+// restoreStore makes the store unavailable for a moment and brings it back from an older copy. Soon afterwards the operator and the
+// workers write again what it lost.
+func (f *fleet) restoreStore(random *rand.Rand) fault {
+	outage := randomDuration(random, 100*time.Millisecond, time.Second)
+	lost := randomDuration(random, 500*time.Millisecond, 5*time.Second)
+	rewrite := randomDuration(random, 100*time.Millisecond, 1500*time.Millisecond)
+	name := fmt.Sprintf("restore store from a copy %s old", lost)
+	return fault{name: name, duration: outage + rewrite, inject: func(context.Context) {
+		f.store.SetUnavailable(true)
+		f.store.Restore(time.Now().Add(-lost))
+		time.Sleep(outage)
+		f.store.SetUnavailable(false)
+		time.Sleep(rewrite)
+		f.rewriteStore()
+	}}
+}
+
 func (f *fleet) setTargetVersion(*rand.Rand) fault {
 	return fault{name: "set target version", inject: func(context.Context) {
 		version := f.version.Add(1)
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -71,6 +71,8 @@
 	server                 *http.Server
 	worker                 *platformtest.Worker
 	runsStarted            int
+	// previousID is the ID of the worker that crashed last, empty if none has.
+	previousID string
 }
 
 // ip returns the loopback address of host number in a group: 1 for entries, 2 for agents, 3 for stand-ins of the platform,
@@ -164,6 +166,19 @@
 	return time.Now()
 }
 
+// rewriteStore writes the configuration, the target version and the registrations again, as after the store lost them.
+func (f *fleet) rewriteStore() {
+	f.mu.Lock()
+	f.store.PutConfiguration(f.configuration)
+	f.mu.Unlock()
+	if version := f.version.Load(); version > 0 {
+		f.store.SetTargetVersion(modelName, version)
+	}
+	for _, h := range f.workers {
+		h.register()
+	}
+}
+
 func (f *fleet) addProcess(cfg Config, s platformtest.Settings) error {
 	address := hostPort(f.ip(4, len(f.storeProxies)), storePort)
 	proxy, err := startFaultProxy(address, hostPort(f.ip(3, 0), storePort))
@@ -217,13 +232,29 @@
 	if err != nil {
 		return err
 	}
+	if h.worker != nil {
+		h.previousID = h.worker.ID
+	}
 	h.worker, h.server = w, server
-	h.fleet.store.PutReplica(w.ID, platformtest.Replica{
-		Service: h.service, Address: h.address, FailureDomain: h.domain, Slots: slots, Born: w.Born,
-	})
+	h.putRegistration()
 	return nil
 }
 
+// register writes the worker's registration again and removes that of its predecessor.
+func (h *workerHost) register() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fleet.store.RemoveReplica(h.previousID)
+	h.putRegistration()
+}
+
+// putRegistration stores the worker's registration; the caller holds the lock.
+func (h *workerHost) putRegistration() {
+	h.fleet.store.PutReplica(h.worker.ID, platformtest.Replica{
+		Service: h.service, Address: h.address, FailureDomain: h.domain, Slots: slots, Born: h.worker.Born,
+	})
+}
+
 func (f *fleet) shouldDropResponse() bool { return rand.Int64N(100) < f.responseLossPercent.Load() }
 
 // crash stops the worker, removes its registration after registrationExpiry and starts another worker without weights.
