Know the time of a version that is set after the store lost its history

When the next version is set, the watch fails with 410 and the version is found by a list. Its time was then taken from the last complete read, 28 s before, so the version counted as due at once and the entries of one zone refused every request of the model until a replica had loaded it (386 refusals in 10 s on two hosts).

Change: a watch that waited until it failed shows that nothing had changed shortly before.

TestVersionSetAfterLostHistoryHasAKnownTime fails without the change.

--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -294,6 +294,9 @@
 		if parent.Err() != nil && ctx.Err() == nil {
 			return from, nil
 		}
+		if protocol.CodeOf(err) == protocol.CodeExpired && bootclock.Since(sent) > promptResponseLimit {
+			f.recordQuietWatch(kind.Kind)
+		}
 		return from, err
 	}
 	if batch.Era != from.era {
@@ -313,6 +316,14 @@
 	return next, nil
 }
 
+// recordQuietWatch records that a watch of a kind waited until just now, although it then failed because the store no longer has the
+// history: a change would have ended it before.
+func (f *Follower) recordQuietWatch(kind feed.Kind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.completeUntil[kind] = bootclock.Time().Add(-promptResponseLimit)
+}
+
 // canWatch reports whether a position can be watched: it is known and of the store's latest era.
 func (f *Follower) canWatch(from position) bool {
 	f.mu.Lock()
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -294,6 +295,23 @@
 	return s.source.Watch(ctx, kind, since, time.Millisecond)
 }
 
+// TestVersionSetAfterLostHistoryHasAKnownTime guards against a version that counts as long due because the watch that would have
+// shown it failed: the store had dropped the history while it waited. An entry then refused all requests of a model for 8 s.
+func TestVersionSetAfterLostHistoryHasAKnownTime(t *testing.T) {
+	const quiet = 1500 * time.Millisecond
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	follower := startFollower(t, s)
+	eventually(t, func() bool { return follower.View().Ready() })
+	readyAt := bootclock.Time()
+	s.dropHistory()
+	eventually(t, func() bool { return bootclock.Time().Sub(readyAt) > quiet })
+	setAt := bootclock.Time()
+	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 2}})
+	eventually(t, func() bool { return follower.View().Wanted["m"].Newest() == 2 })
+	require.WithinRange(t, follower.View().Wanted["m"][0].Since, setAt.Add(-quiet/2), bootclock.Time())
+}
+
 // TestVersionReportedByPeerBecomesTargetAtOnce checks that a new version reported by a peer becomes the target at once, and
 // not only with the next stale list.
 func TestVersionReportedByPeerBecomesTargetAtOnce(t *testing.T) {
