Move streams away from replicas that have gone silent

Streams that have begun there wait until their callers give up, and the frozen worker runs on with them when it wakes. A request was moved only before its first event, and only once. Besides, a replica without fresh reports counted only this host's own requests, so a frozen one looked idle and drew more.

Change: the guard of an attempt watches the progress to the end. After 0.8 s or the gap objective a resumable stream leaves a replica that is silent, after four gap objectives one that still reports; comments are no progress. If no replica has room the check is repeated, and a moved request may exceed the capacity by two. The retry is taken from the budget before the attempt is canceled. An engine without a report for 1 s gets no requests, unless more than half of its upstream are silent.

The tests fail with their guards removed: TestStalledStreamIsResumed- Elsewhere and TestCommentsAreNoProgress without the move after the first event, TestCommentsAreNoProgress if comments count, TestSlowButSoundStreamIs- NotMoved if events do not.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -75,6 +75,7 @@
 	bestScore := 0.0
 	verdict := VerdictNoCandidate
 	heldOff, soonest := true, time.Time{}
+	avoidSilent := b.avoidsSilent(now, request.Upstream)
 	for _, candidate := range group {
 		if !b.eligible(now, &request, candidate) {
 			continue
@@ -87,7 +88,10 @@
 			continue
 		}
 		heldOff = false
-		if !b.hasCapacity(now, candidate) || !b.startsInTime(now, &request, candidate) {
+		if avoidSilent && b.silent(now, candidate) {
+			continue
+		}
+		if !b.hasCapacity(now, &request, candidate) || !b.startsInTime(now, &request, candidate) {
 			continue
 		}
 		score := b.score(now, candidate, baseline)
@@ -163,15 +167,19 @@
 	return len(regions) == 0 || slices.Contains(regions, b.cfg.Regions[r.member.FailureDomain])
 }
 
-func (b *Balancer) hasCapacity(now time.Time, r *replica) bool {
+func (b *Balancer) hasCapacity(now time.Time, request *Request, r *replica) bool {
+	limit := r.slots() + b.cfg.Overcommit
+	if request.Moved {
+		limit += b.cfg.MovedOvercommit
+	}
 	switch {
 	case now.Before(r.excludedUntil), r.probing(&b.cfg):
 		return false
 	case r.report.Loading && r.hasFreshReport(&b.cfg, now):
 		return false
-	case r.load(&b.cfg, now) >= r.slots()+b.cfg.Overcommit:
+	case r.load(&b.cfg, now) >= limit:
 		return false
-	case r.headroomUsed(&b.cfg, now):
+	case !request.Moved && r.headroomUsed(&b.cfg, now):
 		return false
 	}
 	return b.allowsColdRequest(now, r)
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -23,12 +23,18 @@
 	// Overcommit is the number of requests that a replica may have beyond its slots. Higher values keep its slots busy but let
 	// more requests queue.
 	Overcommit int
+	// MovedOvercommit is added to Overcommit for a request that is moved away from another replica.
+	MovedOvercommit int
 	// HeadroomFactor scales this host's share of a replica's free slots between two load reports. At 1 the shares of all
 	// sending hosts add up to the free slots, apart from rounding: each share is rounded up and at least one request. Higher
 	// values fill the slots when few hosts send at once, but let more requests queue at the replica when many do.
 	HeadroomFactor float64
 	// MaxReportAge is the age beyond which a load report is ignored and only the requests of this host count.
 	MaxReportAge time.Duration
+	// SilentAfter is the time without a load report after which a model engine counts as silent. It gets no requests then, unless
+	// more than MaxSilentShare of the engines of its upstream are silent, which is more likely a fault on the way to this host.
+	SilentAfter    time.Duration
+	MaxSilentShare float64
 	// ReportLag is the assumed age of a load report on arrival. Requests sent within this time before the arrival are
 	// counted on top of the reported load.
 	ReportLag time.Duration
@@ -62,25 +68,28 @@
 // DefaultConfig returns the default settings.
 func DefaultConfig() Config {
 	return Config{
-		RegionPenalty:  0.9,
-		DomainPenalty:  0.1,
-		Jitter:         0.12,
-		Overcommit:     1,
-		HeadroomFactor: 0.7,
-		MaxReportAge:   1500 * time.Millisecond,
-		ReportLag:      250 * time.Millisecond,
-		EjectBase:      800 * time.Millisecond,
-		EjectCap:       6 * time.Second,
-		EjectAfter:     2,
-		IdleShare:      0.3,
-		ShedBackoff:    80 * time.Millisecond,
-		FailureWeight:  1.5,
-		SlowWeight:     0.25,
-		SlowThreshold:  1.8,
-		SlowCap:        1.5,
-		DefaultSenders: 24,
-		ColdShare:      0.9,
-		ColdBurst:      1,
+		RegionPenalty:   0.9,
+		DomainPenalty:   0.1,
+		Jitter:          0.12,
+		Overcommit:      1,
+		MovedOvercommit: 2,
+		HeadroomFactor:  0.7,
+		MaxReportAge:    1500 * time.Millisecond,
+		SilentAfter:     time.Second,
+		MaxSilentShare:  0.5,
+		ReportLag:       250 * time.Millisecond,
+		EjectBase:       800 * time.Millisecond,
+		EjectCap:        6 * time.Second,
+		EjectAfter:      2,
+		IdleShare:       0.3,
+		ShedBackoff:     80 * time.Millisecond,
+		FailureWeight:   1.5,
+		SlowWeight:      0.25,
+		SlowThreshold:   1.8,
+		SlowCap:         1.5,
+		DefaultSenders:  24,
+		ColdShare:       0.9,
+		ColdBurst:       1,
 	}
 }
 
@@ -100,6 +109,9 @@
 	// satisfy both.
 	RouteRegions []core.Region
 	TeamRegions  []core.Region
+	// Moved is true for a request that a replica has had already. It may exceed the capacity of a replica by MovedOvercommit, since
+	// the work on it would be lost.
+	Moved bool
 	// Exclude lists the replicas that earlier attempts were sent to.
 	Exclude []fleet.ReplicaID
 }
--- a/protocol/sse/sse.go
+++ b/protocol/sse/sse.go
@@ -21,6 +21,16 @@
 	return length
 }
 
+// HasData reports whether an event has a data field. A block of comments, which keeps a connection open, has none.
+func HasData(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // EventID returns the value of an event's id field as text and, if ok, as a number.
 func EventID(event []byte) (text string, number int64, ok bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -185,6 +185,10 @@
 		return false
 	}
 	c.tried = append(c.tried, choice.ID)
+	if c.nextChoice != nil {
+		// The guard has taken the retry from the budget.
+		return true
+	}
 	if result.unsent || result.outcome == dispatch.OutcomeMoved {
 		c.undelivered++
 		return c.undelivered < maxUndelivered && (result.unsent || c.h.router.takeRetry(c.upstream))
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -41,6 +41,13 @@
 	FirstEventFactor float64
 	// FirstEventMinTimeout is the lower bound of that time.
 	FirstEventMinTimeout time.Duration
+	// SilentTimeout is the time without an event after which a stream is moved away from a replica from which nothing is heard any
+	// more; a longer gap objective takes its place.
+	SilentTimeout time.Duration
+	// StallFactor is the time without an event after which a stream that has begun is moved away from a replica that still reports
+	// its load, as a multiple of the route's gap objective. StallMinTimeout is the lower bound of that time.
+	StallFactor     float64
+	StallMinTimeout time.Duration
 	// SafeTimeoutShare is the part of the remaining time after which a safe request without a response is sent to another
 	// replica.
 	SafeTimeoutShare float64
@@ -70,6 +77,9 @@
 		CapacityPollInterval: 10 * time.Millisecond,
 		FirstEventFactor:     3,
 		FirstEventMinTimeout: 1200 * time.Millisecond,
+		SilentTimeout:        800 * time.Millisecond,
+		StallFactor:          4,
+		StallMinTimeout:      1600 * time.Millisecond,
 		SafeTimeoutShare:     0.5,
 		UnsafeMaxIdle:        time.Second,
 		MaxResponseBytes:     8 << 20,
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -55,6 +55,7 @@
 	cfg := ingress.DefaultConfig()
 	cfg.MaxKeyAge, cfg.MaxReadyAge = 4*time.Second, 3*time.Second
 	cfg.FirstEventFactor, cfg.FirstEventMinTimeout = 0, 100*time.Millisecond
+	cfg.SilentTimeout, cfg.StallMinTimeout = 100*time.Millisecond, 200*time.Millisecond
 	cfg.CapacityWaitShare = 0
 	cfg.OldVersionGrace, cfg.OldVersionIdleOnlyAfter, cfg.OldVersionCancelAfter = time.Minute, time.Minute, 30*time.Second
 	cfg.Dispatch.Jitter = 0
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -80,6 +80,29 @@
 	return r.balancer.Pick(r.now(), request)
 }
 
+// pickForRetry chooses a replica for another attempt and takes the retry from the budget of the upstream. It returns false if there
+// is no replica with capacity or the budget is used up.
+func (r *Router) pickForRetry(request dispatch.Request) (dispatch.Choice, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	choice, verdict := r.balancer.Pick(r.now(), request)
+	if verdict != dispatch.VerdictChosen {
+		return choice, false
+	}
+	if !r.budget(request.Upstream).TakeRetry() {
+		r.balancer.Done(r.now(), choice, dispatch.OutcomeAbandoned, 0)
+		return choice, false
+	}
+	return choice, true
+}
+
+// silent reports whether a replica that should report its load has not done so for a while.
+func (r *Router) silent(choice dispatch.Choice) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.Silent(r.now(), choice.ID)
+}
+
 func (r *Router) done(choice dispatch.Choice, outcome dispatch.Outcome, latency time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/transport/ingress/slow.go
+++ b/transport/ingress/slow.go
@@ -10,23 +10,32 @@
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
+// stallCheckInterval is the time between two checks of an attempt that makes no progress but can't be moved yet.
+const stallCheckInterval = 200 * time.Millisecond
+
 // errSlow is the cause of canceling an attempt in favor of another replica.
-var errSlow = errors.New("no response in time; trying another replica")
+var errSlow = errors.New("no progress in time; trying another replica")
 
-// attemptGuard cancels an attempt without a response if it takes too long and another replica has capacity for the
-// request, or if the replica's model version may not be used for new requests any more. Either the response ends the
-// attempt or the guard does, never both.
+// attemptGuard cancels an attempt that makes no progress if another replica has capacity for the request, or one without a
+// response if the replica's model version may not be used for new requests any more. Either the response ends the attempt or
+// the guard does, never both.
 type attemptGuard struct {
 	call   *call
 	choice dispatch.Choice
 	cancel context.CancelCauseFunc
-	// slowTimer runs until another replica may be tried, outdatedTimer until the replica's version is outdated; nil means
+	// exclude lists the replicas that the request may not be moved to.
+	exclude []fleet.ReplicaID
+	// stallTimer runs until the next check of the progress, outdatedTimer until the replica's version is outdated; nil means
 	// never.
-	slowTimer     *time.Timer
+	stallTimer    *time.Timer
 	outdatedTimer *time.Timer
 
-	mu       sync.Mutex
-	disarmed bool
+	mu sync.Mutex
+	// responding is true once the first event of a stream has arrived, disarmed once the guard may not cancel any more.
+	responding bool
+	disarmed   bool
+	// lastProgress is the time of the last event, or the start of the attempt.
+	lastProgress time.Time
 	// cause is the reason for which the guard canceled the attempt, replacement the replica chosen instead.
 	cause       error
 	replacement *dispatch.Choice
@@ -34,13 +43,16 @@
 
 // guardAttempt returns the guard of an attempt. Only a request that may be repeated is moved away from a slow replica.
 func (c *call) guardAttempt(choice dispatch.Choice, cancel context.CancelCauseFunc) *attemptGuard {
-	g := &attemptGuard{call: c, choice: choice, cancel: cancel}
+	g := &attemptGuard{call: c, choice: choice, cancel: cancel, lastProgress: c.h.Now()}
 	g.startVersionTimer()
-	if !c.route.Repeatable() || c.stream.started || c.attempts+1 >= c.route.Attempts {
+	if !c.route.Repeatable() || c.attempts+1 >= c.route.Attempts {
 		return g
 	}
-	exclude := append([]fleet.ReplicaID{choice.ID}, c.tried...)
-	g.slowTimer = time.AfterFunc(c.slowTimeout(), func() { g.replaceSlow(exclude) })
+	g.exclude = append([]fleet.ReplicaID{choice.ID}, c.tried...)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	silent, _ := g.stallLimits()
+	g.stallTimer = time.AfterFunc(silent, g.checkProgress)
 	return g
 }
 
@@ -74,28 +86,60 @@
 	return time.Duration(float64(c.deadline.Sub(c.h.Now())) * c.h.Config.SafeTimeoutShare)
 }
 
-// replaceSlow cancels the attempt if a replica that is not in exclude has capacity. Otherwise the attempt continues.
-func (g *attemptGuard) replaceSlow(exclude []fleet.ReplicaID) {
+// stallLimits returns the times without progress after which the request is moved: one for a replica from which nothing is heard
+// and a longer one for a replica that still reports its load. The caller must hold the lock.
+func (g *attemptGuard) stallLimits() (silent, slow time.Duration) {
+	route, cfg := g.call.route, &g.call.h.Config
+	slow = g.call.slowTimeout()
+	if g.responding {
+		slow = max(time.Duration(float64(route.GapObjective)*cfg.StallFactor), cfg.StallMinTimeout)
+	}
+	if route.Kind != fleet.KindStreaming {
+		return slow, slow
+	}
+	return min(max(route.GapObjective, cfg.SilentTimeout), slow), slow
+}
+
+// checkProgress moves the request to a replica that is not in exclude if it has made no progress for too long and that replica has
+// capacity. Otherwise the attempt continues and is checked again.
+func (g *attemptGuard) checkProgress() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.disarmed || g.cause != nil {
 		return
 	}
+	idle := g.call.h.Now().Sub(g.lastProgress)
+	silent, slow := g.stallLimits()
+	switch {
+	case idle < silent:
+		g.stallTimer.Reset(silent - idle)
+	case idle < slow && !g.call.h.router.silent(g.choice):
+		g.stallTimer.Reset(min(slow-idle, stallCheckInterval))
+	case !g.moveElsewhere():
+		g.stallTimer.Reset(stallCheckInterval)
+	}
+}
+
+// moveElsewhere cancels the attempt in favor of another replica if one has capacity and the retry budget allows it; the caller must
+// hold the lock.
+func (g *attemptGuard) moveElsewhere() bool {
 	request := g.call.dispatchRequest()
-	request.Exclude = exclude
-	next, verdict := g.call.h.router.pickReplica(request)
-	if verdict != dispatch.VerdictChosen {
-		return
+	request.Exclude = g.exclude
+	request.Moved = true
+	next, ok := g.call.h.router.pickForRetry(request)
+	if !ok {
+		return false
 	}
 	g.replacement = &next
 	g.cancelAttempt(errSlow)
+	return true
 }
 
 // cancelOutdated cancels the attempt, unless the deadline of the version has moved; then it restarts the timer.
 func (g *attemptGuard) cancelOutdated() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.disarmed || g.cause != nil {
+	if g.disarmed || g.responding || g.cause != nil {
 		return
 	}
 	until, ok := g.call.versionDeadline(g.choice)
@@ -116,9 +160,29 @@
 	g.cancel(cause)
 }
 
-// disarm stops the guard because the response has begun. If the guard canceled the attempt before, it returns the cause.
+// begin records that the response has begun: the version is used, and from now on events count as progress. If the guard canceled
+// the attempt before, it returns the cause.
+func (g *attemptGuard) begin() error {
+	if g.outdatedTimer != nil {
+		g.outdatedTimer.Stop()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.responding = true
+	g.lastProgress = g.call.h.Now()
+	return g.cause
+}
+
+// progress records that an event has arrived.
+func (g *attemptGuard) progress() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastProgress = g.call.h.Now()
+}
+
+// disarm stops the guard because the response is complete. If the guard canceled the attempt before, it returns the cause.
 func (g *attemptGuard) disarm() error {
-	for _, timer := range []*time.Timer{g.slowTimer, g.outdatedTimer} {
+	for _, timer := range []*time.Timer{g.stallTimer, g.outdatedTimer} {
 		if timer != nil {
 			timer.Stop()
 		}
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -43,12 +43,12 @@
 		n, err := response.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if sse.EventLength(pending) > 0 && latency == 0 {
-			if cause := guard.disarm(); cause != nil {
+			if cause := guard.begin(); cause != nil {
 				return attemptResult{outcome: cancelOutcome(cause), err: cause}
 			}
 			latency = c.h.Now().Sub(sent)
 		}
-		rest, writeErr := c.forwardEvents(response, pending)
+		rest, writeErr := c.forwardEvents(response, pending, guard)
 		if writeErr != nil {
 			return attemptResult{outcome: dispatch.OutcomeAbandoned, err: writeErr}
 		}
@@ -77,7 +77,7 @@
 }
 
 // forwardEvents sends the complete events of data to the caller and returns the rest.
-func (c *call) forwardEvents(response *backend.Response, data []byte) (rest []byte, err error) {
+func (c *call) forwardEvents(response *backend.Response, data []byte, guard *attemptGuard) (rest []byte, err error) {
 	var ready []byte
 	for {
 		length := sse.EventLength(data)
@@ -86,6 +86,9 @@
 		}
 		event := data[:length]
 		data = data[length:]
+		if sse.HasData(event) {
+			guard.progress()
+		}
 		if c.stream.recordEvent(event) {
 			ready = append(ready, event...)
 		}
