Read the store through one host of each failure domain

Change: entries tell the agents that they ask for load reports whether they read the store themselves. Agents name the lowest direct address of each failure domain as its relay; no lease, no consensus. The others list and watch at the relay, which answers from its copy with the age of the store's last confirmation, so that API keys run out as before. A relay that doesn't answer in 0.4 s after its wait, that has lost the store for 3 s, is behind or itself relies on another host is left at once for the store. Agents get configurations without routes and keys. A restarted process waits up to 1.2 s for a relay before it reads the configuration from the store.

--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -45,6 +45,8 @@
 	emptyRefreshInterval = 500 * time.Millisecond
 	// burstDelays is the number of coalescing delays within which two changes count as a burst.
 	burstDelays = 3
+	// relayedDelayDivisor shortens the pause after a change that a relay has passed on.
+	relayedDelayDivisor = 4
 	// shortListRecords is the number of records up to which a stale list is read at its refresh interval. The interval of a
 	// longer list grows in proportion, so that its bytes per second stay constant: lists of 3,000 records every 5 s saturated
 	// the link between two regions.
@@ -156,6 +158,20 @@
 	return bootclock.Since(bootclock.Instant(at))
 }
 
+// Replicas returns the replicas that have been read so far, also before there is a view.
+func (f *Follower) Replicas() []fleet.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.View().Members
+}
+
+// Answered reports whether the store has answered this process yet, and does so now.
+func (f *Follower) Answered() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lastAnswered.IsZero() && !f.storeUnresponsive(bootclock.Time())
+}
+
 // StoreUnresponsive reports whether the store has not responded to this process for longer than a watch takes. It is
 // false before the first response.
 func (f *Follower) StoreUnresponsive() bool {
@@ -304,18 +320,27 @@
 		return position{}, f.enterEra(ctx, batch.Era)
 	}
 	next := position{known: true, revision: batch.Revision, era: batch.Era}
+	got := arrival{sent: sent, completeAt: confirmedUntil(sent, wait, batch)}
+	f.applyBatch(kind.Kind, batch, got)
 	if len(batch.Records) == 0 {
-		f.applyBatch(kind.Kind, batch, false, false, confirmedUntil(sent, wait))
 		return next, nil
 	}
-	f.applyBatch(kind.Kind, batch, false, false, sent)
-	sleep(ctx, kind.CoalesceDelay)
-	if kind.NewestOnly && f.inBurst(kind) {
+	sleep(ctx, coalesceDelay(kind, batch))
+	if kind.NewestOnly && !batch.Relayed && f.inBurst(kind) {
 		return position{}, nil
 	}
 	return next, nil
 }
 
+// coalesceDelay returns the pause after a change. It is short for changes from a relay, which has paused itself and costs the store
+// nothing.
+func coalesceDelay(kind Kind, batch feed.Batch) time.Duration {
+	if batch.Relayed {
+		return kind.CoalesceDelay / relayedDelayDivisor
+	}
+	return kind.CoalesceDelay
+}
+
 // recordQuietWatch records that a watch of a kind waited until just now, although it then failed because the store no longer has the
 // history: a change would have ended it before.
 func (f *Follower) recordQuietWatch(kind feed.Kind) {
@@ -331,10 +356,13 @@
 	return from.known && from.era == f.era
 }
 
-// confirmedUntil returns the time up to which a watch without changes confirms that there were none. That is the end of its
-// wait, or the time at which it was sent if it was answered before its wait was over.
-func confirmedUntil(sent bootclock.Instant, wait time.Duration) bootclock.Instant {
-	if bootclock.Since(sent) < wait {
+// confirmedUntil returns the time up to which the batch of a watch is complete. Without changes that is the end of the wait, or the
+// time at which the watch was sent if it was answered before its wait was over. A relay states the time itself.
+func confirmedUntil(sent bootclock.Instant, wait time.Duration, batch feed.Batch) bootclock.Instant {
+	switch {
+	case batch.Relayed:
+		return sent + bootclock.Instant(batch.CompleteAfter)
+	case len(batch.Records) > 0 || bootclock.Since(sent) < wait:
 		return sent
 	}
 	return sent + bootclock.Instant(wait)
@@ -362,7 +390,11 @@
 	if err := f.enterEra(ctx, batch.Era); err != nil {
 		return position{}, err
 	}
-	f.applyBatch(kind.Kind, batch, true, stale, sent)
+	got := arrival{list: true, stale: stale, sent: sent, completeAt: sent}
+	if batch.Relayed {
+		got.completeAt += bootclock.Instant(batch.CompleteAfter)
+	}
+	f.applyBatch(kind.Kind, batch, got)
 	if stale {
 		f.jitteredSleep(ctx, refreshAfter(kind, batch))
 	}
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -9,9 +9,26 @@
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
-// applyBatch applies a batch to the table. isList marks the result of a list. asOf is the time up to which the batch holds
-// all changes, unless it is stale.
-func (f *Follower) applyBatch(kind feed.Kind, batch feed.Batch, isList, stale bool, asOf bootclock.Instant) {
+// arrival describes how a batch was read.
+type arrival struct {
+	// list marks the result of a list, stale that of a list that may be older than the call.
+	list, stale bool
+	sent        bootclock.Instant
+	// completeAt is the time up to which the store has confirmed that the batch holds all changes, unless it is stale.
+	completeAt bootclock.Instant
+}
+
+// quietUntil returns the time up to which there was no change that the batch lacks. A relay learns changes at once, although the
+// store may have confirmed some time ago that there are no others.
+func (a arrival) quietUntil(batch feed.Batch) time.Time {
+	if batch.Relayed {
+		return time.Unix(0, int64(a.sent)).Add(-promptResponseLimit)
+	}
+	return time.Unix(0, int64(a.completeAt))
+}
+
+// applyBatch applies a batch to the table.
+func (f *Follower) applyBatch(kind feed.Kind, batch feed.Batch, got arrival) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if batch.Era != f.era {
@@ -30,26 +47,27 @@
 		close(f.probeAnswered)
 		f.probeAnswered = make(chan struct{})
 	}
-	if kind == feed.KindConfiguration && !stale && !time.Unix(0, int64(asOf)).Before(f.settledAt) {
-		f.confirmedAt.Store(int64(asOf))
+	confirmed := time.Unix(0, int64(got.completeAt))
+	if kind == feed.KindConfiguration && !got.stale && !confirmed.Before(f.settledAt) && int64(got.completeAt) > f.confirmedAt.Load() {
+		f.confirmedAt.Store(int64(got.completeAt))
 	}
 	since := f.completeUntil[kind]
-	if !isList && bootclock.Since(asOf) > promptResponseLimit {
+	if !got.list && bootclock.Since(got.sent) > promptResponseLimit {
 		// The change ended the wait of the watch, so it was made just now.
 		since = now
 	}
 	for _, record := range batch.Records {
 		f.applyRecord(now, since, kind, record)
 	}
-	if !stale {
-		f.completeUntil[kind] = time.Unix(0, int64(asOf))
+	if !got.stale {
+		f.completeUntil[kind] = got.quietUntil(batch)
 	}
-	if isList {
+	if got.list {
 		f.removeUnlisted(now, kind, batch.Records)
 	}
 	first := !f.listed[kind]
 	f.listed[kind] = true
-	if len(batch.Records) > 0 || isList || first {
+	if len(batch.Records) > 0 || got.list || first {
 		f.publish()
 	}
 }
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -51,8 +52,16 @@
 
 // RunAgent runs an agent process until ctx is done.
 func RunAgent(ctx context.Context, deps AgentDependencies) error {
-	follower := follow.New(deps.Source, agentFollowConfig, newRandom(deps.Random), deps.Log)
-	sink := loadshare.RequestSink{EntryHostCounts: follower.RecordPeerReachability, WantedVersion: follower.ApplyPeerTarget}
+	source := newSource(deps.Host, deps.Source, nil, deps.Log)
+	follower := follow.New(source, agentFollowConfig, newRandom(deps.Random), deps.Log)
+	sink := loadshare.RequestSink{
+		EntryHostCounts: follower.RecordPeerReachability, WantedVersion: follower.ApplyPeerTarget,
+		Relays: func(relays map[core.FailureDomain]netip.Addr) {
+			if address, ok := relays[deps.Host.FailureDomain]; ok {
+				source.SetRelay(address)
+			}
+		},
+	}
 	reporter, err := loadshare.NewReporter(deps.Host.Address, deps.Host.PeerPort, follower.View, sink, deps.Log)
 	if err != nil {
 		return err
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	"github.com/guavatrestle/guavatrestle/transport/ingress"
 	"github.com/guavatrestle/guavatrestle/transport/loadshare"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
+	"github.com/guavatrestle/guavatrestle/transport/relay"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
 
@@ -95,6 +97,8 @@
 // entry is a running entry process.
 type entry struct {
 	EntryDependencies
+	source   *relay.Source
+	cache    *relay.Cache
 	follower *follow.Follower
 	router   *ingress.Router
 	handler  *ingress.Handler
@@ -109,9 +113,18 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	sink := loadshare.Sink{Report: e.router.RecordLoad, WantedVersion: e.follower.LearnTargetTime, EntryHostCounts: e.follower.RecordPeerReachability}
-	listener, err := loadshare.Listen(deps.Host.Address, deps.Host.PeerPort, e.follower.View, e.follower.StoreUnresponsive, sink,
-		deps.Log)
+	listener, err := loadshare.Listen(deps.Host.Address, deps.Host.PeerPort, loadshare.ListenerDependencies{
+		FailureDomain:     deps.Host.FailureDomain,
+		View:              e.follower.View,
+		Replicas:          e.follower.Replicas,
+		StoreUnresponsive: e.follower.StoreUnresponsive,
+		Direct:            func() bool { return !e.leaving.Load() && e.readsStore() },
+		Sink: loadshare.Sink{
+			Report: e.router.RecordLoad, WantedVersion: e.follower.LearnTargetTime,
+			EntryHostCounts: e.follower.RecordPeerReachability, Relay: e.source.SetRelay,
+		},
+		Log: deps.Log,
+	})
 	if err != nil {
 		return err
 	}
@@ -130,7 +143,9 @@
 
 func newEntry(deps EntryDependencies) *entry {
 	e := &entry{EntryDependencies: deps, pool: backend.NewPool()}
-	e.follower = follow.New(deps.Source, entryFollowConfig, newRandom(deps.Random), deps.Log)
+	e.cache = relay.NewCache()
+	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Log)
+	e.follower = follow.New(e.source, entryFollowConfig, newRandom(deps.Random), deps.Log)
 	e.router = ingress.NewRouter(deps.Ingress, newRandom(deps.Random), bootclock.Time)
 	e.follower.OnChange(e.router.SetView)
 	e.handler = ingress.NewHandler(ingress.Dependencies{
@@ -147,6 +162,19 @@
 	return e
 }
 
+// newSource returns the source of a process, which reads the store through a relay if it can. Only an entry host has a cache.
+func newSource(host Host, store feed.Source, cache *relay.Cache, log *logrus.Entry) *relay.Source {
+	// An address that is not an IP address is never named as relay.
+	self, _ := netip.ParseAddr(host.Address)
+	return relay.NewSource(relay.Config{
+		Store: store, Cache: cache, Self: self, Port: host.PeerPort, Brief: cache == nil, Log: log,
+	})
+}
+
+// readsStore reports whether this host reads the store itself and the store answers it, so that it may answer other hosts. A leaving
+// host goes on answering them, but is not named as relay any more.
+func (e *entry) readsStore() bool { return e.source.Direct() && e.follower.Answered() }
+
 // servers holds the HTTP servers of an entry process.
 type servers struct {
 	callers *http.Server
@@ -169,6 +197,7 @@
 	server.AddDebug(debug, server.Introspection{State: e.state, Ready: e.handler.Ready})
 	for address, handler := range map[string]http.Handler{
 		e.ReadyListen: ready, debugAddress(e.Host): debug,
+		net.JoinHostPort(e.Host.Address, strconv.Itoa(e.Host.PeerPort)): &relay.Server{Cache: e.cache, Direct: e.readsStore, Log: e.Log},
 	} {
 		other := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 		if err := serve(other, address, e.Log); err != nil {
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/relay"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -21,6 +22,9 @@
 	lastRequest time.Time
 	// storeUnresponsive is set when the store does not answer the host.
 	storeUnresponsive bool
+	failureDomain     core.FailureDomain
+	// direct is set when the host reads the store itself and the store answers it.
+	direct bool
 }
 
 // RequestSink receives the contents of requests for reports from entry hosts.
@@ -30,6 +34,8 @@
 	EntryHostCounts func(hosts, unresponsive int)
 	// WantedVersion receives a version that an entry host knows to be wanted and the time since it became wanted.
 	WantedVersion func(model core.Model, version int64, age time.Duration)
+	// Relays receives the relay of each failure domain every ReportInterval.
+	Relays func(map[core.FailureDomain]netip.Addr)
 }
 
 // Reporter sends load reports to the entry hosts that requested them recently.
@@ -101,6 +107,7 @@
 		}
 	}
 	r.sink.EntryHostCounts(len(r.requesters), unresponsive)
+	r.sink.Relays(r.relays())
 	if !r.hasReport || len(r.requesters) == 0 {
 		return
 	}
@@ -116,6 +123,39 @@
 	}
 }
 
+// relays returns the relay of each failure domain; the caller holds the lock.
+func (r *Reporter) relays() map[core.FailureDomain]netip.Addr {
+	var candidates []relay.Candidate
+	for address, host := range r.requesters {
+		candidates = append(candidates, relay.Candidate{
+			Address: address.Addr().Unmap(), FailureDomain: host.failureDomain, Direct: host.direct,
+		})
+	}
+	return relay.Elect(candidates)
+}
+
+// recordRequest records the sender of a request and answers its question for the relays.
+func (r *Reporter) recordRequest(from netip.AddrPort, request message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, registered := r.requesters[from]; registered || len(r.requesters) < maxRequesters {
+		r.requesters[from] = requester{
+			lastRequest: bootclock.Time(), storeUnresponsive: request.StoreUnresponsive,
+			failureDomain: request.FailureDomain, direct: request.Direct,
+		}
+	}
+	if !request.AskRelays {
+		return
+	}
+	body, err := json.Marshal(message{Relays: r.relays()})
+	if err != nil {
+		r.log.WithError(err).Error("encode relays")
+		return
+	}
+	// Errors are ignored: the host asks again.
+	_, _ = r.conn.WriteToUDPAddrPort(body, from)
+}
+
 func (r *Reporter) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
@@ -127,11 +167,7 @@
 		if json.Unmarshal(buffer[:n], &request) != nil || request.Report != nil {
 			continue
 		}
-		r.mu.Lock()
-		if _, registered := r.requesters[from]; registered || len(r.requesters) < maxRequesters {
-			r.requesters[from] = requester{lastRequest: bootclock.Time(), storeUnresponsive: request.StoreUnresponsive}
-		}
-		r.mu.Unlock()
+		r.recordRequest(from, request)
 		deliverWanted(request.Wanted, r.sink.WantedVersion)
 	}
 }
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -26,79 +27,115 @@
 	// EntryHostCounts receives the number of entry hosts that request reports from an agent and the number of those that the
 	// store does not answer.
 	EntryHostCounts func(hosts, unresponsive int)
+	// Relay receives the address of the relay of this host's failure domain.
+	Relay func(netip.Addr)
+}
+
+// ListenerDependencies holds what a Listener tells agents about this host, and what it needs to know which agents there are.
+type ListenerDependencies struct {
+	FailureDomain core.FailureDomain
+	View          func() *fleet.View
+	// Replicas returns the replicas known so far, also before there is a view.
+	Replicas func() []fleet.Member
+	// StoreUnresponsive reports whether the store does not answer this host, Direct whether this host reads the store itself and
+	// the store answers it.
+	StoreUnresponsive func() bool
+	Direct            func() bool
+	Sink              Sink
+	Log               *logrus.Entry
 }
 
 // Listener requests load reports from agents and passes them to a Sink.
 type Listener struct {
+	ListenerDependencies
 	conn *net.UDPConn
 	port uint16
-	view func() *fleet.View
-	// storeUnresponsive reports whether the store does not answer this host.
-	storeUnresponsive func() bool
-
-	sink Sink
-	log  *logrus.Entry
 	// byHost holds the replicas that have an agent by the IP address of their host.
 	byHost atomic.Pointer[map[netip.Addr][]fleet.Member]
 }
 
 // Listen opens the UDP socket of an entry host at ip.
-func Listen(ip string, port int, view func() *fleet.View, storeUnresponsive func() bool, sink Sink, log *logrus.Entry) (*Listener, error) {
+func Listen(ip string, port int, deps ListenerDependencies) (*Listener, error) {
 	conn, err := listenUDP(ip, port)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{conn: conn, port: uint16(port), view: view, storeUnresponsive: storeUnresponsive, sink: sink, log: log}, nil
+	return &Listener{ListenerDependencies: deps, conn: conn, port: uint16(port)}, nil
 }
 
 // Run requests and receives reports until ctx is done.
 func (l *Listener) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(l.receive)
-	ticker := time.NewTicker(RequestInterval)
-	defer ticker.Stop()
 	for {
+		interval := RequestInterval
+		if !l.View().Ready() {
+			interval = hurriedInterval
+		}
 		l.requestReports()
 		select {
 		case <-ctx.Done():
 			_ = l.conn.Close()
 			loops.Wait()
 			return
-		case <-ticker.C:
+		case <-time.After(interval):
 		}
 	}
 }
 
-// requestReports requests reports from the agents of all engine replicas.
+// requestReports requests reports from the agents of all engine replicas, and asks some of them for the relays. Before there is a
+// configuration it is not known which replicas are engines, so all hosts of replicas are asked.
 func (l *Listener) requestReports() {
-	view := l.view()
-	if !view.Ready() {
-		return
-	}
+	view := l.View()
+	members := l.engines(view)
 	byHost := make(map[netip.Addr][]fleet.Member)
-	for _, member := range view.Members {
-		if view.Configuration.Upstreams[member.Upstream].Engine == nil {
-			continue
-		}
+	for _, member := range members {
 		address, err := netip.ParseAddrPort(member.Address)
 		if err != nil {
-			l.log.WithError(err).WithField("replica", member.ID).Warn("replica address is not an IP address with a port")
+			l.Log.WithError(err).WithField("replica", member.ID).Warn("replica address is not an IP address with a port")
 			continue
 		}
 		byHost[address.Addr()] = append(byHost[address.Addr()], member)
 	}
 	l.byHost.Store(&byHost)
-	body, err := json.Marshal(message{StoreUnresponsive: l.storeUnresponsive(), Wanted: recentWanted(bootclock.Time(), view)})
-	if err != nil {
-		l.log.WithError(err).Error("encode request for reports")
+	request := message{
+		StoreUnresponsive: l.StoreUnresponsive(), Wanted: recentWanted(bootclock.Time(), view),
+		FailureDomain: l.FailureDomain, Direct: l.Direct(),
+	}
+	plain, err := json.Marshal(request)
+	request.AskRelays = true
+	asking, errAsking := json.Marshal(request)
+	if err := errors.Join(err, errAsking); err != nil {
+		l.Log.WithError(err).Error("encode request for reports")
 		return
 	}
+	asked := 0
+	// The order of a map differs each time, so all agents are asked in turn.
 	for host := range byHost {
+		body := plain
+		if asked < relayQuestions {
+			body = asking
+			asked++
+		}
 		// Errors are ignored: a lost request is replaced by the next one.
 		_, _ = l.conn.WriteToUDPAddrPort(body, netip.AddrPortFrom(host, l.port))
 	}
 }
 
+// engines returns the replicas that are engines, or all known replicas if there is no view yet.
+func (l *Listener) engines(view *fleet.View) []fleet.Member {
+	if !view.Ready() {
+		return l.Replicas()
+	}
+	var engines []fleet.Member
+	for _, member := range view.Members {
+		if view.Configuration.Upstreams[member.Upstream].Engine != nil {
+			engines = append(engines, member)
+		}
+	}
+	return engines
+}
+
 func (l *Listener) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
@@ -107,7 +144,13 @@
 			return
 		}
 		var received message
-		if json.Unmarshal(buffer[:n], &received) != nil || received.Report == nil {
+		if json.Unmarshal(buffer[:n], &received) != nil {
+			continue
+		}
+		if address, ok := received.Relays[l.FailureDomain]; ok {
+			l.Sink.Relay(address)
+		}
+		if received.Report == nil {
 			continue
 		}
 		byHost := l.byHost.Load()
@@ -116,11 +159,11 @@
 		}
 		for _, member := range (*byHost)[from.Addr().Unmap()] {
 			if member.Born == received.Report.Born || member.Born == 0 {
-				l.sink.Report(member.ID, received.Report.decode())
+				l.Sink.Report(member.ID, received.Report.decode())
 			}
 		}
-		l.sink.EntryHostCounts(received.Report.Senders, received.Report.StoreUnresponsiveCount)
-		deliverWanted(received.Report.Wanted, l.sink.WantedVersion)
+		l.Sink.EntryHostCounts(received.Report.Senders, received.Report.StoreUnresponsiveCount)
+		deliverWanted(received.Report.Wanted, l.Sink.WantedVersion)
 	}
 }
 
--- a/transport/loadshare/loadshare_test.go
+++ b/transport/loadshare/loadshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -43,25 +44,34 @@
 	got := map[fleet.ReplicaID]dispatch.Report{}
 	var entryAge, agentAge time.Duration
 	var hostCounts [2]int
-	listener, err := loadshare.Listen("127.0.10.2", port, func() *fleet.View { return view }, func() bool { return true }, loadshare.Sink{
-		Report: func(id fleet.ReplicaID, report dispatch.Report) {
-			mu.Lock()
-			defer mu.Unlock()
-			got[id] = report
-		},
-		EntryHostCounts: func(hosts, unresponsive int) {
-			mu.Lock()
-			defer mu.Unlock()
-			hostCounts = [2]int{hosts, unresponsive}
+	var entryRelay, agentRelay netip.Addr
+	listener, err := loadshare.Listen("127.0.10.2", port, loadshare.ListenerDependencies{
+		FailureDomain: "fd", View: func() *fleet.View { return view }, Replicas: func() []fleet.Member { return nil }, Log: log,
+		StoreUnresponsive: func() bool { return true }, Direct: func() bool { return true }, Sink: loadshare.Sink{
+			Report: func(id fleet.ReplicaID, report dispatch.Report) {
+				mu.Lock()
+				defer mu.Unlock()
+				got[id] = report
+			},
+			EntryHostCounts: func(hosts, unresponsive int) {
+				mu.Lock()
+				defer mu.Unlock()
+				hostCounts = [2]int{hosts, unresponsive}
+			},
+			WantedVersion: func(model core.Model, version int64, age time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				if model == "m" && version == 4 {
+					entryAge = age
+				}
+			},
+			Relay: func(address netip.Addr) {
+				mu.Lock()
+				defer mu.Unlock()
+				entryRelay = address
+			},
 		},
-		WantedVersion: func(model core.Model, version int64, age time.Duration) {
-			mu.Lock()
-			defer mu.Unlock()
-			if model == "m" && version == 4 {
-				entryAge = age
-			}
-		},
-	}, log)
+	})
 	require.NoError(t, err)
 	reporter, err := loadshare.NewReporter("127.0.10.1", port, func() *fleet.View { return view }, loadshare.RequestSink{
 		EntryHostCounts: func(int, int) {},
@@ -72,6 +82,11 @@
 				agentAge = age
 			}
 		},
+		Relays: func(relays map[core.FailureDomain]netip.Addr) {
+			mu.Lock()
+			defer mu.Unlock()
+			agentRelay = relays["fd"]
+		},
 	}, log)
 	require.NoError(t, err)
 	reporter.SetReport(2, dispatch.Report{Running: 3, Waiting: 1, Leaving: true, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}}})
@@ -85,10 +100,13 @@
 	require.Eventually(t, func() bool {
 		mu.Lock()
 		defer mu.Unlock()
-		return len(got) > 0 && entryAge >= 3*time.Second && agentAge >= 3*time.Second
+		return len(got) > 0 && entryAge >= 3*time.Second && agentAge >= 3*time.Second &&
+			entryRelay.IsValid() && agentRelay.IsValid()
 	}, 10*time.Second, time.Millisecond)
 	mu.Lock()
 	defer mu.Unlock()
+	require.Equal(t, "127.0.10.2", entryRelay.String(), "the only entry host is its own relay")
+	require.Equal(t, entryRelay, agentRelay)
 	require.Equal(t, [2]int{1, 1}, hostCounts, "one entry host requests reports, and the store does not answer it")
 	require.Equal(t, map[fleet.ReplicaID]dispatch.Report{"now": {
 		Running: 3, Waiting: 1, Leaving: true, Senders: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}},
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
@@ -17,6 +18,10 @@
 const (
 	// RequestInterval is the interval between requests for reports to one agent.
 	RequestInterval = time.Second
+	// hurriedInterval is the interval between requests of an entry host that has no configuration yet.
+	hurriedInterval = 100 * time.Millisecond
+	// relayQuestions is the number of agents that an entry host asks for the relays in each round.
+	relayQuestions = 6
 	// requestLifetime is the time for which an agent sends reports after a request; two successive requests may be lost.
 	requestLifetime = 3500 * time.Millisecond
 	// ReportInterval is the interval between reports.
@@ -30,9 +35,16 @@
 	maxDatagramBytes = 2048
 )
 
-// message is the content of a datagram. One without a report is a request for reports.
+// message is the content of a datagram. One without a report and without relays is a request for reports.
 type message struct {
 	Report *report `json:"r,omitempty"`
+	// Relays holds, in a response to AskRelays, the address of the relay of each failure domain.
+	Relays map[core.FailureDomain]netip.Addr `json:"z,omitempty"`
+	// FailureDomain is, in a request, the one of the sender. Direct is set if the sender reads the store itself and the store
+	// answers it, AskRelays if it wants to know the relays.
+	FailureDomain core.FailureDomain `json:"d,omitempty"`
+	Direct        bool               `json:"s,omitempty"`
+	AskRelays     bool               `json:"y,omitempty"`
 	// StoreUnresponsive is set in a request when the store does not answer the sender.
 	StoreUnresponsive bool `json:"x,omitempty"`
 	// Wanted lists, in a request, the versions that recently became wanted as known to the sender.
--- /dev/null
+++ b/transport/relay/cache.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"sync"
+
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
+	"github.com/guavatrestle/guavatrestle/protocol/feed"
+)
+
+// Cache holds a copy of what this host has read from the store, for the hosts that it is the relay of.
+type Cache struct {
+	mu    sync.Mutex
+	kinds map[feed.Kind]*kindCache
+}
+
+// kindCache holds the records of one kind.
+type kindCache struct {
+	era, revision int64
+	// base is the revision from which on all changes are known.
+	base    int64
+	records map[string]cachedRecord
+	// completeAt is the time up to which the store has confirmed that the records are complete.
+	completeAt bootclock.Instant
+	// changed is closed and replaced with every update.
+	changed chan struct{}
+}
+
+// cachedRecord is a record, or its removal, with the revision of the batch that it came with. The revision of a removed record is
+// that of its last change.
+type cachedRecord struct {
+	feed.Record
+	batchRevision int64
+}
+
+// NewCache returns an empty Cache.
+func NewCache() *Cache { return &Cache{kinds: make(map[feed.Kind]*kindCache)} }
+
+// Reset drops the records of a kind, because this host no longer reads them from the store itself.
+func (c *Cache) Reset(kind feed.Kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := c.kinds[kind]; k != nil {
+		close(k.changed)
+		delete(c.kinds, kind)
+	}
+}
+
+// Holds reports whether the cache holds a kind up to a position, so that the changes after it can be added.
+func (c *Cache) Holds(kind feed.Kind, era, revision int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[kind]
+	return k != nil && k.era == era && k.revision == revision
+}
+
+// PutList replaces the records of a kind by those of a list.
+func (c *Cache) PutList(kind feed.Kind, batch feed.Batch, completeAt bootclock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := &kindCache{
+		era: batch.Era, revision: batch.Revision, base: batch.Revision, completeAt: completeAt,
+		records: make(map[string]cachedRecord, len(batch.Records)), changed: make(chan struct{}),
+	}
+	for _, record := range batch.Records {
+		next.records[record.Name] = cachedRecord{record, batch.Revision}
+	}
+	if previous := c.kinds[kind]; previous != nil {
+		next.keepHistory(previous)
+		close(previous.changed)
+	}
+	c.kinds[kind] = next
+}
+
+// keepHistory makes watches from the time before a list possible: records that are not listed any more count as removed, and
+// unchanged ones as old.
+func (k *kindCache) keepHistory(previous *kindCache) {
+	if previous.era != k.era || previous.revision > k.revision {
+		return
+	}
+	k.base = previous.base
+	for name, old := range previous.records {
+		listed, ok := k.records[name]
+		switch {
+		case !ok && old.Removed:
+			k.records[name] = old
+		case !ok:
+			k.records[name] = cachedRecord{feed.Record{Name: name, Revision: old.Revision, Removed: true}, k.revision}
+		case listed.Revision == old.Revision && !old.Removed:
+			k.records[name] = old
+		}
+	}
+}
+
+// PutChanges adds the changes of a watch from the position that the cache holds.
+func (c *Cache) PutChanges(kind feed.Kind, batch feed.Batch, completeAt bootclock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[kind]
+	if k == nil || k.era != batch.Era || batch.Revision < k.revision {
+		return
+	}
+	for _, record := range batch.Records {
+		k.records[record.Name] = cachedRecord{record, batch.Revision}
+	}
+	k.revision = batch.Revision
+	k.completeAt = max(k.completeAt, completeAt)
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// read is the result of a read from the cache.
+type read struct {
+	batch      feed.Batch
+	completeAt bootclock.Instant
+	changed    <-chan struct{}
+	// known is false if the cache doesn't hold the kind, expired is true if it doesn't hold the changes since the revision.
+	known, expired bool
+}
+
+// list returns all records of a kind.
+func (c *Cache) list(kind feed.Kind) read {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[kind]
+	if k == nil {
+		return read{}
+	}
+	result := k.result()
+	for _, record := range k.records {
+		if !record.Removed {
+			result.batch.Records = append(result.batch.Records, record.Record)
+		}
+	}
+	return result
+}
+
+// changes returns the changes of a kind after a revision.
+func (c *Cache) changes(kind feed.Kind, era, since int64) read {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[kind]
+	if k == nil {
+		return read{}
+	}
+	result := k.result()
+	if k.era != era || since < k.base {
+		result.expired = true
+		return result
+	}
+	// A later revision than the cache's is of a host that has read the kind from the store, and knows what the cache holds.
+	result.batch.Revision = max(k.revision, since)
+	for _, record := range k.records {
+		if record.batchRevision > since {
+			result.batch.Records = append(result.batch.Records, record.Record)
+		}
+	}
+	return result
+}
+
+func (k *kindCache) result() read {
+	return read{batch: feed.Batch{Revision: k.revision, Era: k.era}, completeAt: k.completeAt, changed: k.changed, known: true}
+}
--- /dev/null
+++ b/transport/relay/source.go
@@ -0,0 +1,307 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavatrestle/guavatrestle/coordination/relay"
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/feed"
+	"github.com/guavatrestle/guavatrestle/transport/netdial"
+)
+
+const (
+	// connectTimeout bounds the time to connect to a relay of the same failure domain.
+	connectTimeout = 300 * time.Millisecond
+	// watchSlack is the time after the wait of a watch within which a relay must answer; a suspended relay does not.
+	watchSlack = 400 * time.Millisecond
+	// configurationWait and otherWait bound the wait of watches at a relay. The configuration's is short, so that a relay that is
+	// suspended is noticed before API keys run out.
+	configurationWait = time.Second
+	otherWait         = 5 * time.Second
+	// fallbackWait is the wait of a watch at the store after the relay failed.
+	fallbackWait = 100 * time.Millisecond
+	// listTimeout bounds a list from a relay.
+	listTimeout = 2500 * time.Millisecond
+	// relayPatience is the time after its start for which a process waits for a relay before it reads the configuration from the
+	// store. After a restart of all hosts their reads of a large configuration would saturate the links between regions.
+	relayPatience = 1200 * time.Millisecond
+	// patienceCheckInterval is the time between two looks for a relay during that wait.
+	patienceCheckInterval = 20 * time.Millisecond
+	// maxConfirmationAge is the age of the store's last confirmation of the configuration beyond which a relay is not used: it has
+	// lost the store. A sound relay gets one at least every 2.7 s, also while the configuration changes often.
+	maxConfirmationAge = 3 * time.Second
+	// maxResponseBytes bounds a response of a relay.
+	maxResponseBytes = 16 << 20
+)
+
+// Counters of the reads by relays.
+var (
+	varServed    = expvar.NewInt("relay_served")
+	varRelayed   = expvar.NewInt("relay_reads")
+	varFallbacks = expvar.NewInt("relay_fallbacks")
+	varDirect    = expvar.NewInt("relay_store_reads")
+)
+
+// Config holds the settings and dependencies of a Source.
+type Config struct {
+	Store feed.Source
+	// Cache receives what is read from the store; nil if this process is never a relay.
+	Cache *Cache
+	// Self is the address of this host, Port the port of the relays.
+	Self netip.Addr
+	Port int
+	// Brief leaves the routes and workspaces out of configurations from a relay.
+	Brief bool
+	Log   *logrus.Entry
+}
+
+// Source reads the store through the relay of the failure domain while there is one that works, and directly otherwise.
+type Source struct {
+	cfg       Config
+	client    *resty.Client
+	startedAt bootclock.Instant
+
+	mu        sync.Mutex
+	directory *relay.Directory
+	// newest holds the era and the latest change read of each kind. A relay that is behind it is not used.
+	newest map[feed.Kind]position
+	// relayed is true for the kinds that were last read from a relay.
+	relayed map[feed.Kind]bool
+}
+
+// position is a point in the store's history.
+type position struct{ era, revision int64 }
+
+// before reports whether p is earlier than q in the store's history.
+func (p position) before(q position) bool {
+	return p.era < q.era || p.era == q.era && p.revision < q.revision
+}
+
+// lastChange returns the position of the latest change in a batch.
+func lastChange(batch feed.Batch) position {
+	last := position{era: batch.Era}
+	for _, record := range batch.Records {
+		last.revision = max(last.revision, record.Revision)
+	}
+	return last
+}
+
+var _ feed.Source = (*Source)(nil)
+
+// NewSource returns a Source that knows no relay yet.
+func NewSource(cfg Config) *Source {
+	client := resty.New().SetTransport(netdial.NewTransportWithTimeout(connectTimeout)).SetResponseBodyLimit(maxResponseBytes)
+	return &Source{
+		cfg: cfg, client: client, startedAt: bootclock.Now(), directory: relay.NewDirectory(cfg.Self),
+		newest: make(map[feed.Kind]position), relayed: make(map[feed.Kind]bool),
+	}
+}
+
+// SetRelay records that an agent has named the relay of this host's failure domain.
+func (s *Source) SetRelay(address netip.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directory.Mention(bootclock.Time(), address)
+}
+
+// Direct reports whether this host reads the store itself.
+func (s *Source) Direct() bool {
+	_, ok := s.relay()
+	return !ok
+}
+
+func (s *Source) relay() (netip.Addr, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Choose(bootclock.Time())
+}
+
+// List implements feed.Source.
+func (s *Source) List(ctx context.Context, kind feed.Kind, stale bool) (feed.Batch, error) {
+	if kind == feed.KindConfiguration {
+		s.awaitRelay(ctx)
+	}
+	for {
+		address, ok := s.relay()
+		if !ok {
+			return s.listDirectly(ctx, kind, stale)
+		}
+		batch, err := s.readRelay(ctx, address, kind, url.Values{}, listTimeout)
+		if err == nil {
+			return batch, nil
+		}
+		if ctx.Err() != nil {
+			return feed.Batch{}, err
+		}
+		s.fail(address, err)
+	}
+}
+
+// awaitRelay waits until a relay is known, up to relayPatience after the start of the process.
+func (s *Source) awaitRelay(ctx context.Context) {
+	for bootclock.Since(s.startedAt) < relayPatience && ctx.Err() == nil {
+		s.mu.Lock()
+		known := s.directory.Known(bootclock.Time())
+		s.mu.Unlock()
+		if known {
+			return
+		}
+		sleep(ctx, patienceCheckInterval)
+	}
+}
+
+// Watch implements feed.Source.
+func (s *Source) Watch(ctx context.Context, kind feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
+	address, ok := s.relay()
+	if !ok {
+		return s.watchDirectly(ctx, kind, since, wait)
+	}
+	relayWait := otherWait
+	if kind == feed.KindConfiguration {
+		relayWait = configurationWait
+	}
+	relayWait = min(relayWait, wait)
+	query := url.Values{
+		paramSince: {strconv.FormatInt(since, 10)},
+		paramEra:   {strconv.FormatInt(s.newestOf(kind).era, 10)},
+		paramWait:  {strconv.FormatInt(relayWait.Milliseconds(), 10)},
+	}
+	batch, err := s.readRelay(ctx, address, kind, query, relayWait+watchSlack)
+	if err == nil || ctx.Err() != nil || protocol.CodeOf(err) == protocol.CodeExpired {
+		return batch, err
+	}
+	s.fail(address, err)
+	return s.watchDirectly(ctx, kind, since, min(wait, fallbackWait))
+}
+
+// readRelay makes one call to a relay.
+func (s *Source) readRelay(
+	ctx context.Context, address netip.Addr, kind feed.Kind, query url.Values, timeout time.Duration,
+) (feed.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if s.cfg.Brief {
+		query.Set(paramBrief, "1")
+	}
+	host := net.JoinHostPort(address.String(), strconv.Itoa(s.cfg.Port))
+	response, err := s.client.R().SetContext(ctx).SetQueryParamsFromValues(query).Get("http://" + host + pathPrefix + string(kind))
+	if err != nil {
+		return feed.Batch{}, protocol.Wrap(protocol.CodeUnavailable, err, "read "+string(kind)+" from the relay")
+	}
+	if status := response.StatusCode(); status != http.StatusOK {
+		return feed.Batch{}, protocol.Errorf(protocol.CodeOfStatus(status, protocol.CodeUnavailable),
+			"read %s from the relay: status %d", kind, status)
+	}
+	var wire wireBatch
+	if err := json.Unmarshal(response.Body(), &wire); err != nil {
+		return feed.Batch{}, protocol.Wrap(protocol.CodeMalformed, err, "decode "+string(kind)+" from the relay")
+	}
+	if age := time.Duration(wire.AgeMS) * time.Millisecond; kind == feed.KindConfiguration && age > maxConfirmationAge {
+		return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "the relay has lost the store %s ago", age)
+	}
+	batch := feed.Batch{Revision: wire.Revision, Era: wire.Era, Relayed: true, CompleteAfter: wire.completeAfter()}
+	for _, record := range wire.Records {
+		batch.Records = append(batch.Records, record.decode(kind))
+	}
+	return batch, s.accept(kind, batch)
+}
+
+// accept records the position of a batch from a relay, or returns an error if this host has read later records already.
+func (s *Source) accept(kind feed.Kind, batch feed.Batch) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if (position{batch.Era, batch.Revision}).before(s.newest[kind]) {
+		return protocol.Errorf(protocol.CodeUnavailable, "the relay's %s are of revision %d in era %d, older than those known",
+			kind, batch.Revision, batch.Era)
+	}
+	s.recordChange(kind, batch)
+	if !s.relayed[kind] && s.cfg.Cache != nil {
+		s.cfg.Cache.Reset(kind)
+	}
+	s.relayed[kind] = true
+	varRelayed.Add(1)
+	return nil
+}
+
+// recordChange moves the latest position of a kind up to that of a batch; the caller must hold the lock.
+func (s *Source) recordChange(kind feed.Kind, batch feed.Batch) {
+	if last := lastChange(batch); s.newest[kind].before(last) {
+		s.newest[kind] = last
+	}
+}
+
+func (s *Source) fail(address netip.Addr, err error) {
+	varFallbacks.Add(1)
+	s.cfg.Log.WithError(err).WithField("relay", address).Warn("relay fails, reading the store directly")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directory.Fail(bootclock.Time(), address)
+}
+
+func (s *Source) newestOf(kind feed.Kind) position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest[kind]
+}
+
+func (s *Source) listDirectly(ctx context.Context, kind feed.Kind, stale bool) (feed.Batch, error) {
+	sent := bootclock.Now()
+	batch, err := s.cfg.Store.List(ctx, kind, stale)
+	if err != nil {
+		return batch, err
+	}
+	s.recordDirect(kind, batch)
+	if s.cfg.Cache != nil && !stale {
+		s.cfg.Cache.PutList(kind, batch, sent)
+	}
+	return batch, nil
+}
+
+func (s *Source) watchDirectly(ctx context.Context, kind feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
+	cached := s.cfg.Cache != nil && s.cfg.Cache.Holds(kind, s.newestOf(kind).era, since)
+	if !cached && s.cfg.Cache != nil && s.elected() {
+		return feed.Batch{}, protocol.Errorf(protocol.CodeExpired, "%s must be listed to answer other hosts", kind)
+	}
+	sent := bootclock.Now()
+	batch, err := s.cfg.Store.Watch(ctx, kind, since, wait)
+	if err != nil {
+		return batch, err
+	}
+	s.recordDirect(kind, batch)
+	if cached {
+		completeAt := sent
+		if len(batch.Records) == 0 && bootclock.Since(sent) >= wait {
+			completeAt = sent + bootclock.Instant(wait)
+		}
+		s.cfg.Cache.PutChanges(kind, batch, completeAt)
+	}
+	return batch, nil
+}
+
+func (s *Source) elected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Elected(bootclock.Time())
+}
+
+// recordDirect records the position of a batch from the store.
+func (s *Source) recordDirect(kind feed.Kind, batch feed.Batch) {
+	varDirect.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relayed[kind] = false
+	s.recordChange(kind, batch)
+}
--- /dev/null
+++ b/transport/relay/wire.go
@@ -0,0 +1,109 @@
+// Package relay lets the hosts of a failure domain share one reader of the platform's store. The relay, an entry host like the
+// others, reads the store and answers lists and watches of the other hosts from its copy. A host without a relay that works reads the
+// store itself.
+package relay
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/feed"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+// pathPrefix is followed by the kind of records.
+const pathPrefix = "/relay/"
+
+// Query parameters of a read. One without since is a list.
+const (
+	paramSince = "since"
+	paramEra   = "era"
+	paramWait  = "wait_ms"
+	// paramBrief asks for configurations without routes and workspaces, which agents don't need.
+	paramBrief = "brief"
+)
+
+// wireBatch is the response to a read.
+type wireBatch struct {
+	Records  []wireRecord `json:"records"`
+	Revision int64        `json:"revision"`
+	Era      int64        `json:"era"`
+	// HeldMS is the time for which the relay held the call, AgeMS the time before the response up to which the store has confirmed
+	// that the records are complete.
+	HeldMS int64 `json:"held_ms"`
+	AgeMS  int64 `json:"age_ms"`
+}
+
+type wireRecord struct {
+	Name     string `json:"name"`
+	Revision int64  `json:"revision"`
+	Removed  bool   `json:"removed,omitempty"`
+	// Invalid is the reason why the record can't be decoded.
+	Invalid string          `json:"invalid,omitempty"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+func encodeRecord(record feed.Record, brief bool) (wireRecord, error) {
+	wire := wireRecord{Name: record.Name, Revision: record.Revision, Removed: record.Removed}
+	if record.Err != nil {
+		wire.Invalid = record.Err.Error()
+	}
+	if record.Value == nil {
+		return wire, nil
+	}
+	value := record.Value
+	if configuration, ok := value.(*fleet.Configuration); ok && brief {
+		shortened := *configuration
+		shortened.Routes, shortened.Teams = nil, nil
+		value = &shortened
+	}
+	body, err := json.Marshal(value)
+	wire.Value = body
+	return wire, eris.Wrapf(err, "encode record %q", record.Name)
+}
+
+func (w wireRecord) decode(kind feed.Kind) feed.Record {
+	record := feed.Record{Name: w.Name, Revision: w.Revision, Removed: w.Removed}
+	if w.Invalid != "" {
+		record.Err = eris.New(w.Invalid)
+	}
+	if w.Value == nil {
+		return record
+	}
+	var err error
+	switch kind {
+	case feed.KindConfiguration:
+		value := &fleet.Configuration{}
+		err = json.Unmarshal(w.Value, value)
+		record.Value = value
+	case feed.KindReplicas:
+		value := &fleet.Replica{}
+		err = json.Unmarshal(w.Value, value)
+		record.Value = value
+	case feed.KindEvacuations:
+		record.Value, err = decodeValue[fleet.Evacuation](w.Value)
+	case feed.KindWeightTargets:
+		record.Value, err = decodeValue[fleet.WeightTarget](w.Value)
+	default:
+		err = protocol.Errorf(protocol.CodeMalformed, "unknown record kind %q", kind)
+	}
+	if err != nil {
+		record.Value, record.Err = nil, err
+	}
+	return record
+}
+
+func decodeValue[T any](body json.RawMessage) (T, error) {
+	var value T
+	err := json.Unmarshal(body, &value)
+	return value, err
+}
+
+// completeAfter returns the time after the call was sent up to which the batch is complete. It doesn't depend on the time that the
+// response took.
+func (w wireBatch) completeAfter() time.Duration {
+	return time.Duration(w.HeldMS-w.AgeMS) * time.Millisecond
+}
