Leave a relay within 1.4 s of its loss, and round headroom at random

Change: a relay watches the configuration in waits of 0.5 s and answers only while the store has confirmed it within 1.35 s; a timer ends the watches of the others then. A host whose relay fails for one kind ends its reads of all kinds. Its watch of the configuration waits 0.6 s, so that a suspended relay is noticed after 1 s. A leaving relay goes on answering but is not named.

Change: a host's share of the free slots is rounded up or down at random.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -53,8 +53,10 @@
 	if r == nil {
 		return
 	}
-	if report.Models == nil {
-		report.Models, report.Loading, report.Senders = r.report.Models, r.report.Loading, r.report.Senders
+	fromAgent := report.Models != nil
+	if !fromAgent {
+		report.Models, report.Loading = r.report.Models, r.report.Loading
+		report.Senders, report.Share = r.report.Senders, r.report.Share
 		report.Pace = r.report.Pace
 	}
 	if report.Leaving {
@@ -62,6 +64,9 @@
 	}
 	r.report = report
 	r.reportedAt = now
+	if fromAgent {
+		r.drawHeadroom(&b.cfg, b.random.Float64())
+	}
 	reportMadeAt := now.Add(-b.cfg.ReportLag)
 	r.recentSends = slices.DeleteFunc(r.recentSends, func(at time.Time) bool { return !at.After(reportMadeAt) })
 }
@@ -205,11 +210,11 @@
 	if rate <= 0 {
 		return true
 	}
-	senders := b.cfg.DefaultSenders
+	share := 1 / float64(b.cfg.DefaultSenders)
 	if r.hasFreshReport(&b.cfg, now) && r.report.Senders > 0 {
-		senders = r.report.Senders
+		share = r.report.share()
 	}
-	share := rate * b.cfg.ColdShare / float64(senders)
+	share *= rate * b.cfg.ColdShare
 	if r.coldBucket == nil {
 		r.coldBucket, r.coldRate = limits.NewBucket(now, share, int(b.cfg.ColdBurst)), share
 	}
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -26,8 +26,8 @@
 	// MovedOvercommit is added to Overcommit for a request that is moved away from another replica.
 	MovedOvercommit int
 	// HeadroomFactor scales this host's share of a replica's free slots between two load reports. At 1 the shares of all
-	// sending hosts add up to the free slots, apart from rounding: each share is rounded up and at least one request. Higher
-	// values fill the slots when few hosts send at once, but let more requests queue at the replica when many do.
+	// sending hosts add up to the free slots. Higher values fill the slots when few hosts send at once, but let more requests
+	// queue at the replica when many do.
 	HeadroomFactor float64
 	// MaxReportAge is the age beyond which a load report is ignored and only the requests of this host count.
 	MaxReportAge time.Duration
@@ -73,7 +73,7 @@
 		Jitter:          0.12,
 		Overcommit:      1,
 		MovedOvercommit: 2,
-		HeadroomFactor:  0.7,
+		HeadroomFactor:  1.2,
 		MaxReportAge:    1500 * time.Millisecond,
 		SilentAfter:     time.Second,
 		MaxSilentShare:  0.5,
@@ -176,6 +176,17 @@
 	Models []fleet.LoadedModel
 	// Senders is the number of hosts that send to the replica; 0 means unknown.
 	Senders int
+	// Share is this host's share of the requests that all hosts have for the replica's upstream; 0 means unknown.
+	Share float64
 	// Pace is the current service time as a multiple of the usual one; 0 means unknown.
 	Pace float64
 }
+
+// share returns this host's share of the replica's capacity: in proportion to its demand, or the same as that of every other host
+// if the demand is unknown.
+func (r *Report) share() float64 {
+	if r.Share > 0 {
+		return r.Share
+	}
+	return 1 / float64(max(r.Senders, 1))
+}
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -25,6 +25,8 @@
 	// report is the last load report. reportedAt is the time of its arrival; zero means that there is none.
 	report     Report
 	reportedAt time.Time
+	// headroom is the number of requests that this host may send between two reports.
+	headroom int
 	// recentSends holds the send times of requests that the last report may not include yet.
 	recentSends []time.Time
 
@@ -52,15 +54,20 @@
 	return max(r.inFlight, r.report.Running+r.report.Waiting+r.unreportedSends(cfg))
 }
 
-// headroomUsed reports whether this host has used its share of the free slots in the last report. All hosts see the same
-// report, so without the limit all of them would send to the first replica with free slots after a shortage.
+// drawHeadroom sets the number of requests that this host may send until the next report: its share of the free slots in the last
+// one, rounded up or down at random in proportion to the remainder. All hosts see the same report; if each of them rounded up, all
+// would send to the first replica with a free slot after a shortage.
+func (r *replica) drawHeadroom(cfg *Config, random float64) {
+	freeSlots := r.slots() + cfg.Overcommit - r.report.Running - r.report.Waiting
+	r.headroom = int(math.Floor(cfg.HeadroomFactor*float64(max(freeSlots, 0))*r.report.share() + random))
+}
+
+// headroomUsed reports whether this host has sent all requests that it may send until the next report.
 func (r *replica) headroomUsed(cfg *Config, now time.Time) bool {
 	if !r.hasFreshReport(cfg, now) || r.report.Senders < 2 {
 		return false
 	}
-	freeSlots := r.slots() + cfg.Overcommit - r.report.Running - r.report.Waiting
-	share := math.Ceil(cfg.HeadroomFactor * float64(freeSlots) / float64(r.report.Senders))
-	return float64(r.unreportedSends(cfg)) >= max(share, 1)
+	return r.unreportedSends(cfg) >= r.headroom
 }
 
 // unreportedSends returns the number of requests sent after the time at which the last report was made.
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -118,7 +118,7 @@
 		View:              e.follower.View,
 		Replicas:          e.follower.Replicas,
 		StoreUnresponsive: e.follower.StoreUnresponsive,
-		Direct:            func() bool { return !e.leaving.Load() && e.readsStore() },
+		Direct:            e.mayBeRelay,
 		Sink: loadshare.Sink{
 			Report: e.router.RecordLoad, WantedVersion: e.follower.LearnTargetTime,
 			EntryHostCounts: e.follower.RecordPeerReachability, Relay: e.source.SetRelay,
@@ -171,9 +171,10 @@
 	})
 }
 
-// readsStore reports whether this host reads the store itself and the store answers it, so that it may answer other hosts. A leaving
-// host goes on answering them, but is not named as relay any more.
-func (e *entry) readsStore() bool { return e.source.Direct() && e.follower.Answered() }
+// mayBeRelay reports whether agents may name this host as relay. A leaving host still answers other hosts.
+func (e *entry) mayBeRelay() bool {
+	return !e.leaving.Load() && e.source.Direct() && e.follower.Answered()
+}
 
 // servers holds the HTTP servers of an entry process.
 type servers struct {
@@ -197,7 +198,7 @@
 	server.AddDebug(debug, server.Introspection{State: e.state, Ready: e.handler.Ready})
 	for address, handler := range map[string]http.Handler{
 		e.ReadyListen: ready, debugAddress(e.Host): debug,
-		net.JoinHostPort(e.Host.Address, strconv.Itoa(e.Host.PeerPort)): &relay.Server{Cache: e.cache, Direct: e.readsStore, Log: e.Log},
+		net.JoinHostPort(e.Host.Address, strconv.Itoa(e.Host.PeerPort)): &relay.Server{Cache: e.cache, Direct: e.source.Direct, Log: e.Log},
 	} {
 		other := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 		if err := serve(other, address, e.Log); err != nil {
@@ -241,6 +242,7 @@
 	ticker := time.NewTicker(pruneInterval)
 	defer ticker.Stop()
 	defer e.pool.Close()
+	defer e.cache.Close()
 	for {
 		select {
 		case <-ctx.Done():
--- a/transport/relay/cache.go
+++ b/transport/relay/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
@@ -11,6 +12,9 @@
 type Cache struct {
 	mu    sync.Mutex
 	kinds map[feed.Kind]*kindCache
+	// maxAge is the age of the last confirmation of the configuration up to which the cache is used; lapse wakes all watches then.
+	maxAge time.Duration
+	lapse  *time.Timer
 }
 
 // kindCache holds the records of one kind.
@@ -33,7 +37,47 @@
 }
 
 // NewCache returns an empty Cache.
-func NewCache() *Cache { return &Cache{kinds: make(map[feed.Kind]*kindCache)} }
+func NewCache() *Cache {
+	return &Cache{kinds: make(map[feed.Kind]*kindCache), maxAge: maxConfirmationAge}
+}
+
+// freshness reports whether the cache holds the configuration, and whether the store has confirmed it within maxAge, so that changes
+// of any kind would have arrived.
+func (c *Cache) freshness() (started, fresh bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[feed.KindConfiguration]
+	return k != nil, k != nil && bootclock.Since(k.completeAt) <= c.maxAge
+}
+
+// confirm restarts the timer that ends the watches if the store doesn't confirm the configuration again; the caller holds the lock.
+func (c *Cache) confirm(kind feed.Kind) {
+	if kind != feed.KindConfiguration {
+		return
+	}
+	if c.lapse != nil {
+		c.lapse.Stop()
+	}
+	c.lapse = time.AfterFunc(c.maxAge, c.wakeWatches)
+}
+
+func (c *Cache) wakeWatches() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.kinds {
+		close(k.changed)
+		k.changed = make(chan struct{})
+	}
+}
+
+// Close stops the timer of the cache.
+func (c *Cache) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lapse != nil {
+		c.lapse.Stop()
+	}
+}
 
 // Reset drops the records of a kind, because this host no longer reads them from the store itself.
 func (c *Cache) Reset(kind feed.Kind) {
@@ -69,6 +113,7 @@
 		close(previous.changed)
 	}
 	c.kinds[kind] = next
+	c.confirm(kind)
 }
 
 // keepHistory makes watches from the time before a list possible: records that are not listed any more count as removed, and
@@ -104,6 +149,7 @@
 	}
 	k.revision = batch.Revision
 	k.completeAt = max(k.completeAt, completeAt)
+	c.confirm(kind)
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -78,8 +78,18 @@
 	cache  *relay.Cache
 	addr   netip.Addr
 	server *httptest.Server
-	// storeLost makes the host say that the store doesn't answer it.
-	storeLost atomic.Bool
+	// hangs makes the host answer no more calls, as if it were suspended.
+	hangs atomic.Bool
+}
+
+// readAll lists the configuration and the replicas, as a host does at its start.
+func (h *host) readAll(t *testing.T) feed.Batch {
+	t.Helper()
+	_, err := h.List(t.Context(), feed.KindConfiguration, false)
+	require.NoError(t, err)
+	batch, err := h.List(t.Context(), kind, false)
+	require.NoError(t, err)
+	return batch
 }
 
 // hosts starts hosts that use the same port on different loopback addresses and read s.
@@ -92,14 +102,25 @@
 	port := 0
 	for _, address := range addresses {
 		h := &host{addr: netip.MustParseAddr(address), cache: relay.NewCache()}
-		handler := &relay.Server{Cache: h.cache, Direct: func() bool { return h.Direct() && !h.storeLost.Load() }, Log: log}
-		h.server = httptest.NewUnstartedServer(handler)
+		// The tests that need a short age set one; others must not depend on the speed of the machine.
+		h.cache.SetMaxAge(time.Minute)
+		handler := &relay.Server{Cache: h.cache, Direct: func() bool { return h.Direct() }, Log: log}
+		h.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if h.hangs.Load() {
+				<-r.Context().Done()
+				return
+			}
+			handler.ServeHTTP(w, r)
+		}))
 		_ = h.server.Listener.Close()
 		h.server.Listener = listen(t, address+":"+strconv.Itoa(port))
 		h.server.Start()
 		t.Cleanup(h.server.Close)
 		port = int(netip.MustParseAddrPort(h.server.Listener.Addr().String()).Port())
 		h.Source = relay.NewSource(relay.Config{Store: s, Cache: h.cache, Self: h.addr, Port: port, Log: log})
+		h.SetMaxAge(time.Minute)
+		h.SkipPatience()
+		t.Cleanup(h.cache.Close)
 		list = append(list, h)
 	}
 	return list
@@ -125,8 +146,7 @@
 	s.put("b", false)
 	list := hosts(t, s, "127.0.21.1", "127.0.21.2")
 	first, second := list[0], list[1]
-	read, err := first.List(t.Context(), kind, false)
-	require.NoError(t, err)
+	read := first.readAll(t)
 	second.SetRelay(first.addr)
 
 	before := s.calls.Load()
@@ -164,16 +184,15 @@
 func TestHostReadsTheStoreWhenItsRelayFails(t *testing.T) {
 	for name, fail := range map[string]func(first, second *host){
 		"gone":              func(first, _ *host) { first.server.Close() },
-		"store lost":        func(first, _ *host) { first.storeLost.Store(true) },
-		"relies on another": func(first, second *host) { first.SetRelay(second.addr); second.SetRelay(second.addr) },
+		"store lost":        func(first, _ *host) { first.cache.SetMaxAge(0) },
+		"relies on another": func(first, _ *host) { first.SetRelay(netip.MustParseAddr("127.0.21.0")) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newStore()
 			s.put("a", false)
-			list := hosts(t, s, "127.0.21.2", "127.0.21.1")
+			list := hosts(t, s, "127.0.21.1", "127.0.21.2")
 			first, second := list[0], list[1]
-			_, err := first.List(t.Context(), kind, false)
-			require.NoError(t, err)
+			first.readAll(t)
 			second.SetRelay(first.addr)
 			batch, err := second.List(t.Context(), kind, false)
 			require.NoError(t, err)
@@ -192,13 +211,50 @@
 	}
 }
 
+// TestPendingReadsEndWhenTheRelayIsLost guards against a drain or an evacuation that comes late because the watch that would show it
+// still waits at a relay which has lost the store or is suspended.
+func TestPendingReadsEndWhenTheRelayIsLost(t *testing.T) {
+	for name, fail := range map[string]func(first *host){
+		"store lost": func(first *host) {
+			first.cache.SetMaxAge(100 * time.Millisecond)
+			_, _ = first.List(context.Background(), feed.KindConfiguration, false)
+		},
+		"suspended": func(first *host) { first.hangs.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStore()
+			list := hosts(t, s, "127.0.21.1", "127.0.21.2")
+			first, second := list[0], list[1]
+			first.readAll(t)
+			second.SetRelay(first.addr)
+			read := second.readAll(t)
+			require.True(t, read.Relayed)
+			pending := make(chan feed.Batch, 1)
+			go func() {
+				batch, _ := second.Watch(t.Context(), kind, read.Revision, time.Minute)
+				pending <- batch
+			}()
+			fail(first)
+			s.put("a", false)
+			_, err := second.Watch(t.Context(), feed.KindConfiguration, read.Revision, time.Minute)
+			require.NoError(t, err)
+			select {
+			case batch := <-pending:
+				require.False(t, batch.Relayed)
+				require.Equal(t, []string{"a"}, names(batch))
+			case <-time.After(3 * time.Second):
+				require.Fail(t, "the watch still waits at the relay")
+			}
+		})
+	}
+}
+
 // TestHostsThatNameEachOtherReadTheStore guards against two hosts that each take the other for the relay and never see a change.
 func TestHostsThatNameEachOtherReadTheStore(t *testing.T) {
 	s := newStore()
 	list := hosts(t, s, "127.0.21.1", "127.0.21.2")
 	for _, h := range list {
-		_, err := h.List(t.Context(), kind, false)
-		require.NoError(t, err)
+		h.readAll(t)
 	}
 	list[0].SetRelay(list[1].addr)
 	list[1].SetRelay(list[0].addr)
@@ -220,8 +276,7 @@
 			s := newStore()
 			s.put("a", false)
 			list := hosts(t, s, "127.0.21.1", "127.0.21.2")
-			_, err := list[0].List(t.Context(), kind, false)
-			require.NoError(t, err)
+			list[0].readAll(t)
 			advance(s)
 			want, err := list[1].List(t.Context(), kind, false)
 			require.NoError(t, err)
@@ -240,8 +295,7 @@
 	s.put("a", false)
 	s.put("b", false)
 	list := hosts(t, s, "127.0.21.1", "127.0.21.2")
-	_, err := list[0].List(t.Context(), kind, false)
-	require.NoError(t, err)
+	list[0].readAll(t)
 	list[1].SetRelay(list[0].addr)
 	batch, err := list[1].List(t.Context(), kind, false)
 	require.NoError(t, err)
@@ -257,7 +311,6 @@
 // the store meanwhile.
 func TestNewConfirmationEndsAWatchOfTheConfiguration(t *testing.T) {
 	relayHost := hosts(t, newStore(), "127.0.21.1")[0]
-	relayHost.SetRelay(relayHost.addr)
 	read, err := relayHost.List(t.Context(), feed.KindConfiguration, false)
 	require.NoError(t, err)
 	ended := make(chan error, 1)
@@ -291,7 +344,6 @@
 		Version: 3, Routes: make([]fleet.Route, 2000), Teams: []fleet.Team{{Keys: []string{"secret"}}},
 	}}
 	relayHost := hosts(t, s, "127.0.21.1")[0]
-	relayHost.SetRelay(relayHost.addr)
 	_, err := relayHost.List(t.Context(), feed.KindConfiguration, false)
 	require.NoError(t, err)
 	response, err := http.Get(relayHost.server.URL + "/relay/" + string(feed.KindConfiguration) + "?brief=1")
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -26,8 +26,8 @@
 // Server answers lists and watches of other hosts from a Cache; it implements http.Handler.
 type Server struct {
 	Cache *Cache
-	// Direct reports whether this host reads the store itself and the store answers it. Otherwise calls are refused, so that the
-	// other hosts read the store themselves and no two hosts ever rely on each other.
+	// Direct reports whether this host reads the store itself. Otherwise calls are refused, so that the other hosts read the store
+	// themselves and no two hosts ever rely on each other.
 	Direct func() bool
 	Log    *logrus.Entry
 }
@@ -56,7 +56,7 @@
 		result = s.list(r.Context(), feed.Kind(kind))
 	}
 	switch {
-	case !result.known || !s.Direct():
+	case !result.known || !s.available():
 		http.Error(w, "this host does not read the store itself", http.StatusServiceUnavailable)
 	case result.expired:
 		http.Error(w, "the changes since the revision are not known", http.StatusGone)
@@ -65,12 +65,19 @@
 	}
 }
 
-// list returns all records of a kind. It waits a little until this host has read them.
+// available reports whether this host reads the store itself and hears from it.
+func (s *Server) available() bool {
+	_, fresh := s.Cache.freshness()
+	return fresh && s.Direct()
+}
+
+// list returns all records of a kind. It waits a little until this host has read them and the configuration.
 func (s *Server) list(ctx context.Context, kind feed.Kind) read {
 	deadline := bootclock.Time().Add(maxListWait)
 	for {
 		result := s.Cache.list(kind)
-		if result.known || !bootclock.Time().Before(deadline) || ctx.Err() != nil {
+		started, _ := s.Cache.freshness()
+		if result.known && started || !bootclock.Time().Before(deadline) || ctx.Err() != nil {
 			return result
 		}
 		sleep(ctx, listCheckInterval)
@@ -85,7 +92,7 @@
 	first := s.Cache.changes(kind, era, since)
 	for result := first; ; result = s.Cache.changes(kind, era, since) {
 		confirmed := kind == feed.KindConfiguration && result.completeAt > first.completeAt
-		if !result.known || result.expired || len(result.batch.Records) > 0 || confirmed || !s.Direct() {
+		if !result.known || result.expired || len(result.batch.Records) > 0 || confirmed || !s.available() {
 			return result
 		}
 		select {
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -28,9 +28,13 @@
 	// watchSlack is the time after the wait of a watch within which a relay must answer; a suspended relay does not.
 	watchSlack = 400 * time.Millisecond
 	// configurationWait and otherWait bound the wait of watches at a relay. The configuration's is short, so that a relay that is
-	// suspended is noticed before API keys run out.
-	configurationWait = time.Second
+	// suspended is noticed well within the time in which a change must be in force.
+	configurationWait = 600 * time.Millisecond
 	otherWait         = 5 * time.Second
+	// probeWait bounds the wait of a relay's watch of the configuration at the store, and probeSlack the time after it within which
+	// the store must answer, so that the relay notices soon that it has lost the store.
+	probeWait  = 500 * time.Millisecond
+	probeSlack = 500 * time.Millisecond
 	// fallbackWait is the wait of a watch at the store after the relay failed.
 	fallbackWait = 100 * time.Millisecond
 	// listTimeout bounds a list from a relay.
@@ -41,8 +45,8 @@
 	// patienceCheckInterval is the time between two looks for a relay during that wait.
 	patienceCheckInterval = 20 * time.Millisecond
 	// maxConfirmationAge is the age of the store's last confirmation of the configuration beyond which a relay is not used: it has
-	// lost the store. A sound relay gets one at least every 2.7 s, also while the configuration changes often.
-	maxConfirmationAge = 3 * time.Second
+	// lost the store. A sound relay gets one at least every 1.2 s: the wait of its watch and the pause after a change.
+	maxConfirmationAge = 1350 * time.Millisecond
 	// maxResponseBytes bounds a response of a relay.
 	maxResponseBytes = 16 << 20
 )
@@ -73,6 +77,8 @@
 	cfg       Config
 	client    *resty.Client
 	startedAt bootclock.Instant
+	// maxAge is the age of a relay's last confirmation by the store up to which it is used.
+	maxAge time.Duration
 
 	mu        sync.Mutex
 	directory *relay.Directory
@@ -80,6 +86,8 @@
 	newest map[feed.Kind]position
 	// relayed is true for the kinds that were last read from a relay.
 	relayed map[feed.Kind]bool
+	// failed is closed and replaced when a relay fails, to end all other reads from it.
+	failed chan struct{}
 }
 
 // position is a point in the store's history.
@@ -107,6 +115,7 @@
 	return &Source{
 		cfg: cfg, client: client, startedAt: bootclock.Now(), directory: relay.NewDirectory(cfg.Self),
 		newest: make(map[feed.Kind]position), relayed: make(map[feed.Kind]bool),
+		failed: make(chan struct{}), maxAge: maxConfirmationAge,
 	}
 }
 
@@ -193,6 +202,16 @@
 ) (feed.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	ended := make(chan struct{})
+	defer close(ended)
+	failed := s.failure()
+	go func() {
+		select {
+		case <-failed:
+			cancel()
+		case <-ended:
+		}
+	}()
 	if s.cfg.Brief {
 		query.Set(paramBrief, "1")
 	}
@@ -209,7 +228,7 @@
 	if err := json.Unmarshal(response.Body(), &wire); err != nil {
 		return feed.Batch{}, protocol.Wrap(protocol.CodeMalformed, err, "decode "+string(kind)+" from the relay")
 	}
-	if age := time.Duration(wire.AgeMS) * time.Millisecond; kind == feed.KindConfiguration && age > maxConfirmationAge {
+	if age := time.Duration(wire.AgeMS) * time.Millisecond; kind == feed.KindConfiguration && age > s.maxAge {
 		return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "the relay has lost the store %s ago", age)
 	}
 	batch := feed.Batch{Revision: wire.Revision, Era: wire.Era, Relayed: true, CompleteAfter: wire.completeAfter()}
@@ -249,6 +268,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.directory.Fail(bootclock.Time(), address)
+	close(s.failed)
+	s.failed = make(chan struct{})
+}
+
+// failure returns a channel that is closed when a relay fails.
+func (s *Source) failure() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
 }
 
 func (s *Source) newestOf(kind feed.Kind) position {
@@ -275,6 +303,12 @@
 	if !cached && s.cfg.Cache != nil && s.elected() {
 		return feed.Batch{}, protocol.Errorf(protocol.CodeExpired, "%s must be listed to answer other hosts", kind)
 	}
+	if cached && kind == feed.KindConfiguration && s.elected() {
+		wait = min(wait, probeWait)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait+probeSlack)
+		defer cancel()
+	}
 	sent := bootclock.Now()
 	batch, err := s.cfg.Store.Watch(ctx, kind, since, wait)
 	if err != nil {
