Share free slots by demand, and leave slots to callers that can be answered in time

Callers come back on other hosts with what is left of their time.

Change: the deadline of a caller, against the usual one of its route, tells how long it has been trying. One that can't be answered within its objective any more leaves 30 % of the slots to others.

Ruled out: fewer requests at a replica.

TestCapacityFollowsTheDemandOfHosts fails if shares are rounded up or equal.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -174,8 +175,11 @@
 
 func (b *Balancer) hasCapacity(now time.Time, request *Request, r *replica) bool {
 	limit := r.slots() + b.cfg.Overcommit
-	if request.Moved {
+	switch {
+	case request.Moved:
 		limit += b.cfg.MovedOvercommit
+	case request.Late && b.specs[r.member.Upstream].Engine != nil:
+		limit = int(math.Ceil(float64(r.slots()) * (1 - b.cfg.LateReserve)))
 	}
 	switch {
 	case now.Before(r.excludedUntil), r.probing(&b.cfg):
--- a/coordination/dispatch/balancer_test.go
+++ b/coordination/dispatch/balancer_test.go
@@ -257,3 +257,66 @@
 		}
 	})
 }
+
+// TestCapacityFollowsTheDemandOfHosts guards against a host with many callers that refuses them while other hosts leave their equal
+// shares of the free slots unused, and against a herd: 12 hosts that each send one request to 2 free slots.
+func TestCapacityFollowsTheDemandOfHosts(t *testing.T) {
+	const hosts, reports = 12, 200
+	sent := [hosts]int{}
+	for host := range hosts {
+		b := dispatch.NewBalancer(config(), rand.New(rand.NewPCG(2, uint64(host))))
+		busy := member("r1", "a")
+		busy.Slots = 16
+		b.SetView(view(busy))
+		share := 0.5 / (hosts - 1)
+		if host == 0 {
+			share = 0.5
+		}
+		for report := range reports {
+			now := start.Add(time.Duration(report) * time.Second)
+			b.RecordReport(now, "r1", dispatch.Report{Running: 15, Senders: hosts, Share: share, Models: busy.Models})
+			sent[host] += pickAndFinish(b, now)
+		}
+	}
+	total := 0
+	for _, count := range sent {
+		total += count
+	}
+	const free = 2
+	require.InDelta(t, config().HeadroomFactor*free*reports, total, 0.1*free*reports)
+	require.InDelta(t, total/2, sent[0], 0.1*float64(total))
+}
+
+// pickAndFinish sends as many requests as the balancer allows, up to 10, then ends them, and returns their number.
+func pickAndFinish(b *dispatch.Balancer, now time.Time) int {
+	var choices []dispatch.Choice
+	for range 10 {
+		if choice, verdict := b.Pick(now, request()); verdict == dispatch.VerdictChosen {
+			choices = append(choices, choice)
+		}
+	}
+	for _, choice := range choices {
+		b.Done(now, choice, dispatch.OutcomeServed, 0)
+	}
+	return len(choices)
+}
+
+// TestLateRequestLeavesSlotsToOthers guards against slots that are taken, under overload, by callers that can't be answered in time any
+// more, while new ones are refused: more than half of the requests served were such, in a replayed overload of 1.3 times the capacity.
+func TestLateRequestLeavesSlotsToOthers(t *testing.T) {
+	busy, idle := member("r1", "a"), member("r1", "a")
+	busy.Slots, idle.Slots = 10, 10
+	late := request()
+	late.Late = true
+	b := newBalancer(busy)
+	b.RecordReport(start, "r1", dispatch.Report{Running: 7})
+	_, verdict := b.Pick(start, late)
+	require.Equal(t, dispatch.VerdictFull, verdict)
+	_, verdict = b.Pick(start, request())
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+
+	b = newBalancer(idle)
+	b.RecordReport(start, "r1", dispatch.Report{Running: 6})
+	_, verdict = b.Pick(start, late)
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+}
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -25,6 +25,9 @@
 	Overcommit int
 	// MovedOvercommit is added to Overcommit for a request that is moved away from another replica.
 	MovedOvercommit int
+	// LateReserve is the share of a replica's slots that a late request leaves free. Higher values answer more requests in time and
+	// fewer of those that were refused before.
+	LateReserve float64
 	// HeadroomFactor scales this host's share of a replica's free slots between two load reports. At 1 the shares of all
 	// sending hosts add up to the free slots. Higher values fill the slots when few hosts send at once, but let more requests
 	// queue at the replica when many do.
@@ -73,6 +76,7 @@
 		Jitter:          0.12,
 		Overcommit:      1,
 		MovedOvercommit: 2,
+		LateReserve:     0.3,
 		HeadroomFactor:  1.2,
 		MaxReportAge:    1500 * time.Millisecond,
 		SilentAfter:     time.Second,
@@ -112,6 +116,9 @@
 	// Moved is true for a request that a replica has had already. It may exceed the capacity of a replica by MovedOvercommit, since
 	// the work on it would be lost.
 	Moved bool
+	// Late is true for a request that can't be answered within its latency objective any more. It leaves LateReserve of the slots of
+	// a replica to others: under overload as many requests are served either way, but more of them in time.
+	Late bool
 	// Exclude lists the replicas that earlier attempts were sent to.
 	Exclude []fleet.ReplicaID
 }
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -119,6 +119,7 @@
 		Replicas:          e.follower.Replicas,
 		StoreUnresponsive: e.follower.StoreUnresponsive,
 		Direct:            e.mayBeRelay,
+		Demand:            e.router.MeasureDemand,
 		Sink: loadshare.Sink{
 			Report: e.router.RecordLoad, WantedVersion: e.follower.LearnTargetTime,
 			EntryHostCounts: e.follower.RecordPeerReachability, Relay: e.source.SetRelay,
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -37,6 +37,8 @@
 	body     []byte
 	hasBody  bool
 	upstream core.Upstream
+	// late is true if the caller has probably been trying for longer than the latency objective already.
+	late bool
 
 	// attempts is the number of attempts charged against the limit of the route. undelivered is the number of attempts that
 	// reached no replica, or another replica than the chosen one; they are not charged.
@@ -162,6 +164,7 @@
 		RouteRegions: c.route.HomeRegions,
 		TeamRegions:  teamRegions(c.team),
 		Exclude:      c.tried,
+		Late:         c.late,
 	}
 	spec := c.view.Configuration.Upstreams[c.upstream]
 	if spec.Engine == nil {
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -21,6 +21,8 @@
 	defaultBodyBytes = 4 << 20
 	// maxPriority is the highest priority value that back ends accept.
 	maxPriority = 9
+	// maxDeadline bounds the deadline of a caller.
+	maxDeadline = 24 * time.Hour
 	// defaultTimeout bounds a request if neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -164,7 +166,9 @@
 			return transport.Errorf(http.StatusBadRequest, api.CodeBadRequest, api.RunNotRun,
 				"header %s: want a number of milliseconds, got %q", c.h.Headers.Deadline, value)
 		}
-		limit = min(limit, time.Duration(ms)*time.Millisecond)
+		left := time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
+		limit = min(limit, left)
+		c.late = c.route.Objective > 0 && c.h.router.elapsed(c.route.Name, left) > c.route.Objective
 	}
 	c.deadline = c.arrived.Add(limit)
 	return nil
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/lateness"
 	"github.com/guavatrestle/guavatrestle/coordination/retry"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -17,6 +18,8 @@
 	cfg      Config
 	balancer *dispatch.Balancer
 	budgets  map[core.Upstream]*retry.Budget
+	demand   map[core.Upstream]*demand
+	lateness *lateness.Estimator
 	random   *rand.Rand
 	now      func() time.Time
 }
@@ -27,6 +30,8 @@
 		cfg:      cfg,
 		balancer: dispatch.NewBalancer(cfg.Dispatch, random),
 		budgets:  make(map[core.Upstream]*retry.Budget),
+		demand:   make(map[core.Upstream]*demand),
+		lateness: lateness.NewEstimator(),
 		random:   random,
 		now:      now,
 	}
@@ -130,11 +135,56 @@
 	return route.Targets[len(route.Targets)-1].Upstream
 }
 
-// countRequest adds a request to the retry budget of its upstream.
+// elapsed returns the time for which the caller of a request has probably been trying already.
+func (r *Router) elapsed(route string, left time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lateness.Elapsed(r.now(), route, left)
+}
+
+// countRequest adds a request to the retry budget and the demand of its upstream.
 func (r *Router) countRequest(upstream core.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.budget(upstream).AddRequest()
+	r.demandOf(upstream).count++
+}
+
+// demand is the rate of requests of this host's callers for an upstream, whether they are served or not.
+type demand struct {
+	// count is the number of requests since measuredAt.
+	count      int
+	measuredAt time.Time
+	// perSecond is a moving average.
+	perSecond float64
+}
+
+const (
+	// demandGain is the weight of the newest measurement in the average.
+	demandGain = 0.5
+	// minDemand is the least demand in requests per second, so that a host whose callers have just arrived has a share.
+	minDemand = 0.5
+)
+
+func (r *Router) demandOf(upstream core.Upstream) *demand {
+	d := r.demand[upstream]
+	if d == nil {
+		d = &demand{measuredAt: r.now()}
+		r.demand[upstream] = d
+	}
+	return d
+}
+
+// MeasureDemand returns the demand of an upstream in requests per second. It is called at regular intervals.
+func (r *Router) MeasureDemand(upstream core.Upstream) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, now := r.demandOf(upstream), r.now()
+	if elapsed := now.Sub(d.measuredAt).Seconds(); elapsed > 0 {
+		d.perSecond += demandGain * (float64(d.count)/elapsed - d.perSecond)
+		d.count, d.measuredAt = 0, now
+	}
+	return max(d.perSecond, minDemand)
 }
 
 // takeRetry takes a retry from the budget of an upstream. It returns false if the budget is used up.
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -23,6 +23,7 @@
 	// storeUnresponsive is set when the store does not answer the host.
 	storeUnresponsive bool
 	failureDomain     core.FailureDomain
+	demand            float64
 	// direct is set when the host reads the store itself and the store answers it.
 	direct bool
 }
@@ -112,7 +113,7 @@
 		return
 	}
 	r.current.Senders = len(r.requesters)
-	body, err := encodeReport(r.born, r.current, unresponsive, recentWanted(now, r.view()))
+	body, err := encodeReport(r.born, r.current, r.totalDemand(), unresponsive, recentWanted(now, r.view()))
 	if err != nil {
 		r.log.WithError(err).Error("encode load report")
 		return
@@ -123,6 +124,18 @@
 	}
 }
 
+// totalDemand returns the demand of all requesters, 0 if one of them has not told its own; the caller holds the lock.
+func (r *Reporter) totalDemand() float64 {
+	total := 0.0
+	for _, host := range r.requesters {
+		if host.demand <= 0 {
+			return 0
+		}
+		total += host.demand
+	}
+	return total
+}
+
 // relays returns the relay of each failure domain; the caller holds the lock.
 func (r *Reporter) relays() map[core.FailureDomain]netip.Addr {
 	var candidates []relay.Candidate
@@ -141,7 +154,7 @@
 	if _, registered := r.requesters[from]; registered || len(r.requesters) < maxRequesters {
 		r.requesters[from] = requester{
 			lastRequest: bootclock.Time(), storeUnresponsive: request.StoreUnresponsive,
-			failureDomain: request.FailureDomain, direct: request.Direct,
+			failureDomain: request.FailureDomain, direct: request.Direct, demand: request.Demand,
 		}
 	}
 	if !request.AskRelays {
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -41,8 +40,10 @@
 	// the store answers it.
 	StoreUnresponsive func() bool
 	Direct            func() bool
-	Sink              Sink
-	Log               *logrus.Entry
+	// Demand returns the rate of requests per second of this host's callers for an upstream.
+	Demand func(core.Upstream) float64
+	Sink   Sink
+	Log    *logrus.Entry
 }
 
 // Listener requests load reports from agents and passes them to a Sink.
@@ -52,6 +53,8 @@
 	port uint16
 	// byHost holds the replicas that have an agent by the IP address of their host.
 	byHost atomic.Pointer[map[netip.Addr][]fleet.Member]
+	// demand holds the demand by upstream that agents have been told last.
+	demand atomic.Pointer[map[core.Upstream]float64]
 }
 
 // Listen opens the UDP socket of an entry host at ip.
@@ -98,28 +101,27 @@
 		byHost[address.Addr()] = append(byHost[address.Addr()], member)
 	}
 	l.byHost.Store(&byHost)
-	request := message{
-		StoreUnresponsive: l.StoreUnresponsive(), Wanted: recentWanted(bootclock.Time(), view),
-		FailureDomain: l.FailureDomain, Direct: l.Direct(),
-	}
-	plain, err := json.Marshal(request)
-	request.AskRelays = true
-	asking, errAsking := json.Marshal(request)
-	if err := errors.Join(err, errAsking); err != nil {
-		l.Log.WithError(err).Error("encode request for reports")
-		return
-	}
+	demand := make(map[core.Upstream]float64)
 	asked := 0
-	// The order of a map differs each time, so all agents are asked in turn.
-	for host := range byHost {
-		body := plain
-		if asked < relayQuestions {
-			body = asking
-			asked++
+	// The order of a map differs each time, so all agents are asked for the relays in turn.
+	for host, members := range byHost {
+		upstream := members[0].Upstream
+		if _, measured := demand[upstream]; !measured {
+			demand[upstream] = l.Demand(upstream)
+		}
+		body, err := json.Marshal(message{
+			StoreUnresponsive: l.StoreUnresponsive(), Wanted: recentWanted(bootclock.Time(), view),
+			FailureDomain: l.FailureDomain, Direct: l.Direct(), AskRelays: asked < relayQuestions, Demand: demand[upstream],
+		})
+		if err != nil {
+			l.Log.WithError(err).Error("encode request for reports")
+			return
 		}
+		asked++
 		// Errors are ignored: a lost request is replaced by the next one.
 		_, _ = l.conn.WriteToUDPAddrPort(body, netip.AddrPortFrom(host, l.port))
 	}
+	l.demand.Store(&demand)
 }
 
 // engines returns the replicas that are engines, or all known replicas if there is no view yet.
@@ -159,7 +161,7 @@
 		}
 		for _, member := range (*byHost)[from.Addr().Unmap()] {
 			if member.Born == received.Report.Born || member.Born == 0 {
-				l.Sink.Report(member.ID, received.Report.decode())
+				l.Sink.Report(member.ID, received.Report.decode(l.toldDemand(member.Upstream)))
 			}
 		}
 		l.Sink.EntryHostCounts(received.Report.Senders, received.Report.StoreUnresponsiveCount)
@@ -167,6 +169,14 @@
 	}
 }
 
+// toldDemand returns the demand for an upstream that agents have been told last.
+func (l *Listener) toldDemand(upstream core.Upstream) float64 {
+	if demand := l.demand.Load(); demand != nil {
+		return (*demand)[upstream]
+	}
+	return 0
+}
+
 func listenUDP(ip string, port int) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: port})
 	return conn, eris.Wrapf(err, "listen on UDP port %d", port)
--- a/transport/loadshare/loadshare_test.go
+++ b/transport/loadshare/loadshare_test.go
@@ -47,7 +47,7 @@
 	var entryRelay, agentRelay netip.Addr
 	listener, err := loadshare.Listen("127.0.10.2", port, loadshare.ListenerDependencies{
 		FailureDomain: "fd", View: func() *fleet.View { return view }, Replicas: func() []fleet.Member { return nil }, Log: log,
-		StoreUnresponsive: func() bool { return true }, Direct: func() bool { return true }, Sink: loadshare.Sink{
+		StoreUnresponsive: func() bool { return true }, Direct: func() bool { return true }, Demand: func(core.Upstream) float64 { return 7 }, Sink: loadshare.Sink{
 			Report: func(id fleet.ReplicaID, report dispatch.Report) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -109,6 +109,6 @@
 	require.Equal(t, entryRelay, agentRelay)
 	require.Equal(t, [2]int{1, 1}, hostCounts, "one entry host requests reports, and the store does not answer it")
 	require.Equal(t, map[fleet.ReplicaID]dispatch.Report{"now": {
-		Running: 3, Waiting: 1, Leaving: true, Senders: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}},
+		Running: 3, Waiting: 1, Leaving: true, Senders: 1, Share: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}},
 	}}, got)
 }
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -45,6 +45,8 @@
 	FailureDomain core.FailureDomain `json:"d,omitempty"`
 	Direct        bool               `json:"s,omitempty"`
 	AskRelays     bool               `json:"y,omitempty"`
+	// Demand is, in a request, the rate of requests per second that the sender has for the upstream of the agent.
+	Demand float64 `json:"e,omitempty"`
 	// StoreUnresponsive is set in a request when the store does not answer the sender.
 	StoreUnresponsive bool `json:"x,omitempty"`
 	// Wanted lists, in a request, the versions that recently became wanted as known to the sender.
@@ -52,16 +54,18 @@
 }
 
 type report struct {
-	Born    int64           `json:"b"`
-	Running int             `json:"n"`
-	Waiting int             `json:"w"`
-	Slots   int             `json:"s"`
-	Loading bool            `json:"l,omitempty"`
-	Leaving bool            `json:"q,omitempty"`
-	Models  []model         `json:"m"`
-	Senders int             `json:"f"`
-	Pace    float64         `json:"p,omitempty"`
-	Wanted  []wantedVersion `json:"v,omitempty"`
+	Born    int64   `json:"b"`
+	Running int     `json:"n"`
+	Waiting int     `json:"w"`
+	Slots   int     `json:"s"`
+	Loading bool    `json:"l,omitempty"`
+	Leaving bool    `json:"q,omitempty"`
+	Models  []model `json:"m"`
+	Senders int     `json:"f"`
+	// Demand is the total demand of the Senders in requests per second, 0 if one of them is unknown.
+	Demand float64         `json:"e,omitempty"`
+	Pace   float64         `json:"p,omitempty"`
+	Wanted []wantedVersion `json:"v,omitempty"`
 	// StoreUnresponsiveCount is the number of Senders that the store does not answer.
 	StoreUnresponsiveCount int `json:"x,omitempty"`
 }
@@ -103,9 +107,9 @@
 	}
 }
 
-func encodeReport(born int64, r dispatch.Report, unresponsive int, versions []wantedVersion) ([]byte, error) {
+func encodeReport(born int64, r dispatch.Report, demand float64, unresponsive int, versions []wantedVersion) ([]byte, error) {
 	wire := &report{
-		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace,
+		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace, Demand: demand,
 		Wanted: versions, StoreUnresponsiveCount: unresponsive,
 	}
 	for _, m := range r.Models {
@@ -114,11 +118,15 @@
 	return json.Marshal(message{Report: wire})
 }
 
-func (r *report) decode() dispatch.Report {
+// decode returns the report for a host that has told the agent its own demand.
+func (r *report) decode(ownDemand float64) dispatch.Report {
 	decoded := dispatch.Report{
 		Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace,
 		Models: []fleet.LoadedModel{},
 	}
+	if r.Demand > 0 {
+		decoded.Share = min(ownDemand/r.Demand, 1)
+	}
 	for _, m := range r.Models {
 		decoded.Models = append(decoded.Models, fleet.LoadedModel{Model: core.Model(m.Name), Version: m.Version, Layers: m.Layers})
 	}
