--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -127,6 +127,13 @@
 	})
 }
 
+func startWithSource(t *testing.T, s feed.Source) *follow.Follower {
+	t.Helper()
+	return startConfigured(t, s, follow.Config{
+		Kinds: []follow.Kind{{Kind: feed.KindConfiguration}, {Kind: feed.KindWeightTargets}}, ProbeWait: 50 * time.Millisecond,
+	})
+}
+
 func startConfigured(t *testing.T, s feed.Source, cfg follow.Config) *follow.Follower {
 	t.Helper()
 	logger := logrus.New()
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -22,7 +22,7 @@
 // store may have confirmed some time ago that there are no others.
 func (a arrival) quietUntil(batch feed.Batch) time.Time {
 	if batch.Relayed {
-		return time.Unix(0, int64(a.sent)).Add(-promptResponseLimit)
+		return time.Unix(0, int64(a.sent)).Add(batch.HeldFor - promptResponseLimit)
 	}
 	return time.Unix(0, int64(a.completeAt))
 }
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -231,7 +231,10 @@
 	if age := time.Duration(wire.AgeMS) * time.Millisecond; kind == feed.KindConfiguration && age > s.maxAge {
 		return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "the relay has lost the store %s ago", age)
 	}
-	batch := feed.Batch{Revision: wire.Revision, Era: wire.Era, Relayed: true, CompleteAfter: wire.completeAfter()}
+	batch := feed.Batch{
+		Revision: wire.Revision, Era: wire.Era, Relayed: true,
+		HeldFor: time.Duration(wire.HeldMS) * time.Millisecond, CompleteAfter: wire.completeAfter(),
+	}
 	for _, record := range wire.Records {
 		batch.Records = append(batch.Records, record.decode(kind))
 	}
