--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -55,11 +55,16 @@
 }
 
 // drawHeadroom sets the number of requests that this host may send until the next report: its share of the free slots in the last
-// one, rounded up or down at random in proportion to the remainder. All hosts see the same report; if each of them rounded up, all
-// would send to the first replica with a free slot after a shortage.
+// one. All hosts see the same report; if each rounded its share up, all would send to a replica with one free slot. So the share of
+// a replica that is nearly full is rounded up or down at random, in proportion to the remainder.
 func (r *replica) drawHeadroom(cfg *Config, random float64) {
-	freeSlots := r.slots() + cfg.Overcommit - r.report.Running - r.report.Waiting
-	r.headroom = int(math.Floor(cfg.HeadroomFactor*float64(max(freeSlots, 0))*r.report.share() + random))
+	freeSlots := float64(max(r.slots()+cfg.Overcommit-r.report.Running-r.report.Waiting, 0))
+	share := freeSlots * r.report.share()
+	if freeSlots > cfg.NearlyFullShare*float64(r.slots()) {
+		r.headroom = max(int(math.Ceil(cfg.HeadroomFactor*share)), 1)
+		return
+	}
+	r.headroom = int(math.Floor(cfg.FullHeadroomFactor*share + random))
 }
 
 // headroomUsed reports whether this host has sent all requests that it may send until the next report.
