--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -249,6 +249,19 @@
 	}
 }
 
+// TestWatchEndsWhenTheStoreIsLost guards against a watch that waits on at a relay which the store does not answer any more.
+func TestWatchEndsWhenTheStoreIsLost(t *testing.T) {
+	relayHost := hosts(t, newStore(), "127.0.21.1")[0]
+	relayHost.cache.SetMaxAge(100 * time.Millisecond)
+	read := relayHost.readAll(t)
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(relayHost.server.URL + "/relay/" + string(kind) +
+		"?era=0&wait_ms=20000&since=" + strconv.FormatInt(read.Revision, 10))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+}
+
 // TestHostsThatNameEachOtherReadTheStore guards against two hosts that each take the other for the relay and never see a change.
 func TestHostsThatNameEachOtherReadTheStore(t *testing.T) {
 	s := newStore()
