Share the burst of retries among the entries

Cause: each entry allows itself a burst of 8 retries an upstream; 52 entries of the large fleet together 416, above the platform's slack of 270 in 10 s. Change: the burst is the entry's part of 0.75 of the slack among the hosts that agents report, between 1 and 8.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -35,6 +35,8 @@
 	// oldVersionCancelShare is the share of ActivationTimeout after which a request that still waits at a replica with an
 	// older version is canceled; the rest covers the network delay to the replica.
 	oldVersionCancelShare = 0.95
+	// retryBurstShare is the share of RetryBurst that the bursts of all hosts together may use.
+	retryBurstShare = 0.75
 	// gcPercent is the heap growth in percent that triggers a garbage collection; 100 takes a third more memory, 25 takes 7 %
 	// more processor time.
 	gcPercent = 25
@@ -96,6 +98,7 @@
 	cfg.Dispatch.Region = settings.Region
 	cfg.Dispatch.FailureDomain = settings.FailureDomain
 	cfg.Dispatch.Regions = settings.Regions
+	cfg.RetryBurstTotal = retryBurstShare * settings.Bounds.RetryBurst
 	cfg.MaxKeyAge = scaleDuration(settings.Bounds.RevokedKeyTimeout, maxKeyAgeShare)
 	cfg.MaxReadyAge = scaleDuration(settings.Bounds.RevokedKeyTimeout, maxReadyAgeShare)
 	cfg.OldVersionGrace = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionGraceShare)
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -79,6 +79,12 @@
 	return &Budget{cfg: cfg, tokens: cfg.BudgetBurst}
 }
 
+// SetBurst changes the capacity of the budget. What it holds beyond a smaller one is lost.
+func (b *Budget) SetBurst(burst float64) {
+	b.cfg.BudgetBurst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // AddRequest adds BudgetRatio retries to the budget for one new request.
 func (b *Budget) AddRequest() {
 	b.tokens = min(b.tokens+b.cfg.BudgetRatio, b.cfg.BudgetBurst)
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -18,6 +18,9 @@
 type Config struct {
 	Dispatch dispatch.Config
 	Retry    retry.Config
+	// RetryBurstTotal bounds the bursts of the retry budgets of all hosts together; 0 means no bound. Each host has an equal part of
+	// it, at most Retry.BudgetBurst and at least one retry.
+	RetryBurstTotal float64
 	// CapacityWaitShare is the part of the route's latency objective for which a request waits while every replica is full. A
 	// larger one rejects fewer requests and lets more of them miss their objective.
 	CapacityWaitShare float64
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -19,9 +19,11 @@
 	balancer *dispatch.Balancer
 	budgets  map[core.Upstream]*retry.Budget
 	demand   map[core.Upstream]*demand
-	lateness *lateness.Estimator
-	random   *rand.Rand
-	now      func() time.Time
+	// retryBurst is this host's part of the burst of the retry budgets of all hosts.
+	retryBurst float64
+	lateness   *lateness.Estimator
+	random     *rand.Rand
+	now        func() time.Time
 }
 
 // NewRouter returns a Router without replicas.
@@ -31,6 +33,9 @@
 		balancer: dispatch.NewBalancer(cfg.Dispatch, random),
 		budgets:  make(map[core.Upstream]*retry.Budget),
 		demand:   make(map[core.Upstream]*demand),
+
+		retryBurst: cfg.Retry.BudgetBurst,
+
 		lateness: lateness.NewEstimator(),
 		random:   random,
 		now:      now,
@@ -52,6 +57,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.RecordReport(r.now(), id, report)
+	r.shareRetryBurst(report.Senders)
+}
+
+// shareRetryBurst sets the burst of the retry budgets to this host's part among the given number of hosts, if that is known; the
+// caller must hold the lock.
+func (r *Router) shareRetryBurst(hosts int) {
+	if r.cfg.RetryBurstTotal <= 0 || hosts <= 0 {
+		return
+	}
+	burst := min(r.cfg.Retry.BudgetBurst, max(r.cfg.RetryBurstTotal/float64(hosts), 1))
+	if burst == r.retryBurst {
+		return
+	}
+	r.retryBurst = burst
+	for _, budget := range r.budgets {
+		budget.SetBurst(burst)
+	}
 }
 
 func (r *Router) markCold(id fleet.ReplicaID, remaining time.Duration) {
@@ -198,6 +220,7 @@
 	budget := r.budgets[upstream]
 	if budget == nil {
 		budget = retry.NewBudget(r.cfg.Retry)
+		budget.SetBurst(r.retryBurst)
 		r.budgets[upstream] = budget
 	}
 	return budget
