Count versions set during a shared outage from its end

When it answers again the versions known before restart their time, but one that is found by the first list after it took its time from the last read before the outage. It was due at once: from 27 to 32 s all requests of the model were refused, until the first replica had loaded it. Change: at the end of a shared outage the last quiet moment is that end. TestVersionSetDuringAnOutageCountsFromItsEnd fails without the change.

--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -30,7 +30,9 @@
 	revision int64
 	era      int64
 	expired  bool
-	changed  chan struct{}
+	// down makes all calls fail.
+	down    bool
+	changed chan struct{}
 	// lists counts the list calls and watched the records returned by watches, by kind.
 	lists   map[feed.Kind]int
 	watched map[feed.Kind]int
@@ -74,6 +76,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists[kind]++
+	if s.down {
+		return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "down")
+	}
 	batch := feed.Batch{Revision: s.revision, Era: s.era}
 	for _, record := range s.records[kind] {
 		batch.Records = append(batch.Records, record)
@@ -92,7 +97,11 @@
 				batch.Records = append(batch.Records, record)
 			}
 		}
+		down := s.down
 		s.mu.Unlock()
+		if down {
+			return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "down")
+		}
 		if expired && since < batch.Revision {
 			return feed.Batch{}, protocol.Errorf(protocol.CodeExpired, "the history has expired")
 		}
@@ -319,6 +328,30 @@
 	require.WithinRange(t, follower.View().Wanted["m"][0].Since, setAt.Add(-quiet/2), bootclock.Time())
 }
 
+// TestVersionSetDuringAnOutageCountsFromItsEnd guards against a version that counts as due as soon as the store answers again, because
+// it was set some time during the outage. All requests of a model were refused for 5 s then, until the first replica had loaded it.
+func TestVersionSetDuringAnOutageCountsFromItsEnd(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	follower := startFollower(t, s)
+	eventually(t, func() bool { return follower.View().Ready() })
+	setDown := func(down bool) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.down = down
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	setDown(true)
+	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 2}})
+	eventually(t, follower.StoreUnresponsive)
+	follower.RecordPeerReachability(10, 10)
+	endAt := bootclock.Time()
+	setDown(false)
+	eventually(t, func() bool { return follower.View().Wanted["m"].Newest() == 2 })
+	require.False(t, follower.View().Wanted["m"][0].Since.Before(endAt))
+}
+
 // TestVersionReportedByPeerBecomesTargetAtOnce checks that a new version reported by a peer becomes the target at once, and
 // not only with the next stale list.
 func TestVersionReportedByPeerBecomesTargetAtOnce(t *testing.T) {
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -40,6 +40,7 @@
 		f.log.WithField("silent_ms", now.Sub(f.lastAnswered).Milliseconds()).WithField("shared", f.sharedOutage).
 			Info("store answers again")
 		f.table.StoreRecovered(now, f.sharedOutage)
+		f.restartVersionTimes(now)
 	}
 	f.sharedOutage = false
 	f.lastAnswered = now
@@ -72,6 +73,17 @@
 	}
 }
 
+// restartVersionTimes makes versions that became wanted during an outage of the store count from its end, like those that were wanted
+// before; the caller holds the lock.
+func (f *Follower) restartVersionTimes(now time.Time) {
+	if !f.sharedOutage {
+		return
+	}
+	for kind := range f.completeUntil {
+		f.completeUntil[kind] = now
+	}
+}
+
 // applyRecord applies a record to the table. since is a time before which the record was not written, or zero if unknown.
 func (f *Follower) applyRecord(now, since time.Time, kind feed.Kind, record feed.Record) {
 	if record.Err != nil {
