Round shares at random where many hosts share few slots, and encode records once

What matters is the number of hosts for each free slot. Change: shares are rounded up while at most three hosts send for each free slot, else at random.

Change: a record is encoded once.

--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -31,10 +31,10 @@
 	// HeadroomFactor scales this host's share of a replica's free slots between two load reports; the share is rounded up. Higher
 	// values fill the slots when few hosts send at once, but let more requests queue at the replica when many do.
 	HeadroomFactor float64
-	// FullHeadroomFactor replaces HeadroomFactor for a replica with at most NearlyFullShare of its slots free. Its shares are rounded
-	// at random, so that at 1 they add up to the free slots.
-	FullHeadroomFactor float64
-	NearlyFullShare    float64
+	// CrowdedHeadroomFactor replaces HeadroomFactor while more than MaxSendersPerSlot hosts send to a replica for each of its free
+	// slots. The shares are then rounded at random, so that at 1 they add up to the free slots.
+	CrowdedHeadroomFactor float64
+	MaxSendersPerSlot     float64
 	// MaxReportAge is the age beyond which a load report is ignored and only the requests of this host count.
 	MaxReportAge time.Duration
 	// SilentAfter is the time without a load report after which a model engine counts as silent. It gets no requests then, unless
@@ -72,30 +72,30 @@
 // DefaultConfig returns the default settings.
 func DefaultConfig() Config {
 	return Config{
-		RegionPenalty:      0.9,
-		DomainPenalty:      0.1,
-		Jitter:             0.12,
-		Overcommit:         1,
-		MovedOvercommit:    2,
-		LateReserve:        0.3,
-		HeadroomFactor:     0.7,
-		FullHeadroomFactor: 1.2,
-		NearlyFullShare:    0.2,
-		MaxReportAge:       1500 * time.Millisecond,
-		SilentAfter:        time.Second,
-		MaxSilentShare:     0.5,
-		ReportLag:          250 * time.Millisecond,
-		EjectBase:          800 * time.Millisecond,
-		EjectCap:           6 * time.Second,
-		EjectAfter:         2,
-		IdleShare:          0.3,
-		ShedBackoff:        80 * time.Millisecond,
-		FailureWeight:      1.5,
-		SlowWeight:         0.25,
-		SlowThreshold:      1.8,
-		SlowCap:            1.5,
-		DefaultSenders:     24,
-		ColdShare:          0.8,
+		RegionPenalty:         0.9,
+		DomainPenalty:         0.1,
+		Jitter:                0.12,
+		Overcommit:            1,
+		MovedOvercommit:       2,
+		LateReserve:           0.3,
+		HeadroomFactor:        0.7,
+		CrowdedHeadroomFactor: 1.2,
+		MaxSendersPerSlot:     3,
+		MaxReportAge:          1500 * time.Millisecond,
+		SilentAfter:           time.Second,
+		MaxSilentShare:        0.5,
+		ReportLag:             250 * time.Millisecond,
+		EjectBase:             800 * time.Millisecond,
+		EjectCap:              6 * time.Second,
+		EjectAfter:            2,
+		IdleShare:             0.3,
+		ShedBackoff:           80 * time.Millisecond,
+		FailureWeight:         1.5,
+		SlowWeight:            0.25,
+		SlowThreshold:         1.8,
+		SlowCap:               1.5,
+		DefaultSenders:        24,
+		ColdShare:             0.8,
 	}
 }
 
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -54,16 +54,16 @@
 }
 
 // drawHeadroom sets the number of requests that this host may send until the next report: its share of the free slots in the last
-// one. All hosts see the same report; if each rounded its share up, all would send to a replica with one free slot. So the share of
-// a replica that is nearly full is rounded up or down at random, in proportion to the remainder.
+// one. All hosts see the same report; if each rounded its share up, all would send to a replica with one free slot. So a share is
+// rounded up only while there are few hosts for each free slot, and otherwise up or down at random, in proportion to the remainder.
 func (r *replica) drawHeadroom(cfg *Config, random float64) {
 	freeSlots := float64(max(r.slots()+cfg.Overcommit-r.report.Running-r.report.Waiting, 0))
 	share := freeSlots * r.report.share()
-	if freeSlots > cfg.NearlyFullShare*float64(r.slots()) {
-		r.headroom = max(int(math.Ceil(cfg.HeadroomFactor*share)), 1)
+	if float64(r.report.Senders) <= cfg.MaxSendersPerSlot*freeSlots {
+		r.headroom = int(math.Ceil(cfg.HeadroomFactor * share))
 		return
 	}
-	r.headroom = int(math.Floor(cfg.FullHeadroomFactor*share + random))
+	r.headroom = int(math.Floor(cfg.CrowdedHeadroomFactor*share + random))
 }
 
 // headroomUsed reports whether this host has sent all requests that it may send until the next report.
--- a/transport/relay/cache.go
+++ b/transport/relay/cache.go
@@ -22,7 +22,7 @@
 	era, revision int64
 	// base is the revision from which on all changes are known.
 	base    int64
-	records map[string]cachedRecord
+	records map[string]*cachedRecord
 	// completeAt is the time up to which the store has confirmed that the records are complete.
 	completeAt bootclock.Instant
 	// changed is closed and replaced with every update.
@@ -34,6 +34,25 @@
 type cachedRecord struct {
 	feed.Record
 	batchRevision int64
+	// full and brief hold the encoded record once it has been sent, as it is sent to many hosts.
+	full, brief encoding
+}
+
+// encoding is the lazily encoded form of a record.
+type encoding struct {
+	once sync.Once
+	body []byte
+	err  error
+}
+
+// encoded returns the record as it is sent.
+func (r *cachedRecord) encoded(brief bool) ([]byte, error) {
+	e := &r.full
+	if brief {
+		e = &r.brief
+	}
+	e.once.Do(func() { e.body, e.err = encodeRecord(r.Record, brief) })
+	return e.body, e.err
 }
 
 // NewCache returns an empty Cache.
@@ -103,10 +122,10 @@
 	defer c.mu.Unlock()
 	next := &kindCache{
 		era: batch.Era, revision: batch.Revision, base: batch.Revision, completeAt: completeAt,
-		records: make(map[string]cachedRecord, len(batch.Records)), changed: make(chan struct{}),
+		records: make(map[string]*cachedRecord, len(batch.Records)), changed: make(chan struct{}),
 	}
 	for _, record := range batch.Records {
-		next.records[record.Name] = cachedRecord{record, batch.Revision}
+		next.records[record.Name] = &cachedRecord{Record: record, batchRevision: batch.Revision}
 	}
 	if previous := c.kinds[kind]; previous != nil {
 		next.keepHistory(previous)
@@ -129,7 +148,8 @@
 		case !ok && old.Removed:
 			k.records[name] = old
 		case !ok:
-			k.records[name] = cachedRecord{feed.Record{Name: name, Revision: old.Revision, Removed: true}, k.revision}
+			removal := feed.Record{Name: name, Revision: old.Revision, Removed: true}
+			k.records[name] = &cachedRecord{Record: removal, batchRevision: k.revision}
 		case listed.Revision == old.Revision && !old.Removed:
 			k.records[name] = old
 		}
@@ -145,7 +165,7 @@
 		return
 	}
 	for _, record := range batch.Records {
-		k.records[record.Name] = cachedRecord{record, batch.Revision}
+		k.records[record.Name] = &cachedRecord{Record: record, batchRevision: batch.Revision}
 	}
 	k.revision = batch.Revision
 	k.completeAt = max(k.completeAt, completeAt)
@@ -156,9 +176,10 @@
 
 // read is the result of a read from the cache.
 type read struct {
-	batch      feed.Batch
-	completeAt bootclock.Instant
-	changed    <-chan struct{}
+	era, revision int64
+	records       []*cachedRecord
+	completeAt    bootclock.Instant
+	changed       <-chan struct{}
 	// known is false if the cache doesn't hold the kind, expired is true if it doesn't hold the changes since the revision.
 	known, expired bool
 }
@@ -174,7 +195,7 @@
 	result := k.result()
 	for _, record := range k.records {
 		if !record.Removed {
-			result.batch.Records = append(result.batch.Records, record.Record)
+			result.records = append(result.records, record)
 		}
 	}
 	return result
@@ -194,15 +215,15 @@
 		return result
 	}
 	// A later revision than the cache's is of a host that has read the kind from the store, and knows what the cache holds.
-	result.batch.Revision = max(k.revision, since)
+	result.revision = max(k.revision, since)
 	for _, record := range k.records {
 		if record.batchRevision > since {
-			result.batch.Records = append(result.batch.Records, record.Record)
+			result.records = append(result.records, record)
 		}
 	}
 	return result
 }
 
 func (k *kindCache) result() read {
-	return read{batch: feed.Batch{Revision: k.revision, Era: k.era}, completeAt: k.completeAt, changed: k.changed, known: true}
+	return read{era: k.era, revision: k.revision, completeAt: k.completeAt, changed: k.changed, known: true}
 }
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -92,7 +91,7 @@
 	first := s.Cache.changes(kind, era, since)
 	for result := first; ; result = s.Cache.changes(kind, era, since) {
 		confirmed := kind == feed.KindConfiguration && result.completeAt > first.completeAt
-		if !result.known || result.expired || len(result.batch.Records) > 0 || confirmed || !s.available() {
+		if !result.known || result.expired || len(result.records) > 0 || confirmed || !s.available() {
 			return result
 		}
 		select {
@@ -106,24 +105,25 @@
 }
 
 func (s *Server) respond(w http.ResponseWriter, result read, received bootclock.Instant, brief bool) {
-	batch := wireBatch{Revision: result.batch.Revision, Era: result.batch.Era, Records: []wireRecord{}}
-	for _, record := range result.batch.Records {
-		encoded, err := encodeRecord(record, brief)
+	records := make([][]byte, 0, len(result.records))
+	for _, record := range result.records {
+		encoded, err := record.encoded(brief)
 		if err != nil {
-			s.Log.WithError(err).Error("encode record for another host")
-			http.Error(w, "encode record", http.StatusInternalServerError)
+			s.fail(w, err)
 			return
 		}
-		batch.Records = append(batch.Records, encoded)
+		records = append(records, encoded)
 	}
 	now := bootclock.Now()
-	batch.HeldMS = time.Duration(now - received).Milliseconds()
-	// One is added because both times are rounded down.
-	batch.AgeMS = time.Duration(now-result.completeAt).Milliseconds() + 1
-	body, err := json.Marshal(batch)
+	body, err := encodeBatch(wireHead{
+		Revision: result.revision,
+		Era:      result.era,
+		HeldMS:   time.Duration(now - received).Milliseconds(),
+		// One is added because both times are rounded down.
+		AgeMS: time.Duration(now-result.completeAt).Milliseconds() + 1,
+	}, records)
 	if err != nil {
-		s.Log.WithError(err).Error("encode batch for another host")
-		http.Error(w, "encode batch", http.StatusInternalServerError)
+		s.fail(w, err)
 		return
 	}
 	varServed.Add(1)
@@ -131,6 +131,11 @@
 	_, _ = w.Write(body)
 }
 
+func (s *Server) fail(w http.ResponseWriter, err error) {
+	s.Log.WithError(err).Error("encode records for another host")
+	http.Error(w, "encode records", http.StatusInternalServerError)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/transport/relay/wire.go
+++ b/transport/relay/wire.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -28,9 +29,14 @@
 
 // wireBatch is the response to a read.
 type wireBatch struct {
-	Records  []wireRecord `json:"records"`
-	Revision int64        `json:"revision"`
-	Era      int64        `json:"era"`
+	wireHead
+	Records []wireRecord `json:"records"`
+}
+
+// wireHead is the response to a read without its records.
+type wireHead struct {
+	Revision int64 `json:"revision"`
+	Era      int64 `json:"era"`
 	// HeldMS is the time for which the relay held the call, AgeMS the time before the response up to which the store has confirmed
 	// that the records are complete.
 	HeldMS int64 `json:"held_ms"`
@@ -46,23 +52,38 @@
 	Value   json.RawMessage `json:"value,omitempty"`
 }
 
-func encodeRecord(record feed.Record, brief bool) (wireRecord, error) {
+// encodeRecord encodes a record, with a brief configuration if that is asked for.
+func encodeRecord(record feed.Record, brief bool) ([]byte, error) {
 	wire := wireRecord{Name: record.Name, Revision: record.Revision, Removed: record.Removed}
 	if record.Err != nil {
 		wire.Invalid = record.Err.Error()
 	}
-	if record.Value == nil {
-		return wire, nil
+	if record.Value != nil {
+		value := record.Value
+		if configuration, ok := value.(*fleet.Configuration); ok && brief {
+			shortened := *configuration
+			shortened.Routes, shortened.Teams = nil, nil
+			value = &shortened
+		}
+		body, err := json.Marshal(value)
+		if err != nil {
+			return nil, eris.Wrapf(err, "encode record %q", record.Name)
+		}
+		wire.Value = body
 	}
-	value := record.Value
-	if configuration, ok := value.(*fleet.Configuration); ok && brief {
-		shortened := *configuration
-		shortened.Routes, shortened.Teams = nil, nil
-		value = &shortened
+	body, err := json.Marshal(wire)
+	return body, eris.Wrapf(err, "encode record %q", record.Name)
+}
+
+// encodeBatch encodes a batch of records that are encoded already.
+func encodeBatch(head wireHead, records [][]byte) ([]byte, error) {
+	body, err := json.Marshal(head)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode batch")
 	}
-	body, err := json.Marshal(value)
-	wire.Value = body
-	return wire, eris.Wrapf(err, "encode record %q", record.Name)
+	body = append(body[:len(body)-1], `,"records":[`...)
+	body = append(body, bytes.Join(records, []byte{','})...)
+	return append(body, "]}"...), nil
 }
 
 func (w wireRecord) decode(kind feed.Kind) feed.Record {
@@ -104,6 +125,6 @@
 
 // completeAfter returns the time after the call was sent up to which the batch is complete. It doesn't depend on the time that the
 // response took.
-func (w wireBatch) completeAfter() time.Duration {
+func (w wireHead) completeAfter() time.Duration {
 	return time.Duration(w.HeldMS-w.AgeMS) * time.Millisecond
 }
