--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -50,6 +50,12 @@
 }
 
 func newHarness(t *testing.T, routes ...fleet.Route) *harness {
+	t.Helper()
+	return newHarnessWith(t, func(*ingress.Config) {}, routes...)
+}
+
+// newHarnessWith is newHarness with changed settings.
+func newHarnessWith(t *testing.T, change func(*ingress.Config), routes ...fleet.Route) *harness {
 	t.Helper()
 	h := &harness{t: t, table: fleet.NewTable()}
 	cfg := ingress.DefaultConfig()
@@ -59,6 +65,7 @@
 	cfg.CapacityWaitShare = 0
 	cfg.OldVersionGrace, cfg.OldVersionIdleOnlyAfter, cfg.OldVersionCancelAfter = time.Minute, time.Minute, 30*time.Second
 	cfg.Dispatch.Jitter = 0
+	change(&cfg)
 	h.router = ingress.NewRouter(cfg, rand.New(rand.NewPCG(1, 1)), time.Now)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -172,43 +172,6 @@
 	r.demandOf(upstream).count++
 }
 
-// demand is the rate of requests of this host's callers for an upstream, whether they are served or not.
-type demand struct {
-	// count is the number of requests since measuredAt.
-	count      int
-	measuredAt time.Time
-	// perSecond is a moving average.
-	perSecond float64
-}
-
-const (
-	// demandGain is the weight of the newest measurement in the average.
-	demandGain = 0.5
-	// minDemand is the least demand in requests per second, so that a host whose callers have just arrived has a share.
-	minDemand = 0.5
-)
-
-func (r *Router) demandOf(upstream core.Upstream) *demand {
-	d := r.demand[upstream]
-	if d == nil {
-		d = &demand{measuredAt: r.now()}
-		r.demand[upstream] = d
-	}
-	return d
-}
-
-// MeasureDemand returns the demand of an upstream in requests per second. It is called at regular intervals.
-func (r *Router) MeasureDemand(upstream core.Upstream) float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	d, now := r.demandOf(upstream), r.now()
-	if elapsed := now.Sub(d.measuredAt).Seconds(); elapsed > 0 {
-		d.perSecond += demandGain * (float64(d.count)/elapsed - d.perSecond)
-		d.count, d.measuredAt = 0, now
-	}
-	return max(d.perSecond, minDemand)
-}
-
 // takeRetry takes a retry from the budget of an upstream. It returns false if the budget is used up.
 func (r *Router) takeRetry(upstream core.Upstream) bool {
 	r.mu.Lock()
--- a/transport/ingress/slow_test.go
+++ b/transport/ingress/slow_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
+	"github.com/guavatrestle/guavatrestle/transport/ingress"
 )
 
 // streamEvents responds with the events from first up to but not including end, and waits for interval before each.
@@ -72,11 +73,15 @@
 
 // TestSlowButSoundStreamIsNotMoved guards against cutting off a stream whose events come slowly but steadily.
 func TestSlowButSoundStreamIsNotMoved(t *testing.T) {
-	h := newHarness(t, streamRoute())
-	h.startReplica("r1", "llm", func(w http.ResponseWriter, _ *http.Request) { streamEvents(w, 0, 12, 90*time.Millisecond) })
-	h.startReplica("r2", "llm", func(w http.ResponseWriter, _ *http.Request) { streamEvents(w, 0, 12, 90*time.Millisecond) })
-	got := h.call(http.MethodPost, "/stream/", "x", nil)
+	const interval, limit = 60 * time.Millisecond, time.Second
+	events := int(3 * limit / interval / 2)
+	h := newHarnessWith(t, func(cfg *ingress.Config) {
+		cfg.FirstEventMinTimeout, cfg.SilentTimeout, cfg.StallMinTimeout = limit, limit, limit
+	}, streamRoute())
+	h.startReplica("r1", "llm", func(w http.ResponseWriter, _ *http.Request) { streamEvents(w, 0, events, interval) })
+	h.startReplica("r2", "llm", func(w http.ResponseWriter, _ *http.Request) { streamEvents(w, 0, events, interval) })
+	got := h.call(http.MethodPost, "/stream/", "x", func(header http.Header) { header.Set(names.Deadline, "5000") })
 	require.NoError(t, got.err)
-	require.Contains(t, got.body, "data: 11\n\n")
+	require.Contains(t, got.body, fmt.Sprintf("data: %d\n\n", events-1))
 	require.Len(t, h.received(), 1)
 }
