Don't count the wait at a failed relay as one at the store

A watch that fell back from a relay to the store waits there for 0.1 s, but the follower took its own wait of 1.6 s for confirmed once that time had passed, up to 0.6 s too long for the age of API keys. The test of lost relays checks the stated time and fails without it.

--- a/protocol/feed/feed.go
+++ b/protocol/feed/feed.go
@@ -40,9 +40,9 @@
 	// Era numbers the histories of the store, 0 if it has only one. It rises when the store comes back from an older copy. The
 	// store then gives out revisions again, so revisions of two eras must not be compared.
 	Era int64
-	// Relayed is true if another host read the batch from the store. HeldFor is then the time for which that host held the call,
-	// and CompleteAfter the time after the call was sent up to which the store has confirmed that the batch is complete; it is
-	// mostly negative.
+	// Relayed is true if another host read the batch from the store. HeldFor is then the time for which that host held the call.
+	// CompleteAfter is the time after the call was sent up to which the store has confirmed that the batch is complete, mostly
+	// negative. It is 0 for a batch that was read from the store with the wait that the caller asked for.
 	Relayed       bool
 	HeldFor       time.Duration
 	CompleteAfter time.Duration
--- a/transport/follow/loop.go
+++ b/transport/follow/loop.go
@@ -109,10 +109,10 @@
 }
 
 // confirmedUntil returns the time up to which the batch of a watch is complete. Without changes that is the end of the wait, or the
-// time at which the watch was sent if it was answered before its wait was over. A relay states the time itself.
+// time at which the watch was sent if it was answered before its wait was over. A source that read through a relay states the time itself.
 func confirmedUntil(sent bootclock.Instant, wait time.Duration, batch feed.Batch) bootclock.Instant {
 	switch {
-	case batch.Relayed:
+	case batch.Relayed || batch.CompleteAfter != 0:
 		return sent + bootclock.Instant(batch.CompleteAfter)
 	case len(batch.Records) > 0 || bootclock.Since(sent) < wait:
 		return sent
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -236,8 +236,10 @@
 			}()
 			fail(first)
 			s.put("a", false)
-			_, err := second.Watch(t.Context(), feed.KindConfiguration, read.Revision, time.Minute)
+			batch, err := second.Watch(t.Context(), feed.KindConfiguration, read.Revision, time.Minute)
 			require.NoError(t, err)
+			require.False(t, batch.Relayed)
+			require.Positive(t, batch.CompleteAfter, "the store was read later than the watch was sent, with another wait")
 			select {
 			case batch := <-pending:
 				require.False(t, batch.Relayed)
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -178,6 +178,7 @@
 	if !ok {
 		return s.watchDirectly(ctx, kind, since, wait)
 	}
+	sent := bootclock.Now()
 	relayWait := otherWait
 	if kind == feed.KindConfiguration {
 		relayWait = configurationWait
@@ -193,7 +194,11 @@
 		return batch, err
 	}
 	s.fail(address, err)
-	return s.watchDirectly(ctx, kind, since, min(wait, fallbackWait))
+	lost := bootclock.Since(sent)
+	batch, err = s.watchDirectly(ctx, kind, since, min(wait, fallbackWait))
+	// The store answered a call that was sent later and waited for less than the caller asked for.
+	batch.CompleteAfter = lost
+	return batch, err
 }
 
 // readRelay makes one call to a relay.
