Round shares up with up to five hosts for each free slot

Eight fails TestCapacityFollowsTheDemandOfHosts, which holds 12 hosts off 2 free slots; five is in between and keeps the test.

--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -80,7 +80,7 @@
 		LateReserve:           0.3,
 		HeadroomFactor:        0.7,
 		CrowdedHeadroomFactor: 1.2,
-		MaxSendersPerSlot:     3,
+		MaxSendersPerSlot:     5,
 		MaxReportAge:          1500 * time.Millisecond,
 		SilentAfter:           time.Second,
 		MaxSilentShare:        0.5,
