--- a/coordination/dispatch/balancer_test.go
+++ b/coordination/dispatch/balancer_test.go
@@ -170,7 +170,8 @@
 			for _, count := range sentAt[first : first+100] {
 				inSecond += count
 			}
-			require.LessOrEqual(t, inSecond, rate*3/2+5)
+			// The platform's bound, and for few hosts the rate plus one request for each.
+			require.LessOrEqual(t, inSecond, min(rate*3/2+5, rate+senders))
 		}
 		for _, count := range sentAt {
 			total += count
