Log the life of load orders and staging writes

A load order was logged only once accepted, and neither the worker's count of orders nor the beginning of staging nor writes without an answer were logged.

Change: 'load order sent' with the expected count, 'load order failed' with code and duration, 'worker has begun an order' when the count in the report rises, 'fetch started', 'first piece staged' (from then on the staging area is no longer that of the earlier version), 'fetch superseded', 'staging of a piece not answered' and the counter staging_writes_unanswered. A handful of lines per version and agent. No decision changes.

--- a/coordination/transfer/planner.go
+++ b/coordination/transfer/planner.go
@@ -88,6 +88,9 @@
 // Complete reports whether the host has every chunk.
 func (p *Planner) Complete() bool { return p.missing == 0 }
 
+// Missing returns the number of chunks that are not held.
+func (p *Planner) Missing() int { return p.missing }
+
 // Step returns the actions to start at now.
 func (p *Planner) Step(now time.Time) Actions {
 	if p.Complete() {
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/transfer"
 	"github.com/guavatrestle/guavatrestle/protocol"
@@ -44,6 +46,8 @@
 	pool       pond.Pool
 	events     chan func(now time.Time)
 	mismatched int
+	// firstWrite logs the moment from which the staging area no longer holds only an earlier version.
+	firstWrite sync.Once
 }
 
 // fetch fetches all pieces of a version and stages them at the worker. It returns early when the version is no longer
@@ -69,9 +73,14 @@
 	if err := r.adoptStaged(ctx, manifest); err != nil {
 		return err
 	}
+	r.logTarget().WithField("missing", r.plan.Missing()).WithField("pieces", len(manifest.Digests)).Info("fetch started")
 	return r.loop(ctx)
 }
 
+func (r *versionFetch) logTarget() *logrus.Entry {
+	return r.Log.WithField("model", r.target.model).WithField("version", r.target.version)
+}
+
 // readManifest returns the manifest of a version, from the piece cache if it is held there and otherwise from the origin.
 func (a *Agent) readManifest(ctx context.Context, t target) (worker.Manifest, error) {
 	if digests, ok := a.pieces.digests(t); ok {
@@ -131,6 +140,7 @@
 	defer ticker.Stop()
 	for !r.plan.Complete() {
 		if !r.wants(r.target) {
+			r.logTarget().WithField("missing", r.plan.Missing()).Info("fetch superseded")
 			return nil
 		}
 		if r.mismatched >= maxMismatchedPieces {
@@ -230,9 +240,10 @@
 	if !digests[index].Matches(data) {
 		return protocol.Errorf(protocol.CodeMalformed, "piece %d does not match its digest", index)
 	}
+	r.firstWrite.Do(func() { r.logTarget().WithField("piece", index).Info("first piece staged") })
 	var err error
 	for range maxStageAttempts {
-		if err = r.stage(ctx, r.target.model, index, data); err == nil {
+		if err = r.stage(ctx, r.target, index, data); err == nil {
 			r.pieces.put(r.target, index, data)
 			return nil
 		}
@@ -240,10 +251,16 @@
 	return err
 }
 
-func (a *Agent) stage(ctx context.Context, model core.Model, index int, data []byte) error {
+func (a *Agent) stage(ctx context.Context, t target, index int, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	return a.Worker.Stage(ctx, model, index, data)
+	err := a.Worker.Stage(ctx, t.model, index, data)
+	if ctx.Err() != nil {
+		varWritesUnanswered.Add(1)
+		a.Log.WithFields(logrus.Fields{"model": t.model, "version": t.version, "piece": index}).
+			Warn("staging of a piece not answered")
+	}
+	return err
 }
 
 func (a *Agent) readStaged(ctx context.Context, model core.Model, index int) ([]byte, error) {
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -24,6 +24,12 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, a.Config.OrderTimeout)
 	defer cancel()
+	fields := logrus.Fields{
+		"model": t.model, "version": t.version, "expected_orders": report.Orders, "running": report.Running,
+		"waiting": report.Waiting,
+	}
+	a.Log.WithFields(fields).Info("load order sent")
+	sentAt := a.Now()
 	err := a.Worker.Load(callCtx, worker.LoadOrder{
 		Model: t.model, Version: t.version, ExpectedOrders: report.Orders, FencingToken: t.version,
 	})
@@ -37,11 +43,11 @@
 	if err != nil {
 		varLoadOrdersRefused.Add(1)
 		a.setLoading(false)
+		a.Log.WithFields(fields).WithField("code", protocol.CodeOf(err)).WithField("took_ms", a.Now().Sub(sentAt).Milliseconds()).
+			Warn("load order failed")
 		return eris.Wrapf(err, "order version %d of %s", t.version, t.model)
 	}
-	a.Log.WithFields(logrus.Fields{
-		"model": t.model, "version": t.version, "running": report.Running, "waiting": report.Waiting,
-	}).Info("load ordered")
+	a.Log.WithFields(fields).WithField("took_ms", a.Now().Sub(sentAt).Milliseconds()).Info("load ordered")
 	return nil
 }
 
@@ -67,7 +73,7 @@
 			return protocol.Errorf(protocol.CodeChanged, "piece %d of version %d is not held", index, t.version)
 		}
 		varPiecesRestaged.Add(1)
-		if err := a.stage(ctx, t.model, index, cached); err != nil {
+		if err := a.stage(ctx, t, index, cached); err != nil {
 			return err
 		}
 	}
--- a/transport/staging/metrics.go
+++ b/transport/staging/metrics.go
@@ -15,6 +15,7 @@
 	varLoadOrders        = expvar.NewInt("staging_load_orders")
 	varLoadOrdersRefused = expvar.NewInt("staging_load_orders_refused")
 	varPiecesRestaged    = expvar.NewInt("staging_pieces_restaged")
+	varWritesUnanswered  = expvar.NewInt("staging_writes_unanswered")
 )
 
 func countPiece(fetch transfer.Fetch, outcome transfer.Outcome, bytes int) {
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -49,6 +49,7 @@
 		a.loading = false
 	}
 	a.logNewlyLoaded(report)
+	a.logNewOrders(report)
 	if slices.ContainsFunc(report.Models, a.announced.isLoaded) {
 		a.loading = false
 	}
@@ -68,6 +69,17 @@
 	}
 }
 
+// logNewOrders logs that the worker has begun an order since the last report; the caller holds the lock.
+func (a *Agent) logNewOrders(report worker.Report) {
+	if report.Born != a.report.Born || report.Orders == a.report.Orders {
+		return
+	}
+	a.Log.WithFields(logrus.Fields{
+		"orders": report.Orders, "orders_before": a.report.Orders, "busy": report.Busy,
+		"since_answer_ms": a.Now().Sub(a.orderedAt).Milliseconds(),
+	}).Info("worker has begun an order")
+}
+
 // publishReport publishes the load report; the caller holds the lock.
 func (a *Agent) publishReport(urgent bool) {
 	a.Publish(a.report.Born, dispatch.Report{
