Show that a late load order loads pieces of two versions

The stand-in leaves the first order unanswered and carries it out once a piece of another version has been staged, if its expected count still holds; the agent has given the order up by then and stages the next version over the ordered one.

--- /dev/null
+++ b/transport/staging/order_test.go
@@ -0,0 +1,83 @@
+package staging_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/transport/staging"
+)
+
+// delayedWorker leaves its first order unanswered and carries it out as soon as a piece of another version has been
+// staged, if it still matches the count of orders.
+type delayedWorker struct {
+	*fakeWorker
+	mu      sync.Mutex
+	delayed *worker.LoadOrder
+	sent    int
+}
+
+func (w *delayedWorker) Load(ctx context.Context, order worker.LoadOrder) error {
+	w.mu.Lock()
+	w.sent++
+	first := w.sent == 1
+	if first {
+		w.delayed = &order
+	}
+	w.mu.Unlock()
+	if !first {
+		return w.fakeWorker.Load(ctx, order)
+	}
+	<-ctx.Done()
+	return protocol.Wrap(protocol.CodeUnavailable, ctx.Err(), "send load order")
+}
+
+func (w *delayedWorker) Stage(ctx context.Context, model core.Model, index int, data []byte) error {
+	if err := w.fakeWorker.Stage(ctx, model, index, data); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	order := w.delayed
+	if order != nil && string(data) != string(piece(order.Version, index)) {
+		w.delayed = nil
+	} else {
+		order = nil
+	}
+	w.mu.Unlock()
+	if order != nil {
+		_ = w.fakeWorker.Load(ctx, *order)
+	}
+	return nil
+}
+
+func (w *delayedWorker) ordersSent() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent
+}
+
+func (w *delayedWorker) wrong() []string {
+	w.fakeWorker.mu.Lock()
+	defer w.fakeWorker.mu.Unlock()
+	return append([]string(nil), w.wrongLoads...)
+}
+
+// TestLateOrderDoesNotLoadPiecesOfTheNextVersion guards against staging the next version while an order without an answer
+// may still be carried out: it would load a mixture of both.
+func TestLateOrderDoesNotLoadPiecesOfTheNextVersion(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &delayedWorker{fakeWorker: newWorker()}
+	g.startAgentWith("127.0.12.1", w, func(cfg *staging.Config) { cfg.OrderTimeout = 100 * time.Millisecond })
+	eventually(t, func() bool { return w.ordersSent() == 1 })
+	g.setWanted(3)
+	eventually(t, func() bool { return w.version() == 3 })
+	require.Empty(t, w.wrong(), fmt.Sprintf("%d orders sent", w.ordersSent()))
+}
