Keep the pieces of a load order until its outcome is known

Cause: an order without an answer counted as refused. The agent gave it up after 2 s and staged the next version over the pieces that it had ordered; the worker accepted the order seconds later and loaded whatever was staged then. The expected count of orders didn't stop it, since no other order had been accepted meanwhile.

Change: an order stays unanswered until the worker rejects it, its report shows a higher count of orders, or it restarts. Until then its version is the one to fetch and load, so nothing else is staged. It is sent again with the same expected count, of which the worker can accept only one; before each repeat the pieces are verified again. Repeats are sent without the load notice, because the worker serves until it accepts one.

Before: TestLateOrderDoesNotLoadPiecesOfTheNextVersion fails, "Should be empty, but was [version 2 piece 0]". Guards removed one by one, the new tests fail: without the version of the unanswered order the same; without the report settling it TestOrderWhoseAnswerIsLostDoesNotStopTheRollout "Condition never satisfied"; without verification of repeats TestPieceCorruptedWhileAnOrderIsUnansweredIsStagedAgain "[version 2 piece 5]". After: all pass with -race, three times over.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -58,16 +58,30 @@
 	return cfg
 }
 
+// Progress holds how far a host has got with the versions of a model; 0 means none.
+type Progress struct {
+	// Loaded is the version loaded or being loaded.
+	Loaded int64
+	// Staged is the version whose pieces are all staged.
+	Staged int64
+	// Unanswered is the version of a load order that the worker may still carry out.
+	Unanswered int64
+}
+
 // NextVersion returns the version that a host fetches and loads next, or 0. It is the newest one, with two exceptions for an
 // older version that the worker lacks: it is staged and activates before the newest could be loaded, or its fetch is well
-// advanced, since the origin may fail before it has served the newest. loaded is the version loaded or being loaded.
-func NextVersion(cfg Config, now time.Time, wanted fleet.Wanted, loaded, staged int64) int64 {
-	pending, ok := wanted.Pending(loaded)
+// advanced, since the origin may fail before it has served the newest. While an order is unanswered it is the version of that
+// order, because the worker loads whatever is staged when it accepts the order.
+func NextVersion(cfg Config, now time.Time, wanted fleet.Wanted, progress Progress) int64 {
+	if progress.Unanswered != 0 {
+		return progress.Unanswered
+	}
+	pending, ok := wanted.Pending(progress.Loaded)
 	if !ok || cfg.ActivationDelay <= 0 || pending.Version == wanted.Newest() {
 		return wanted.Newest()
 	}
 	finishPending := false
-	if pending.Version == staged {
+	if pending.Version == progress.Staged {
 		finishPending = stagedLoadsFirst(cfg, now, pending)
 	} else {
 		finishPending = fetchContinues(cfg, now, wanted, pending)
@@ -105,6 +119,8 @@
 	Busy bool
 	// Staged is set when all pieces of the wanted version are staged.
 	Staged bool
+	// Unanswered is set while the worker may still carry out an order for the wanted version that it has not answered.
+	Unanswered bool
 	// EarliestLoad is the earliest time to load, except for a worker without any version.
 	EarliestLoad time.Time
 }
@@ -124,7 +140,8 @@
 	ActionLoad Action = "load"
 )
 
-// Decide returns the next action of a host. A worker without any version does not wait for EarliestLoad.
+// Decide returns the next action of a host. A worker without any version does not wait for EarliestLoad, nor does an order
+// that is sent again because it was not answered.
 func Decide(state State) Action {
 	switch {
 	case state.Wanted == 0, state.Loaded >= state.Wanted:
@@ -133,7 +150,7 @@
 		return ActionFetch
 	case state.Busy:
 		return ActionWait
-	case state.Loaded != 0 && state.Now.Before(state.EarliestLoad):
+	case state.Loaded != 0 && !state.Unanswered && state.Now.Before(state.EarliestLoad):
 		return ActionWait
 	default:
 		return ActionLoad
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -26,15 +26,15 @@
 // the second could be fetched, so skipping it would leave no replica that may serve.
 func TestOlderVersionIsFinishedWhereNewestComesTooLate(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: wantedAt}, {Version: 3, Since: wantedAt.Add(4 * time.Second)}}
-	require.EqualValues(t, 2, rollout.NextVersion(config(), wantedAt.Add(4*time.Second), wanted, 1, 2))
-	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(4*time.Second), wanted, 2, 2))
+	require.EqualValues(t, 2, rollout.NextVersion(config(), wantedAt.Add(4*time.Second), wanted, rollout.Progress{Loaded: 1, Staged: 2}))
+	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(4*time.Second), wanted, rollout.Progress{Loaded: 2, Staged: 2}))
 }
 
 // TestOlderVersionIsPassedOverWhereNewestComesInTime reproduces two versions 2 s apart, where loading only the second
 // is enough.
 func TestOlderVersionIsPassedOverWhereNewestComesInTime(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: wantedAt}, {Version: 3, Since: wantedAt.Add(2 * time.Second)}}
-	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(2*time.Second), wanted, 1, 2))
+	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(2*time.Second), wanted, rollout.Progress{Loaded: 1, Staged: 2}))
 }
 
 // TestOlderVersionThatIsNotStagedIsPassedOver reproduces two versions 3 s apart on a large upstream: fetching and loading both
@@ -42,27 +42,27 @@
 func TestOlderVersionThatIsNotStagedIsPassedOver(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: wantedAt}, {Version: 3, Since: wantedAt.Add(3 * time.Second)}}
 	now := wantedAt.Add(3500 * time.Millisecond)
-	require.EqualValues(t, 3, rollout.NextVersion(config(), now, wanted, 1, 1))
-	require.EqualValues(t, 2, rollout.NextVersion(config(), now.Add(time.Second), wanted, 1, 2))
+	require.EqualValues(t, 3, rollout.NextVersion(config(), now, wanted, rollout.Progress{Loaded: 1, Staged: 1}))
+	require.EqualValues(t, 2, rollout.NextVersion(config(), now.Add(time.Second), wanted, rollout.Progress{Loaded: 1, Staged: 2}))
 }
 
 // TestPartlyFetchedOlderVersionIsFinished reproduces two versions 3 s apart whose origin failed half a second before the second:
 // hosts gave up the first although they held all of its pieces between them, and could not serve for 7 s.
 func TestPartlyFetchedOlderVersionIsFinished(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: wantedAt}, {Version: 3, Since: wantedAt.Add(3 * time.Second)}}
-	require.EqualValues(t, 2, rollout.NextVersion(config(), wantedAt.Add(3*time.Second), wanted, 1, 0))
-	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(3500*time.Millisecond), wanted, 1, 0))
-	require.EqualValues(t, 2, rollout.NextVersion(config(), wantedAt.Add(3500*time.Millisecond), wanted, 1, 2))
-	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(3200*time.Millisecond), wanted, 2, 2))
+	require.EqualValues(t, 2, rollout.NextVersion(config(), wantedAt.Add(3*time.Second), wanted, rollout.Progress{Loaded: 1, Staged: 0}))
+	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(3500*time.Millisecond), wanted, rollout.Progress{Loaded: 1, Staged: 0}))
+	require.EqualValues(t, 2, rollout.NextVersion(config(), wantedAt.Add(3500*time.Millisecond), wanted, rollout.Progress{Loaded: 1, Staged: 2}))
+	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(3200*time.Millisecond), wanted, rollout.Progress{Loaded: 2, Staged: 2}))
 }
 
 // TestOlderVersionHardlyBegunIsPassedOver guards against a newest version that waits for an older one whose fetch has
 // barely started or started at an unknown time.
 func TestOlderVersionHardlyBegunIsPassedOver(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: wantedAt}, {Version: 3, Since: wantedAt.Add(time.Second)}}
-	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(time.Second), wanted, 1, 0))
+	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(time.Second), wanted, rollout.Progress{Loaded: 1, Staged: 0}))
 	wanted = fleet.Wanted{{Version: 2}, {Version: 3, Since: wantedAt.Add(3 * time.Second)}}
-	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(3*time.Second), wanted, 1, 0))
+	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(3*time.Second), wanted, rollout.Progress{Loaded: 1, Staged: 0}))
 }
 
 // TestSupersededVersionIsLoadedFaster guards against a newest version that waits for loads of the previous version
@@ -86,7 +86,7 @@
 // out, which delays the load of the newest version.
 func TestVersionPastItsActivationIsPassedOver(t *testing.T) {
 	wanted := fleet.Wanted{{Version: 2, Since: wantedAt}, {Version: 3, Since: wantedAt.Add(4 * time.Second)}}
-	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(8*time.Second), wanted, 1, 2))
+	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(8*time.Second), wanted, rollout.Progress{Loaded: 1, Staged: 2}))
 }
 
 // TestReplicasDoNotLoadTogether guards against many replicas of an upstream that load at the same time, and against loads
@@ -141,6 +141,23 @@
 	require.Equal(t, rollout.ActionWait, rollout.Decide(state))
 }
 
+// TestUnansweredOrderIsSentAgainBeforeTheNextVersion guards against staging the next version while the worker may still carry
+// out an order for an older one, and against waiting for the turn of a load that may begin at any moment.
+func TestUnansweredOrderIsSentAgainBeforeTheNextVersion(t *testing.T) {
+	wanted := fleet.Wanted{{Version: 2, Since: wantedAt}, {Version: 3, Since: wantedAt.Add(time.Second)}}
+	progress := rollout.Progress{Loaded: 1, Staged: 2, Unanswered: 2}
+	require.EqualValues(t, 2, rollout.NextVersion(config(), wantedAt.Add(time.Minute), wanted, progress))
+	progress.Unanswered = 0
+	require.EqualValues(t, 3, rollout.NextVersion(config(), wantedAt.Add(time.Minute), wanted, progress))
+
+	state := rollout.State{
+		Now: wantedAt, Wanted: 2, Loaded: 1, Staged: true, Unanswered: true, EarliestLoad: wantedAt.Add(time.Second),
+	}
+	require.Equal(t, rollout.ActionLoad, rollout.Decide(state))
+	state.Busy = true
+	require.Equal(t, rollout.ActionWait, rollout.Decide(state))
+}
+
 // TestNoOrderWithoutAllPieces guards against loading partial weights.
 func TestNoOrderWithoutAllPieces(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -149,6 +166,7 @@
 			Wanted:       rapid.Int64Range(0, 4).Draw(t, "wanted"),
 			Loaded:       rapid.Int64Range(0, 4).Draw(t, "loaded"),
 			Busy:         rapid.Bool().Draw(t, "busy"),
+			Unanswered:   rapid.Bool().Draw(t, "unanswered"),
 			EarliestLoad: wantedAt.Add(5 * time.Second),
 		}
 		require.NotEqual(t, rollout.ActionLoad, rollout.Decide(state))
--- a/protocol/worker/worker.go
+++ b/protocol/worker/worker.go
@@ -41,14 +41,16 @@
 }
 
 // Worker is the model worker on the agent's host. Errors are of type *protocol.Error: CodeConflict means that an order doesn't
-// match the worker's state, CodeRefused that its fencing token is too low.
+// match the worker's state, CodeRefused that the worker rejects it for another reason, such as its fencing token. After any
+// other failure of Load the worker may still carry out the order, even after seconds, if ExpectedOrders matches then.
 type Worker interface {
 	Report(ctx context.Context) (Report, error)
 	// Stage stores a piece of a model's weights and replaces the piece staged under the same index.
 	Stage(ctx context.Context, model core.Model, index int, data []byte) error
 	// ReadStaged returns a staged piece, which may be corrupt.
 	ReadStaged(ctx context.Context, model core.Model, index int) ([]byte, error)
-	// Load starts a load and returns before it has finished.
+	// Load starts a load and returns before it has finished. The worker loads the pieces that are staged when it accepts the
+	// order.
 	Load(ctx context.Context, order LoadOrder) error
 }
 
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -122,7 +122,9 @@
 	announced target
 	// accepted is the version of the last order, if the worker accepted it.
 	accepted target
-	wake     chan struct{}
+	// unanswered is the last order while the worker may still carry it out.
+	unanswered loadOrder
+	wake       chan struct{}
 }
 
 // New returns an Agent.
@@ -188,6 +190,8 @@
 	Model    core.Model
 	// Complete is the version whose pieces have all been staged.
 	Complete int64
+	// Unanswered is the version of an order that the worker may still carry out; 0 means none.
+	Unanswered int64
 }
 
 // State returns a snapshot of the agent.
@@ -196,5 +200,6 @@
 	defer a.mu.Unlock()
 	return State{
 		Answered: a.responding, Loading: a.loading, Report: a.report, Model: a.staged.model, Complete: a.staged.version,
+		Unanswered: a.unanswered.target.version,
 	}
 }
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -11,43 +11,39 @@
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
 )
 
-// orderLoad verifies the staged pieces, notifies entry hosts and orders the worker to load the version.
+// orderLoad verifies the staged pieces, notifies entry hosts and orders the worker to load the version. An order that was
+// not answered is sent again without notice: the worker serves until it accepts one of the two.
 func (a *Agent) orderLoad(ctx context.Context, t target, report worker.Report) error {
 	if err := a.verifyStaged(ctx, t); err != nil {
 		return err
 	}
-	a.announceLoad(t)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(a.Config.LoadNoticeDelay):
+	repeated := a.beginOrder(t, report)
+	if !repeated {
+		a.announceLoad(t)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(a.Config.LoadNoticeDelay):
+		}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, a.Config.OrderTimeout)
 	defer cancel()
 	fields := logrus.Fields{
 		"model": t.model, "version": t.version, "expected_orders": report.Orders, "running": report.Running,
-		"waiting": report.Waiting,
+		"waiting": report.Waiting, "repeated": repeated,
 	}
 	a.Log.WithFields(fields).Info("load order sent")
 	sentAt := a.Now()
 	err := a.Worker.Load(callCtx, worker.LoadOrder{
 		Model: t.model, Version: t.version, ExpectedOrders: report.Orders, FencingToken: t.version,
 	})
-	varLoadOrders.Add(1)
-	a.mu.Lock()
-	a.orderedAt, a.accepted = a.Now(), target{}
-	if err == nil {
-		a.accepted = t
-	}
-	a.mu.Unlock()
+	a.endOrder(t, report, err, repeated)
+	fields["took_ms"] = a.Now().Sub(sentAt).Milliseconds()
 	if err != nil {
-		varLoadOrdersRefused.Add(1)
-		a.setLoading(false)
-		a.Log.WithFields(fields).WithField("code", protocol.CodeOf(err)).WithField("took_ms", a.Now().Sub(sentAt).Milliseconds()).
-			Warn("load order failed")
+		a.Log.WithFields(fields).WithField("code", protocol.CodeOf(err)).Warn("load order failed")
 		return eris.Wrapf(err, "order version %d of %s", t.version, t.model)
 	}
-	a.Log.WithFields(fields).WithField("took_ms", a.Now().Sub(sentAt).Milliseconds()).Info("load ordered")
+	a.Log.WithFields(fields).Info("load ordered")
 	return nil
 }
 
--- a/transport/staging/metrics.go
+++ b/transport/staging/metrics.go
@@ -8,14 +8,15 @@
 
 // Process-wide counters of the weight transfer, published at /debug/vars.
 var (
-	varPieces            = expvar.NewMap("staging_pieces")
-	varOriginBytes       = expvar.NewInt("staging_origin_bytes")
-	varPeerBytes         = expvar.NewInt("staging_peer_bytes")
-	varCrossRegionBytes  = expvar.NewInt("staging_cross_region_bytes")
-	varLoadOrders        = expvar.NewInt("staging_load_orders")
-	varLoadOrdersRefused = expvar.NewInt("staging_load_orders_refused")
-	varPiecesRestaged    = expvar.NewInt("staging_pieces_restaged")
-	varWritesUnanswered  = expvar.NewInt("staging_writes_unanswered")
+	varPieces               = expvar.NewMap("staging_pieces")
+	varOriginBytes          = expvar.NewInt("staging_origin_bytes")
+	varPeerBytes            = expvar.NewInt("staging_peer_bytes")
+	varCrossRegionBytes     = expvar.NewInt("staging_cross_region_bytes")
+	varLoadOrders           = expvar.NewInt("staging_load_orders")
+	varLoadOrdersRefused    = expvar.NewInt("staging_load_orders_refused")
+	varLoadOrdersUnanswered = expvar.NewInt("staging_load_orders_unanswered")
+	varPiecesRestaged       = expvar.NewInt("staging_pieces_restaged")
+	varWritesUnanswered     = expvar.NewInt("staging_writes_unanswered")
 )
 
 func countPiece(fetch transfer.Fetch, outcome transfer.Outcome, bytes int) {
--- a/transport/staging/order_test.go
+++ b/transport/staging/order_test.go
@@ -63,12 +63,6 @@
 	return w.sent
 }
 
-func (w *delayedWorker) wrong() []string {
-	w.fakeWorker.mu.Lock()
-	defer w.fakeWorker.mu.Unlock()
-	return append([]string(nil), w.wrongLoads...)
-}
-
 // TestLateOrderDoesNotLoadPiecesOfTheNextVersion guards against staging the next version while an order without an answer
 // may still be carried out: it would load a mixture of both.
 func TestLateOrderDoesNotLoadPiecesOfTheNextVersion(t *testing.T) {
@@ -81,3 +75,70 @@
 	eventually(t, func() bool { return w.version() == 3 })
 	require.Empty(t, w.wrong(), fmt.Sprintf("%d orders sent", w.ordersSent()))
 }
+
+// TestPieceCorruptedWhileAnOrderIsUnansweredIsStagedAgain guards against an order that is carried out seconds after the pieces
+// were verified and loads one that has become corrupt meanwhile.
+func TestPieceCorruptedWhileAnOrderIsUnansweredIsStagedAgain(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &delayedWorker{fakeWorker: newWorker()}
+	g.startAgentWith("127.0.12.2", w, func(cfg *staging.Config) { cfg.OrderTimeout = 100 * time.Millisecond })
+	eventually(t, func() bool { return w.ordersSent() == 1 })
+	w.fakeWorker.mu.Lock()
+	w.staged[5][0]++
+	w.fakeWorker.mu.Unlock()
+	eventually(t, func() bool { return w.version() == 2 })
+	require.Empty(t, w.wrong())
+}
+
+// lateWorker carries out orders after random delays and loses some of the answers.
+type lateWorker struct {
+	*fakeWorker
+	plan func() (delay time.Duration, answers bool)
+	late sync.WaitGroup
+	mu   sync.Mutex
+	sent int
+}
+
+func (w *lateWorker) Load(ctx context.Context, order worker.LoadOrder) error {
+	delay, answers := w.plan()
+	w.mu.Lock()
+	w.sent++
+	w.mu.Unlock()
+	done := make(chan error, 1)
+	w.late.Go(func() {
+		time.Sleep(delay)
+		done <- w.fakeWorker.Load(context.WithoutCancel(ctx), order)
+	})
+	if answers {
+		select {
+		case err := <-done:
+			return err
+		case <-ctx.Done():
+		}
+	} else {
+		<-ctx.Done()
+	}
+	return protocol.Wrap(protocol.CodeOutcomeUnknown, ctx.Err(), "send load order")
+}
+
+func (w *lateWorker) ordersSent() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent
+}
+
+// TestOrderWhoseAnswerIsLostDoesNotStopTheRollout guards against waiting forever for the answer of an order that the worker's
+// report shows to have begun.
+func TestOrderWhoseAnswerIsLostDoesNotStopTheRollout(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &lateWorker{fakeWorker: newWorker(), plan: func() (time.Duration, bool) { return 0, false }}
+	t.Cleanup(w.late.Wait)
+	g.startAgentWith("127.0.12.3", w, func(cfg *staging.Config) { cfg.OrderTimeout = 50 * time.Millisecond })
+	eventually(t, func() bool { return w.version() == 2 })
+	g.setWanted(3)
+	eventually(t, func() bool { return w.version() == 3 })
+	require.Empty(t, w.wrong())
+	require.Equal(t, 2, w.ordersSent(), "the report settles an order without another one")
+}
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -50,6 +50,7 @@
 	}
 	a.logNewlyLoaded(report)
 	a.logNewOrders(report)
+	a.settleOrders(report)
 	if slices.ContainsFunc(report.Models, a.announced.isLoaded) {
 		a.loading = false
 	}
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -102,6 +102,12 @@
 	return nil
 }
 
+func (w *fakeWorker) wrong() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.wrongLoads...)
+}
+
 func (w *fakeWorker) version() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -186,6 +192,14 @@
 }
 
 func (g *group) startAgentWith(ip string, w worker.Worker, change func(*staging.Config)) *reports {
+	g.t.Helper()
+	published, stop := g.runAgent(ip, w, change)
+	g.t.Cleanup(stop)
+	return published
+}
+
+// runAgent starts an agent and returns its load reports and a function that stops it.
+func (g *group) runAgent(ip string, w worker.Worker, change func(*staging.Config)) (*reports, func()) {
 	g.t.Helper()
 	g.mu.Lock()
 	g.table.SetReplica(time.Now(), 1, &fleet.Replica{
@@ -216,12 +230,11 @@
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	running.Go(func() { agent.Run(ctx) })
-	g.t.Cleanup(func() {
+	return published, func() {
 		cancel()
 		_ = server.Close()
 		running.Wait()
-	})
-	return published
+	}
 }
 
 // peerPort must be free on the loopback addresses that the tests use.
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -72,6 +72,7 @@
 		Loaded:       loaded,
 		Busy:         !a.responding || a.executingOrder(),
 		Staged:       a.staged == t,
+		Unanswered:   a.unanswered.target == t,
 		EarliestLoad: rollout.EarliestLoadTime(a.Config.Rollout, wanted, loaded, view.Members, a.Upstream, a.ReplicaAddress),
 	}, a.report
 }
@@ -117,13 +118,16 @@
 	if a.staged.model == model {
 		stagedVersion = a.staged.version
 	}
-	return rollout.NextVersion(a.Config.Rollout, a.Now(), wanted, a.loadedOrLoading(model, layers), stagedVersion)
+	return rollout.NextVersion(a.Config.Rollout, a.Now(), wanted, rollout.Progress{
+		Loaded: a.loadedOrLoading(model, layers), Staged: stagedVersion, Unanswered: a.unanswered.version(model),
+	})
 }
 
 // executingOrder reports whether the worker is carrying out an order or may not show a recent one in its report yet;
-// the caller holds the lock.
+// the caller holds the lock. An unanswered order counts as executing only once the worker reports it.
 func (a *Agent) executingOrder() bool {
-	return a.report.Busy || a.Now().Sub(a.orderedAt) < a.Config.OrderReportDelay
+	recent := a.unanswered.isZero() && a.Now().Sub(a.orderedAt) < a.Config.OrderReportDelay
+	return a.report.Busy || recent
 }
 
 // loadedOrLoading returns the version that the worker has loaded or was ordered to load; the caller holds the lock.
