Wait for an order of an earlier agent process before overwriting

The next process would stage the next version over the ordered pieces.

Change: a new process keeps the staging area as it is for up to 10 s after its start if the first staged piece is neither of the version that it wants nor of the loaded one, and the worker has begun no order and has not restarted since. Pieces are of a third version only where the earlier process had staged it, which is the one case in which an order for it may be open. After a loss of power the area is empty, and usually it holds the loaded version, whose manifest the origin keeps for one version back; neither waits.

Ruled out: a record of open orders in the store (a write for each order, and no rollout while the store is away). What remains: an order later than 10 s.

Failing first: without the wait TestRestartedAgentKeepsPiecesThatMayBeOrdered "[version 2 piece 0 ... piece 7]"; without the check for the loaded version TestRestartedAgentReplacesLoadedPiecesAtOnce "Condition never satisfied".

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -36,6 +36,9 @@
 	// OrderReportDelay is the time that an accepted order may take to show in the worker's report. Until then the
 	// worker counts as busy.
 	OrderReportDelay time.Duration
+	// InheritedOrderTimeout is the time after the start of the process during which the worker may still carry out an order of
+	// an earlier process on this host. Until then pieces of a version that may have been ordered are not overwritten.
+	InheritedOrderTimeout time.Duration
 	// RetryPause is the pause after a failed rollout step.
 	RetryPause time.Duration
 	// CrossRegionSlots is the number of concurrent uploads to other regions in addition to the upload slots.
@@ -66,8 +69,11 @@
 		OrderTimeout:     2 * time.Second,
 		LoadNoticeDelay:  60 * time.Millisecond,
 		OrderReportDelay: 800 * time.Millisecond,
-		RetryPause:       300 * time.Millisecond,
-		LinkShare:        0.85,
+
+		InheritedOrderTimeout: 10 * time.Second,
+
+		RetryPause: 300 * time.Millisecond,
+		LinkShare:  0.85,
 
 		CrossRegionSlots: 3,
 	}
@@ -124,6 +130,7 @@
 	accepted target
 	// unanswered is the last order while the worker may still carry it out.
 	unanswered loadOrder
+	inherited  inheritedOrder
 	wake       chan struct{}
 }
 
@@ -134,6 +141,7 @@
 		pieces:       &pieceCache{},
 		peers:        newPeerClient(),
 		throttle:     newThrottle(deps.Config.Transfer.DownloadSlots),
+		inherited:    inheritedOrder{until: deps.Now().Add(deps.Config.InheritedOrderTimeout)},
 		wake:         make(chan struct{}, 1),
 	}
 }
--- a/transport/staging/order.go
+++ b/transport/staging/order.go
@@ -1,6 +1,9 @@
 package staging
 
 import (
+	"context"
+	"time"
+
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -23,6 +26,22 @@
 	return o.target.version
 }
 
+// inheritedOrder tells whether the worker may still carry out an order of an earlier process on this host.
+type inheritedOrder struct {
+	// until is the time from which no such order is expected.
+	until time.Time
+	// known is set with the worker's first report, which fills born and orders.
+	known        bool
+	born, orders int64
+	settled      bool
+}
+
+// isPossible reports whether such an order may be outstanding, given the last report.
+func (i inheritedOrder) isPossible(now time.Time, report worker.Report) bool {
+	sameState := !i.known || (i.born == report.Born && i.orders == report.Orders)
+	return !i.settled && sameState && now.Before(i.until)
+}
+
 // beginOrder notes that the worker may carry out an order from now on, whether or not it answers, and reports whether the
 // same order was sent before.
 func (a *Agent) beginOrder(t target, report worker.Report) (repeated bool) {
@@ -71,6 +90,9 @@
 // settleOrders ends the wait for an unanswered order if the worker has begun one since or has restarted; the caller holds
 // the lock and has not stored the report yet.
 func (a *Agent) settleOrders(report worker.Report) {
+	if !a.inherited.known {
+		a.inherited.known, a.inherited.born, a.inherited.orders = true, report.Born, report.Orders
+	}
 	if a.unanswered.isZero() || (report.Born == a.report.Born && report.Orders == a.unanswered.orders) {
 		return
 	}
@@ -79,3 +101,69 @@
 	}
 	a.unanswered = loadOrder{}
 }
+
+// awaitInheritedOrder waits while the worker may carry out an order of an earlier process: overwriting the pieces that were
+// ordered would have it load a mixture. Pieces of the target itself and of the loaded version can't have such an order.
+func (a *Agent) awaitInheritedOrder(ctx context.Context, t target, manifest worker.Manifest) error {
+	if !a.orderMayBeInherited() {
+		return nil
+	}
+	first, err := a.readStaged(ctx, t.model, 0)
+	switch {
+	case protocol.CodeOf(err) == protocol.CodeNotFound:
+		a.settleInheritedOrder()
+		return nil
+	case err != nil:
+		return err
+	case manifest.Digests[0].Matches(first):
+		return nil
+	case a.isLoadedPiece(ctx, t.model, first):
+		a.settleInheritedOrder()
+		return nil
+	}
+	a.Log.WithField("model", t.model).WithField("version", t.version).Info("fetch waits for an order of an earlier process")
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for a.orderMayBeInherited() && a.wants(t) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (a *Agent) orderMayBeInherited() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.inherited.isPossible(a.Now(), a.report)
+}
+
+func (a *Agent) settleInheritedOrder() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.inherited.settled = true
+}
+
+// isLoadedPiece reports whether data is the first piece of the version that the worker has loaded, as far as the origin
+// still has its manifest.
+func (a *Agent) isLoadedPiece(ctx context.Context, model core.Model, data []byte) bool {
+	a.mu.Lock()
+	models := a.report.Models
+	a.mu.Unlock()
+	for _, loaded := range models {
+		if loaded.Model != model {
+			continue
+		}
+		manifest, err := a.readManifest(ctx, target{model: model, version: loaded.Version})
+		if err != nil {
+			a.Log.WithError(err).WithField("version", loaded.Version).Info("manifest of the loaded version not read")
+			continue
+		}
+		if manifest.Digests[0].Matches(data) {
+			return true
+		}
+	}
+	return false
+}
--- a/transport/staging/order_test.go
+++ b/transport/staging/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/staging"
 )
 
@@ -142,3 +144,72 @@
 	require.Empty(t, w.wrong())
 	require.Equal(t, 2, w.ordersSent(), "the report settles an order without another one")
 }
+
+// TestRestartedAgentKeepsPiecesThatMayBeOrdered guards against an agent that doesn't know of its predecessor's order and stages
+// the next version before the worker has carried the order out.
+func TestRestartedAgentKeepsPiecesThatMayBeOrdered(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &lateWorker{fakeWorker: newWorker(), plan: func() (time.Duration, bool) { return 400 * time.Millisecond, true }}
+	t.Cleanup(w.late.Wait)
+	_, stop := g.runAgent("127.0.12.4", w, func(*staging.Config) {})
+	eventually(t, func() bool { return w.ordersSent() == 1 })
+	stop()
+	g.setWanted(3)
+	g.startAgentWith("127.0.12.4", w, func(*staging.Config) {})
+	eventually(t, func() bool { return w.version() == 3 })
+	require.Empty(t, w.wrong())
+}
+
+// TestRestartedAgentReplacesLoadedPiecesAtOnce guards against a rollout that waits after every restart of the agent, although
+// the staged pieces are those of the loaded version, for which no order can be outstanding.
+func TestRestartedAgentReplacesLoadedPiecesAtOnce(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := newWorker()
+	w.loaded = []fleet.LoadedModel{{Model: "m", Version: 1, Layers: layers}}
+	for index := range pieceCount {
+		w.staged[index] = piece(1, index)
+	}
+	g.startAgentWith("127.0.12.5", w, func(cfg *staging.Config) { cfg.InheritedOrderTimeout = time.Hour })
+	eventually(t, func() bool { return w.version() == 2 })
+	require.Empty(t, w.wrong())
+}
+
+// TestRandomOrderDelaysNeverMixVersions guards against any sequence of late orders, lost answers, new versions and restarts of
+// the agent after which a worker loads pieces of two versions.
+func TestRandomOrderDelaysNeverMixVersions(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			g := newGroup(t)
+			random := rand.New(rand.NewPCG(seed, seed))
+			var mu sync.Mutex
+			between := func(low, high time.Duration) time.Duration {
+				mu.Lock()
+				defer mu.Unlock()
+				return low + time.Duration(random.Int64N(int64(high-low)))
+			}
+			w := &lateWorker{fakeWorker: newWorker(), plan: func() (time.Duration, bool) {
+				return between(0, 150*time.Millisecond), between(0, 2) == 0
+			}}
+			t.Cleanup(w.late.Wait)
+			ip := fmt.Sprintf("127.0.13.%d", seed+1)
+			change := func(cfg *staging.Config) {
+				cfg.OrderTimeout, cfg.InheritedOrderTimeout = 30*time.Millisecond, time.Second
+			}
+			_, stop := g.runAgent(ip, w, change)
+			for version := int64(2); version <= 7; version++ {
+				g.setWanted(version)
+				time.Sleep(between(0, 200*time.Millisecond))
+				if between(0, 3) == 0 {
+					stop()
+					_, stop = g.runAgent(ip, w, change)
+				}
+			}
+			eventually(t, func() bool { return w.version() == 7 })
+			stop()
+			require.Empty(t, w.wrong())
+		})
+	}
+}
