Let the writes of a superseded fetch end before the next fetch

A fetch that was superseded canceled its writes to the staging area; such a write can take effect after the pieces of the next version were verified.

Change: a write goes on for its own 2 s when its fetch ends, and the fetch waits for it.

Failing first, with canceled writes: TestPieceOfASupersededFetchIsNotStagedLater "[version 3 piece 0]", 3 of 3. After: passes with -race.

--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -246,6 +246,9 @@
 	r.firstWrite.Do(func() { r.logTarget().WithField("piece", index).Info("first piece staged") })
 	var err error
 	for range maxStageAttempts {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		if err = r.stage(ctx, r.target, index, data); err == nil {
 			r.pieces.put(r.target, index, data)
 			return nil
@@ -254,8 +257,10 @@
 	return err
 }
 
+// stage stages a piece. The call goes on when ctx ends, because a canceled one could take effect after pieces of the next
+// version have been staged.
 func (a *Agent) stage(ctx context.Context, t target, index int, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stageTimeout)
 	defer cancel()
 	err := a.Worker.Stage(ctx, t.model, index, data)
 	if ctx.Err() != nil {
--- a/transport/staging/order_test.go
+++ b/transport/staging/order_test.go
@@ -176,6 +176,53 @@
 	require.Empty(t, w.wrong())
 }
 
+// stagingDelay is longer than an agent takes to notice that a fetch is superseded.
+const stagingDelay = 120 * time.Millisecond
+
+// slowStagingWorker carries out writes after a delay, and those that were canceled once isLoadNoticed returns true.
+type slowStagingWorker struct {
+	*fakeWorker
+	isLoadNoticed func() bool
+	late          sync.WaitGroup
+}
+
+func (w *slowStagingWorker) Stage(ctx context.Context, model core.Model, index int, data []byte) error {
+	select {
+	case <-ctx.Done():
+		w.late.Go(func() {
+			for !w.isLoadNoticed() {
+				time.Sleep(time.Millisecond)
+			}
+			_ = w.fakeWorker.Stage(context.WithoutCancel(ctx), model, index, data)
+		})
+		return protocol.Wrap(protocol.CodeUnavailable, ctx.Err(), "stage a piece")
+	case <-time.After(stagingDelay):
+		return w.fakeWorker.Stage(ctx, model, index, data)
+	}
+}
+
+// TestPieceOfASupersededFetchIsNotStagedLater guards against canceled writes of the older version that take effect after the
+// pieces of the newer one were verified.
+func TestPieceOfASupersededFetchIsNotStagedLater(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	var mu sync.Mutex
+	var published *reports
+	w := &slowStagingWorker{fakeWorker: newWorker(), isLoadNoticed: func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return published.last().Loading
+	}}
+	t.Cleanup(w.late.Wait)
+	mu.Lock()
+	published = g.startAgentWith("127.0.12.6", w, func(cfg *staging.Config) { cfg.LoadNoticeDelay = 50 * time.Millisecond })
+	mu.Unlock()
+	eventually(t, func() bool { return g.origin.piecesSent() > 0 })
+	g.setWanted(3)
+	eventually(t, func() bool { return w.version() == 3 })
+	require.Empty(t, w.wrong())
+}
+
 // TestRandomOrderDelaysNeverMixVersions guards against any sequence of late orders, lost answers, new versions and restarts of
 // the agent after which a worker loads pieces of two versions.
 func TestRandomOrderDelaysNeverMixVersions(t *testing.T) {
