--- /dev/null
+++ b/internal/metricsdoc/doc.go
@@ -0,0 +1,2 @@
+// Package metricsdoc tests that docs/metrics.md describes the metrics that the code publishes.
+package metricsdoc
