Verify staged pieces again after the agent was suspended

Field report "a permission that ran out", the gap "load orders" of docs/proofs.md: an agent that is suspended between the verification and the order ordered a load on a verification of any age; a staged piece may have become corrupt since.

Change: an order is sent only within 2 s of the end of the verification, on the clock that runs on through a suspension; else the step is repeated. A suspension during the verification itself isn't noticed.

The time for which a new process leaves ordered pieces alone goes from 10 to 15 s.

Failing first, without the check: TestSuspendedAgentVerifiesPiecesAgainBeforeItsOrder "[version 2 piece 5]". After: go test -race -count=3 ./transport/staging passes.

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -36,6 +36,9 @@
 	// OrderReportDelay is the time that an accepted order may take to show in the worker's report. Until then the
 	// worker counts as busy.
 	OrderReportDelay time.Duration
+	// MaxVerificationAge is the longest time from the end of the verification of the staged pieces to the order that loads
+	// them. An agent that was suspended in between verifies them again.
+	MaxVerificationAge time.Duration
 	// InheritedOrderTimeout is the time after the start of the process during which the worker may still carry out an order of
 	// an earlier process on this host. Until then pieces of a version that may have been ordered are not overwritten.
 	InheritedOrderTimeout time.Duration
@@ -70,7 +73,8 @@
 		LoadNoticeDelay:  60 * time.Millisecond,
 		OrderReportDelay: 800 * time.Millisecond,
 
-		InheritedOrderTimeout: 10 * time.Second,
+		MaxVerificationAge:    2 * time.Second,
+		InheritedOrderTimeout: 15 * time.Second,
 
 		RetryPause: 300 * time.Millisecond,
 		LinkShare:  0.85,
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -17,7 +17,9 @@
 	if err := a.verifyStaged(ctx, t); err != nil {
 		return err
 	}
-	repeated := a.beginOrder(t, report)
+	verifiedAt := a.Now()
+	order := loadOrder{target: t, orders: report.Orders}
+	repeated := a.isUnanswered(order)
 	if !repeated {
 		a.announceLoad(t)
 		select {
@@ -26,6 +28,11 @@
 		case <-time.After(a.Config.LoadNoticeDelay):
 		}
 	}
+	if age := a.Now().Sub(verifiedAt); age > a.Config.MaxVerificationAge {
+		a.setLoading(false)
+		return protocol.Errorf(protocol.CodeExpired, "verification of version %d is %v old", t.version, age)
+	}
+	a.beginOrder(order)
 	callCtx, cancel := context.WithTimeout(ctx, a.Config.OrderTimeout)
 	defer cancel()
 	fields := logrus.Fields{
@@ -37,7 +44,7 @@
 	err := a.Worker.Load(callCtx, worker.LoadOrder{
 		Model: t.model, Version: t.version, ExpectedOrders: report.Orders, FencingToken: t.version,
 	})
-	a.endOrder(t, report, err, repeated)
+	a.endOrder(order, err, repeated)
 	fields["took_ms"] = a.Now().Sub(sentAt).Milliseconds()
 	if err != nil {
 		a.Log.WithFields(fields).WithField("code", protocol.CodeOf(err)).Warn("load order failed")
--- a/transport/staging/order.go
+++ b/transport/staging/order.go
@@ -42,20 +42,23 @@
 	return !i.settled && sameState && now.Before(i.until)
 }
 
-// beginOrder notes that the worker may carry out an order from now on, whether or not it answers, and reports whether the
-// same order was sent before.
-func (a *Agent) beginOrder(t target, report worker.Report) (repeated bool) {
+// isUnanswered reports whether the same order was sent before and not answered.
+func (a *Agent) isUnanswered(order loadOrder) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unanswered == order
+}
+
+// beginOrder notes that the worker may carry out an order from now on, whether or not it answers.
+func (a *Agent) beginOrder(order loadOrder) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	order := loadOrder{target: t, orders: report.Orders}
-	repeated = a.unanswered == order
 	a.unanswered, a.accepted = order, target{}
-	return repeated
 }
 
 // endOrder notes the outcome of an order. Without an answer, the order stays unanswered unless a report has shown meanwhile
 // that the worker has begun it.
-func (a *Agent) endOrder(t target, report worker.Report, err error, repeated bool) {
+func (a *Agent) endOrder(order loadOrder, err error, repeated bool) {
 	varLoadOrders.Add(1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -63,9 +66,9 @@
 	code := protocol.CodeOf(err)
 	switch {
 	case err == nil:
-		a.unanswered, a.accepted = loadOrder{}, t
+		a.unanswered, a.accepted = loadOrder{}, order.target
 		if repeated {
-			a.announced, a.loading = t, true
+			a.announced, a.loading = order.target, true
 			a.publishReport(true)
 		}
 		return
@@ -77,11 +80,11 @@
 		varLoadOrdersRefused.Add(1)
 	default:
 		varLoadOrdersUnanswered.Add(1)
-		if a.accepted != t {
-			a.unanswered = loadOrder{target: t, orders: report.Orders}
+		if a.accepted != order.target {
+			a.unanswered = order
 		}
 	}
-	if a.loading && a.accepted != t {
+	if a.loading && a.accepted != order.target {
 		a.loading = false
 		a.publishReport(true)
 	}
--- a/transport/staging/order_test.go
+++ b/transport/staging/order_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -176,6 +177,25 @@
 	require.Empty(t, w.wrong())
 }
 
+// TestSuspendedAgentVerifiesPiecesAgainBeforeItsOrder guards against an agent that is suspended after it has verified the staged
+// pieces, and then orders a load although one of them has become corrupt meanwhile.
+func TestSuspendedAgentVerifiesPiecesAgainBeforeItsOrder(t *testing.T) {
+	g := newGroup(t)
+	var suspended atomic.Int64
+	g.clock = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+	g.setWanted(2)
+	w := newWorker()
+	published := g.startAgentWith("127.0.12.7", w, func(cfg *staging.Config) { cfg.LoadNoticeDelay = 200 * time.Millisecond })
+	eventually(t, func() bool { return published.last().Loading })
+	w.mu.Lock()
+	require.Zero(t, w.orders)
+	w.staged[5][0]++
+	suspended.Store(int64(time.Minute))
+	w.mu.Unlock()
+	eventually(t, func() bool { return w.version() == 2 })
+	require.Empty(t, w.wrong())
+}
+
 // stagingDelay is longer than an agent takes to notice that a fetch is superseded.
 const stagingDelay = 120 * time.Millisecond
 
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -162,10 +162,12 @@
 	table  *fleet.Table
 	mu     sync.Mutex
 	origin *fakeOrigin
+	// clock is the time that agents see; time.Now by default.
+	clock func() time.Time
 }
 
 func newGroup(t *testing.T) *group {
-	g := &group{t: t, table: fleet.NewTable(), origin: &fakeOrigin{}}
+	g := &group{t: t, table: fleet.NewTable(), origin: &fakeOrigin{}, clock: time.Now}
 	g.table.SetConfiguration(&fleet.Configuration{Version: 1, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
 		"llm":    {Engine: &fleet.EngineSpec{Layers: layers, Chunks: pieceCount, Models: []core.Model{"m"}}},
 		"origin": {Origin: &fleet.OriginSpec{Address: "origin", FailureDomain: "a"}},
@@ -221,7 +223,7 @@
 		Regions: map[core.FailureDomain]core.Region{"a": "ra"}, PeerPort: peerPort,
 		Worker: w, Origin: g.origin, View: g.view,
 		Publish: published.add, StopReports: func() {},
-		Random: rand.New(rand.NewPCG(1, 1)), Now: time.Now, Log: logrus.NewEntry(logger),
+		Random: rand.New(rand.NewPCG(1, 1)), Now: g.clock, Log: logrus.NewEntry(logger),
 	})
 	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, peerPort))
 	require.NoError(g.t, err)
