--- /dev/null
+++ b/transport/staging/review_test.go
@@ -0,0 +1,333 @@
+package staging_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/platform"
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport/staging"
+)
+
+// scriptedWorker passes each order to respond with its number from 1, and carries out held as soon as a piece of another
+// version has been staged.
+type scriptedWorker struct {
+	*fakeWorker
+	mu      sync.Mutex
+	held    *worker.LoadOrder
+	sent    int
+	respond func(ctx context.Context, n int, order worker.LoadOrder) error
+	// report changes a report before it is returned.
+	report func(worker.Report) worker.Report
+}
+
+func (w *scriptedWorker) Load(ctx context.Context, order worker.LoadOrder) error {
+	w.mu.Lock()
+	w.sent++
+	n := w.sent
+	w.mu.Unlock()
+	return w.respond(ctx, n, order)
+}
+
+// hold keeps an order and leaves it unanswered.
+func (w *scriptedWorker) hold(ctx context.Context, order worker.LoadOrder) error {
+	w.mu.Lock()
+	w.held = &order
+	w.mu.Unlock()
+	<-ctx.Done()
+	return protocol.Wrap(protocol.CodeOutcomeUnknown, ctx.Err(), "send load order")
+}
+
+func (w *scriptedWorker) Report(ctx context.Context) (worker.Report, error) {
+	report, err := w.fakeWorker.Report(ctx)
+	if err == nil && w.report != nil {
+		report = w.report(report)
+	}
+	return report, err
+}
+
+func (w *scriptedWorker) Stage(ctx context.Context, model core.Model, index int, data []byte) error {
+	if err := w.fakeWorker.Stage(ctx, model, index, data); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	order := w.held
+	if order != nil && string(data) != string(piece(order.Version, index)) {
+		w.held = nil
+	} else {
+		order = nil
+	}
+	w.mu.Unlock()
+	if order != nil {
+		_ = w.fakeWorker.Load(ctx, *order)
+	}
+	return nil
+}
+
+func (w *scriptedWorker) ordersSent() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent
+}
+
+func shortOrders(cfg *staging.Config) { cfg.OrderTimeout = 50 * time.Millisecond }
+
+// TestRefusedRepeatDoesNotEndTheWaitForTheFirstOrder guards against staging the next version because a repeat was refused,
+// although the worker may still carry out the order that it repeats.
+func TestRefusedRepeatDoesNotEndTheWaitForTheFirstOrder(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &scriptedWorker{fakeWorker: newWorker()}
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	t.Cleanup(server.Close)
+	refusing := platform.NewWorker(strings.TrimPrefix(server.URL, "http://"))
+	w.respond = func(ctx context.Context, n int, order worker.LoadOrder) error {
+		switch n {
+		case 1:
+			return w.hold(ctx, order)
+		case 2:
+			return refusing.Load(ctx, order)
+		default:
+			return w.fakeWorker.Load(ctx, order)
+		}
+	}
+	g.startAgentWith("127.0.14.1", w, shortOrders)
+	eventually(t, func() bool { return w.ordersSent() == 1 })
+	g.setWanted(3)
+	eventually(t, func() bool { return w.version() == 3 })
+	require.Empty(t, w.wrong())
+}
+
+// TestReportWithAnEarlierCountDoesNotSettleAnOrder guards against taking a report that is older than the one before it for the
+// end of an order without an answer.
+func TestReportWithAnEarlierCountDoesNotSettleAnOrder(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &scriptedWorker{fakeWorker: newWorker()}
+	w.orders = 1
+	var once sync.Once
+	w.respond = func(ctx context.Context, n int, order worker.LoadOrder) error {
+		switch {
+		case n == 1:
+			return w.hold(ctx, order)
+		case order.Version == 2:
+			return protocol.Errorf(protocol.CodeOutcomeUnknown, "connection reset")
+		default:
+			return w.fakeWorker.Load(ctx, order)
+		}
+	}
+	w.report = func(report worker.Report) worker.Report {
+		if w.ordersSent() > 4 {
+			once.Do(func() { report.Orders-- })
+		}
+		return report
+	}
+	g.startAgentWith("127.0.14.2", w, shortOrders)
+	eventually(t, func() bool { return w.ordersSent() > 0 })
+	g.setWanted(3)
+	eventually(t, func() bool { return w.version() == 3 })
+	require.Empty(t, w.wrong())
+}
+
+// TestOrderThatNoLongerFitsDoesNotStopTheRollout guards against repeating an order for ever that the worker lost and that it
+// now rejects for a reason other than its count of orders, although it would load the next version.
+func TestOrderThatNoLongerFitsDoesNotStopTheRollout(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &scriptedWorker{fakeWorker: newWorker()}
+	w.respond = func(ctx context.Context, n int, order worker.LoadOrder) error {
+		switch {
+		case n == 1:
+			<-ctx.Done()
+			return protocol.Wrap(protocol.CodeOutcomeUnknown, ctx.Err(), "send load order")
+		case order.Version == 2:
+			return protocol.Errorf(protocol.CodeConflict, "the order does not fit")
+		default:
+			return w.fakeWorker.Load(ctx, order)
+		}
+	}
+	g.startAgentWith("127.0.14.3", w, shortOrders)
+	eventually(t, func() bool { return w.ordersSent() == 1 })
+	g.setWanted(3)
+	require.Eventually(t, func() bool { return w.version() == 3 }, 8*time.Second, time.Millisecond, "version 3 is never ordered")
+}
+
+// TestRestartedAgentStopsWaitingWhenTheStagedVersionIsLoaded guards against waiting for an order that the worker had begun
+// before the process started: the version is loaded, and no order for it can be outstanding.
+func TestRestartedAgentStopsWaitingWhenTheStagedVersionIsLoaded(t *testing.T) {
+	g := newGroup(t)
+	w := newWorker()
+	w.orders = 1
+	w.loaded = []fleet.LoadedModel{{Model: "m", Version: 1, Layers: layers}}
+	for index := range pieceCount {
+		w.staged[index] = piece(2, index)
+	}
+	g.setWanted(3)
+	g.startAgentWith("127.0.14.4", w, func(cfg *staging.Config) { cfg.InheritedOrderTimeout = time.Hour })
+	time.Sleep(300 * time.Millisecond)
+	w.mu.Lock()
+	w.loaded = []fleet.LoadedModel{{Model: "m", Version: 2, Layers: layers}}
+	w.mu.Unlock()
+	require.Eventually(t, func() bool { return w.version() == 3 }, 8*time.Second, time.Millisecond)
+}
+
+// TestRestartedAgentDoesNotWaitForAVersionThatWasNeverComplete guards against a wait after a restart in the middle of a fetch:
+// no order for a version can be outstanding of which pieces are missing.
+func TestRestartedAgentDoesNotWaitForAVersionThatWasNeverComplete(t *testing.T) {
+	g := newGroup(t)
+	w := newWorker()
+	w.loaded = []fleet.LoadedModel{{Model: "m", Version: 1, Layers: layers}}
+	for index := range pieceCount {
+		w.staged[index] = piece(1, index)
+	}
+	w.staged[0] = piece(2, 0)
+	g.setWanted(3)
+	g.startAgentWith("127.0.14.5", w, func(cfg *staging.Config) { cfg.InheritedOrderTimeout = time.Hour })
+	require.Eventually(t, func() bool { return w.version() == 3 }, 8*time.Second, time.Millisecond)
+}
+
+// TestRestartedWorkerHasNoInheritedOrder guards against a worker that stays without a version: it started after the agent, so
+// no earlier process can have sent it an order.
+func TestRestartedWorkerHasNoInheritedOrder(t *testing.T) {
+	g := newGroup(t)
+	w := newWorker()
+	w.born = time.Now().Add(time.Second).UnixMilli()
+	for index := range pieceCount {
+		w.staged[index] = piece(2, index)
+	}
+	g.setWanted(3)
+	g.startAgentWith("127.0.14.6", w, func(cfg *staging.Config) { cfg.InheritedOrderTimeout = time.Hour })
+	require.Eventually(t, func() bool { return w.version() == 3 }, 8*time.Second, time.Millisecond)
+}
+
+// TestRateOfOrdersThatAreNotAnswered guards against a stream of orders, each with a read of all pieces, to a worker that
+// resets every one of them while it goes on serving.
+func TestRateOfOrdersThatAreNotAnswered(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &scriptedWorker{fakeWorker: newWorker()}
+	w.respond = func(context.Context, int, worker.LoadOrder) error {
+		return protocol.Errorf(protocol.CodeOutcomeUnknown, "connection reset")
+	}
+	g.startAgentWith("127.0.14.7", w, func(cfg *staging.Config) { cfg.RetryPause = staging.DefaultConfig().RetryPause })
+	eventually(t, func() bool { return w.ordersSent() == 1 })
+	time.Sleep(6 * time.Second)
+	require.LessOrEqual(t, w.ordersSent(), 7, fmt.Sprintf("%d orders in 6 s", w.ordersSent()))
+}
+
+// modelsWorker keeps one staging area and one loaded version per model.
+type modelsWorker struct {
+	mu     sync.Mutex
+	staged map[core.Model]map[int][]byte
+	loaded map[core.Model]int64
+	orders int64
+	wrong  []string
+}
+
+func (w *modelsWorker) Report(context.Context) (worker.Report, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	report := worker.Report{Born: 1, Orders: w.orders}
+	for _, model := range []core.Model{"m", "n"} {
+		if version := w.loaded[model]; version != 0 {
+			report.Models = append(report.Models, fleet.LoadedModel{Model: model, Version: version, Layers: layers})
+		}
+	}
+	return report, nil
+}
+
+func (w *modelsWorker) Stage(_ context.Context, model core.Model, index int, data []byte) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.staged[model][index] = append([]byte(nil), data...)
+	return nil
+}
+
+func (w *modelsWorker) ReadStaged(_ context.Context, model core.Model, index int) ([]byte, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if data, ok := w.staged[model][index]; ok {
+		return data, nil
+	}
+	return nil, protocol.Errorf(protocol.CodeNotFound, "piece %d is not staged", index)
+}
+
+func (w *modelsWorker) Load(_ context.Context, order worker.LoadOrder) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if order.ExpectedOrders != w.orders {
+		return protocol.Errorf(protocol.CodeConflict, "%d orders", w.orders)
+	}
+	w.orders++
+	for index := range pieceCount {
+		if string(w.staged[order.Model][index]) != string(piece(order.Version, index)) {
+			w.wrong = append(w.wrong, fmt.Sprintf("%s version %d piece %d", order.Model, order.Version, index))
+		}
+	}
+	w.loaded[order.Model] = order.Version
+	return nil
+}
+
+func (w *modelsWorker) version(model core.Model) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.loaded[model]
+}
+
+// TestEngineOfTwoModelsLoadsBoth guards against a rollout that fetches one model in turn with the other and never loads the
+// second.
+func TestEngineOfTwoModelsLoadsBoth(t *testing.T) {
+	g := newGroup(t)
+	g.table.SetConfiguration(&fleet.Configuration{Version: 2, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
+		"llm":    {Engine: &fleet.EngineSpec{Layers: layers, Chunks: pieceCount, Models: []core.Model{"m", "n"}}},
+		"origin": {Origin: &fleet.OriginSpec{Address: "origin", FailureDomain: "a"}},
+	}})
+	g.setWanted(2)
+	w := &modelsWorker{staged: map[core.Model]map[int][]byte{"m": {}, "n": {}}, loaded: map[core.Model]int64{}}
+	g.startAgentWith("127.0.14.8", w, shortOrders)
+	require.Eventually(t, func() bool { return w.version("m") == 2 && w.version("n") == 1 }, 8*time.Second, time.Millisecond)
+	require.Empty(t, w.wrong)
+}
+
+// TestRestartedAgentComparesMoreThanTheFirstPiece guards against taking an ordered version for the loaded one because they
+// share their first piece.
+func TestRestartedAgentComparesMoreThanTheFirstPiece(t *testing.T) {
+	g := newGroup(t)
+	g.origin.shared = true
+	w := &lateWorker{fakeWorker: newWorker(), plan: func() (time.Duration, bool) { return 400 * time.Millisecond, true }}
+	w.expected = func(version int64, index int) []byte { return sharedPiece(version, index) }
+	w.loaded = []fleet.LoadedModel{{Model: "m", Version: 1, Layers: layers}}
+	for index := range pieceCount {
+		w.staged[index] = sharedPiece(1, index)
+	}
+	t.Cleanup(w.late.Wait)
+	g.setWanted(2)
+	_, stop := g.runAgent("127.0.14.9", w, func(*staging.Config) {})
+	eventually(t, func() bool { return w.ordersSent() == 1 })
+	stop()
+	g.setWanted(3)
+	g.startAgentWith("127.0.14.9", w, func(*staging.Config) {})
+	eventually(t, func() bool { return w.version() == 3 })
+	require.Empty(t, w.wrong())
+}
+
+// sharedPiece is the same for the first piece of every version.
+func sharedPiece(version int64, index int) []byte {
+	if index == 0 {
+		return piece(1, 0)
+	}
+	return piece(version, index)
+}
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -50,6 +50,8 @@
 	wrongLoads []string
 	// corruptions is the number of times that the piece with index 5 is corrupted right after it was staged.
 	corruptions int
+	// expected returns the pieces of a version; nil means piece.
+	expected func(version int64, index int) []byte
 	// beforeLoad runs when an order arrives.
 	beforeLoad func()
 }
@@ -94,7 +96,11 @@
 	}
 	w.orders++
 	for index := range pieceCount {
-		if string(w.staged[index]) != string(piece(order.Version, index)) {
+		want := piece(order.Version, index)
+		if w.expected != nil {
+			want = w.expected(order.Version, index)
+		}
+		if string(w.staged[index]) != string(want) {
 			w.wrongLoads = append(w.wrongLoads, fmt.Sprintf("version %d piece %d", order.Version, index))
 		}
 	}
@@ -120,6 +126,8 @@
 	mu      sync.Mutex
 	pieces  int
 	corrupt func(n, index int, data []byte) []byte
+	// shared makes the first piece the same in every version.
+	shared bool
 	// corruptManifests is the number of manifests to send with a wrong digest.
 	corruptManifests int
 }
@@ -129,7 +137,7 @@
 	defer o.mu.Unlock()
 	manifest := worker.Manifest{Model: model, Version: version}
 	for index := range pieceCount {
-		sum := sha256.Sum256(piece(version, index))
+		sum := sha256.Sum256(o.content(version, index))
 		manifest.Digests = append(manifest.Digests, worker.Digest(hex.EncodeToString(sum[:])))
 	}
 	if o.corruptManifests > 0 {
@@ -143,13 +151,20 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pieces++
-	data := piece(version, index)
+	data := o.content(version, index)
 	if o.corrupt != nil {
 		data = o.corrupt(o.pieces, index, data)
 	}
 	return data, nil
 }
 
+func (o *fakeOrigin) content(version int64, index int) []byte {
+	if o.shared {
+		return sharedPiece(version, index)
+	}
+	return piece(version, index)
+}
+
 func (o *fakeOrigin) piecesSent() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
