Proposed mend: keep an order unanswered after a transient refusal or an older report

- staging: a report of the same worker with a lower count of orders is older than the last one and is dropped.
- staging: an inherited order is ruled out by all pieces and not by the first, and again when the loaded version changes.

--- a/protocol/worker/worker.go
+++ b/protocol/worker/worker.go
@@ -40,9 +40,10 @@
 	FencingToken int64
 }
 
-// Worker is the model worker on the agent's host. Errors are of type *protocol.Error: CodeConflict means that an order doesn't
-// match the worker's state, CodeRefused that the worker rejects it for another reason, such as its fencing token. After any
-// other failure of Load the worker may still carry out the order, even after seconds, if ExpectedOrders matches then.
+// Worker is the model worker on the agent's host. Errors are of type *protocol.Error: CodeConflict means that the
+// worker rejects an order in its present state, CodeRefused that it would reject the same order at any time, such as one with a
+// low fencing token. After any other failure of Load the worker may still carry out the order, even after seconds, if
+// ExpectedOrders matches then.
 type Worker interface {
 	Report(ctx context.Context) (Report, error)
 	// Stage stores a piece of a model's weights and replaces the piece staged under the same index.
--- a/transport/staging/order.go
+++ b/transport/staging/order.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
 // loadOrder is an order as far as it decides whether the worker can still accept it.
@@ -96,10 +98,11 @@
 	if !a.inherited.known {
 		a.inherited.known, a.inherited.born, a.inherited.orders = true, report.Born, report.Orders
 	}
-	if a.unanswered.isZero() || (report.Born == a.report.Born && report.Orders == a.unanswered.orders) {
+	sameWorker := report.Born == a.report.Born
+	if a.unanswered.isZero() || (sameWorker && report.Orders <= a.unanswered.orders) {
 		return
 	}
-	if report.Born == a.report.Born && report.Orders > a.unanswered.orders {
+	if sameWorker {
 		a.accepted, a.orderedAt = a.unanswered.target, a.Now()
 	}
 	a.unanswered = loadOrder{}
@@ -111,23 +114,37 @@
 	if !a.orderMayBeInherited() {
 		return nil
 	}
-	first, err := a.readStaged(ctx, t.model, 0)
-	switch {
-	case protocol.CodeOf(err) == protocol.CodeNotFound:
-		a.settleInheritedOrder()
-		return nil
-	case err != nil:
-		return err
-	case manifest.Digests[0].Matches(first):
-		return nil
-	case a.isLoadedPiece(ctx, t.model, first):
-		a.settleInheritedOrder()
+	staged := make([][]byte, len(manifest.Digests))
+	for index := range staged {
+		data, err := a.readStaged(ctx, t.model, index)
+		if protocol.CodeOf(err) == protocol.CodeNotFound {
+			// A version is ordered only once all of its pieces are staged.
+			a.settleInheritedOrder()
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		staged[index] = data
+	}
+	if allMatch(manifest.Digests, staged) {
 		return nil
 	}
-	a.Log.WithField("model", t.model).WithField("version", t.version).Info("fetch waits for an order of an earlier process")
+	var checked []fleet.LoadedModel
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for a.orderMayBeInherited() && a.wants(t) {
+		if models := a.loadedModels(); checked == nil || !slices.Equal(models, checked) {
+			if a.isLoadedVersion(ctx, t.model, models, staged) {
+				a.settleInheritedOrder()
+				return nil
+			}
+			if checked == nil {
+				a.Log.WithField("model", t.model).WithField("version", t.version).
+					Info("fetch waits for an order of an earlier process")
+			}
+			checked = append([]fleet.LoadedModel{}, models...)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -149,12 +166,15 @@
 	a.inherited.settled = true
 }
 
-// isLoadedPiece reports whether data is the first piece of the version that the worker has loaded, as far as the origin
-// still has its manifest.
-func (a *Agent) isLoadedPiece(ctx context.Context, model core.Model, data []byte) bool {
+func (a *Agent) loadedModels() []fleet.LoadedModel {
 	a.mu.Lock()
-	models := a.report.Models
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	return a.report.Models
+}
+
+// isLoadedVersion reports whether the staged pieces are those of a version that the worker has loaded, as far as the origin
+// still has its manifest. Versions may share pieces, so all of them are compared.
+func (a *Agent) isLoadedVersion(ctx context.Context, model core.Model, models []fleet.LoadedModel, staged [][]byte) bool {
 	for _, loaded := range models {
 		if loaded.Model != model {
 			continue
@@ -164,9 +184,14 @@
 			a.Log.WithError(err).WithField("version", loaded.Version).Info("manifest of the loaded version not read")
 			continue
 		}
-		if manifest.Digests[0].Matches(data) {
+		if allMatch(manifest.Digests, staged) {
 			return true
 		}
 	}
 	return false
 }
+
+// allMatch reports whether each piece has its digest.
+func allMatch(digests []worker.Digest, pieces [][]byte) bool {
+	return slices.EqualFunc(digests, pieces, worker.Digest.Matches)
+}
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -40,6 +40,10 @@
 		a.StopReports()
 		return
 	}
+	if report.Born == a.report.Born && report.Orders < a.report.Orders {
+		// The report is older than the last one.
+		return
+	}
 	if !a.responding || report.Born != a.report.Born {
 		a.Log.WithField("born", report.Born).WithField("models", len(report.Models)).Info("worker answers")
 	}
