--- a/transport/staging/review_test.go
+++ b/transport/staging/review_test.go
@@ -222,7 +222,9 @@
 	w.respond = func(context.Context, int, worker.LoadOrder) error {
 		return protocol.Errorf(protocol.CodeOutcomeUnknown, "connection reset")
 	}
-	g.startAgentWith("127.0.14.7", w, func(cfg *staging.Config) { cfg.RetryPause, cfg.OrderReportDelay = staging.DefaultConfig().RetryPause, staging.DefaultConfig().OrderReportDelay })
+	g.startAgentWith("127.0.14.7", w, func(cfg *staging.Config) {
+		cfg.RetryPause, cfg.OrderReportDelay = staging.DefaultConfig().RetryPause, staging.DefaultConfig().OrderReportDelay
+	})
 	eventually(t, func() bool { return w.ordersSent() == 1 })
 	time.Sleep(6 * time.Second)
 	require.LessOrEqual(t, w.ordersSent(), 7, fmt.Sprintf("%d orders in 6 s", w.ordersSent()))
