Bound repeats of load orders and waits after a restart

Repeats: an order that the worker had lost and then rejected with 409 for another reason than its count was repeated for ever, and the host got no newer version (TestOrderThatNoLongerFitsDoesNotStopTheRollout). The order is now given up on a rejected repeat once 15 s have passed since it was first sent. Orders that were reset at once were repeated 20 times in 6 s, each with a read of all pieces; the pause before a repeat now doubles up to 2.4 s, which stays under the 3 s after which a piece that became corrupt counts.

Restarts: the wait for an order of an earlier process also held where none can be open. A version between the loaded one and the target is now looked for by its manifest: no wait if none of them is staged but for two damaged pieces (TestRestartedAgentDoesNotWaitForAVersionThatWasNeverComplete), nor if all pieces are of the loaded version or of the target. Without the latter an agent restarted in the middle of a fetch would have waited 15 s. A worker that refused a connection since the agent started has no such order (TestRestartedWorkerHasNoInheritedOrder).

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -121,7 +121,7 @@
 	Staged bool
 	// Unanswered is set while the worker may still carry out an order for the wanted version that it has not answered.
 	Unanswered bool
-	// EarliestLoad is the earliest time to load, except for a worker without any version.
+	// EarliestLoad is the earliest time to load, except for a worker without any version, or to send an unanswered order again.
 	EarliestLoad time.Time
 }
 
@@ -140,8 +140,7 @@
 	ActionLoad Action = "load"
 )
 
-// Decide returns the next action of a host. A worker without any version does not wait for EarliestLoad, nor does an order
-// that is sent again because it was not answered.
+// Decide returns the next action of a host. A worker without any version does not wait for EarliestLoad.
 func Decide(state State) Action {
 	switch {
 	case state.Wanted == 0, state.Loaded >= state.Wanted:
@@ -150,7 +149,7 @@
 		return ActionFetch
 	case state.Busy:
 		return ActionWait
-	case state.Loaded != 0 && !state.Unanswered && state.Now.Before(state.EarliestLoad):
+	case (state.Loaded != 0 || state.Unanswered) && state.Now.Before(state.EarliestLoad):
 		return ActionWait
 	default:
 		return ActionLoad
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -39,9 +39,9 @@
 	// MaxVerificationAge is the longest time from the end of the verification of the staged pieces to the order that loads
 	// them. An agent that was suspended in between verifies them again.
 	MaxVerificationAge time.Duration
-	// InheritedOrderTimeout is the time after the start of the process during which the worker may still carry out an order of
-	// an earlier process on this host. Until then pieces of a version that may have been ordered are not overwritten.
-	InheritedOrderTimeout time.Duration
+	// LateOrderTimeout is the time for which the worker may still carry out an order that it has not answered. It bounds the
+	// wait for an order of an earlier process on this host, and for one that the worker rejects when it is sent again.
+	LateOrderTimeout time.Duration
 	// RetryPause is the pause after a failed rollout step.
 	RetryPause time.Duration
 	// CrossRegionSlots is the number of concurrent uploads to other regions in addition to the upload slots.
@@ -73,8 +73,8 @@
 		LoadNoticeDelay:  60 * time.Millisecond,
 		OrderReportDelay: 800 * time.Millisecond,
 
-		MaxVerificationAge:    2 * time.Second,
-		InheritedOrderTimeout: 15 * time.Second,
+		MaxVerificationAge: 2 * time.Second,
+		LateOrderTimeout:   15 * time.Second,
 
 		RetryPause: 300 * time.Millisecond,
 		LinkShare:  0.85,
@@ -127,15 +127,20 @@
 	loading bool
 	// staged is the version whose pieces have all been staged since the worker's last start.
 	staged target
-	// announced is the version of the last load notice; orderedAt is the time of the last order.
+	// announced is the version of the last load notice; orderedAt is the time of the last answer to an order, or of the report
+	// that showed that the worker had begun one.
 	orderedAt time.Time
 	announced target
-	// accepted is the version of the last order, if the worker accepted it.
+	// accepted is the version of the last order, if the worker accepted it or its report shows that it has begun one since.
 	accepted target
-	// unanswered is the last order while the worker may still carry it out.
-	unanswered loadOrder
-	inherited  inheritedOrder
-	wake       chan struct{}
+	// unanswered is the last order while the worker may still carry it out. It was first sent at unansweredSince and is sent
+	// again at repeatAt, and then after repeatPause.
+	unanswered      loadOrder
+	unansweredSince time.Time
+	repeatAt        time.Time
+	repeatPause     time.Duration
+	inherited       inheritedOrder
+	wake            chan struct{}
 }
 
 // New returns an Agent.
@@ -145,7 +150,7 @@
 		pieces:       &pieceCache{},
 		peers:        newPeerClient(),
 		throttle:     newThrottle(deps.Config.Transfer.DownloadSlots),
-		inherited:    inheritedOrder{until: deps.Now().Add(deps.Config.InheritedOrderTimeout)},
+		inherited:    inheritedOrder{until: deps.Now().Add(deps.Config.LateOrderTimeout)},
 		wake:         make(chan struct{}, 1),
 	}
 }
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -258,7 +258,7 @@
 }
 
 // stage stages a piece. The call goes on when ctx ends, because a canceled one could take effect after pieces of the next
-// version have been staged.
+// version have been staged. The same holds for one that is not answered within stageTimeout, which is only counted.
 func (a *Agent) stage(ctx context.Context, t target, index int, data []byte) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stageTimeout)
 	defer cancel()
--- a/transport/staging/order.go
+++ b/transport/staging/order.go
@@ -11,6 +11,13 @@
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
+const (
+	// maxDamagedPieces is the number of staged pieces that may have become corrupt in a version that was staged completely.
+	maxDamagedPieces = 2
+	// maxRepeatPause bounds the pause before an unanswered order is sent again. Each repeat verifies the staged pieces.
+	maxRepeatPause = 2400 * time.Millisecond
+)
+
 // loadOrder is an order as far as it decides whether the worker can still accept it.
 type loadOrder struct {
 	target target
@@ -55,6 +62,9 @@
 func (a *Agent) beginOrder(order loadOrder) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.unanswered != order {
+		a.unansweredSince, a.repeatPause = a.Now(), a.Config.RetryPause
+	}
 	a.unanswered, a.accepted = order, target{}
 }
 
@@ -64,7 +74,10 @@
 	varLoadOrders.Add(1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.orderedAt = a.Now()
+	now := a.Now()
+	a.orderedAt = now
+	a.repeatAt = now.Add(a.repeatPause)
+	a.repeatPause = min(2*a.repeatPause, maxRepeatPause)
 	code := protocol.CodeOf(err)
 	switch {
 	case err == nil:
@@ -78,8 +91,10 @@
 		varLoadOrdersRefused.Add(1)
 		a.unanswered = loadOrder{}
 	case code == protocol.CodeConflict:
-		// The worker may have begun the earlier order, which the next report shows.
 		varLoadOrdersRefused.Add(1)
+		if now.Sub(a.unansweredSince) > a.Config.LateOrderTimeout {
+			a.unanswered = loadOrder{}
+		}
 	default:
 		varLoadOrdersUnanswered.Add(1)
 		if a.accepted != order.target {
@@ -109,41 +124,27 @@
 }
 
 // awaitInheritedOrder waits while the worker may carry out an order of an earlier process: overwriting the pieces that were
-// ordered would have it load a mixture. Pieces of the target itself and of the loaded version can't have such an order.
+// ordered would have it load a mixture.
 func (a *Agent) awaitInheritedOrder(ctx context.Context, t target, manifest worker.Manifest) error {
 	if !a.orderMayBeInherited() {
 		return nil
 	}
-	staged := make([][]byte, len(manifest.Digests))
-	for index := range staged {
-		data, err := a.readStaged(ctx, t.model, index)
-		if protocol.CodeOf(err) == protocol.CodeNotFound {
-			// A version is ordered only once all of its pieces are staged.
-			a.settleInheritedOrder()
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		staged[index] = data
-	}
-	if allMatch(manifest.Digests, staged) {
-		return nil
+	staged, err := a.readAllStaged(ctx, t.model, len(manifest.Digests))
+	if err != nil {
+		return err
 	}
 	var checked []fleet.LoadedModel
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
-	for a.orderMayBeInherited() && a.wants(t) {
-		if models := a.loadedModels(); checked == nil || !slices.Equal(models, checked) {
-			if a.isLoadedVersion(ctx, t.model, models, staged) {
+	for first := true; a.orderMayBeInherited() && a.wants(t); first = false {
+		if models := a.loadedModels(); first || !slices.Equal(models, checked) {
+			checked = models
+			if !a.mayHaveBeenOrdered(ctx, t, manifest, models, staged) {
 				a.settleInheritedOrder()
 				return nil
 			}
-			if checked == nil {
-				a.Log.WithField("model", t.model).WithField("version", t.version).
-					Info("fetch waits for an order of an earlier process")
-			}
-			checked = append([]fleet.LoadedModel{}, models...)
+			a.Log.WithField("model", t.model).WithField("version", t.version).
+				Info("fetch waits for an order of an earlier process")
 		}
 		select {
 		case <-ctx.Done():
@@ -154,6 +155,73 @@
 	return nil
 }
 
+// readAllStaged returns the staged pieces of a model; a missing one is nil.
+func (a *Agent) readAllStaged(ctx context.Context, model core.Model, count int) ([][]byte, error) {
+	staged := make([][]byte, count)
+	for index := range staged {
+		data, err := a.readStaged(ctx, model, index)
+		if err != nil && protocol.CodeOf(err) != protocol.CodeNotFound {
+			return nil, err
+		}
+		staged[index] = data
+	}
+	return staged, nil
+}
+
+// mayHaveBeenOrdered reports whether the staged pieces may be those of a version between the loaded one and the target, which
+// an earlier process has ordered. It is so if one of these versions is staged but for damaged pieces, or has no manifest any
+// more at the origin.
+func (a *Agent) mayHaveBeenOrdered(
+	ctx context.Context, t target, manifest worker.Manifest, models []fleet.LoadedModel, staged [][]byte,
+) bool {
+	loadedVersion := int64(0)
+	known := []worker.Manifest{manifest}
+	for _, loaded := range models {
+		if loaded.Model != t.model {
+			continue
+		}
+		loadedVersion = max(loadedVersion, loaded.Version)
+		if m, err := a.readManifest(ctx, target{model: t.model, version: loaded.Version}); err == nil {
+			known = append(known, m)
+		}
+	}
+	if areAllOf(staged, known) {
+		return false
+	}
+	for version := t.version - 1; version > loadedVersion; version-- {
+		m, err := a.readManifest(ctx, target{model: t.model, version: version})
+		if err != nil {
+			a.Log.WithError(err).WithField("version", version).Info("manifest of an earlier version not read")
+			return true
+		}
+		if countMismatches(m.Digests, staged) <= maxDamagedPieces {
+			return true
+		}
+	}
+	return false
+}
+
+// areAllOf reports whether each staged piece is missing or belongs to one of the versions.
+func areAllOf(staged [][]byte, versions []worker.Manifest) bool {
+	for index, data := range staged {
+		matches := func(m worker.Manifest) bool { return index < len(m.Digests) && m.Digests[index].Matches(data) }
+		if data != nil && !slices.ContainsFunc(versions, matches) {
+			return false
+		}
+	}
+	return true
+}
+
+func countMismatches(digests []worker.Digest, staged [][]byte) int {
+	mismatches := 0
+	for index, data := range staged {
+		if index >= len(digests) || !digests[index].Matches(data) {
+			mismatches++
+		}
+	}
+	return mismatches
+}
+
 func (a *Agent) orderMayBeInherited() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -171,27 +239,3 @@
 	defer a.mu.Unlock()
 	return a.report.Models
 }
-
-// isLoadedVersion reports whether the staged pieces are those of a version that the worker has loaded, as far as the origin
-// still has its manifest. Versions may share pieces, so all of them are compared.
-func (a *Agent) isLoadedVersion(ctx context.Context, model core.Model, models []fleet.LoadedModel, staged [][]byte) bool {
-	for _, loaded := range models {
-		if loaded.Model != model {
-			continue
-		}
-		manifest, err := a.readManifest(ctx, target{model: model, version: loaded.Version})
-		if err != nil {
-			a.Log.WithError(err).WithField("version", loaded.Version).Info("manifest of the loaded version not read")
-			continue
-		}
-		if allMatch(manifest.Digests, staged) {
-			return true
-		}
-	}
-	return false
-}
-
-// allMatch reports whether each piece has its digest.
-func allMatch(digests []worker.Digest, pieces [][]byte) bool {
-	return slices.EqualFunc(digests, pieces, worker.Digest.Matches)
-}
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -37,6 +39,10 @@
 			a.Log.WithError(err).Warn("worker does not answer")
 		}
 		a.responding = false
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			// The worker's process is gone, and with it any order of an earlier agent process.
+			a.inherited.settled = true
+		}
 		a.StopReports()
 		return
 	}
@@ -76,7 +82,7 @@
 
 // logNewOrders logs that the worker has begun an order since the last report; the caller holds the lock.
 func (a *Agent) logNewOrders(report worker.Report) {
-	if report.Born != a.report.Born || report.Orders == a.report.Orders {
+	if report.Born != a.report.Born || report.Orders <= a.report.Orders {
 		return
 	}
 	a.Log.WithFields(logrus.Fields{
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -66,14 +66,19 @@
 	defer a.mu.Unlock()
 	now := a.Now()
 	loaded := a.loadedOrLoading(t.model, spec.Layers)
+	unanswered := a.unanswered.target == t
+	earliest := a.repeatAt
+	if !unanswered {
+		earliest = rollout.EarliestLoadTime(a.Config.Rollout, wanted, loaded, view.Members, a.Upstream, a.ReplicaAddress)
+	}
 	return rollout.State{
 		Now:          now,
 		Wanted:       t.version,
 		Loaded:       loaded,
 		Busy:         !a.responding || a.executingOrder(),
 		Staged:       a.staged == t,
-		Unanswered:   a.unanswered.target == t,
-		EarliestLoad: rollout.EarliestLoadTime(a.Config.Rollout, wanted, loaded, view.Members, a.Upstream, a.ReplicaAddress),
+		Unanswered:   unanswered,
+		EarliestLoad: earliest,
 	}, a.report
 }
 
