Keep the activation permit while a load order is unanswered

Mixed weights can't result: the order carries its content and its digest.

Change: after an unknown outcome the lease is no longer renewed and runs out by itself. The order times out in the agent before that; an engine that begins later than the lease lasts is not covered.

--- a/transport/weights/activate.go
+++ b/transport/weights/activate.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/guavatrestle/guavatrestle/coordination/activation"
+	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
@@ -72,10 +73,15 @@
 }
 
 // loadWithPermit loads a version under a lease and keeps the lease until the back end is warm, so that other hosts
-// load only after it.
+// load only after it. After an order without an answer the lease runs out by itself: the engine may still begin the load.
 func (r *Rollout) loadWithPermit(ctx context.Context, digest core.Digest, heldLease activation.HeldLease) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer func() { _ = r.deps.Permits.Release(context.WithoutCancel(ctx), heldLease) }()
+	var loadErr error
+	defer func() {
+		if protocol.CodeOf(loadErr) != protocol.CodeOutcomeUnknown {
+			_ = r.deps.Permits.Release(context.WithoutCancel(ctx), heldLease)
+		}
+	}()
 	var renewals sync.WaitGroup
 	defer renewals.Wait()
 	defer cancel()
@@ -84,9 +90,9 @@
 		r.behindReason.Store(reasonPermit)
 		return nil
 	}
-	err := r.load(ctx, digest, func(ctx context.Context) (uint64, error) { return r.confirmLease(ctx, heldLease) })
-	if err != nil {
-		return err
+	loadErr = r.load(ctx, digest, func(ctx context.Context) (uint64, error) { return r.confirmLease(ctx, heldLease) })
+	if loadErr != nil {
+		return loadErr
 	}
 	r.awaitWarm(ctx, digest)
 	return nil
