Check a key against the view that was confirmed, not a later one

The follower moved the time first and applied the configuration after it, and a request read the view on arrival and the age later. In both gaps the keys of the old view count as confirmed by the arrival of the configuration that takes them away, however old that view is. The first gap holds the logging of the version and the indexing of all routes and keys.

Ruled out by reading: a relay's answer, its hold time and age (all on the relay's clock, both rounded down), lists that wait, positions of a relay and of the store, a change that keeps its revision through a list of the relay, changes of relay, era, retries. Each of them claims a time before the read that it rests on.

Change: the follower replaces a view and its confirmation in one step, after the table is up to date. Requests are checked against one such pair.

--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,8 @@
 	restoreSettleTime = 2 * time.Second
 	// quickFailureLimit is the duration below which a failed call is followed by a backoff; a call that took longer needs none.
 	quickFailureLimit = 400 * time.Millisecond
+	// neverConfirmed is the age of a configuration that the store has never confirmed.
+	neverConfirmed = time.Duration(math.MaxInt64)
 )
 
 // Kind is a kind of record to follow, with the way in which it is read.
@@ -91,6 +94,13 @@
 	era      int64
 }
 
+// snapshot is a view with the time up to which the store has confirmed its configuration. They are replaced together, since a later
+// confirmation does not hold for an earlier view.
+type snapshot struct {
+	view        *fleet.View
+	confirmedAt bootclock.Instant
+}
+
 // Follower keeps a view of the fleet up to date.
 type Follower struct {
 	source feed.Source
@@ -115,9 +125,11 @@
 	// probeAnswered is closed and replaced when a call for the first kind is answered.
 	probeAnswered chan struct{}
 
-	view        atomic.Pointer[fleet.View]
-	confirmedAt atomic.Int64
-	onChange    []func(*fleet.View)
+	// confirmedAt is the time up to which the store has confirmed the table's configuration, zero if it never did.
+	confirmedAt bootclock.Instant
+	// current is stored after the table has been updated.
+	current  atomic.Pointer[snapshot]
+	onChange []func(*fleet.View)
 
 	// cancelWatches cancels watchCtx. Both are replaced when the store stops answering, so that pending watches are sent again.
 	cancelWatches context.CancelFunc
@@ -144,17 +156,29 @@
 // before Run.
 func (f *Follower) OnChange(fn func(*fleet.View)) { f.onChange = append(f.onChange, fn) }
 
-// View returns the current view, or nil before all kinds have been listed.
-func (f *Follower) View() *fleet.View { return f.view.Load() }
+// Current returns the current view, or nil before all kinds have been listed, and the time since the store last confirmed that its
+// configuration is the newest, or the maximum duration if it never did.
+func (f *Follower) Current() (*fleet.View, time.Duration) {
+	current := f.current.Load()
+	switch {
+	case current == nil:
+		return nil, neverConfirmed
+	case current.confirmedAt == 0:
+		return current.view, neverConfirmed
+	}
+	return current.view, bootclock.Since(current.confirmedAt)
+}
 
-// Age returns the time since the store last confirmed that the current configuration is the newest, or the maximum
-// duration if it never did.
+// View returns the view of Current.
+func (f *Follower) View() *fleet.View {
+	view, _ := f.Current()
+	return view
+}
+
+// Age returns the age of Current.
 func (f *Follower) Age() time.Duration {
-	at := f.confirmedAt.Load()
-	if at == 0 {
-		return time.Duration(1<<63 - 1)
-	}
-	return bootclock.Since(bootclock.Instant(at))
+	_, age := f.Current()
+	return age
 }
 
 // Replicas returns the replicas that have been read so far, also before there is a view.
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -30,9 +30,10 @@
 	revision int64
 	era      int64
 	expired  bool
-	// down makes all calls fail.
-	down    bool
-	changed chan struct{}
+	// down makes all calls fail; rejected counts them.
+	down     bool
+	rejected int
+	changed  chan struct{}
 	// lists counts the list calls and watched the records returned by watches, by kind.
 	lists   map[feed.Kind]int
 	watched map[feed.Kind]int
@@ -62,6 +63,15 @@
 	s.changed = make(chan struct{})
 }
 
+// setDown makes all calls fail, also the pending ones, or answers calls again.
+func (s *source) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // dropHistory drops the history and ends the pending watches, so that they fail as expired.
 func (s *source) dropHistory() {
 	s.mu.Lock()
@@ -77,6 +87,7 @@
 	defer s.mu.Unlock()
 	s.lists[kind]++
 	if s.down {
+		s.rejected++
 		return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "down")
 	}
 	batch := feed.Batch{Revision: s.revision, Era: s.era}
@@ -98,6 +109,9 @@
 			}
 		}
 		down := s.down
+		if down {
+			s.rejected++
+		}
 		s.mu.Unlock()
 		if down {
 			return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "down")
@@ -335,19 +349,12 @@
 	s.put(feed.KindConfiguration, configuration(1))
 	follower := startFollower(t, s)
 	eventually(t, func() bool { return follower.View().Ready() })
-	setDown := func(down bool) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.down = down
-		close(s.changed)
-		s.changed = make(chan struct{})
-	}
-	setDown(true)
+	s.setDown(true)
 	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 2}})
 	eventually(t, follower.StoreUnresponsive)
 	follower.RecordPeerReachability(10, 10)
 	endAt := bootclock.Time()
-	setDown(false)
+	s.setDown(false)
 	eventually(t, func() bool { return follower.View().Wanted["m"].Newest() == 2 })
 	require.False(t, follower.View().Wanted["m"][0].Since.Before(endAt))
 }
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -48,10 +48,6 @@
 		close(f.probeAnswered)
 		f.probeAnswered = make(chan struct{})
 	}
-	confirmed := time.Unix(0, int64(got.completeAt))
-	if kind == feed.KindConfiguration && !got.stale && !confirmed.Before(f.settledAt) && int64(got.completeAt) > f.confirmedAt.Load() {
-		f.confirmedAt.Store(int64(got.completeAt))
-	}
 	since := f.completeUntil[kind]
 	if !got.list && bootclock.Since(got.sent) > promptResponseLimit {
 		// The change ended the wait of the watch, so it was made just now.
@@ -66,13 +62,33 @@
 	if got.list {
 		f.removeUnlisted(now, kind, batch.Records)
 	}
+	confirmed := f.confirm(kind, got)
 	first := !f.listed[kind]
 	f.listed[kind] = true
-	if len(batch.Records) > 0 || got.list || first {
+	switch {
+	case len(batch.Records) > 0 || got.list || first:
 		f.publish()
+	case confirmed:
+		f.setCurrent(f.View())
 	}
 }
 
+// confirm moves the time up to which the configuration is confirmed up to that of a batch, which must have been applied to the table.
+// It reports whether the time changed; the caller holds the lock.
+func (f *Follower) confirm(kind feed.Kind, got arrival) bool {
+	if kind != feed.KindConfiguration || got.stale || got.completeAt <= f.confirmedAt ||
+		time.Unix(0, int64(got.completeAt)).Before(f.settledAt) {
+		return false
+	}
+	f.confirmedAt = got.completeAt
+	return true
+}
+
+// setCurrent replaces the current view, together with the time at which it is confirmed; the caller holds the lock.
+func (f *Follower) setCurrent(view *fleet.View) {
+	f.current.Store(&snapshot{view: view, confirmedAt: f.confirmedAt})
+}
+
 // restartVersionTimes makes versions that became wanted during an outage of the store count from its end, like those that were wanted
 // before; the caller holds the lock.
 func (f *Follower) restartVersionTimes(now time.Time) {
@@ -151,7 +167,7 @@
 		return
 	}
 	view := f.table.View()
-	f.view.Store(view)
+	f.setCurrent(view)
 	for _, fn := range f.onChange {
 		fn(view)
 	}
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -152,8 +152,7 @@
 	e.handler = ingress.NewHandler(ingress.Dependencies{
 		Config:     deps.Ingress,
 		Headers:    deps.Headers,
-		View:       e.follower.View,
-		Age:        e.follower.Age,
+		Current:    e.follower.Current,
 		Leaving:    e.leaving.Load,
 		RetryAfter: deps.RetryAfter,
 		Pool:       e.pool,
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -30,7 +30,9 @@
 	id       core.RequestID
 	arrived  time.Time
 	deadline time.Time
+	// view is the view at the arrival of the request, viewAge the age of its configuration then.
 	view     *fleet.View
+	viewAge  time.Duration
 	route    *fleet.Route
 	team     *fleet.Team
 	target   string
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -97,10 +97,9 @@
 type Dependencies struct {
 	Config  Config
 	Headers headers.Names
-	// View returns the current view of the fleet, or nil before there is one. Age returns the time since the store last
-	// confirmed its configuration.
-	View func() *fleet.View
-	Age  func() time.Duration
+	// Current returns the current view of the fleet, or nil before there is one, and the time since the store last confirmed its
+	// configuration. The age of one view says nothing about the API keys of another.
+	Current func() (*fleet.View, time.Duration)
 	// Leaving reports whether the process is shutting down.
 	Leaving func() bool
 	// RetryAfter formats a duration as the value of the Retry-After header.
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -43,6 +43,18 @@
 	}
 }
 
+// View returns the current view of the fleet, or nil before there is one.
+func (h *Handler) View() *fleet.View {
+	view, _ := h.Current()
+	return view
+}
+
+// Age returns the time since the store last confirmed the configuration of the current view.
+func (h *Handler) Age() time.Duration {
+	_, age := h.Current()
+	return age
+}
+
 // Ready reports whether the host should receive requests, with the reason if not.
 func (h *Handler) Ready() (bool, string) {
 	switch {
@@ -59,13 +71,15 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	varRequests.Add(1)
+	view, viewAge := h.Current()
 	c := &call{
 		h:       h,
 		w:       w,
 		r:       r,
 		id:      core.RequestID(r.Header.Get(h.Headers.RequestID)),
 		arrived: h.Now(),
-		view:    h.View(),
+		view:    view,
+		viewAge: viewAge,
 		buffer:  responseBuffer{shared: &h.buffers},
 	}
 	defer c.buffer.release()
@@ -114,11 +128,11 @@
 	if c.route.Anonymous && c.team == nil {
 		return nil
 	}
-	if maxAge := c.h.Config.MaxKeyAge; maxAge > 0 && c.h.Age() > maxAge {
+	if maxAge := c.h.Config.MaxKeyAge; maxAge > 0 && c.viewAge > maxAge {
 		// The key may have been revoked since. Another host may have a newer configuration, so the caller should reconnect.
 		c.w.Header().Set("Connection", "close")
 		return transport.Errorf(http.StatusServiceUnavailable, api.CodeStoreUnavailable, api.RunNotRun,
-			"API keys cannot be checked: the store has not answered for %s", c.h.Age().Round(time.Millisecond))
+			"API keys cannot be checked: the store has not answered for %s", c.viewAge.Round(time.Millisecond))
 	}
 	if c.team == nil {
 		return transport.Errorf(http.StatusUnauthorized, api.CodeUnauthorized, api.RunNotRun, "the API key is unknown")
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -37,13 +37,15 @@
 
 // harness is an entry host with replicas whose responses the test defines.
 type harness struct {
-	t        *testing.T
-	table    *fleet.Table
-	router   *ingress.Router
-	view     atomic.Pointer[fleet.View]
-	age      atomic.Int64
-	leaving  atomic.Bool
-	frontend *httptest.Server
+	t      *testing.T
+	table  *fleet.Table
+	router *ingress.Router
+	view   atomic.Pointer[fleet.View]
+	age    atomic.Int64
+	// viewWasRead, if set, is called right after the handler has read the view.
+	viewWasRead func()
+	leaving     atomic.Bool
+	frontend    *httptest.Server
 
 	mu       sync.Mutex
 	requests []receivedRequest
@@ -71,10 +73,15 @@
 	logger.SetOutput(io.Discard)
 	pool := backend.NewPool()
 	handler := ingress.NewHandler(ingress.Dependencies{
-		Config:     cfg,
-		Headers:    names,
-		View:       h.view.Load,
-		Age:        func() time.Duration { return time.Duration(h.age.Load()) },
+		Config:  cfg,
+		Headers: names,
+		Current: func() (*fleet.View, time.Duration) {
+			view, age := h.view.Load(), time.Duration(h.age.Load())
+			if h.viewWasRead != nil {
+				h.viewWasRead()
+			}
+			return view, age
+		},
 		Leaving:    h.leaving.Load,
 		RetryAfter: func(d time.Duration) string { return d.String() },
 		Pool:       pool,
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -302,3 +302,20 @@
 	require.Equal(t, http.StatusOK, got.status)
 	require.Equal(t, "ok", got.body)
 }
+
+// TestKeyIsCheckedAgainstTheConfigurationThatWasConfirmed guards against a key that was taken away and is accepted because the
+// configuration that arrives while the request is checked is recent.
+func TestKeyIsCheckedAgainstTheConfigurationThatWasConfirmed(t *testing.T) {
+	h := newHarness(t, safeRoute())
+	h.startReplica("r1", "orders", respondStamped("ok"))
+	h.age.Store(int64(time.Minute))
+	h.viewWasRead = func() {
+		h.table.SetConfiguration(&fleet.Configuration{Version: 2, Routes: []fleet.Route{safeRoute()}, Teams: []fleet.Team{{Name: "blue"}}})
+		h.publish()
+		h.age.Store(0)
+	}
+	require.Equal(t, http.StatusServiceUnavailable, h.call(http.MethodGet, "/safe/x", "", nil).status)
+	h.viewWasRead = nil
+	require.Equal(t, http.StatusUnauthorized, h.call(http.MethodGet, "/safe/x", "", nil).status)
+	require.Empty(t, h.received())
+}
