State up to when a relay's own watch is complete

Cause: a relay waits at the store for 0.5 s where the follower asks for 1.6 s. The follower took an answer without changes that arrived after 1.6 s for one that had waited in full, up to 1.1 s too long for the age of API keys.

TestRelayStatesTheWaitOfItsWatch on the code before:

--- FAIL: TestRelayStatesTheWaitOfItsWatch (0.50s) Error: "0s" is not positive

--- a/protocol/feed/feed.go
+++ b/protocol/feed/feed.go
@@ -41,8 +41,8 @@
 	// store then gives out revisions again, so revisions of two eras must not be compared.
 	Era int64
 	// Relayed is true if another host read the batch from the store. HeldFor is then the time for which that host held the call.
-	// CompleteAfter is the time after the call was sent up to which the store has confirmed that the batch is complete, mostly
-	// negative. It is 0 for a batch that was read from the store with the wait that the caller asked for.
+	// CompleteAfter is the time after the call was sent up to which the store has confirmed that the batch is complete. It is mostly
+	// negative if another host read it. A source that always waits for as long as the caller asks may leave it 0.
 	Relayed       bool
 	HeldFor       time.Duration
 	CompleteAfter time.Duration
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -30,6 +31,8 @@
 	era, revision int64
 	records       map[string]feed.Record
 	changes       []feed.Record
+	// waits makes watches without changes wait for as long as they ask for.
+	waits bool
 }
 
 func newStore() *store { return &store{revision: 1, records: map[string]feed.Record{}} }
@@ -59,10 +62,13 @@
 	return batch, nil
 }
 
-func (s *store) Watch(_ context.Context, _ feed.Kind, since int64, _ time.Duration) (feed.Batch, error) {
+func (s *store) Watch(_ context.Context, _ feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
 	s.calls.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.waits && since == s.revision {
+		time.Sleep(wait)
+	}
 	batch := feed.Batch{Revision: s.revision, Era: s.era}
 	for _, record := range s.changes {
 		if record.Revision > since {
@@ -251,6 +257,21 @@
 	}
 }
 
+// TestRelayStatesTheWaitOfItsWatch guards against API keys that are accepted for longer because a watch of a relay, which waits at the
+// store for less than it was asked to, counts as one that waited in full if the host was suspended meanwhile.
+func TestRelayStatesTheWaitOfItsWatch(t *testing.T) {
+	s := newStore()
+	s.waits = true
+	h := hosts(t, s, "127.0.21.1")[0]
+	h.SetRelay(h.addr)
+	read := h.readAll(t)
+	sent := bootclock.Now()
+	batch, err := h.Watch(t.Context(), feed.KindConfiguration, read.Revision, time.Minute)
+	require.NoError(t, err)
+	require.Positive(t, batch.CompleteAfter)
+	require.LessOrEqual(t, batch.CompleteAfter, bootclock.Since(sent))
+}
+
 // TestWatchEndsWhenTheStoreIsLost guards against a watch that waits on at a relay which the store does not answer any more.
 func TestWatchEndsWhenTheStoreIsLost(t *testing.T) {
 	relayHost := hosts(t, newStore(), "127.0.21.1")[0]
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -174,11 +174,27 @@
 
 // Watch implements feed.Source.
 func (s *Source) Watch(ctx context.Context, kind feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
-	address, ok := s.relay()
-	if !ok {
-		return s.watchDirectly(ctx, kind, since, wait)
-	}
 	sent := bootclock.Now()
+	if address, ok := s.relay(); ok {
+		batch, err := s.watchRelay(ctx, address, kind, since, wait)
+		if err == nil || ctx.Err() != nil || protocol.CodeOf(err) == protocol.CodeExpired {
+			return batch, err
+		}
+		s.fail(address, err)
+		wait = min(wait, fallbackWait)
+	}
+	batch, completeAt, err := s.watchDirectly(ctx, kind, since, wait)
+	if err != nil {
+		return feed.Batch{}, err
+	}
+	// The call to the store was sent later and may have waited for less than the caller asked for.
+	batch.CompleteAfter = time.Duration(completeAt - sent)
+	return batch, nil
+}
+
+func (s *Source) watchRelay(
+	ctx context.Context, address netip.Addr, kind feed.Kind, since int64, wait time.Duration,
+) (feed.Batch, error) {
 	relayWait := otherWait
 	if kind == feed.KindConfiguration {
 		relayWait = configurationWait
@@ -189,16 +205,7 @@
 		paramEra:   {strconv.FormatInt(s.newestOf(kind).era, 10)},
 		paramWait:  {strconv.FormatInt(relayWait.Milliseconds(), 10)},
 	}
-	batch, err := s.readRelay(ctx, address, kind, query, relayWait+watchSlack)
-	if err == nil || ctx.Err() != nil || protocol.CodeOf(err) == protocol.CodeExpired {
-		return batch, err
-	}
-	s.fail(address, err)
-	lost := bootclock.Since(sent)
-	batch, err = s.watchDirectly(ctx, kind, since, min(wait, fallbackWait))
-	// The store answered a call that was sent later and waited for less than the caller asked for.
-	batch.CompleteAfter = lost
-	return batch, err
+	return s.readRelay(ctx, address, kind, query, relayWait+watchSlack)
 }
 
 // readRelay makes one call to a relay.
@@ -306,10 +313,13 @@
 	return batch, nil
 }
 
-func (s *Source) watchDirectly(ctx context.Context, kind feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
+// watchDirectly watches a kind at the store. It also returns the time up to which the store has confirmed that the batch is complete.
+func (s *Source) watchDirectly(
+	ctx context.Context, kind feed.Kind, since int64, wait time.Duration,
+) (feed.Batch, bootclock.Instant, error) {
 	cached := s.cfg.Cache != nil && s.cfg.Cache.Holds(kind, s.newestOf(kind).era, since)
 	if !cached && s.cfg.Cache != nil && s.elected() {
-		return feed.Batch{}, protocol.Errorf(protocol.CodeExpired, "%s must be listed to answer other hosts", kind)
+		return feed.Batch{}, 0, protocol.Errorf(protocol.CodeExpired, "%s must be listed to answer other hosts", kind)
 	}
 	if cached && kind == feed.KindConfiguration && s.elected() {
 		wait = min(wait, probeWait)
@@ -320,17 +330,17 @@
 	sent := bootclock.Now()
 	batch, err := s.cfg.Store.Watch(ctx, kind, since, wait)
 	if err != nil {
-		return batch, err
+		return feed.Batch{}, 0, err
 	}
 	s.recordDirect(kind, batch)
+	completeAt := sent
+	if len(batch.Records) == 0 && bootclock.Since(sent) >= wait {
+		completeAt = sent + bootclock.Instant(wait)
+	}
 	if cached {
-		completeAt := sent
-		if len(batch.Records) == 0 && bootclock.Since(sent) >= wait {
-			completeAt = sent + bootclock.Instant(wait)
-		}
 		s.cfg.Cache.PutChanges(kind, batch, completeAt)
 	}
-	return batch, nil
+	return batch, completeAt, nil
 }
 
 func (s *Source) elected() bool {
