Count each request on the users' platform in one outcome

Passed-on responses of 500 or more counted in no outcome, and callers that disconnected while they waited for capacity counted as refused with no_capacity.

Change: a request's outcome is set where it ends and counted in one place when its handler ends, also after a panic (ingress_aborted). New counters ingress_failed and ingress_aborted. A failed response has the log line "request failed" with the request's id, under the rate limit of the log.

Found by the test with a half-closed connection: the handler returned after the caller had disconnected, so net/http sent "HTTP/1.1 200 OK, Content-Length: 0" to a caller that had closed only its own side. The connection is now closed without a response. While waiting for capacity such a caller got a 503; that becomes a closed connection as well.

--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -56,6 +56,9 @@
 	buffer responseBuffer
 	// heldUntil is the time at which a replica takes requests again, set if the request is refused because none does now.
 	heldUntil time.Time
+	// outcome is set once the request has ended, refusalCode together with outcomeRefused.
+	outcome     outcome
+	refusalCode string
 }
 
 // attemptResult describes how an attempt ended.
@@ -82,13 +85,16 @@
 	for {
 		choice, err := c.pickReplica(ctx)
 		if err != nil {
+			if c.r.Context().Err() != nil {
+				c.abandon()
+			}
 			c.endWithError(err)
 			return
 		}
 		result := c.attempt(ctx, choice)
 		c.h.router.done(choice, result.outcome, result.latency)
 		if result.responded {
-			varServed.Add(1)
+			c.outcome = outcomeServed
 			c.releaseNextChoice()
 			return
 		}
@@ -99,7 +105,6 @@
 		if c.r.Context().Err() != nil {
 			c.releaseNextChoice()
 			c.abandon()
-			return
 		}
 		if !c.mayRetry(choice, result) {
 			c.releaseNextChoice()
@@ -226,11 +231,15 @@
 func (c *call) endWithError(err *transport.Error) {
 	switch {
 	case c.stream.started:
-		varStreamsCut.Add(1)
+		c.outcome = outcomeCut
 		c.h.log.write("stream cut", c.fields(logrus.Fields{"reason": err.Error()}))
 		panic(http.ErrAbortHandler)
 	case c.errorResponse != nil:
+		c.h.log.write("request failed", c.fields(logrus.Fields{
+			"status": c.errorResponse.status, "replica": c.errorResponse.replica, "sends": c.attempts, "reason": err.Error(),
+		}))
 		c.errorResponse.write(c)
+		c.outcome = outcomeFailed
 	case c.mayHaveRun && err.Run == api.RunNotRun:
 		c.refuse(transport.Errorf(http.StatusBadGateway, api.CodeUpstreamFailed, api.RunUnknown,
 			"an earlier attempt may have run, and then: %v", err))
@@ -241,7 +250,6 @@
 
 // refuse writes an error response, with a Retry-After if the caller may try again.
 func (c *call) refuse(err *transport.Error) {
-	varRefused.Add(err.Code, 1)
 	if err.Status == http.StatusServiceUnavailable || err.Status == http.StatusTooManyRequests {
 		c.w.Header().Set("Retry-After", c.h.RetryAfter(c.retryAfter()))
 	}
@@ -249,6 +257,7 @@
 		"status": err.Status, "code": err.Code, "run": err.Run, "reason": err.Error(), "view_age_ms": c.h.Age().Milliseconds(),
 	}))
 	transport.WriteError(c.w, c.id, err)
+	c.outcome, c.refusalCode = outcomeRefused, err.Code
 }
 
 // retryAfter returns a jittered delay, limited to a part of the caller's remaining time. If no replica takes requests before a
@@ -265,12 +274,11 @@
 	return c.h.router.jitter(max(delay, c.h.Config.RetryAfterMin))
 }
 
-// abandon ends a request whose caller has disconnected.
+// abandon aborts a request whose caller has disconnected, and panics to do so. A return would send an empty response with status 200, which a caller that
+// has closed only its own side of the connection would take for the complete one.
 func (c *call) abandon() {
-	varAbandoned.Add(1)
-	if c.stream.started {
-		panic(http.ErrAbortHandler)
-	}
+	c.outcome = outcomeAbandoned
+	panic(http.ErrAbortHandler)
 }
 
 // logFailedAttempt logs an attempt that did not serve the request.
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -68,7 +68,7 @@
 		view:    h.View(),
 		buffer:  responseBuffer{shared: &h.buffers},
 	}
-	defer c.buffer.release()
+	defer c.finish()
 	if h.Leaving() {
 		// Makes the caller open its next connection to another host.
 		w.Header().Set("Connection", "close")
@@ -80,6 +80,12 @@
 	c.serve()
 }
 
+// finish counts a request that has ended and releases what it holds.
+func (c *call) finish() {
+	c.buffer.release()
+	c.countOutcome()
+}
+
 // prepare finds the route, the team and the deadline of a request and reads its body.
 func (c *call) prepare() *transport.Error {
 	if !c.view.Ready() {
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
@@ -44,6 +45,7 @@
 	age      atomic.Int64
 	leaving  atomic.Bool
 	frontend *httptest.Server
+	log      *logtest.Hook
 
 	mu       sync.Mutex
 	requests []receivedRequest
@@ -69,6 +71,7 @@
 	h.router = ingress.NewRouter(cfg, rand.New(rand.NewPCG(1, 1)), time.Now)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	h.log = logtest.NewLocal(logger)
 	pool := backend.NewPool()
 	handler := ingress.NewHandler(ingress.Dependencies{
 		Config:     cfg,
@@ -130,6 +133,17 @@
 	return append([]receivedRequest(nil), h.requests...)
 }
 
+// logLines returns the lines that the entry logged with a message.
+func (h *harness) logLines(message string) []*logrus.Entry {
+	var lines []*logrus.Entry
+	for _, line := range h.log.AllEntries() {
+		if line.Message == message {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 // callerResponse is the response that the caller received; err is set if its body ended early.
 type callerResponse struct {
 	status int
--- a/transport/ingress/metrics.go
+++ b/transport/ingress/metrics.go
@@ -19,6 +19,7 @@
 var (
 	varRequests         = expvar.NewInt("ingress_requests")
 	varServed           = expvar.NewInt("ingress_served")
+	varFailed           = expvar.NewInt("ingress_failed")
 	varRefused          = expvar.NewMap("ingress_refused")
 	varAttempts         = expvar.NewInt("ingress_attempts")
 	varRetries          = expvar.NewInt("ingress_retries")
@@ -26,6 +27,7 @@
 	varStreamsResumed   = expvar.NewInt("ingress_streams_resumed")
 	varStreamsCut       = expvar.NewInt("ingress_streams_cut")
 	varAbandoned        = expvar.NewInt("ingress_abandoned")
+	varAborted          = expvar.NewInt("ingress_aborted")
 	varLogDropped       = expvar.NewInt("ingress_log_lines_dropped")
 
 	varLatency = newLatency()
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -15,6 +15,7 @@
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/backend"
 )
 
@@ -33,9 +34,10 @@
 
 // bufferedResponse is a response of a replica that has been read completely.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	replica fleet.ReplicaID
+	status  int
+	header  http.Header
+	body    []byte
 }
 
 // write sends the response to the caller unchanged.
@@ -87,7 +89,7 @@
 	if c.stream.started {
 		return attemptResult{outcome: dispatch.OutcomeFailed, err: eris.Errorf("resumed stream got status %d", response.Status)}
 	}
-	return c.relayBuffered(ctx, response, sent, guard)
+	return c.relayBuffered(ctx, choice, response, sent, guard)
 }
 
 // outdated reports whether the version of the chosen replica is older than the oldest allowed by now.
@@ -248,7 +250,7 @@
 
 // relayBuffered reads the complete response before it sends any of it to the caller.
 func (c *call) relayBuffered(
-	ctx context.Context, response *backend.Response, sent time.Time, guard *attemptGuard,
+	ctx context.Context, choice dispatch.Choice, response *backend.Response, sent time.Time, guard *attemptGuard,
 ) attemptResult {
 	body, err := c.buffer.readAll(response.Body, c.h.Config.MaxResponseBytes)
 	if err != nil {
@@ -261,7 +263,7 @@
 	// A complete response is forwarded even if the guard has canceled the attempt meanwhile.
 	_ = guard.disarm()
 	varLatency.record(c.h.Now().Sub(c.arrived))
-	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
+	buffered := &bufferedResponse{replica: choice.ID, status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
 		return attemptResult{
 			outcome: dispatch.OutcomeFailed, errorResponse: buffered, err: eris.Errorf("replica returned status %d", response.Status),
