Record the latency of each request once, by its outcome

Decision: an on-call engineer compares the latency of served requests with the objective and asks apart from it how long the others were kept waiting. ingress_latency_ms keeps its name and form and has the served requests only, with the time to the response or to the first event. The new map ingress_outcome_latency_ms has one histogram per outcome, with the same one as "served"; the others have the time to the end. Its counts equal the counters of the outcomes. Ruled out: one histogram of all requests, whose quantiles mix 1 ms refusals with responses.

internal/metricsdoc reads the keys of the new map from the array of the outcomes' names and refuses an assignment to it.

Failing first, with the new map published and not filled: TestLatencyIsRecordedOnceByOutcome fails in 14 of its 18 cases, such as response_after_an_error_response "expected: 1, actual: 2" and error_response "expected: 0, actual: 1" in "served", no_replica "0 is not positive" in "refused". After: go test -race ./transport/ingress ./internal/metricsdoc passes.

--- a/internal/metricsdoc/metricsdoc_test.go
+++ b/internal/metricsdoc/metricsdoc_test.go
@@ -20,6 +20,7 @@
 	objectAPI := [][]string{objectAPIOperations(t), constantsOfType(t, "protocol/platform", "Kind")}
 	return map[string][][]string{
 		"ingress_refused":            {ingressErrorCodes(t)},
+		"ingress_outcome_latency_ms": {valuesOfArray(t, "transport/ingress", "outcomeNames")},
 		"staging_pieces":             {constantsOfType(t, "coordination/transfer", "Outcome")},
 		"object_api_calls":           objectAPI,
 		"object_api_failures":        objectAPI,
--- a/internal/metricsdoc/source_test.go
+++ b/internal/metricsdoc/source_test.go
@@ -97,6 +97,41 @@
 	return values
 }
 
+// valuesOfArray returns the elements of a package's array of string literals, which is a variable that nothing else assigns.
+func valuesOfArray(t *testing.T, dir, name string) []string {
+	t.Helper()
+	var values []string
+	walkSource(t, dir, func(files *token.FileSet, file *ast.File) {
+		ast.Inspect(file, func(node ast.Node) bool {
+			switch node := node.(type) {
+			case *ast.ValueSpec:
+				if len(node.Names) != 1 || node.Names[0].Name != name {
+					break
+				}
+				position := files.Position(node.Pos())
+				require.Empty(t, values, "%s: a second %s", position, name)
+				literal, ok := node.Values[0].(*ast.CompositeLit)
+				require.True(t, ok, "%s: %s is not an array literal", position, name)
+				for _, element := range literal.Elts {
+					if pair, ok := element.(*ast.KeyValueExpr); ok {
+						element = pair.Value
+					}
+					values = append(values, stringLiteral(t, element, position))
+				}
+			case *ast.AssignStmt:
+				for _, left := range node.Lhs {
+					if index, ok := left.(*ast.IndexExpr); ok {
+						left = index.X
+					}
+					require.False(t, isIdent(left, name), "%s: %s is assigned", files.Position(node.Pos()), name)
+				}
+			}
+			return true
+		})
+	})
+	return distinct(t, values)
+}
+
 // objectAPIOperations returns the operations with which the client of the object API calls its circuit breaker.
 func objectAPIOperations(t *testing.T) []string {
 	t.Helper()
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -59,6 +59,8 @@
 	// outcome is set once the request has ended, refusalCode together with outcomeRefused.
 	outcome     outcome
 	refusalCode string
+	// responseLatency is the time from the arrival to the complete response, or to the first event of a stream.
+	responseLatency time.Duration
 }
 
 // attemptResult describes how an attempt ended.
--- a/transport/ingress/metrics.go
+++ b/transport/ingress/metrics.go
@@ -29,13 +29,22 @@
 	varAbandoned        = expvar.NewInt("ingress_abandoned")
 	varAborted          = expvar.NewInt("ingress_aborted")
 	varLogDropped       = expvar.NewInt("ingress_log_lines_dropped")
-
-	varLatency = newLatency()
+	varOutcomeLatency   = expvar.NewMap("ingress_outcome_latency_ms")
 )
 
-func init() { expvar.Publish("ingress_latency_ms", expvar.Func(varLatency.quantiles)) }
+// latencies are the latencies of the requests by outcome.
+var latencies [len(outcomeNames)]*latency
+
+func init() {
+	for outcome, name := range outcomeNames {
+		latencies[outcome] = newLatency()
+		varOutcomeLatency.Set(name, expvar.Func(latencies[outcome].quantiles))
+	}
+	expvar.Publish("ingress_latency_ms", expvar.Func(latencies[outcomeServed].quantiles))
+}
 
-// latency is a histogram of the time from the arrival of a request to its response or to the first event of its stream.
+// latency is a histogram of the time from the arrival of requests to their end; for a served one, to its response or to the first
+// event of its stream.
 type latency struct {
 	mu        sync.Mutex
 	histogram *hdrhistogram.Histogram
--- a/transport/ingress/metrics_test.go
+++ b/transport/ingress/metrics_test.go
@@ -6,26 +6,27 @@
 )
 
 // recordServed makes the metric calls of a request that its first attempt serves.
-func recordServed(latency time.Duration) {
+func recordServed(c *call) {
 	varRequests.Add(1)
 	varAttempts.Add(1)
-	varLatency.record(latency)
-	varServed.Add(1)
+	c.countOutcome()
 }
 
 // BenchmarkMetricsOfServedRequest measures the metric calls of a served request.
 func BenchmarkMetricsOfServedRequest(b *testing.B) {
 	b.Run("one caller", func(b *testing.B) {
+		c := &call{outcome: outcomeServed, responseLatency: 12 * time.Millisecond}
 		b.ReportAllocs()
 		for b.Loop() {
-			recordServed(12 * time.Millisecond)
+			recordServed(c)
 		}
 	})
 	b.Run("parallel", func(b *testing.B) {
 		b.ReportAllocs()
 		b.RunParallel(func(pb *testing.PB) {
+			c := &call{outcome: outcomeServed, responseLatency: 12 * time.Millisecond}
 			for pb.Next() {
-				recordServed(12 * time.Millisecond)
+				recordServed(c)
 			}
 		})
 	})
--- a/transport/ingress/outcome.go
+++ b/transport/ingress/outcome.go
@@ -18,8 +18,23 @@
 	outcomeAbandoned
 )
 
-// countOutcome counts a request that has ended.
+// outcomeNames are the keys under which the metrics publish the outcomes.
+var outcomeNames = [...]string{
+	outcomeAborted:   "aborted",
+	outcomeServed:    "served",
+	outcomeFailed:    "failed",
+	outcomeRefused:   "refused",
+	outcomeCut:       "cut",
+	outcomeAbandoned: "abandoned",
+}
+
+// countOutcome counts a request that has ended and records its latency.
 func (c *call) countOutcome() {
+	latency := c.responseLatency
+	if c.outcome != outcomeServed {
+		latency = c.h.Now().Sub(c.arrived)
+	}
+	latencies[c.outcome].record(latency)
 	switch c.outcome {
 	case outcomeServed:
 		varServed.Add(1)
--- a/transport/ingress/outcome_test.go
+++ b/transport/ingress/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"expvar"
 	"fmt"
 	"io"
@@ -17,9 +18,10 @@
 	"github.com/guavatrestle/guavatrestle/transport/ingress"
 )
 
-// outcomeCounters are the metrics of which each request counts in exactly one.
-var outcomeCounters = []string{
-	"ingress_served", "ingress_failed", "ingress_refused", "ingress_streams_cut", "ingress_abandoned", "ingress_aborted",
+// outcomeCounters are the metrics of which each request counts in exactly one, with the key of the latency of its requests.
+var outcomeCounters = map[string]string{
+	"ingress_served": "served", "ingress_failed": "failed", "ingress_refused": "refused", "ingress_streams_cut": "cut",
+	"ingress_abandoned": "abandoned", "ingress_aborted": "aborted",
 }
 
 // counterValue returns the value of a counter, or the sum of a map of counters.
@@ -37,15 +39,41 @@
 	return 0
 }
 
-func counterValues(t *testing.T, names ...string) map[string]int64 {
+// outcomeValues returns the values of outcomeCounters.
+func outcomeValues(t *testing.T) map[string]int64 {
 	t.Helper()
 	values := map[string]int64{}
-	for _, name := range names {
+	for name := range outcomeCounters {
 		values[name] = counterValue(t, name)
 	}
 	return values
 }
 
+// publishedLatency is a histogram as it is published.
+type publishedLatency struct {
+	Count              int64
+	P50, P90, P95, P99 int64
+	Max                int64
+}
+
+// latencyOfServed returns the latency of the served requests.
+func latencyOfServed(t *testing.T) publishedLatency {
+	t.Helper()
+	var latency publishedLatency
+	require.NoError(t, json.Unmarshal([]byte(expvar.Get("ingress_latency_ms").String()), &latency))
+	return latency
+}
+
+// latencyByOutcome returns the latency of all requests by their outcome.
+func latencyByOutcome(t *testing.T) map[string]publishedLatency {
+	t.Helper()
+	metric := expvar.Get("ingress_outcome_latency_ms")
+	require.NotNil(t, metric, "not published")
+	latency := map[string]publishedLatency{}
+	require.NoError(t, json.Unmarshal([]byte(metric.String()), &latency))
+	return latency
+}
+
 // endOfRequests waits until the entry has ended all requests, after which it takes no more.
 func (h *harness) endOfRequests() { h.frontend.Close() }
 
@@ -148,20 +176,44 @@
 	}
 }
 
-// TestRequestCountsInExactlyOneOutcome guards against requests that count in no outcome or in several, so that the outcomes do not
-// add up to the requests. Responses of 500 and more that were passed on counted in none, and callers that disconnected while they
-// waited for capacity counted as refused.
-func TestRequestCountsInExactlyOneOutcome(t *testing.T) {
+// outcomeTest is a request with the counter of its outcome.
+type outcomeTest struct {
+	name, outcome string
+	run           func(t *testing.T) *harness
+}
+
+// outcomeTests has a request for each way in which requests end.
+func outcomeTests() []outcomeTest {
 	serverError := respondStatus(http.StatusInternalServerError, names.Stamp)
 	noTargets := safeRoute()
 	noTargets.Targets = nil
-	for _, test := range []struct {
-		name, outcome string
-		run           func(t *testing.T) *harness
-	}{
+	return []outcomeTest{
 		{"response", "ingress_served", replicaCall(safeRoute(), respondStamped("ok"))},
 		{"client error of the replica", "ingress_served", replicaCall(safeRoute(), respondStatus(http.StatusNotFound, names.Stamp))},
+		{"response after an error response", "ingress_served", func(t *testing.T) *harness {
+			h := newHarness(t, safeRoute())
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				if len(h.received()) == 1 {
+					serverError(w, r)
+					return
+				}
+				respondStamped("ok")(w, r)
+			}
+			h.startReplica("r1", "orders", serve)
+			h.startReplica("r2", "orders", serve)
+			require.Equal(t, http.StatusOK, h.call(http.MethodGet, "/safe/x", "", nil).status)
+			require.Len(t, h.received(), 2)
+			return h
+		}},
 		{"stream", "ingress_served", replicaCall(streamRoute(), serveEvents(0, 2, false))},
+		{"stream that is resumed", "ingress_served", func(t *testing.T) *harness {
+			h := newHarness(t, streamRoute())
+			h.startReplica("r1", "llm", serveResumable)
+			h.startReplica("r2", "llm", serveResumable)
+			require.NoError(t, h.call(http.MethodPost, "/stream/x", "prompt", nil).err)
+			require.Len(t, h.received(), 2)
+			return h
+		}},
 		{"error response", "ingress_failed", replicaCall(safeRoute(), serverError)},
 		{"error response that is not retried", "ingress_failed", replicaCall(unsafeRoute(), serverError)},
 		{"retried error response", "ingress_failed", func(t *testing.T) *harness {
@@ -194,12 +246,19 @@
 			require.Error(t, h.tryCall(t.Context(), "/safe/x"))
 			return h
 		}},
-	} {
+	}
+}
+
+// TestRequestCountsInExactlyOneOutcome guards against requests that count in no outcome or in several, so that the outcomes do not
+// add up to the requests. Responses of 500 and more that were passed on counted in none, and callers that disconnected while they
+// waited for capacity counted as refused.
+func TestRequestCountsInExactlyOneOutcome(t *testing.T) {
+	for _, test := range outcomeTests() {
 		t.Run(test.name, func(t *testing.T) {
-			requests, before := counterValue(t, "ingress_requests"), counterValues(t, outcomeCounters...)
+			requests, before := counterValue(t, "ingress_requests"), outcomeValues(t)
 			test.run(t).endOfRequests()
 			sum := int64(0)
-			for name, value := range counterValues(t, outcomeCounters...) {
+			for name, value := range outcomeValues(t) {
 				want := int64(0)
 				if name == test.outcome {
 					want = 1
@@ -212,6 +271,29 @@
 	}
 }
 
+// TestLatencyIsRecordedOnceByOutcome guards against quantiles that mix served requests with failed attempts, requests that are
+// recorded once per attempt, and refused requests whose wait is in no histogram.
+func TestLatencyIsRecordedOnceByOutcome(t *testing.T) {
+	for _, test := range outcomeTests() {
+		t.Run(test.name, func(t *testing.T) {
+			served, before := latencyOfServed(t).Count, latencyByOutcome(t)
+			test.run(t).endOfRequests()
+			after := latencyByOutcome(t)
+			for _, key := range outcomeCounters {
+				want := int64(0)
+				if key == outcomeCounters[test.outcome] {
+					want = 1
+					require.Positive(t, after[key].P50)
+					require.GreaterOrEqual(t, after[key].Max, after[key].P99)
+				}
+				require.Equal(t, want, after[key].Count-before[key].Count, key)
+			}
+			require.Equal(t, after["served"].Count-before["served"].Count, latencyOfServed(t).Count-served)
+			require.Len(t, after, len(outcomeCounters))
+		})
+	}
+}
+
 // TestFailedResponseIsLogged guards against a response of 500 or more whose request can't be found in the log, and against a log that
 // grows without bound with such responses.
 func TestFailedResponseIsLogged(t *testing.T) {
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -124,7 +124,7 @@
 		return
 	}
 	c.stream.started = true
-	varLatency.record(c.h.Now().Sub(c.arrived))
+	c.responseLatency = c.h.Now().Sub(c.arrived)
 	target := c.w.Header()
 	headers.RemoveHopByHop(response.Header)
 	delete(response.Header, "Content-Length")
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -262,13 +262,13 @@
 	}
 	// A complete response is forwarded even if the guard has canceled the attempt meanwhile.
 	_ = guard.disarm()
-	varLatency.record(c.h.Now().Sub(c.arrived))
 	buffered := &bufferedResponse{replica: choice.ID, status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
 		return attemptResult{
 			outcome: dispatch.OutcomeFailed, errorResponse: buffered, err: eris.Errorf("replica returned status %d", response.Status),
 		}
 	}
+	c.responseLatency = c.h.Now().Sub(c.arrived)
 	buffered.write(c)
 	return attemptResult{outcome: dispatch.OutcomeServed, responded: true, latency: c.h.Now().Sub(sent)}
 }
