Publish outcomes and latency of requests by upstream

Change: ingress_upstream_requests and ingress_upstream_latency_ms have a key per upstream and outcome. The first 32 upstreams with a request have a label of their own until the process ends; further ones share "other", and "none" has the requests that ended before an upstream was chosen. A request is recorded in one histogram, that of its upstream and outcome; ingress_outcome_latency_ms and ingress_latency_ms are merged from these when they are read. Labels are read without a lock. Ruled out: keys that are made per request and added to an expvar.Map, which allocate.

internal/metricsdoc: a set of keys on the page may state a number of names from the configuration, which must equal the constant in the code, and counts in the bound. Other text in the cell is now an error. The keys of the two maps may be added in one place only, and transport/ingress may not convert text to an upstream.

Failing first: TestRequestCountsUnderItsUpstream with the upstream left out ("none served":11 instead of "orders served":1). After: go test -race -count 3 ./transport/ingress and go test -race ./internal/... ./transport/hosted pass.

A histogram has 11,332 bytes and is made at the first request of its key, so all 204 keys take 2.3 MB.

--- a/internal/metricsdoc/metricsdoc_test.go
+++ b/internal/metricsdoc/metricsdoc_test.go
@@ -14,17 +14,28 @@
 	page = root + "/docs/metrics.md"
 )
 
-// keySources returns for each published map the constants from which its keys are formed: one set, or several whose
-// members are joined. A map without an entry fails the test, so that none is added without a bound.
-func keySources(t *testing.T) map[string][][]string {
-	objectAPI := [][]string{objectAPIOperations(t), constantsOfType(t, "protocol/platform", "Kind")}
-	return map[string][][]string{
-		"ingress_refused":            {ingressErrorCodes(t)},
-		"ingress_outcome_latency_ms": {valuesOfArray(t, "transport/ingress", "outcomeNames")},
-		"staging_pieces":             {constantsOfType(t, "coordination/transfer", "Outcome")},
-		"object_api_calls":           objectAPI,
-		"object_api_failures":        objectAPI,
-		"object_api_calls_held_back": objectAPI,
+// keySources returns for each published map the sets from which its keys are formed: one set, or several whose members are
+// joined. A set has the constants of the code, and if some keys come from the configuration, the constant that limits their
+// number. A map without an entry fails the test, so that none is added without a bound.
+func keySources(t *testing.T) map[string][]keySet {
+	constants := func(values []string) keySet { return keySet{constants: values} }
+	objectAPI := []keySet{constants(objectAPIOperations(t)), constants(constantsOfType(t, "protocol/platform", "Kind"))}
+	outcomes := constants(valuesOfArray(t, "transport/ingress", "outcomeNames"))
+	upstreams := keySet{
+		constants: []string{
+			stringConstant(t, "transport/ingress", "otherUpstreamsLabel"), stringConstant(t, "transport/ingress", "noUpstreamLabel"),
+		},
+		configured: intConstant(t, "transport/ingress", "maxUpstreamLabels"),
+	}
+	return map[string][]keySet{
+		"ingress_refused":             {constants(ingressErrorCodes(t))},
+		"ingress_outcome_latency_ms":  {outcomes},
+		"ingress_upstream_requests":   {upstreams, outcomes},
+		"ingress_upstream_latency_ms": {upstreams, outcomes},
+		"staging_pieces":              {constants(constantsOfType(t, "coordination/transfer", "Outcome"))},
+		"object_api_calls":            objectAPI,
+		"object_api_failures":         objectAPI,
+		"object_api_calls_held_back":  objectAPI,
 	}
 }
 
@@ -72,8 +83,9 @@
 		require.Len(t, row.sets, len(sets), "sets of keys of %s", name)
 		bound := 1
 		for i, set := range sets {
-			assert.ElementsMatch(t, set, row.sets[i], "keys of %s", name)
-			bound *= len(set)
+			assert.ElementsMatch(t, set.constants, row.sets[i].constants, "keys of %s", name)
+			assert.Equal(t, set.configured, row.sets[i].configured, "number of names from the configuration in the keys of %s", name)
+			bound *= len(set.constants) + set.configured
 		}
 		assert.Equal(t, bound, row.bound, "bound of %s", name)
 	}
@@ -90,6 +102,9 @@
 		assert.False(t, isSelector(call.Fun, "transfer", "Outcome"), "%s converts text to an outcome", position)
 		assert.False(t, isSelector(call.Fun, "platform", "Kind"), "%s converts text to a kind of object", position)
 	})
+	walkCalls(t, "transport/ingress", func(call *ast.CallExpr, position token.Position) {
+		assert.False(t, isSelector(call.Fun, "core", "Upstream"), "%s converts text to an upstream", position)
+	})
 	walkSource(t, "transport/ingress", func(files *token.FileSet, file *ast.File) {
 		ast.Inspect(file, func(node ast.Node) bool {
 			if literal, ok := node.(*ast.CompositeLit); ok {
@@ -100,3 +115,22 @@
 		})
 	})
 }
+
+// TestKeysOfUpstreamsAreAddedInOnePlace guards against keys from the configuration that are added past the limit of their number.
+// The tests of transport/ingress check the limit of outcomeMetrics, whose function publish adds the keys.
+func TestKeysOfUpstreamsAreAddedInOnePlace(t *testing.T) {
+	for _, variable := range []string{"varUpstreamRequests", "varUpstreamLatency"} {
+		require.Equal(t, 2, countIdents(t, "transport/ingress", variable), "the declaration of %s and its use by publish", variable)
+	}
+	calls := 0
+	walkCalls(t, "transport/ingress", func(call *ast.CallExpr, position token.Position) {
+		if function, ok := call.Fun.(*ast.SelectorExpr); ok && function.Sel.Name == "publish" {
+			calls++
+		}
+		if isIdent(call.Fun, "newOutcomeMetrics") {
+			_, ok := call.Args[0].(*ast.FuncLit)
+			assert.True(t, ok, "%s: publish is a function that has another use", position)
+		}
+	})
+	require.Equal(t, 1, calls, "calls of publish")
+}
--- a/internal/metricsdoc/page_test.go
+++ b/internal/metricsdoc/page_test.go
@@ -21,10 +21,16 @@
 
 // keysRow is a row of the table of the maps' keys.
 type keysRow struct {
-	sets  [][]string
+	sets  []keySet
 	bound int
 }
 
+// keySet is a set of keys, or of parts of keys: constants, and at most a number of names from the configuration.
+type keySet struct {
+	constants  []string
+	configured int
+}
+
 type pageContent struct {
 	metrics map[string]metricRow
 	keys    map[string]keysRow
@@ -33,6 +39,7 @@
 var (
 	separatorLine = regexp.MustCompile(`^\|[-|]+\|$`)
 	codeSpan      = regexp.MustCompile("`([^`]+)`")
+	keySetCell    = regexp.MustCompile("^(?:`[^`]+` ?)*(?:and up to ([0-9]+) names from the configuration)?$")
 )
 
 // readPage reads the tables of docs/metrics.md. A table that is of neither kind fails the test, as its rows would not be
@@ -81,11 +88,24 @@
 	require.NoError(t, err, "bound of %s", name[0])
 	row := keysRow{bound: bound}
 	for set := range strings.SplitSeq(cells[1], "×") {
-		row.sets = append(row.sets, codeSpans(set))
+		row.sets = append(row.sets, keySetOf(t, name[0], strings.TrimSpace(set)))
 	}
 	p.keys[name[0]] = row
 }
 
+func keySetOf(t *testing.T, name, text string) keySet {
+	t.Helper()
+	match := keySetCell.FindStringSubmatch(text)
+	require.NotNil(t, match, "keys of %s: %q", name, text)
+	set := keySet{constants: codeSpans(text)}
+	if match[1] != "" {
+		configured, err := strconv.Atoi(match[1])
+		require.NoError(t, err, "keys of %s", name)
+		set.configured = configured
+	}
+	return set
+}
+
 func cellsOf(t *testing.T, line string, count int) []string {
 	t.Helper()
 	cells := strings.Split(strings.Trim(line, "|"), "|")
--- a/internal/metricsdoc/source_test.go
+++ b/internal/metricsdoc/source_test.go
@@ -97,6 +97,54 @@
 	return values
 }
 
+// stringConstant returns the value of a package's string constant.
+func stringConstant(t *testing.T, dir, name string) string {
+	t.Helper()
+	expression, position := constant(t, dir, name)
+	return stringLiteral(t, expression, position)
+}
+
+// intConstant returns the value of a package's constant that is declared as an integer literal.
+func intConstant(t *testing.T, dir, name string) int {
+	t.Helper()
+	expression, position := constant(t, dir, name)
+	literal, ok := expression.(*ast.BasicLit)
+	require.True(t, ok && literal.Kind == token.INT, "%s: not an integer literal", position)
+	value, err := strconv.Atoi(literal.Value)
+	require.NoError(t, err)
+	return value
+}
+
+// constant returns the expression of the only constant with a name.
+func constant(t *testing.T, dir, name string) (expression ast.Expr, at token.Position) {
+	t.Helper()
+	walkConstants(t, dir, func(spec *ast.ValueSpec, position token.Position) {
+		for i, ident := range spec.Names {
+			if ident.Name == name {
+				require.Nil(t, expression, "%s: a second %s", position, name)
+				expression, at = spec.Values[i], position
+			}
+		}
+	})
+	require.NotNil(t, expression, "constant %s in %s", name, dir)
+	return expression, at
+}
+
+// countIdents returns how often the code of a package has an identifier.
+func countIdents(t *testing.T, dir, name string) int {
+	t.Helper()
+	count := 0
+	walkSource(t, dir, func(_ *token.FileSet, file *ast.File) {
+		ast.Inspect(file, func(node ast.Node) bool {
+			if ident, ok := node.(*ast.Ident); ok && ident.Name == name {
+				count++
+			}
+			return true
+		})
+	})
+	return count
+}
+
 // valuesOfArray returns the elements of a package's array of string literals, which is a variable that nothing else assigns.
 func valuesOfArray(t *testing.T, dir, name string) []string {
 	t.Helper()
--- a/transport/ingress/metrics.go
+++ b/transport/ingress/metrics.go
@@ -30,17 +30,21 @@
 	varAborted          = expvar.NewInt("ingress_aborted")
 	varLogDropped       = expvar.NewInt("ingress_log_lines_dropped")
 	varOutcomeLatency   = expvar.NewMap("ingress_outcome_latency_ms")
+	varUpstreamRequests = expvar.NewMap("ingress_upstream_requests")
+	varUpstreamLatency  = expvar.NewMap("ingress_upstream_latency_ms")
 )
 
-// latencies are the latencies of the requests by outcome.
-var latencies [len(outcomeNames)]*latency
+// outcomes counts the requests that have ended.
+var outcomes = newOutcomeMetrics(func(key string, l *latency) {
+	varUpstreamRequests.Set(key, expvar.Func(l.count))
+	varUpstreamLatency.Set(key, expvar.Func(l.quantiles))
+})
 
 func init() {
-	for outcome, name := range outcomeNames {
-		latencies[outcome] = newLatency()
-		varOutcomeLatency.Set(name, expvar.Func(latencies[outcome].quantiles))
+	for i, name := range outcomeNames {
+		varOutcomeLatency.Set(name, expvar.Func(func() any { return outcomes.latencyOf(outcome(i)) }))
 	}
-	expvar.Publish("ingress_latency_ms", expvar.Func(latencies[outcomeServed].quantiles))
+	expvar.Publish("ingress_latency_ms", expvar.Func(func() any { return outcomes.latencyOf(outcomeServed) }))
 }
 
 // latency is a histogram of the time from the arrival of requests to their end; for a served one, to its response or to the first
@@ -71,6 +75,20 @@
 	Max   int64 `json:"max"`
 }
 
+// addTo adds the values of l to those of total, which no other goroutine uses.
+func (l *latency) addTo(total *latency) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total.histogram.Merge(l.histogram)
+}
+
+// count returns the number of recorded values.
+func (l *latency) count() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.histogram.TotalCount()
+}
+
 func (l *latency) quantiles() any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/transport/ingress/metrics_test.go
+++ b/transport/ingress/metrics_test.go
@@ -15,7 +15,7 @@
 // BenchmarkMetricsOfServedRequest measures the metric calls of a served request.
 func BenchmarkMetricsOfServedRequest(b *testing.B) {
 	b.Run("one caller", func(b *testing.B) {
-		c := &call{outcome: outcomeServed, responseLatency: 12 * time.Millisecond}
+		c := &call{upstream: "orders", outcome: outcomeServed, responseLatency: 12 * time.Millisecond}
 		b.ReportAllocs()
 		for b.Loop() {
 			recordServed(c)
@@ -24,7 +24,7 @@
 	b.Run("parallel", func(b *testing.B) {
 		b.ReportAllocs()
 		b.RunParallel(func(pb *testing.PB) {
-			c := &call{outcome: outcomeServed, responseLatency: 12 * time.Millisecond}
+			c := &call{upstream: "orders", outcome: outcomeServed, responseLatency: 12 * time.Millisecond}
 			for pb.Next() {
 				recordServed(c)
 			}
--- a/transport/ingress/outcome.go
+++ b/transport/ingress/outcome.go
@@ -34,7 +34,7 @@
 	if c.outcome != outcomeServed {
 		latency = c.h.Now().Sub(c.arrived)
 	}
-	latencies[c.outcome].record(latency)
+	outcomes.record(c.upstream, c.outcome, latency)
 	switch c.outcome {
 	case outcomeServed:
 		varServed.Add(1)
--- a/transport/ingress/outcome_test.go
+++ b/transport/ingress/outcome_test.go
@@ -67,11 +67,7 @@
 // latencyByOutcome returns the latency of all requests by their outcome.
 func latencyByOutcome(t *testing.T) map[string]publishedLatency {
 	t.Helper()
-	metric := expvar.Get("ingress_outcome_latency_ms")
-	require.NotNil(t, metric, "not published")
-	latency := map[string]publishedLatency{}
-	require.NoError(t, json.Unmarshal([]byte(metric.String()), &latency))
-	return latency
+	return publishedMap[publishedLatency](t, "ingress_outcome_latency_ms")
 }
 
 // endOfRequests waits until the entry has ended all requests, after which it takes no more.
@@ -294,6 +290,46 @@
 	}
 }
 
+// publishedMap decodes a published map.
+func publishedMap[V any](t *testing.T, name string) map[string]V {
+	t.Helper()
+	metric := expvar.Get(name)
+	require.NotNil(t, metric, "%s is not published", name)
+	values := map[string]V{}
+	require.NoError(t, json.Unmarshal([]byte(metric.String()), &values))
+	return values
+}
+
+// TestRequestCountsUnderItsUpstream guards against an upstream whose failures can't be told from those of the others.
+func TestRequestCountsUnderItsUpstream(t *testing.T) {
+	for _, test := range []struct {
+		key string
+		run func(t *testing.T) *harness
+	}{
+		{"orders served", replicaCall(safeRoute(), respondStamped("ok"))},
+		{"orders failed", replicaCall(safeRoute(), respondStatus(http.StatusInternalServerError, names.Stamp))},
+		{"orders refused", replicaCall(safeRoute(), resetConnection)},
+		{"orders abandoned", waitForCapacity},
+		{"llm served", replicaCall(streamRoute(), serveEvents(0, 2, false))},
+		{"llm cut", replicaCall(streamRoute(), serveEvents(0, 1, true))},
+		{"none refused", func(t *testing.T) *harness {
+			h := newHarness(t, safeRoute())
+			require.NoError(t, h.tryCall(t.Context(), "/other/x"))
+			return h
+		}},
+	} {
+		t.Run(test.key, func(t *testing.T) {
+			counts, latency := publishedMap[int64](t, "ingress_upstream_requests"), publishedMap[publishedLatency](t, "ingress_upstream_latency_ms")
+			test.run(t).endOfRequests()
+			counts[test.key]++
+			require.Equal(t, counts, publishedMap[int64](t, "ingress_upstream_requests"))
+			after := publishedMap[publishedLatency](t, "ingress_upstream_latency_ms")
+			require.Equal(t, latency[test.key].Count+1, after[test.key].Count)
+			require.Len(t, after, len(counts))
+		})
+	}
+}
+
 // TestFailedResponseIsLogged guards against a response of 500 or more whose request can't be found in the log, and against a log that
 // grows without bound with such responses.
 func TestFailedResponseIsLogged(t *testing.T) {
