--- a/transport/ingress/metrics.go
+++ b/transport/ingress/metrics.go
@@ -19,6 +19,7 @@
 var (
 	varRequests         = expvar.NewInt("ingress_requests")
 	varServed           = expvar.NewInt("ingress_served")
+	varFailed           = expvar.NewInt("ingress_failed")
 	varRefused          = expvar.NewMap("ingress_refused")
 	varAttempts         = expvar.NewInt("ingress_attempts")
 	varRetries          = expvar.NewInt("ingress_retries")
@@ -26,14 +27,28 @@
 	varStreamsResumed   = expvar.NewInt("ingress_streams_resumed")
 	varStreamsCut       = expvar.NewInt("ingress_streams_cut")
 	varAbandoned        = expvar.NewInt("ingress_abandoned")
+	varAborted          = expvar.NewInt("ingress_aborted")
 	varLogDropped       = expvar.NewInt("ingress_log_lines_dropped")
-
-	varLatency = newLatency()
+	varOutcomeLatency   = expvar.NewMap("ingress_outcome_latency_ms")
+	varUpstreamRequests = expvar.NewMap("ingress_upstream_requests")
+	varUpstreamLatency  = expvar.NewMap("ingress_upstream_latency_ms")
 )
 
-func init() { expvar.Publish("ingress_latency_ms", expvar.Func(varLatency.quantiles)) }
+// outcomes counts the requests that have ended.
+var outcomes = newOutcomeMetrics(func(key string, l *latency) {
+	varUpstreamRequests.Set(key, expvar.Func(l.count))
+	varUpstreamLatency.Set(key, expvar.Func(l.quantiles))
+})
+
+func init() {
+	for i, name := range outcomeNames {
+		varOutcomeLatency.Set(name, expvar.Func(func() any { return outcomes.latencyOf(outcome(i)) }))
+	}
+	expvar.Publish("ingress_latency_ms", expvar.Func(func() any { return outcomes.latencyOf(outcomeServed) }))
+}
 
-// latency is a histogram of the time from the arrival of a request to its response or to the first event of its stream.
+// latency is a histogram of the time from the arrival of requests to their end; for a served one, to its response or to the first
+// event of its stream.
 type latency struct {
 	mu        sync.Mutex
 	histogram *hdrhistogram.Histogram
@@ -60,6 +75,20 @@
 	Max   int64 `json:"max"`
 }
 
+// addTo adds the values of l to those of total, which no other goroutine uses.
+func (l *latency) addTo(total *latency) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total.histogram.Merge(l.histogram)
+}
+
+// count returns the number of recorded values.
+func (l *latency) count() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.histogram.TotalCount()
+}
+
 func (l *latency) quantiles() any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
