Tie a load order to the worker for which the pieces were verified

Two causes, each with a test that fails without its guard:

An order may reach the successor of a restarted worker. The restart ended the wait for it, so the next version was staged before the successor carried the order out. The wait now ends with the restart only if the old worker still answered after the order had ended, or if the counts differ. TestOrderThatASuccessorReceivedIsNotForgottenWithTheWorker: "[version 2 piece 0]".

A successor that has lost the staged pieces accepted an order that was verified at its predecessor, since both had begun no order. The report is now read again right before the order and must show the same start and count. TestOrderIsNotSentToASuccessorWithoutPieces fails without the check.

What remains: a restart between that read and the order. The stand-in now says what is staged where a load was wrong.

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -119,8 +119,9 @@
 	throttle *throttle
 
 	mu sync.Mutex
-	// report is the worker's last report; responding is false if the last read of the report failed.
+	// report is the worker's last report, which was requested at reportedAt; responding is false if the last read failed.
 	report     worker.Report
+	reportedAt time.Time
 	responding bool
 	// loading is true from the load notice until the worker has loaded the version or has restarted, the order has
 	// failed, or no load is due.
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -32,6 +32,10 @@
 		a.setLoading(false)
 		return protocol.Errorf(protocol.CodeExpired, "verification of version %d is %v old", t.version, age)
 	}
+	if err := a.confirmWorker(ctx, report); err != nil {
+		a.setLoading(false)
+		return err
+	}
 	a.beginOrder(order)
 	callCtx, cancel := context.WithTimeout(ctx, a.Config.OrderTimeout)
 	defer cancel()
@@ -54,6 +58,21 @@
 	return nil
 }
 
+// confirmWorker returns an error unless the worker is still the one, with the count of orders, for which the staged pieces were
+// verified. A successor may have lost them and accept the order with its own count.
+func (a *Agent) confirmWorker(ctx context.Context, verified worker.Report) error {
+	ctx, cancel := context.WithTimeout(ctx, a.Config.ReportTimeout)
+	defer cancel()
+	now, err := a.Worker.Report(ctx)
+	if err != nil {
+		return eris.Wrap(err, "read the report before the load order")
+	}
+	if now.Born != verified.Born || now.Orders != verified.Orders {
+		return protocol.Errorf(protocol.CodeChanged, "the worker has restarted or begun an order since the pieces were verified")
+	}
+	return nil
+}
+
 // verifyStaged reads back every staged piece, because staged data may become corrupt, and stages again those that do
 // not match their digest.
 func (a *Agent) verifyStaged(ctx context.Context, t target) error {
--- a/transport/staging/order.go
+++ b/transport/staging/order.go
@@ -113,14 +113,20 @@
 	if !a.inherited.known {
 		a.inherited.known, a.inherited.born, a.inherited.orders = true, report.Born, report.Orders
 	}
-	sameWorker := report.Born == a.report.Born
-	if a.unanswered.isZero() || (sameWorker && report.Orders <= a.unanswered.orders) {
+	if a.unanswered.isZero() {
 		return
 	}
-	if sameWorker {
+	if report.Born != a.report.Born {
+		// A worker that still answered after the order had ended took the order with it. Otherwise its successor may have it.
+		if report.Orders != a.unanswered.orders || a.reportedAt.After(a.orderedAt) {
+			a.unanswered = loadOrder{}
+		}
+		return
+	}
+	if report.Orders > a.unanswered.orders {
 		a.accepted, a.orderedAt = a.unanswered.target, a.Now()
+		a.unanswered = loadOrder{}
 	}
-	a.unanswered = loadOrder{}
 }
 
 // awaitInheritedOrder waits while the worker may carry out an order of an earlier process: overwriting the pieces that were
--- a/transport/staging/order_faults_test.go
+++ b/transport/staging/order_faults_test.go
@@ -142,6 +142,56 @@
 	require.Empty(t, w.wrong())
 }
 
+// TestOrderThatASuccessorReceivedIsNotForgottenWithTheWorker guards against staging the next version because the worker has
+// restarted, although the order reached the worker that runs now.
+func TestOrderThatASuccessorReceivedIsNotForgottenWithTheWorker(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &scriptedWorker{fakeWorker: newWorker()}
+	var unreachable atomic.Bool
+	w.reportError = func(context.Context) error {
+		if unreachable.Load() {
+			return protocol.Errorf(protocol.CodeUnavailable, "no answer")
+		}
+		return nil
+	}
+	w.respond = func(ctx context.Context, n int, order worker.LoadOrder) error {
+		if n > 1 {
+			return w.fakeWorker.Load(ctx, order)
+		}
+		unreachable.Store(true)
+		w.fakeWorker.mu.Lock()
+		w.born++
+		w.fakeWorker.mu.Unlock()
+		return w.hold(ctx, order)
+	}
+	g.startAgentWith("127.0.14.10", w, shortOrders)
+	eventually(t, func() bool { return w.ordersSent() == 1 })
+	g.setWanted(3)
+	time.Sleep(200 * time.Millisecond)
+	unreachable.Store(false)
+	eventually(t, func() bool { return w.version() == 3 })
+	require.Empty(t, w.wrong())
+}
+
+// TestOrderIsNotSentToASuccessorWithoutPieces guards against an order for which the pieces were verified at a worker that has
+// restarted since and lost them.
+func TestOrderIsNotSentToASuccessorWithoutPieces(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := newWorker()
+	published := g.startAgentWith("127.0.14.11", w, func(cfg *staging.Config) {
+		// The agent's own reads of the report don't show the restart.
+		cfg.LoadNoticeDelay, cfg.ReportInterval = 200*time.Millisecond, 400*time.Millisecond
+	})
+	eventually(t, func() bool { return published.last().Loading })
+	w.mu.Lock()
+	w.born, w.staged = w.born+1, map[int][]byte{}
+	w.mu.Unlock()
+	eventually(t, func() bool { return w.version() == 2 })
+	require.Empty(t, w.wrong())
+}
+
 // TestOrderThatNoLongerFitsDoesNotStopTheRollout guards against repeating an order for ever that the worker lost and that it
 // now rejects for a reason other than its count of orders, although it would load the next version.
 func TestOrderThatNoLongerFitsDoesNotStopTheRollout(t *testing.T) {
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -31,6 +31,7 @@
 func (a *Agent) readReport(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, a.Config.ReportTimeout)
 	defer cancel()
+	started := a.Now()
 	report, err := a.Worker.Report(callCtx)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -64,7 +65,7 @@
 	if slices.ContainsFunc(report.Models, a.announced.isLoaded) {
 		a.loading = false
 	}
-	a.report, a.responding = report, true
+	a.report, a.reportedAt, a.responding = report, started, true
 	a.publishReport(false)
 }
 
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -101,7 +101,7 @@
 			want = w.expected(order.Version, index)
 		}
 		if string(w.staged[index]) != string(want) {
-			w.wrongLoads = append(w.wrongLoads, fmt.Sprintf("version %d piece %d", order.Version, index))
+			w.wrongLoads = append(w.wrongLoads, fmt.Sprintf("version %d piece %d: %.22q", order.Version, index, w.staged[index]))
 		}
 	}
 	w.loaded = []fleet.LoadedModel{{Model: order.Model, Version: order.Version, Layers: layers}}
