Answer requests that cross the close of a planned stop

http.Server.Shutdown closes kept connections that it takes for idle, also when a part of the next request's head has been read, and the listener's close resets the connections that wait in its backlog. Both were cut off without an answer. Before the change, `go test -race ./transport/hosted -run TestStop`:

--- FAIL: TestStopAnswersRequestsThatCrossTheClose (3.82s) Error: unexpected EOF Messages: the request was cut off without an answer

(kept connection, half of a head sent). server.Graceful accepts what waits in the backlog before it closes the listener, and lets the goroutine that reads a connection end it, only when no byte of a request has arrived. Both processes' listeners use it; HTTP/2 connections are still ended by http.Server.Shutdown.

A request whose first byte reaches the host after its idle connection was closed gets no answer; it was not read.

--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -44,7 +44,7 @@
 	// drainDelay is the time between becoming not ready and refusing connections. It covers two readiness checks of the
 	// platform.
 	drainDelay = 2600 * time.Millisecond
-	// exitMargin is the time between aborting the remaining requests and the moment at which the platform kills the process.
+	// exitMargin is the time between closing the remaining connections and the moment at which the platform kills the process.
 	exitMargin = 400 * time.Millisecond
 	// debugPortOffset is the offset of the port for metrics and debug dumps from Host.PeerPort.
 	debugPortOffset = 2
@@ -179,22 +179,18 @@
 
 // servers holds the HTTP servers of an entry process.
 type servers struct {
-	callers *http.Server
+	callers *server.Graceful
 	others  []*http.Server
 }
 
 func (e *entry) listen() (*servers, error) {
-	s := &servers{callers: &http.Server{
-		Handler:           e.handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}}
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+e.ReadyPath, e.serveReady)
-	if err := serve(s.callers, e.CallerListen, e.Log); err != nil {
+	s := &servers{}
+	var err error
+	if s.callers, err = e.listenCallers(); err != nil {
 		return nil, err
 	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+e.ReadyPath, e.serveReady)
 	debug := http.NewServeMux()
 	server.AddDebug(debug, server.Introspection{State: e.state, Ready: e.handler.Ready})
 	for address, handler := range map[string]http.Handler{
@@ -210,6 +206,21 @@
 	return s, nil
 }
 
+func (e *entry) listenCallers() (*server.Graceful, error) {
+	listener, err := listen(e.CallerListen)
+	if err != nil {
+		return nil, err
+	}
+	callers := server.NewGraceful(&http.Server{
+		Handler:           e.handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}, listener.(*net.TCPListener))
+	go logServe(callers.Serve, e.CallerListen, e.Log)
+	return callers, nil
+}
+
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if ready, _ := e.handler.Ready(); !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -254,16 +265,14 @@
 	}
 }
 
-// shutdown reports the host as not ready, keeps serving for drainDelay so that callers move to other hosts, and then
-// waits for the requests in flight until exitMargin before the process is killed.
+// shutdown reports the host as not ready, keeps serving for drainDelay so that callers move to other hosts, and then waits for the
+// requests in flight until exitMargin before the process is killed.
 func (e *entry) shutdown(s *servers) {
 	e.Log.Info("process is leaving")
 	deadline := time.Now().Add(e.Host.ShutdownTimeout - exitMargin)
 	e.leaving.Store(true)
 	time.Sleep(min(drainDelay, time.Until(deadline)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := s.callers.Shutdown(ctx); err != nil {
+	if err := shutdownUntil(s.callers, deadline); err != nil {
 		e.Log.WithError(err).Warn("aborting requests that did not finish before the shutdown deadline")
 		_ = s.callers.Close()
 	}
@@ -273,20 +282,34 @@
 	e.Log.Info("process stopped")
 }
 
+func shutdownUntil(s *server.Graceful, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return s.Shutdown(ctx)
+}
+
 // serve listens on address and serves s in a new goroutine.
 func serve(s *http.Server, address string, log *logrus.Entry) error {
-	listener, err := netdial.ListenConfig().Listen(context.Background(), "tcp", address)
+	listener, err := listen(address)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
+		return err
 	}
-	go func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			log.WithError(err).WithField("address", address).Error("HTTP server stopped unexpectedly")
-		}
-	}()
+	go logServe(func() error { return s.Serve(listener) }, address, log)
 	return nil
 }
 
+func listen(address string) (net.Listener, error) {
+	listener, err := netdial.ListenConfig().Listen(context.Background(), "tcp", address)
+	return listener, eris.Wrapf(err, "listen on %s", address)
+}
+
+// logServe runs serve and logs an error unless the server was shut down.
+func logServe(serve func() error, address string, log *logrus.Entry) {
+	if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+		log.WithError(err).WithField("address", address).Error("HTTP server stopped unexpectedly")
+	}
+}
+
 func debugAddress(host Host) string {
 	return net.JoinHostPort(host.Address, strconv.Itoa(host.PeerPort+debugPortOffset))
 }
--- a/transport/server/server.go
+++ b/transport/server/server.go
@@ -37,28 +37,14 @@
 
 // Listener is an HTTP server on one address.
 type Listener struct {
-	http *http.Server
-	net  net.Listener
-	wg   sync.WaitGroup
+	server *Graceful
+	net    net.Listener
+	wg     sync.WaitGroup
 }
 
 // Listen starts to serve handler on addr without TLS.
 func Listen(addr string, handler http.Handler) (*Listener, error) {
-	n, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", addr)
-	}
-	l := &Listener{
-		net: n,
-		http: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: readHeaderTimeout,
-			Protocols:         Protocols(),
-			HTTP2:             HTTP2(),
-		},
-	}
-	l.wg.Go(func() { _ = l.http.Serve(n) })
-	return l, nil
+	return ListenWith(addr, handler, Options{})
 }
 
 // Addr returns the address that the listener is bound to.
@@ -67,9 +53,9 @@
 // Shutdown stops accepting connections and waits for the requests in flight. When ctx ends first, it closes their
 // connections and returns the error of ctx.
 func (l *Listener) Shutdown(ctx context.Context) error {
-	err := l.http.Shutdown(ctx)
+	err := l.server.Shutdown(ctx)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		_ = l.http.Close()
+		_ = l.server.Close()
 	}
 	l.wg.Wait()
 	return eris.Wrap(err, "shut down listener")
--- a/transport/server/tls.go
+++ b/transport/server/tls.go
@@ -38,26 +38,18 @@
 	protocols.SetUnencryptedHTTP2(o.TLS == nil)
 	l := &Listener{
 		net: n,
-		http: &http.Server{
+		server: NewGraceful(&http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: readHeaderTimeout,
 			Protocols:         protocols,
 			HTTP2:             settings,
 			TLSConfig:         o.TLS,
-		},
+		}, n.(*net.TCPListener)),
 	}
-	l.wg.Go(func() { l.serve(o.TLS != nil) })
+	l.wg.Go(func() { _ = l.server.Serve() })
 	return l, nil
 }
 
-func (l *Listener) serve(secure bool) {
-	if secure {
-		_ = l.http.ServeTLS(l.net, "", "")
-		return
-	}
-	_ = l.http.Serve(l.net)
-}
-
 // RequireClientCertificate returns a handler that refuses requests without a verified client certificate, except for
 // health checks.
 func RequireClientCertificate(next http.Handler) http.Handler {
