Answer requests that outlast a planned stop

When the time to stop was over, the entry closed the connections of the requests that were still at a replica. The caller got no answer and could not tell whether its request had been accepted. The entry now cancels them 200 ms earlier and answers 502 with run state unknown, or 503 not_run if nothing was sent. A started stream is still cut.

Before the change, `go test -race ./transport/hosted -run TestStop`:

--- FAIL: TestStopAnswersRequestsThatOutlastIt (3.81s) Error: unexpected EOF Messages: the request was cut off without an answer

It passes after the change.

--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -46,6 +46,8 @@
 	drainDelay = 2600 * time.Millisecond
 	// exitMargin is the time between closing the remaining connections and the moment at which the platform kills the process.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is the time in which the remaining requests are answered before their connections are closed.
+	answerMargin = 200 * time.Millisecond
 	// debugPortOffset is the offset of the port for metrics and debug dumps from Host.PeerPort.
 	debugPortOffset = 2
 )
@@ -104,11 +106,15 @@
 	handler  *ingress.Handler
 	pool     *backend.Pool
 	leaving  atomic.Bool
+	// closing ends the requests that outlast the time to stop.
+	closing context.Context
+	abort   context.CancelFunc
 }
 
 // RunEntry runs an entry process until ctx is done, then shuts it down gracefully.
 func RunEntry(ctx context.Context, deps EntryDependencies) error {
 	e := newEntry(deps)
+	defer e.abort()
 	loopCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
 	defer loops.Wait()
@@ -144,6 +150,7 @@
 
 func newEntry(deps EntryDependencies) *entry {
 	e := &entry{EntryDependencies: deps, pool: backend.NewPool()}
+	e.closing, e.abort = context.WithCancel(context.Background())
 	e.cache = relay.NewCache()
 	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Log)
 	e.follower = follow.New(e.source, entryFollowConfig, newRandom(deps.Random), deps.Log)
@@ -155,6 +162,7 @@
 		View:       e.follower.View,
 		Age:        e.follower.Age,
 		Leaving:    e.leaving.Load,
+		Closing:    e.closing,
 		RetryAfter: deps.RetryAfter,
 		Pool:       e.pool,
 		Now:        bootclock.Time,
@@ -266,15 +274,19 @@
 }
 
 // shutdown reports the host as not ready, keeps serving for drainDelay so that callers move to other hosts, and then waits for the
-// requests in flight until exitMargin before the process is killed.
+// requests in flight. Those that have not ended shortly before the process is killed are answered with an error.
 func (e *entry) shutdown(s *servers) {
 	e.Log.Info("process is leaving")
 	deadline := time.Now().Add(e.Host.ShutdownTimeout - exitMargin)
 	e.leaving.Store(true)
-	time.Sleep(min(drainDelay, time.Until(deadline)))
-	if err := shutdownUntil(s.callers, deadline); err != nil {
+	time.Sleep(min(drainDelay, time.Until(deadline.Add(-answerMargin))))
+	if err := shutdownUntil(s.callers, deadline.Add(-answerMargin)); err != nil {
 		e.Log.WithError(err).Warn("aborting requests that did not finish before the shutdown deadline")
-		_ = s.callers.Close()
+		e.abort()
+		if err := shutdownUntil(s.callers, deadline); err != nil {
+			e.Log.WithError(err).Warn("closing connections with unanswered requests")
+			_ = s.callers.Close()
+		}
 	}
 	for _, other := range s.others {
 		_ = other.Close()
--- a/transport/hosted/stop_test.go
+++ b/transport/hosted/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -16,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/transport/hosted"
 	"github.com/guavatrestle/guavatrestle/transport/ingress"
@@ -140,3 +142,23 @@
 	}
 	require.NoError(t, <-ended)
 }
+
+// TestStopAnswersRequestsThatOutlastIt guards against a planned stop that closes the connection of a request which is still at its
+// replica when the time to stop is over, so that the caller doesn't know whether it was accepted.
+func TestStopAnswersRequestsThatOutlastIt(t *testing.T) {
+	arrived := make(chan struct{})
+	stop, ended := startEntry(t, 3*time.Second, func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	})
+	conn := dialCaller(t)
+	conn.send(t, wholeRequest)
+	<-arrived
+	stop()
+	status, body := conn.response(t)
+	require.Equal(t, http.StatusBadGateway, status)
+	var refusal api.Refusal
+	require.NoError(t, json.Unmarshal([]byte(body), &refusal))
+	require.Equal(t, api.RunUnknown, refusal.Run)
+	require.NoError(t, <-ended)
+}
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -22,6 +22,9 @@
 	minAttemptTime = 15 * time.Millisecond
 )
 
+// errClosing is the cause of canceling an attempt because the process is about to exit.
+var errClosing = errors.New("the process is about to exit")
+
 // call is the state of one request of a caller.
 type call struct {
 	h        *Handler
@@ -79,6 +82,8 @@
 	c.h.router.countRequest(c.upstream)
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(c.h.Now()))
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer context.AfterFunc(c.h.Closing, func() { abort(errClosing) })()
 	for {
 		choice, err := c.pickReplica(ctx)
 		if err != nil {
@@ -184,7 +189,7 @@
 // mayRetry reports whether another attempt may follow a failed one. It excludes the failed replica from further attempts
 // and, unless nothing was sent, takes a retry from the budget.
 func (c *call) mayRetry(choice dispatch.Choice, result attemptResult) bool {
-	if c.deadline.Sub(c.h.Now()) < minAttemptTime {
+	if c.deadline.Sub(c.h.Now()) < minAttemptTime || c.h.Closing.Err() != nil {
 		return false
 	}
 	c.tried = append(c.tried, choice.ID)
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -103,6 +104,8 @@
 	Age  func() time.Duration
 	// Leaving reports whether the process is shutting down.
 	Leaving func() bool
+	// Closing, if set, is done when requests that have not ended must be answered at once, because the process is about to exit.
+	Closing context.Context
 	// RetryAfter formats a duration as the value of the Retry-After header.
 	RetryAfter func(time.Duration) string
 	Pool       *backend.Pool
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -37,6 +38,9 @@
 
 // NewHandler returns a Handler that chooses replicas with router.
 func NewHandler(deps Dependencies, router *Router) *Handler {
+	if deps.Closing == nil {
+		deps.Closing = context.Background()
+	}
 	return &Handler{
 		Dependencies: deps, router: router, log: newRequestLog(deps.Log, deps.Now),
 		buffers: bufferLimit{limit: deps.Config.MaxBufferedBytes},
