Keep SIGHUP from ending a process that the platform does not start

Before the change, `go test -race ./cmd/guavatrestled`:

--- FAIL: TestSignalsDuringAStopDoNotEndTheProcessAtOnce/entry (0.11s) Error: the process ended without the log line process is leaving

The hosted part of the test (SIGHUP before the stop, then SIGTERM, SIGHUP and SIGINT during it) passed before: the signal handler stays registered until the stop has ended.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -1,12 +1,9 @@
 package main
 
 import (
-	"context"
 	"math/rand/v2"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -61,10 +58,8 @@
 }
 
 func runHosted(role core.Role, settings platform.Settings) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := stopContext()
 	defer stop()
-	// The platform may send SIGHUP to announce changed settings; those that a process uses do not change while it runs.
-	signal.Ignore(syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
 	logger := logrus.New()
 	logger.SetOutput(os.Stdout)
--- a/cmd/guavatrestled/main.go
+++ b/cmd/guavatrestled/main.go
@@ -50,7 +50,7 @@
 }
 
 func run(cfg config.Config) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := stopContext()
 	defer stop()
 	level, err := logrus.ParseLevel(cfg.LogLevel)
 	if err != nil {
@@ -66,3 +66,10 @@
 	})
 	return daemon.Run(ctx, cfg, log)
 }
+
+// stopContext returns a context that is done at the first signal to stop. Further signals do not interrupt the stop.
+func stopContext() (context.Context, context.CancelFunc) {
+	// Without this SIGHUP would end the process at once. The settings that a process reads from files do not change while it runs.
+	signal.Ignore(syscall.SIGHUP)
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
