End requests whose body trickles

Neither entry limited the time to read the body of a request: a caller that sent a byte now and then occupied it for ever, whatever its deadline. The body must now arrive before the deadline of the request; otherwise the answer is 408 (504 from an entry that the platform does not start) with run state not_run, and nothing is sent to a replica. A planned stop ends the wait for a body, too.

Before the change, `go test -race ./transport/ingress ./transport/entry`:

--- FAIL: TestTricklingBodyEndsAtTheDeadline (20.01s) Error: read tcp ...: i/o timeout --- FAIL: TestTricklingBodyEndsAtTheTimeout/accepted (20.01s) Error: read tcp ...: i/o timeout

TestSlowButSteadyBodyIsServed and TestStalledStreamWithoutReplacementEndsAtTheDeadline passed before.

--- /dev/null
+++ b/transport/body.go
@@ -0,0 +1,23 @@
+package transport
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"time"
+)
+
+// BoundBody limits the time to read the body of a request. After that time reading fails, and BodyTimedOut reports true.
+func BoundBody(w http.ResponseWriter, limit time.Duration) {
+	// Fails only for writers without a connection, as in tests.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit))
+}
+
+// UnboundBody removes the limit of BoundBody once the body has been read; otherwise the request would be canceled as if its caller
+// had disconnected.
+func UnboundBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+}
+
+// BodyTimedOut reports whether reading a body failed because of BoundBody.
+func BodyTimedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/transport/entry/call.go
+++ b/transport/entry/call.go
@@ -119,19 +119,25 @@
 	if err := h.takeRateToken(name, team.Limits); err != nil {
 		return c, team, err
 	}
-	c.body, err = h.readBody(w, r)
+	c.body, err = h.readBody(w, r, timeout)
 	return c, team, err
 }
 
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) ([]byte, error) {
+	transport.BoundBody(w, timeout)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, transport.Errorf(http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge, api.RunNotRun, "request body is larger than %d bytes", tooLarge.Limit)
 	}
+	if transport.BodyTimedOut(err) {
+		return nil, transport.Errorf(http.StatusGatewayTimeout, api.CodeDeadlineExceeded, api.RunNotRun,
+			"the request body did not arrive before the deadline")
+	}
 	if err != nil {
 		return nil, badRequest("read request body: %v", err)
 	}
+	transport.UnboundBody(w)
 	return body, nil
 }
 
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -84,7 +84,7 @@
 	c.serve()
 }
 
-// prepare finds the route, the team and the deadline of a request and reads its body.
+// prepare finds the route, the team and the deadline of a request and reads its body, which must arrive before the deadline.
 func (c *call) prepare() *transport.Error {
 	if !c.view.Ready() {
 		return transport.Errorf(http.StatusServiceUnavailable, api.CodeStoreUnavailable, api.RunNotRun,
@@ -100,10 +100,10 @@
 	if err := c.authorize(); err != nil {
 		return err
 	}
-	if err := c.readBody(); err != nil {
+	if err := c.setDeadline(); err != nil {
 		return err
 	}
-	return c.setDeadline()
+	return c.readBody()
 }
 
 // authorize finds the team of a request by its API key. Without configured teams every request is allowed.
@@ -142,13 +142,21 @@
 	if !c.hasBody {
 		return nil
 	}
+	transport.BoundBody(c.w, c.deadline.Sub(c.h.Now()))
+	stop := context.AfterFunc(c.h.Closing, func() { transport.BoundBody(c.w, 0) })
 	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	stop()
+	if transport.BodyTimedOut(err) {
+		return transport.Errorf(http.StatusRequestTimeout, api.CodeDeadlineExceeded, api.RunNotRun,
+			"the request body did not arrive before the deadline")
+	}
 	if err != nil {
 		return transport.Errorf(http.StatusBadRequest, api.CodeBadRequest, api.RunNotRun, "read request body: %v", err)
 	}
 	if int64(len(body)) > limit {
 		return bodyTooLargeError(limit)
 	}
+	transport.UnboundBody(c.w)
 	c.body = body
 	return nil
 }
