Send refusals without waiting for the request's body

net/http sends no response before it has read the rest of the request's body, up to 256 KiB, and waits for it without limit. A refusal, such as 401, was therefore held back for as long as the body trickled. Refusals now wait 500 ms for it.

Before the change, `go test -race ./transport/ingress ./transport/entry`:

--- FAIL: TestRefusalDoesNotWaitForTheBody (20.01s) Error: read tcp ...: i/o timeout --- FAIL: TestTricklingBodyEndsAtTheTimeout/refused (20.01s) Error: read tcp ...: i/o timeout

--- a/transport/body.go
+++ b/transport/body.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// refusalBodyTimeout is the time for which a refusal waits for the rest of the request's body, so that the caller may keep its
+// connection.
+const refusalBodyTimeout = 500 * time.Millisecond
+
 // BoundBody limits the time to read the body of a request. After that time reading fails, and BodyTimedOut reports true.
 func BoundBody(w http.ResponseWriter, limit time.Duration) {
 	// Fails only for writers without a connection, as in tests.
--- a/transport/entry/body_test.go
+++ b/transport/entry/body_test.go
@@ -24,13 +24,14 @@
 )
 
 // TestTricklingBodyEndsAtTheTimeout guards against a request that occupies the entry for ever because its body arrives a byte at a time,
-// whatever its timeout.
+// whatever its timeout, and against a refusal that is held back until the rest of the body has arrived.
 func TestTricklingBodyEndsAtTheTimeout(t *testing.T) {
 	for name, c := range map[string]struct {
 		token  string
 		status int
 	}{
 		"accepted": {testToken, http.StatusGatewayTimeout},
+		"refused":  {"unknown", http.StatusUnauthorized},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, nil)
--- a/transport/ingress/body_test.go
+++ b/transport/ingress/body_test.go
@@ -64,6 +64,13 @@
 	require.Empty(t, h.received())
 }
 
+// TestRefusalDoesNotWaitForTheBody guards against a refusal that the HTTP server holds back until the rest of the body has arrived.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	h := newHarness(t, unsafeRoute())
+	status, _ := h.trickle("/unsafe/", http.Header{"Authorization": {"Bearer unknown"}})
+	require.Equal(t, http.StatusUnauthorized, status)
+}
+
 // TestSlowButSteadyBodyIsServed guards against cutting off a body that arrives slowly but within the deadline.
 func TestSlowButSteadyBodyIsServed(t *testing.T) {
 	const parts = 40
--- a/transport/respond.go
+++ b/transport/respond.go
@@ -29,6 +29,8 @@
 		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
+	// net/http sends no response before it has read the rest of the body.
+	BoundBody(w, refusalBodyTimeout)
 	WriteJSON(w, e.Status, api.Refusal{
 		Code:      e.Code,
 		Message:   e.Error(),
