End only the request whose handling panics

net/http caught a panic in the handling of a request, but the caller got no answer, nothing was counted or written to the log of the process, and the slot of the chosen replica stayed taken. A panic in one of a request's timers ended the process.

Before the change, `go test -race ./transport/ingress -run TestPanicEnds`:

--- FAIL: TestPanicEndsOnlyItsRequest (0.00s) Error: Post "http://127.0.0.1:36529/unsafe/": EOF

Trial on a scratch copy that releases the slot only after a regular end:

--- FAIL: TestPanicEndsOnlyItsRequest (0.01s) Error: Should be zero, but was 9 Messages: the slot of the replica was not released

The recovery in the timers was not tried without its guard.

--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -55,6 +55,8 @@
 	// nextChoice is the replica for the next attempt, if the guard chose one before the last attempt ended.
 	nextChoice *dispatch.Choice
 	stream     streamState
+	// responding is set once a part of the response may have been sent to the caller.
+	responding bool
 	// buffer counts the memory of buffered responses.
 	buffer responseBuffer
 	// heldUntil is the time at which a replica takes requests again, set if the request is refused because none does now.
@@ -90,8 +92,7 @@
 			c.endWithError(err)
 			return
 		}
-		result := c.attempt(ctx, choice)
-		c.h.router.done(choice, result.outcome, result.latency)
+		result := c.attemptAndRelease(ctx, choice)
 		if result.responded {
 			varServed.Add(1)
 			c.releaseNextChoice()
@@ -115,6 +116,14 @@
 	}
 }
 
+// attemptAndRelease makes an attempt and releases the slot of its replica, also if the attempt panics.
+func (c *call) attemptAndRelease(ctx context.Context, choice dispatch.Choice) (result attemptResult) {
+	result.outcome = dispatch.OutcomeAbandoned
+	defer func() { c.h.router.done(choice, result.outcome, result.latency) }()
+	result = c.attempt(ctx, choice)
+	return result
+}
+
 // releaseNextChoice returns the slot of a replica that was chosen for a next attempt which is not made.
 func (c *call) releaseNextChoice() {
 	if c.nextChoice != nil {
@@ -253,6 +262,7 @@
 	c.h.log.write("request refused", c.fields(logrus.Fields{
 		"status": err.Status, "code": err.Code, "run": err.Run, "reason": err.Error(), "view_age_ms": c.h.Age().Milliseconds(),
 	}))
+	c.responding = true
 	transport.WriteError(c.w, c.id, err)
 }
 
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -73,6 +73,7 @@
 		buffer:  responseBuffer{shared: &h.buffers},
 	}
 	defer c.buffer.release()
+	defer c.recoverRequest()
 	if h.Leaving() {
 		// Makes the caller open its next connection to another host.
 		w.Header().Set("Connection", "close")
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -37,12 +37,14 @@
 
 // harness is an entry host with replicas whose responses the test defines.
 type harness struct {
-	t        *testing.T
-	table    *fleet.Table
-	router   *ingress.Router
-	view     atomic.Pointer[fleet.View]
-	age      atomic.Int64
-	leaving  atomic.Bool
+	t       *testing.T
+	table   *fleet.Table
+	router  *ingress.Router
+	view    atomic.Pointer[fleet.View]
+	age     atomic.Int64
+	leaving atomic.Bool
+	// onAge, if set, is called whenever a request asks for the age of the configuration.
+	onAge    atomic.Pointer[func()]
 	frontend *httptest.Server
 
 	mu       sync.Mutex
@@ -71,10 +73,15 @@
 	logger.SetOutput(io.Discard)
 	pool := backend.NewPool()
 	handler := ingress.NewHandler(ingress.Dependencies{
-		Config:     cfg,
-		Headers:    names,
-		View:       h.view.Load,
-		Age:        func() time.Duration { return time.Duration(h.age.Load()) },
+		Config:  cfg,
+		Headers: names,
+		View:    h.view.Load,
+		Age: func() time.Duration {
+			if onAge := h.onAge.Load(); onAge != nil {
+				(*onAge)()
+			}
+			return time.Duration(h.age.Load())
+		},
 		Leaving:    h.leaving.Load,
 		RetryAfter: func(d time.Duration) string { return d.String() },
 		Pool:       pool,
--- a/transport/ingress/slow.go
+++ b/transport/ingress/slow.go
@@ -103,6 +103,7 @@
 // checkProgress moves the request to a replica that is not in exclude if it has made no progress for too long and that replica has
 // capacity. Otherwise the attempt continues and is checked again.
 func (g *attemptGuard) checkProgress() {
+	defer g.call.recoverTimer()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.disarmed || g.cause != nil {
@@ -137,6 +138,7 @@
 
 // cancelOutdated cancels the attempt, unless the deadline of the version has moved; then it restarts the timer.
 func (g *attemptGuard) cancelOutdated() {
+	defer g.call.recoverTimer()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.disarmed || g.responding || g.cause != nil {
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -123,7 +123,7 @@
 	if c.stream.started {
 		return
 	}
-	c.stream.started = true
+	c.stream.started, c.responding = true, true
 	varLatency.record(c.h.Now().Sub(c.arrived))
 	target := c.w.Header()
 	headers.RemoveHopByHop(response.Header)
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -40,6 +40,7 @@
 
 // write sends the response to the caller unchanged.
 func (r *bufferedResponse) write(c *call) {
+	c.responding = true
 	target := c.w.Header()
 	headers.RemoveHopByHop(r.header)
 	for name, values := range r.header {
