Reject bad datagrams without ending the process

A panic while a datagram between entry host and agent was handled ended the process, and malformed datagrams were dropped without a trace. Ages of versions and counts out of range were taken over, and the layer count -1, which means all layers, was accepted from any sum. Now a datagram that is malformed, out of range or whose handling panics is dropped, logged (ten lines, then one per second) and counted in loadshare_datagrams_rejected. Ages are clamped to 0 to 1 h.

Before the change, `go test ./transport/loadshare -run Fuzz` (seed inputs):

--- FAIL: FuzzMessage/seed#2 (0.00s) Error: "-1ms" is not greater than or equal to "0s" Messages: age of a version

--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -176,11 +176,11 @@
 		if err != nil {
 			return
 		}
-		var request message
-		if json.Unmarshal(buffer[:n], &request) != nil || request.Report != nil {
-			continue
-		}
-		r.recordRequest(from, request)
-		deliverWanted(request.Wanted, r.sink.WantedVersion)
+		handleDatagram(r.log, from, buffer[:n], func(request message) {
+			if request.Report == nil {
+				r.recordRequest(from, request)
+				deliverWanted(request.Wanted, r.sink.WantedVersion)
+			}
+		})
 	}
 }
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -145,28 +145,26 @@
 		if err != nil {
 			return
 		}
-		var received message
-		if json.Unmarshal(buffer[:n], &received) != nil {
-			continue
-		}
-		if address, ok := received.Relays[l.FailureDomain]; ok {
-			l.Sink.Relay(address)
-		}
-		if received.Report == nil {
-			continue
-		}
-		byHost := l.byHost.Load()
-		if byHost == nil {
-			continue
-		}
-		for _, member := range (*byHost)[from.Addr().Unmap()] {
-			if member.Born == received.Report.Born || member.Born == 0 {
-				l.Sink.Report(member.ID, received.Report.decode(l.toldDemand(member.Upstream)))
-			}
+		handleDatagram(l.Log, from, buffer[:n], func(received message) { l.record(from, received) })
+	}
+}
+
+// record passes the content of a datagram on.
+func (l *Listener) record(from netip.AddrPort, received message) {
+	if address, ok := received.Relays[l.FailureDomain]; ok {
+		l.Sink.Relay(address)
+	}
+	byHost := l.byHost.Load()
+	if received.Report == nil || byHost == nil {
+		return
+	}
+	for _, member := range (*byHost)[from.Addr().Unmap()] {
+		if member.Born == received.Report.Born || member.Born == 0 {
+			l.Sink.Report(member.ID, received.Report.decode(l.toldDemand(member.Upstream)))
 		}
-		l.Sink.EntryHostCounts(received.Report.Senders, received.Report.StoreUnresponsiveCount)
-		deliverWanted(received.Report.Wanted, l.Sink.WantedVersion)
 	}
+	l.Sink.EntryHostCounts(received.Report.Senders, received.Report.StoreUnresponsiveCount)
+	deliverWanted(received.Report.Wanted, l.Sink.WantedVersion)
 }
 
 // toldDemand returns the demand for an upstream that agents have been told last.
--- /dev/null
+++ b/transport/loadshare/fuzz_test.go
@@ -0,0 +1,44 @@
+package loadshare
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+// FuzzMessage guards against a datagram that ends the process or yields values out of range: ages, counts and shares that are negative
+// or overflow.
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte(`{"r":{"b":1,"n":2,"w":3,"s":4,"m":[{"n":"m","v":1,"l":2}],"f":5,"e":6,"p":1.5,"v":[{"n":"m","v":2,"a":30}],"x":1}}`))
+	f.Add([]byte(`{"r":{"n":-1,"w":-9223372036854775808,"s":-4,"f":-5,"x":-1,"e":5e-324,"p":-1,"m":[{"l":-7}]}}`))
+	f.Add([]byte(`{"v":[{"n":"m","v":1,"a":9223372036854775807},{"n":"m","v":1,"a":-9223372036854775808}],"e":1e308}`))
+	f.Add([]byte(`{"r":null,"r":{"n":1},"z":{"a":"::1","b":""},"y":true}`))
+	f.Add([]byte(`{"r":{"m":null,"v":null}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		received, err := decodeMessage(data)
+		if err != nil {
+			return
+		}
+		sink := func(_ core.Model, _ int64, age time.Duration) {
+			require.GreaterOrEqual(t, age, time.Duration(0), "age of a version")
+		}
+		deliverWanted(received.Wanted, sink)
+		if received.Report == nil {
+			return
+		}
+		deliverWanted(received.Report.Wanted, sink)
+		report := received.Report.decode(1)
+		require.GreaterOrEqual(t, report.Running, 0)
+		require.GreaterOrEqual(t, report.Waiting, 0)
+		require.GreaterOrEqual(t, report.Slots, 0)
+		require.GreaterOrEqual(t, report.Senders, 0)
+		require.GreaterOrEqual(t, report.Pace, 0.0)
+		require.True(t, report.Share >= 0 && report.Share <= 1, "share %f", report.Share)
+		for _, model := range report.Models {
+			require.GreaterOrEqual(t, model.Layers, -1)
+		}
+	})
+}
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -29,6 +29,10 @@
 	// wantedLifetime is the time for which messages list a version after it became wanted. It is longer than the time in
 	// which an activation must be complete.
 	wantedLifetime = 20 * time.Second
+	// maxWantedAge bounds the age of a version in a message.
+	maxWantedAge = time.Hour
+	// maxCount bounds the counts of a report, so that their sums don't overflow.
+	maxCount = 1 << 20
 	// maxRequesters bounds the entry hosts that one agent reports to.
 	maxRequesters = 4096
 	// maxDatagramBytes is the size of the receive buffer, enough for the largest report.
@@ -103,7 +107,8 @@
 // deliverWanted passes each version to sink.
 func deliverWanted(versions []wantedVersion, sink func(model core.Model, version int64, age time.Duration)) {
 	for _, version := range versions {
-		sink(core.Model(version.Model), version.Version, time.Duration(version.AgeMS)*time.Millisecond)
+		age := min(max(version.AgeMS, 0), maxWantedAge.Milliseconds())
+		sink(core.Model(version.Model), version.Version, time.Duration(age)*time.Millisecond)
 	}
 }
 
--- /dev/null
+++ b/transport/loadshare/receive.go
@@ -0,0 +1,73 @@
+package loadshare
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+// varRejected counts datagrams that were malformed or whose handling panicked.
+var varRejected = expvar.NewInt("loadshare_datagrams_rejected")
+
+// rejectLog limits the log lines about rejected datagrams.
+var rejectLog = rate.Sometimes{First: 10, Interval: time.Second}
+
+// handleDatagram passes the message of a datagram to handle. A malformed one, or a panic in handle, ends only this datagram.
+func handleDatagram(log *logrus.Entry, from netip.AddrPort, data []byte, handle func(message)) {
+	defer func() {
+		if value := recover(); value != nil {
+			reject(log, from, eris.Errorf("panic: %v", value))
+		}
+	}()
+	received, err := decodeMessage(data)
+	if err != nil {
+		reject(log, from, err)
+		return
+	}
+	handle(received)
+}
+
+func reject(log *logrus.Entry, from netip.AddrPort, err error) {
+	varRejected.Add(1)
+	rejectLog.Do(func() { log.WithError(err).WithField("from", from).Warn("datagram rejected") })
+}
+
+func decodeMessage(data []byte) (message, error) {
+	var received message
+	if err := json.Unmarshal(data, &received); err != nil {
+		return received, eris.Wrap(err, "decode datagram")
+	}
+	if received.Demand < 0 {
+		return received, eris.Errorf("demand is %f", received.Demand)
+	}
+	return received, received.Report.check()
+}
+
+// check returns an error if a number is out of range.
+func (r *report) check() error {
+	if r == nil {
+		return nil
+	}
+	for _, n := range []int{r.Running, r.Waiting, r.Slots, r.Senders, r.StoreUnresponsiveCount} {
+		if n < 0 || n > maxCount {
+			return eris.Errorf("count %d of a report is out of range", n)
+		}
+	}
+	for _, m := range r.Models {
+		// AllLayers is the lowest valid value.
+		if m.Layers < fleet.AllLayers || m.Layers > maxCount {
+			return eris.Errorf("layer count %d of model %q is out of range", m.Layers, m.Name)
+		}
+	}
+	if r.Demand < 0 || r.Pace < 0 {
+		return eris.Errorf("demand %f or pace %f is negative", r.Demand, r.Pace)
+	}
+	return nil
+}
