Keep numbers of replica headers from overflowing

The sum of running and waiting requests of a load header could overflow, so that a full replica looked idle, and a large time of a cold start could become negative.

Before the change of the load header (the other function was split off first), `go test ./transport/ingress -run FuzzReplica` (seed inputs):

--- FAIL: FuzzReplicaHeaders/seed#1 (0.00s) Error: "-2" is not greater than or equal to "0"

The bound of the cold start was not tried without its guard.

--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -28,6 +28,9 @@
 // used any more.
 var errNotAllowed = errors.New("the replica or the caller's key may not be used any more")
 
+// maxLoadNumber bounds the numbers of a load header, so that their sums don't overflow.
+const maxLoadNumber = 1 << 20
+
 // maxRefusalBytes bounds the body of a refusal that is read so that the connection can be used again.
 const maxRefusalBytes = 64 << 10
 
@@ -185,8 +188,8 @@
 	if report, ok := parseLoad(header.Get(names.Load)); ok {
 		c.h.router.RecordLoad(choice.ID, report)
 	}
-	if ms, err := strconv.ParseInt(header.Get(names.ColdRemaining), 10, 64); err == nil && ms > 0 {
-		c.h.router.markCold(choice.ID, time.Duration(ms)*time.Millisecond)
+	if remaining, ok := parseColdRemaining(header.Get(names.ColdRemaining)); ok {
+		c.h.router.markCold(choice.ID, remaining)
 	}
 	if header.Get(names.Leaving) == headers.LeavingValue {
 		c.h.router.markLeaving(choice)
@@ -277,6 +280,15 @@
 	return err == nil && mediaType == headers.EventStream
 }
 
+// parseColdRemaining decodes a header with a number of milliseconds above zero.
+func parseColdRemaining(value string) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, false
+	}
+	return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond, true
+}
+
 // parseLoad decodes a load header: the numbers of running requests, of waiting requests and of slots.
 func parseLoad(value string) (dispatch.Report, bool) {
 	parts := strings.Split(value, ",")
@@ -286,7 +298,7 @@
 	var numbers [3]int
 	for i, part := range parts {
 		n, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > maxLoadNumber {
 			return dispatch.Report{}, false
 		}
 		numbers[i] = n
