Fuzz the decoders of what other processes write

Server-sent events, records of a relay and the header with a peer's pieces had no fuzz test. Their seed inputs run with the tests, and `make fuzz` runs all fuzz tests with fresh inputs.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,12 @@
 SKIP := $(shell scripts/known-red.sh)
 # Seed of the property tests in `make test`; `make fuzz` draws fresh ones.
 SEED ?= 1
-# Checks per property of the claims, which take longer than others, and time for the frame reader's fuzz test.
+# Checks per property of the claims, which take longer than others, and time for each fuzz test of a decoder.
 CLAIM_CHECKS ?= 200
 FUZZ_TIME ?= 20s
 FUZZ_WORKERS ?= 4
+# Packages with one fuzz test.
+FUZZ_PACKAGES := ./protocol/frame ./protocol/sse ./platform ./transport/ingress ./transport/loadshare ./transport/relay ./transport/staging
 
 .PHONY: build test demo lint generate fuzz
 
@@ -32,4 +34,6 @@
 	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
 	RAPID_SEED=$$seed RAPID_CHECKS=2000 $(GO) test -count=1 ./coordination/... ./state/... && \
 	RAPID_SEED=$$seed RAPID_CHECKS=$(CLAIM_CHECKS) $(GO) test -count=1 ./transport/claims/... && \
-	$(GO) test -run '^$$' -fuzz '^FuzzReader$$' -fuzztime $(FUZZ_TIME) -parallel $(FUZZ_WORKERS) ./protocol/frame
+	for package in $(FUZZ_PACKAGES); do \
+		$(GO) test -run '^$$' -fuzz . -fuzztime $(FUZZ_TIME) -parallel $(FUZZ_WORKERS) $$package || exit 1; \
+	done
