Log, count and answer panics in the handlers of all listeners

net/http wrote a panic to the standard error output only, and the caller got no answer. server.Recover logs it with the fields of the process, counts it in http_panics and answers 500 with run state unknown, or aborts a response that has begun.

--- a/transport/daemon/control.go
+++ b/transport/daemon/control.go
@@ -68,6 +68,7 @@
 
 // listenControl starts the control listener. With TLS all requests except health checks need a client certificate.
 func (p *process) listenControl(handler http.Handler) (*server.Listener, error) {
+	handler = server.Recover(handler, p.log)
 	options := server.Options{PingAfter: controlPingAfter}
 	if p.credentials != nil {
 		handler = server.RequireClientCertificate(handler)
@@ -79,6 +80,7 @@
 // listenData starts the data listener. With TLS the listener of an agent requires a client certificate; that of
 // an entry does not, because callers have none.
 func (p *process) listenData(handler http.Handler) (*server.Listener, error) {
+	handler = server.Recover(handler, p.log)
 	if p.credentials == nil {
 		return server.Listen(p.cfg.Listen.Data, handler)
 	}
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -300,8 +300,9 @@
 	return s.Shutdown(ctx)
 }
 
-// serve listens on address and serves s in a new goroutine.
+// serve listens on address and serves s in a new goroutine. A panic in its handler ends only the request.
 func serve(s *http.Server, address string, log *logrus.Entry) error {
+	s.Handler = server.Recover(s.Handler, log)
 	listener, err := listen(address)
 	if err != nil {
 		return err
