--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -44,8 +44,10 @@
 	// drainDelay is the time between becoming not ready and refusing connections. It covers two readiness checks of the
 	// platform.
 	drainDelay = 2600 * time.Millisecond
-	// exitMargin is the time between aborting the remaining requests and the moment at which the platform kills the process.
+	// exitMargin is the time between closing the remaining connections and the moment at which the platform kills the process.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is the time in which the remaining requests are answered before their connections are closed.
+	answerMargin = 200 * time.Millisecond
 	// debugPortOffset is the offset of the port for metrics and debug dumps from Host.PeerPort.
 	debugPortOffset = 2
 )
@@ -104,11 +106,15 @@
 	handler  *ingress.Handler
 	pool     *backend.Pool
 	leaving  atomic.Bool
+	// closing ends the requests that outlast the time to stop.
+	closing context.Context
+	abort   context.CancelFunc
 }
 
 // RunEntry runs an entry process until ctx is done, then shuts it down gracefully.
 func RunEntry(ctx context.Context, deps EntryDependencies) error {
 	e := newEntry(deps)
+	defer e.abort()
 	loopCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
 	defer loops.Wait()
@@ -144,6 +150,7 @@
 
 func newEntry(deps EntryDependencies) *entry {
 	e := &entry{EntryDependencies: deps, pool: backend.NewPool()}
+	e.closing, e.abort = context.WithCancel(context.Background())
 	e.cache = relay.NewCache()
 	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Log)
 	e.follower = follow.New(e.source, entryFollowConfig, newRandom(deps.Random), deps.Log)
@@ -154,6 +161,7 @@
 		Headers:    deps.Headers,
 		Current:    e.follower.Current,
 		Leaving:    e.leaving.Load,
+		Closing:    e.closing,
 		RetryAfter: deps.RetryAfter,
 		Pool:       e.pool,
 		Now:        bootclock.Time,
@@ -178,22 +186,18 @@
 
 // servers holds the HTTP servers of an entry process.
 type servers struct {
-	callers *http.Server
+	callers *server.Graceful
 	others  []*http.Server
 }
 
 func (e *entry) listen() (*servers, error) {
-	s := &servers{callers: &http.Server{
-		Handler:           e.handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}}
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+e.ReadyPath, e.serveReady)
-	if err := serve(s.callers, e.CallerListen, e.Log); err != nil {
+	s := &servers{}
+	var err error
+	if s.callers, err = e.listenCallers(); err != nil {
 		return nil, err
 	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+e.ReadyPath, e.serveReady)
 	debug := http.NewServeMux()
 	server.AddDebug(debug, server.Introspection{State: e.state, Ready: e.handler.Ready})
 	for address, handler := range map[string]http.Handler{
@@ -209,6 +213,21 @@
 	return s, nil
 }
 
+func (e *entry) listenCallers() (*server.Graceful, error) {
+	listener, err := listen(e.CallerListen)
+	if err != nil {
+		return nil, err
+	}
+	callers := server.NewGraceful(&http.Server{
+		Handler:           e.handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}, listener.(*net.TCPListener))
+	go logServe(callers.Serve, e.CallerListen, e.Log)
+	return callers, nil
+}
+
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if ready, _ := e.handler.Ready(); !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -253,18 +272,20 @@
 	}
 }
 
-// shutdown reports the host as not ready, keeps serving for drainDelay so that callers move to other hosts, and then
-// waits for the requests in flight until exitMargin before the process is killed.
+// shutdown reports the host as not ready, keeps serving for drainDelay so that callers move to other hosts, and then waits for the
+// requests in flight. Those that have not ended shortly before the process is killed are answered with an error.
 func (e *entry) shutdown(s *servers) {
 	e.Log.Info("process is leaving")
 	deadline := time.Now().Add(e.Host.ShutdownTimeout - exitMargin)
 	e.leaving.Store(true)
-	time.Sleep(min(drainDelay, time.Until(deadline)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := s.callers.Shutdown(ctx); err != nil {
+	time.Sleep(min(drainDelay, time.Until(deadline.Add(-answerMargin))))
+	if err := shutdownUntil(s.callers, deadline.Add(-answerMargin)); err != nil {
 		e.Log.WithError(err).Warn("aborting requests that did not finish before the shutdown deadline")
-		_ = s.callers.Close()
+		e.abort()
+		if err := shutdownUntil(s.callers, deadline); err != nil {
+			e.Log.WithError(err).Warn("closing connections with unanswered requests")
+			_ = s.callers.Close()
+		}
 	}
 	for _, other := range s.others {
 		_ = other.Close()
@@ -272,20 +293,35 @@
 	e.Log.Info("process stopped")
 }
 
-// serve listens on address and serves s in a new goroutine.
+func shutdownUntil(s *server.Graceful, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return s.Shutdown(ctx)
+}
+
+// serve listens on address and serves s in a new goroutine. A panic in its handler ends only the request.
 func serve(s *http.Server, address string, log *logrus.Entry) error {
-	listener, err := netdial.ListenConfig().Listen(context.Background(), "tcp", address)
+	s.Handler = server.Recover(s.Handler, log)
+	listener, err := listen(address)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
+		return err
 	}
-	go func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			log.WithError(err).WithField("address", address).Error("HTTP server stopped unexpectedly")
-		}
-	}()
+	go logServe(func() error { return s.Serve(listener) }, address, log)
 	return nil
 }
 
+func listen(address string) (net.Listener, error) {
+	listener, err := netdial.ListenConfig().Listen(context.Background(), "tcp", address)
+	return listener, eris.Wrapf(err, "listen on %s", address)
+}
+
+// logServe runs serve and logs an error unless the server was shut down.
+func logServe(serve func() error, address string, log *logrus.Entry) {
+	if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+		log.WithError(err).WithField("address", address).Error("HTTP server stopped unexpectedly")
+	}
+}
+
 func debugAddress(host Host) string {
 	return net.JoinHostPort(host.Address, strconv.Itoa(host.PeerPort+debugPortOffset))
 }
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -22,6 +22,9 @@
 	minAttemptTime = 15 * time.Millisecond
 )
 
+// errClosing is the cause of canceling an attempt because the process is about to exit.
+var errClosing = errors.New("the process is about to exit")
+
 // call is the state of one request of a caller.
 type call struct {
 	h        *Handler
@@ -54,6 +57,8 @@
 	// nextChoice is the replica for the next attempt, if the guard chose one before the last attempt ended.
 	nextChoice *dispatch.Choice
 	stream     streamState
+	// responding is set once a part of the response may have been sent to the caller.
+	responding bool
 	// buffer counts the memory of buffered responses.
 	buffer responseBuffer
 	// heldUntil is the time at which a replica takes requests again, set if the request is refused because none does now.
@@ -86,6 +91,8 @@
 	c.h.router.countRequest(c.upstream)
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(c.h.Now()))
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer context.AfterFunc(c.h.Closing, func() { abort(errClosing) })()
 	for {
 		choice, err := c.pickReplica(ctx)
 		if err != nil {
@@ -95,8 +102,7 @@
 			c.endWithError(err)
 			return
 		}
-		result := c.attempt(ctx, choice)
-		c.h.router.done(choice, result.outcome, result.latency)
+		result := c.attemptAndRelease(ctx, choice)
 		if result.responded {
 			c.outcome = outcomeServed
 			c.releaseNextChoice()
@@ -119,6 +125,14 @@
 	}
 }
 
+// attemptAndRelease makes an attempt and releases the slot of its replica, also if the attempt panics.
+func (c *call) attemptAndRelease(ctx context.Context, choice dispatch.Choice) (result attemptResult) {
+	result.outcome = dispatch.OutcomeAbandoned
+	defer func() { c.h.router.done(choice, result.outcome, result.latency) }()
+	result = c.attempt(ctx, choice)
+	return result
+}
+
 // releaseNextChoice returns the slot of a replica that was chosen for a next attempt which is not made.
 func (c *call) releaseNextChoice() {
 	if c.nextChoice != nil {
@@ -193,7 +207,7 @@
 // mayRetry reports whether another attempt may follow a failed one. It excludes the failed replica from further attempts
 // and, unless nothing was sent, takes a retry from the budget.
 func (c *call) mayRetry(choice dispatch.Choice, result attemptResult) bool {
-	if c.deadline.Sub(c.h.Now()) < minAttemptTime {
+	if c.deadline.Sub(c.h.Now()) < minAttemptTime || c.h.Closing.Err() != nil {
 		return false
 	}
 	c.tried = append(c.tried, choice.ID)
@@ -260,6 +274,7 @@
 	c.h.log.write("request refused", c.fields(logrus.Fields{
 		"status": err.Status, "code": err.Code, "run": err.Run, "reason": err.Error(), "view_age_ms": c.h.Age().Milliseconds(),
 	}))
+	c.responding = true
 	transport.WriteError(c.w, c.id, err)
 	c.outcome, c.refusalCode = outcomeRefused, err.Code
 }
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -46,8 +46,10 @@
 	// viewWasRead, if set, is called right after the handler has read the view.
 	viewWasRead func()
 	leaving     atomic.Bool
-	frontend    *httptest.Server
-	log         *logtest.Hook
+	// onAge, if set, is called whenever a request asks for the age of the configuration.
+	onAge    atomic.Pointer[func()]
+	frontend *httptest.Server
+	log      *logtest.Hook
 
 	mu       sync.Mutex
 	requests []receivedRequest
@@ -83,6 +85,9 @@
 			if h.viewWasRead != nil {
 				h.viewWasRead()
 			}
+			if onAge := h.onAge.Load(); onAge != nil {
+				(*onAge)()
+			}
 			return view, age
 		},
 		Leaving:    h.leaving.Load,
