Keep the connection until the refusal of a large body is read

Cause: the handler that recovers from panics wraps the response writer. http.MaxBytesReader tells the server about a body over the limit only through the server's own writer, so the server closed the connection at once instead of after the caller had read the refusal.

Change: transport.LimitBody unwraps the writer; the three places that limit bodies use it.

--- a/transport/admin/edit.go
+++ b/transport/admin/edit.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"net/http"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
@@ -12,6 +11,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/settings"
+	"github.com/guavatrestle/guavatrestle/transport"
 )
 
 const (
@@ -142,7 +142,7 @@
 }
 
 func decodeBody(c call, into any) error {
-	body := http.MaxBytesReader(c.w, c.r.Body, settings.MaxBodyBytes+maxEnvelopeBytes)
+	body := transport.LimitBody(c.w, c.r.Body, settings.MaxBodyBytes+maxEnvelopeBytes)
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
--- a/transport/body.go
+++ b/transport/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -25,3 +26,15 @@
 
 // BodyTimedOut reports whether reading a body failed because of BoundBody.
 func BodyTimedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// LimitBody limits the size of a request's body like http.MaxBytesReader. That needs the server's own writer: only then does the
+// server keep the connection open until the caller has read the refusal.
+func LimitBody(w http.ResponseWriter, body io.ReadCloser, limit int64) io.ReadCloser {
+	for {
+		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return http.MaxBytesReader(w, body, limit)
+		}
+		w = wrapper.Unwrap()
+	}
+}
--- a/transport/entry/call.go
+++ b/transport/entry/call.go
@@ -125,7 +125,7 @@
 
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) ([]byte, error) {
 	transport.BoundBody(w, timeout)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBodyBytes))
+	body, err := io.ReadAll(transport.LimitBody(w, r.Body, h.cfg.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, transport.Errorf(http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge, api.RunNotRun, "request body is larger than %d bytes", tooLarge.Limit)
--- a/transport/upstream/request.go
+++ b/transport/upstream/request.go
@@ -12,6 +12,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/transport"
 )
 
 const (
@@ -23,7 +24,7 @@
 )
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *wire.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := io.ReadAll(transport.LimitBody(w, r.Body, maxBodyBytes))
 	if err == nil {
 		return body, nil
 	}
