--- a/transport/staging/order_faults_test.go
+++ b/transport/staging/order_faults_test.go
@@ -251,6 +251,21 @@
 	require.Eventually(t, func() bool { return w.version() == 3 }, 8*time.Second, time.Millisecond)
 }
 
+// TestRestartedAgentGoesOnWithItsFetch guards against a wait after a restart in the middle of a fetch of the wanted version, where
+// the origin no longer has the manifests of the versions before it.
+func TestRestartedAgentGoesOnWithItsFetch(t *testing.T) {
+	g := newGroup(t)
+	g.origin.oldest = 4
+	w := newWorker()
+	for index := range pieceCount / 2 {
+		w.staged[index] = piece(4, index)
+	}
+	g.setWanted(4)
+	g.startAgentWith("127.0.14.12", w, func(cfg *staging.Config) { cfg.LateOrderTimeout = time.Hour })
+	require.Eventually(t, func() bool { return w.version() == 4 }, 8*time.Second, time.Millisecond)
+	require.Empty(t, w.wrong())
+}
+
 // TestRestartedWorkerHasNoInheritedOrder guards against a worker that stays without a version: its process was gone after the
 // agent had started, so it can't have an order of an earlier agent process.
 func TestRestartedWorkerHasNoInheritedOrder(t *testing.T) {
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -128,6 +128,8 @@
 	corrupt func(n, index int, data []byte) []byte
 	// shared makes the first piece the same in every version.
 	shared bool
+	// oldest is the oldest version of which the origin still has the manifest.
+	oldest int64
 	// corruptManifests is the number of manifests to send with a wrong digest.
 	corruptManifests int
 }
@@ -135,6 +137,9 @@
 func (o *fakeOrigin) Manifest(_ context.Context, _ string, model core.Model, version int64) (worker.Manifest, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if version < o.oldest {
+		return worker.Manifest{}, protocol.Errorf(protocol.CodeExpired, "version %d is gone", version)
+	}
 	manifest := worker.Manifest{Model: model, Version: version}
 	for index := range pieceCount {
 		sum := sha256.Sum256(o.content(version, index))
