Split the sending of a load order from its checks

orderLoad verified, announced, checked and sent; sendOrder now sends and notes the outcome. A comment of ingress is rewrapped.

--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -293,8 +293,8 @@
 	return c.h.router.jitter(max(delay, c.h.Config.RetryAfterMin))
 }
 
-// abandon aborts a request whose caller has disconnected, and panics to do so. A return would send an empty response with status 200, which a caller that
-// has closed only its own side of the connection would take for the complete one.
+// abandon aborts a request whose caller has disconnected, and panics to do so. A return would send an empty response with status
+// 200, which a caller that has closed only its own side of the connection would take for the complete one.
 func (c *call) abandon() {
 	c.outcome = outcomeAbandoned
 	panic(http.ErrAbortHandler)
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -36,17 +36,23 @@
 		a.setLoading(false)
 		return err
 	}
-	a.beginOrder(order)
-	callCtx, cancel := context.WithTimeout(ctx, a.Config.OrderTimeout)
-	defer cancel()
+	return a.sendOrder(ctx, order, report, repeated)
+}
+
+// sendOrder sends a load order and notes its outcome.
+func (a *Agent) sendOrder(ctx context.Context, order loadOrder, report worker.Report, repeated bool) error {
+	t := order.target
 	fields := logrus.Fields{
-		"model": t.model, "version": t.version, "expected_orders": report.Orders, "running": report.Running,
+		"model": t.model, "version": t.version, "expected_orders": order.orders, "running": report.Running,
 		"waiting": report.Waiting, "repeated": repeated,
 	}
 	a.Log.WithFields(fields).Info("load order sent")
+	a.beginOrder(order)
+	callCtx, cancel := context.WithTimeout(ctx, a.Config.OrderTimeout)
+	defer cancel()
 	sentAt := a.Now()
 	err := a.Worker.Load(callCtx, worker.LoadOrder{
-		Model: t.model, Version: t.version, ExpectedOrders: report.Orders, FencingToken: t.version,
+		Model: t.model, Version: t.version, ExpectedOrders: order.orders, FencingToken: t.version,
 	})
 	a.endOrder(order, err, repeated)
 	fields["took_ms"] = a.Now().Sub(sentAt).Milliseconds()
