Log the prompt parts and the stage of broken attempts

"try failed" now has prompt_parts and response_stage (none, head, events), and attempts that broke after they were sent have a rate limit of their own. No decision uses them yet.

--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -42,6 +42,8 @@
 	body     []byte
 	hasBody  bool
 	upstream core.Upstream
+	// promptParts lists the parts of the prompt; the last one belongs to this request or its session.
+	promptParts []string
 	// late is true if the caller has probably been trying for longer than the latency objective already.
 	late bool
 
@@ -57,6 +59,8 @@
 	// nextChoice is the replica for the next attempt, if the guard chose one before the last attempt ended.
 	nextChoice *dispatch.Choice
 	stream     streamState
+	// stage is how far the response of the current attempt has come.
+	stage responseStage
 	// responding is set once a part of the response may have been sent to the caller.
 	responding bool
 	// buffer counts the memory of buffered responses.
@@ -70,6 +74,19 @@
 	responseLatency time.Duration
 }
 
+// responseStage is how far the response of an attempt had come.
+type responseStage string
+
+// Stages of a response, in order.
+const (
+	// stageNone is before the head of the response.
+	stageNone responseStage = "none"
+	// stageHead is after the head and, in a stream, before the first event.
+	stageHead responseStage = "head"
+	// stageEvents is after the first event of a stream.
+	stageEvents responseStage = "events"
+)
+
 // attemptResult describes how an attempt ended.
 type attemptResult struct {
 	outcome dispatch.Outcome
@@ -82,7 +99,9 @@
 	// errorResponse is a complete response of the replica with a 5xx status.
 	errorResponse *bufferedResponse
 	latency       time.Duration
-	err           error
+	// stage is how far the response had come when the attempt ended.
+	stage responseStage
+	err   error
 }
 
 // serve sends the request to one replica after the other until one serves it or no further attempt is allowed.
@@ -129,7 +148,9 @@
 func (c *call) attemptAndRelease(ctx context.Context, choice dispatch.Choice) (result attemptResult) {
 	result.outcome = dispatch.OutcomeAbandoned
 	defer func() { c.h.router.done(choice, result.outcome, result.latency) }()
+	c.stage = stageNone
 	result = c.attempt(ctx, choice)
+	result.stage = c.stage
 	return result
 }
 
@@ -306,9 +327,14 @@
 	if result.err != nil {
 		reason = result.err.Error()
 	}
-	c.h.log.write("try failed", c.fields(logrus.Fields{
+	log := c.h.log
+	if result.outcome == dispatch.OutcomeBroken && !result.notRun {
+		log = c.h.brokenLog
+	}
+	log.write("try failed", c.fields(logrus.Fields{
 		"replica": choice.ID, "address": choice.Address, "load": choice.Load, "version": choice.Version,
 		"outcome": result.outcome, "not_run": result.notRun, "sends": c.attempts, "reason": reason,
+		"response_stage": result.stage, "prompt_parts": c.promptParts,
 	}))
 }
 
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -31,9 +31,12 @@
 // Handler is the HTTP handler for requests of callers.
 type Handler struct {
 	Dependencies
-	router  *Router
-	log     *requestLog
-	buffers bufferLimit
+	router *Router
+	log    *requestLog
+	// brokenLog has the attempts that broke after they were sent. Their limit is their own, so that they are not left out when many
+	// requests are refused at the same time.
+	brokenLog *requestLog
+	buffers   bufferLimit
 }
 
 // NewHandler returns a Handler that chooses replicas with router.
@@ -42,7 +45,7 @@
 		deps.Closing = context.Background()
 	}
 	return &Handler{
-		Dependencies: deps, router: router, log: newRequestLog(deps.Log, deps.Now),
+		Dependencies: deps, router: router, log: newRequestLog(deps.Log, deps.Now), brokenLog: newRequestLog(deps.Log, deps.Now),
 		buffers: bufferLimit{limit: deps.Config.MaxBufferedBytes},
 	}
 }
@@ -84,7 +87,10 @@
 		arrived: h.Now(),
 		view:    view,
 		viewAge: viewAge,
-		buffer:  responseBuffer{shared: &h.buffers},
+
+		promptParts: h.Headers.PromptParts(r.Header),
+
+		buffer: responseBuffer{shared: &h.buffers},
 	}
 	defer c.finish()
 	defer c.recoverRequest()
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -47,6 +47,7 @@
 				return attemptResult{outcome: cancelOutcome(cause), err: cause}
 			}
 			latency = c.h.Now().Sub(sent)
+			c.stage = stageEvents
 		}
 		rest, writeErr := c.forwardEvents(response, pending, guard)
 		if writeErr != nil {
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -78,6 +78,7 @@
 		return c.noResponse(ctx, err)
 	}
 	defer response.Body.Close()
+	c.stage = stageHead
 	c.recordReplicaState(choice, response)
 	if result, refused := c.refusal(choice, response); refused {
 		return result
