--- a/bench/cmd/gtbench/soak.go
+++ b/bench/cmd/gtbench/soak.go
@@ -49,6 +49,7 @@
 	flags.IntVar(&count, "count", 1, "number of consecutive seeds, starting at --seed")
 	flags.IntVar(&parallel, "parallel", 1, "number of concurrent runs")
 	flags.IntVar(&cfg.Faults, "faults", cfg.Faults, "number of faults in each run")
+	flags.BoolVar(&cfg.CrashingPrompts, "crashing-prompts", false, "send prompts on which workers crash, beside the faults")
 	flags.StringVar(&logs, "logs", os.TempDir(), "directory for the settings and logs of the runs")
 	return cmd
 }
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -20,6 +20,12 @@
 	callerDeadline = 1500 * time.Millisecond
 	// meanCallerPause is the mean pause between two requests of a caller.
 	meanCallerPause = 25 * time.Millisecond
+	// sharedParts is the number of second parts of prompts.
+	sharedParts = 8
+	// crashingPart is the part of a prompt on which workers crash, and crashingPromptInterval the number of requests of a caller of
+	// which one has it, if it is a stream.
+	crashingPart           = "dead"
+	crashingPromptInterval = 20
 )
 
 // caller sends one request after the other. It stays with an entry, and keeps its connection to it open, until a
@@ -65,17 +71,30 @@
 		key: c.fleet.keys[c.random.IntN(len(c.fleet.keys))], team: teamName, at: time.Now(),
 	}
 	s.path = "/" + string(s.kind) + "/x?n=" + strconv.Itoa(number)
+	if s.kind == kindStream {
+		s.promptParts = c.prompt(number)
+	}
 	s.body = strings.Repeat("prompt of "+s.id+" ", 1+c.random.IntN(30))
 	return s
 }
 
+// prompt returns the parts of a prompt: one that all prompts share, one that some share and one of its own. While workers crash on a
+// part, some prompts have it as the second one.
+func (c *caller) prompt(number int) []string {
+	second := fmt.Sprintf("b%d", number%sharedParts)
+	if c.fleet.crashingPrompts.Load() && number%crashingPromptInterval == c.number {
+		second = crashingPart
+	}
+	return []string{"a0", second, fmt.Sprintf("c%x%04x", c.number, number)}
+}
+
 func (c *caller) send(ctx context.Context, s sentRequest) receivedResponse {
 	// A caller that stops lets its last request run until its deadline.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerDeadline)
 	defer cancel()
 	request, err := platformtest.CallerRequest{
 		ID: s.id, Method: s.method, Host: callerHost, Path: s.path, Body: s.body, Key: s.key, Model: modelName,
-		Deadline: callerDeadline,
+		PromptParts: s.promptParts, Deadline: callerDeadline,
 	}.Request(ctx, c.entry)
 	if err != nil {
 		return receivedResponse{}
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -19,6 +19,8 @@
 	at time.Duration
 	// duration is how long the fault is active.
 	duration time.Duration
+	// disturbsEntries is true if entries, or the store that they read, don't work as usual.
+	disturbsEntries bool
 	// inject applies the fault and returns when it has ended.
 	inject func(ctx context.Context)
 }
@@ -50,7 +52,8 @@
 		from := time.Now()
 		running.Go(func() {
 			next.inject(ctx)
-			f.checker.recordFault(interval{from: from, to: time.Now().Add(faultRecoveryTime)})
+			active := interval{from: from, to: time.Now().Add(faultRecoveryTime)}
+			f.checker.recordFault(active, next.disturbsEntries)
 		})
 	}
 	running.Wait()
@@ -62,16 +65,18 @@
 
 func pickRandom[T any](random *rand.Rand, items []T) T { return items[random.IntN(len(items))] }
 
+func (f *fleet) isEntry(p *process) bool { return slices.Contains(f.entries, p) }
+
 func (f *fleet) processes() []*process { return append(slices.Clone(f.entries), f.agents...) }
 
 func (f *fleet) killProcess(random *rand.Rand) fault {
 	p := pickRandom(random, f.processes())
-	return fault{name: "kill " + p.name, inject: func(context.Context) { p.signal(syscall.SIGKILL) }}
+	return fault{name: "kill " + p.name, disturbsEntries: f.isEntry(p), inject: func(context.Context) { p.signal(syscall.SIGKILL) }}
 }
 
 func (f *fleet) stopEntry(random *rand.Rand) fault {
 	p := pickRandom(random, f.entries)
-	return fault{name: "stop " + p.name, inject: func(context.Context) { p.signal(syscall.SIGTERM) }}
+	return fault{name: "stop " + p.name, disturbsEntries: true, inject: func(context.Context) { p.signal(syscall.SIGTERM) }}
 }
 
 func (f *fleet) sendHangup(random *rand.Rand) fault {
@@ -81,7 +86,7 @@
 
 func (f *fleet) pauseProcess(random *rand.Rand) fault {
 	p, duration := pickRandom(random, f.processes()), randomDuration(random, 200*time.Millisecond, 4*time.Second)
-	return fault{name: "pause " + p.name, duration: duration, inject: func(context.Context) {
+	return fault{name: "pause " + p.name, duration: duration, disturbsEntries: f.isEntry(p), inject: func(context.Context) {
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
 		p.signal(syscall.SIGCONT)
@@ -90,7 +95,7 @@
 
 func (f *fleet) makeStoreUnavailable(random *rand.Rand) fault {
 	duration := randomDuration(random, 300*time.Millisecond, 3*time.Second)
-	return fault{name: "store unavailable", duration: duration, inject: func(context.Context) {
+	return fault{name: "store unavailable", duration: duration, disturbsEntries: true, inject: func(context.Context) {
 		f.store.SetUnavailable(true)
 		time.Sleep(duration)
 		f.store.SetUnavailable(false)
@@ -99,7 +104,9 @@
 
 func (f *fleet) degradeStoreLink(random *rand.Rand) fault {
 	p := pickRandom(random, f.processes())
-	return linkFault(random, "store for "+p.name, f.storeProxies[p.name])
+	drawn := linkFault(random, "store for "+p.name, f.storeProxies[p.name])
+	drawn.disturbsEntries = f.isEntry(p)
+	return drawn
 }
 
 func (f *fleet) degradeWorkerLink(random *rand.Rand) fault {
@@ -119,7 +126,14 @@
 
 func (f *fleet) crashWorker(random *rand.Rand) fault {
 	h := pickRandom(random, f.workers)
-	return fault{name: "crash worker " + h.name, duration: registrationExpiry, inject: func(context.Context) { h.crash() }}
+	return fault{name: "crash worker " + h.name, duration: registrationExpiry, inject: func(context.Context) { h.crash(0) }}
+}
+
+// sendCrashingPrompts makes callers send prompts on which workers crash. It does not count as a fault in the checks, which apply to it.
+func (f *fleet) sendCrashingPrompts(ctx context.Context) {
+	f.crashingPrompts.Store(true)
+	sleep(ctx, crashingPromptsPeriod)
+	f.crashingPrompts.Store(false)
 }
 
 func (f *fleet) loseWorkerResponses(random *rand.Rand) fault {
@@ -148,7 +162,7 @@
 }
 
 func (f *fleet) compactStore(*rand.Rand) fault {
-	return fault{name: "compact history", inject: func(context.Context) { f.store.CompactHistory() }}
+	return fault{name: "compact history", disturbsEntries: true, inject: func(context.Context) { f.store.CompactHistory() }}
 }
 
 // restoreStore makes the store unavailable for a moment and brings it back from an older copy. Soon afterwards the operator and the
@@ -158,7 +172,7 @@
 	lost := randomDuration(random, 500*time.Millisecond, 5*time.Second)
 	rewrite := randomDuration(random, 100*time.Millisecond, 1500*time.Millisecond)
 	name := fmt.Sprintf("restore store from a copy %s old", lost)
-	return fault{name: name, duration: outage + rewrite, inject: func(context.Context) {
+	return fault{name: name, duration: outage + rewrite, disturbsEntries: true, inject: func(context.Context) {
 		f.store.SetUnavailable(true)
 		f.store.Restore(time.Now().Add(-lost))
 		time.Sleep(outage)
@@ -195,7 +209,7 @@
 	duration := revokeBound + randomDuration(random, time.Second, 3*time.Second)
 	revoke := f.revokeKey(random)
 	name := fmt.Sprintf("%s while %s has no connection to the store, condition %d", revoke.name, p.name, applied)
-	return fault{name: name, duration: duration, inject: func(ctx context.Context) {
+	return fault{name: name, duration: duration, disturbsEntries: true, inject: func(ctx context.Context) {
 		f.storeProxies[p.name].setCondition(applied)
 		revoke.inject(ctx)
 		time.Sleep(duration)
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,10 @@
 	responseLossPercent atomic.Int64
 	// longestOrderDelay is the longest delay in nanoseconds with which workers deal with orders.
 	longestOrderDelay atomic.Int64
+	// crashingPrompts is true while some callers send prompts on which workers crash.
+	crashingPrompts atomic.Bool
+	// restarts waits for the workers that restart after such a crash.
+	restarts sync.WaitGroup
 	// version is the newest target version.
 	version atomic.Int64
 }
@@ -225,8 +230,12 @@
 	w := &platformtest.Worker{
 		ID: fmt.Sprintf("%s-run%d", h.name, h.runsStarted), Born: time.Now().UnixMilli(), Slots: slots,
 		Layers: layers, Chunks: chunks, OnRun: h.fleet.checker.recordRun, ShouldDropResponse: h.fleet.shouldDropResponse,
-		OrderDelay: h.fleet.orderDelay,
+		OrderDelay: h.fleet.orderDelay, CrashesOn: crashesOn,
 	}
+	w.OnCrash = sync.OnceFunc(func() {
+		h.fleet.checker.recordCrash(time.Now())
+		h.fleet.restarts.Go(func() { h.crash(h.fleet.version.Load()) })
+	})
 	if h.service == engineName {
 		w.Model = modelName
 		w.SetLoadedVersion(version)
@@ -264,15 +273,18 @@
 	return time.Duration(rand.Int64N(f.longestOrderDelay.Load() + 1))
 }
 
-// crash stops the worker, removes its registration after registrationExpiry and starts another worker without weights.
-func (h *workerHost) crash() {
+// crashesOn reports whether workers crash on a prompt.
+func crashesOn(prompt string) bool { return strings.Contains(prompt, ","+crashingPart+":") }
+
+// crash stops the worker, removes its registration after registrationExpiry and starts another worker that has version loaded.
+func (h *workerHost) crash(version int64) {
 	h.mu.Lock()
 	id := h.worker.ID
 	_ = h.server.Close()
 	h.mu.Unlock()
 	time.Sleep(registrationExpiry)
 	h.fleet.store.RemoveReplica(id)
-	_ = h.start(0)
+	_ = h.start(version)
 }
 
 // pickEntry returns a random entry that is ready, or any entry if none is.
@@ -289,6 +301,7 @@
 
 // close stops all processes and stand-ins and returns a message for each process that exited unexpectedly.
 func (f *fleet) close() []string {
+	f.restarts.Wait()
 	var unexpected []string
 	for _, p := range append(f.entries, f.agents...) {
 		if count := p.close(); count > 0 {
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -22,6 +22,7 @@
 // sentRequest is a request that a caller sent.
 type sentRequest struct {
 	id, method, path, body, key, team string
+	promptParts                       []string
 	kind                              requestKind
 	at                                time.Time
 }
@@ -52,7 +53,11 @@
 	// targetSetAt holds when each version became the target.
 	targetSetAt map[int64]time.Time
 	faults      []interval
-	violations  []string
+	// disturbed holds those of faults in which entries, or the store that they read, don't work as usual.
+	disturbed []interval
+	// crashes holds the times at which workers crashed on a prompt.
+	crashes    []time.Time
+	violations []string
 }
 
 func newChecker(revoke, activate time.Duration) *checker {
@@ -94,10 +99,13 @@
 	c.targetSetAt[version] = at
 }
 
-func (c *checker) recordFault(active interval) {
+func (c *checker) recordFault(active interval, disturbsEntries bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.faults = append(c.faults, active)
+	if disturbsEntries {
+		c.disturbed = append(c.disturbed, active)
+	}
 }
 
 func (c *checker) addViolation(format string, args ...any) {
@@ -124,6 +132,7 @@
 	for id, response := range c.responses {
 		c.checkResponse(c.requests[id], response, len(c.runs[id]))
 	}
+	c.checkQuarantine()
 	return c.violations
 }
 
@@ -149,8 +158,11 @@
 }
 
 // noFaultBetween reports whether no fault was active between two times.
-func (c *checker) noFaultBetween(from, to time.Time) bool {
-	for _, fault := range c.faults {
+func (c *checker) noFaultBetween(from, to time.Time) bool { return noneBetween(c.faults, from, to) }
+
+// noneBetween reports whether none of the intervals has a part between two times.
+func noneBetween(intervals []interval, from, to time.Time) bool {
+	for _, fault := range intervals {
 		if fault.from.Before(to) && fault.to.After(from) {
 			return false
 		}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -21,6 +21,15 @@
 	// faultRecoveryTime is the time after the end of a fault for which it still counts as active in checks that require a
 	// fault-free period.
 	faultRecoveryTime = 2 * time.Second
+	// quarantineBound is the time after the fifth crash on a part of prompts from which on at most quarantineSends requests with it may
+	// still reach workers.
+	quarantineBound  = 3 * time.Second
+	quarantineAfter  = 5
+	quarantineSends  = 3
+	minSoundShare    = 0.5
+	minSoundRequests = 20
+	// crashingPromptsPeriod is the time for which such prompts are sent.
+	crashingPromptsPeriod = 18 * time.Second
 	// startBound bounds the time until the fleet serves most requests for the first time.
 	startBound = 15 * time.Second
 	// recoveryBound is the time after the last fault within which the fleet must serve most requests again.
@@ -43,6 +52,8 @@
 	// Faults is the number of faults, which start within FaultPeriod.
 	Faults      int
 	FaultPeriod time.Duration
+	// CrashingPrompts makes callers send prompts on which workers crash, beside the faults.
+	CrashingPrompts bool
 }
 
 // DefaultConfig returns the default settings.
@@ -59,6 +70,8 @@
 	Requests int
 	// Served is the share of requests that were served.
 	Served float64
+	// Crashes is the number of workers that crashed on a prompt.
+	Crashes int
 	// Broken lists the violated guarantees.
 	Broken []string
 }
@@ -85,7 +98,12 @@
 		for _, planned := range faults {
 			result.Faults = append(result.Faults, fmt.Sprintf("%s at %s for %s", planned.name, planned.at, planned.duration))
 		}
+		var prompts sync.WaitGroup
+		if cfg.CrashingPrompts {
+			prompts.Go(func() { f.sendCrashingPrompts(ctx) })
+		}
 		f.runFaults(ctx, faults)
+		prompts.Wait()
 		sleep(ctx, recoveryBound+recoveryWindow)
 	}
 	end := time.Now()
@@ -93,6 +111,7 @@
 	callers.Wait()
 	unexpectedExits := f.close()
 	result.Served, result.Requests = c.servedSince(begin)
+	result.Crashes = c.crashCount()
 	result.Broken = append(c.check(), unexpectedExits...)
 	if share, count := c.servedSince(end.Add(-recoveryWindow)); !serving {
 		result.Broken = append(result.Broken, "the fleet did not serve requests in time after its start")
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -47,3 +47,18 @@
 		require.NotZero(t, result.Requests)
 	}
 }
+
+// TestCrashingPromptsAreKeptFromWorkers guards against prompts on which workers crash that are sent to one worker after the other by
+// entries of which each has seen only a few of the crashes, also while processes restart and links fail; and against sound prompts that
+// are refused with them.
+func TestCrashingPromptsAreKeptFromWorkers(t *testing.T) {
+	for _, seed := range []uint64{1, 6} {
+		cfg := DefaultConfig()
+		cfg.Binary, cfg.Dir, cfg.Seed = binary, t.TempDir(), seed
+		cfg.CrashingPrompts = true
+		result, err := Run(context.Background(), cfg)
+		require.NoError(t, err)
+		require.Empty(t, result.Broken, "faults: %v", result.Faults)
+		require.NotZero(t, result.Requests)
+	}
+}
