Quarantine prompt parts on which replicas crash

Cause: requests with one part in their prompts crash each replica that begins to answer them. The entries judge replicas by their requests and never requests by their replicas, so each such request was admitted, and sent to a second replica when the first had ended. Class: an input that ends whoever takes it, handed from one to the next.

Change: hosts tell each other (1) attempts lost with their connection before the replica had survived the prompt, (2) processes of replicas that have ended, seen by a refused connection or by the agent beside the worker, (3) parts that were served, (4) quarantines. Each entry blames a part that was in such losses at four ended processes, with no request served since the first, if requests without it are rarely lost meanwhile. What one part explains does not speak against others, so the first part, which all prompts share, is not blamed. Requests with a blamed part get 503 prompt_quarantined, not_run, with Retry-After to the end of the quarantine (10 min, doubling), also before a second try, a resumption and a send that waited. It holds for the team whose requests crashed until another's do. A lapsed one is tried at one replica that all hosts agree on. News goes through the agents by UDP: nothing depends on the store or a relay. A stream without a length that ends before its first event counts as broken.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"hash/fnv"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -151,6 +152,23 @@
 	}
 }
 
+// TrialReplica returns the replica of an upstream that all hosts use for a trial of the same subject, or an empty ID if there is none.
+func (b *Balancer) TrialReplica(upstream core.Upstream, subject string) fleet.ReplicaID {
+	var chosen fleet.ReplicaID
+	highest := uint64(0)
+	for _, r := range b.groups[upstream] {
+		if !r.member.Usable() || b.isLeaving(r) {
+			continue
+		}
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(subject + "/" + string(r.member.ID)))
+		if rank := hash.Sum64(); chosen == "" || rank > highest {
+			chosen, highest = r.member.ID, rank
+		}
+	}
+	return chosen
+}
+
 // Usable reports whether a replica may continue the requests that it already has.
 func (b *Balancer) Usable(id fleet.ReplicaID) bool {
 	r := b.replicas[id]
@@ -162,7 +180,7 @@
 	switch {
 	case !r.member.Usable(), r.addressMoved, b.isLeaving(r):
 		return false
-	case slices.Contains(request.Exclude, r.member.ID):
+	case slices.Contains(request.Exclude, r.member.ID), request.Only != "" && request.Only != r.member.ID:
 		return false
 	case !b.inAllowedRegion(request.RouteRegions, r), !b.inAllowedRegion(request.TeamRegions, r):
 		return false
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -123,6 +123,8 @@
 	Late bool
 	// Exclude lists the replicas that earlier attempts were sent to.
 	Exclude []fleet.ReplicaID
+	// Only, if set, is the only replica that may serve the request.
+	Only fleet.ReplicaID
 }
 
 // Verdict is the result of Pick.
@@ -154,6 +156,9 @@
 	born int64
 }
 
+// Born returns the start of the replica's process in Unix milliseconds, 0 if it is not known.
+func (c Choice) Born() int64 { return c.born }
+
 // Outcome is how a request at a replica ended.
 type Outcome string
 
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -83,6 +83,7 @@
 		View:        follower.View,
 		Publish:     reportPublisher(reporter),
 		StopReports: reporter.ClearReport,
+		WorkerEnded: reporter.WorkerEnded,
 		Random:      newRandom(deps.Random),
 		Now:         bootclock.Time,
 		Log:         deps.Log,
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
@@ -105,7 +108,9 @@
 	router   *ingress.Router
 	handler  *ingress.Handler
 	pool     *backend.Pool
-	leaving  atomic.Bool
+	// quarantine keeps prompts on which replicas crash from them.
+	quarantine *ingress.Quarantine
+	leaving    atomic.Bool
 	// closing ends the requests that outlast the time to stop.
 	closing context.Context
 	abort   context.CancelFunc
@@ -126,6 +131,7 @@
 		StoreUnresponsive: e.follower.StoreUnresponsive,
 		Direct:            e.mayBeRelay,
 		Demand:            e.router.MeasureDemand,
+		Notices:           e.quarantine,
 		Sink: loadshare.Sink{
 			Report: e.router.RecordLoad, WantedVersion: e.follower.LearnTargetTime,
 			EntryHostCounts: e.follower.RecordPeerReachability, Relay: e.source.SetRelay,
@@ -156,6 +162,7 @@
 	e.follower = follow.New(e.source, entryFollowConfig, newRandom(deps.Random), deps.Log)
 	e.router = ingress.NewRouter(deps.Ingress, newRandom(deps.Random), bootclock.Time)
 	e.follower.OnChange(e.router.SetView)
+	e.quarantine = ingress.NewQuarantine(deps.Ingress.Quarantine, newRandom(deps.Random), bootclock.Time, deps.Log)
 	e.handler = ingress.NewHandler(ingress.Dependencies{
 		Config:     deps.Ingress,
 		Headers:    deps.Headers,
@@ -164,6 +171,7 @@
 		Closing:    e.closing,
 		RetryAfter: deps.RetryAfter,
 		Pool:       e.pool,
+		Quarantine: e.quarantine,
 		Now:        bootclock.Time,
 		Log:        deps.Log,
 	}, e.router)
@@ -200,6 +208,7 @@
 	ready.HandleFunc("GET "+e.ReadyPath, e.serveReady)
 	debug := http.NewServeMux()
 	server.AddDebug(debug, server.Introspection{State: e.state, Ready: e.handler.Ready})
+	debug.HandleFunc("POST /debug/quarantine/clear", e.clearQuarantine)
 	for address, handler := range map[string]http.Handler{
 		e.ReadyListen: ready, debugAddress(e.Host): debug,
 		net.JoinHostPort(e.Host.Address, strconv.Itoa(e.Host.PeerPort)): &relay.Server{Cache: e.cache, Direct: e.source.Direct, Log: e.Log},
@@ -234,6 +243,22 @@
 	}
 }
 
+// clearQuarantine lifts the quarantine of a part of prompts on all hosts.
+func (e *entry) clearQuarantine(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	key := quarantine.Key{Upstream: core.Upstream(query.Get("upstream")), Part: quarantine.Part(query.Get("part"))}
+	if key.Upstream == "" || key.Part == "" {
+		http.Error(w, "parameters upstream and part are required", http.StatusBadRequest)
+		return
+	}
+	if !slices.ContainsFunc(e.quarantine.State(), func(s quarantine.Status) bool { return s.Key == key }) {
+		http.Error(w, fmt.Sprintf("part %q of upstream %q is not in quarantine", key.Part, key.Upstream), http.StatusNotFound)
+		return
+	}
+	e.quarantine.Clear(key)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // entryState is the debug dump of an entry process.
 type entryState struct {
 	Host         core.HostID
@@ -241,6 +266,7 @@
 	ViewAge      string
 	View         *fleet.View
 	Replicas     []dispatch.State
+	Quarantines  []quarantine.Status
 	ReadyMessage string
 }
 
@@ -252,6 +278,7 @@
 		ViewAge:      e.follower.Age().String(),
 		View:         e.follower.View().WithoutKeys(),
 		Replicas:     e.router.State(),
+		Quarantines:  e.quarantine.State(),
 		ReadyMessage: reason,
 	}
 }
@@ -290,6 +317,7 @@
 	for _, other := range s.others {
 		_ = other.Close()
 	}
+	e.quarantine.Wait()
 	e.Log.Info("process stopped")
 }
 
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -42,8 +43,11 @@
 	body     []byte
 	hasBody  bool
 	upstream core.Upstream
-	// promptParts lists the parts of the prompt; the last one belongs to this request or its session.
+	// promptParts lists the parts of the prompt; the last one belongs to this request or its session. sharedParts are the others.
 	promptParts []string
+	sharedParts []quarantine.Part
+	// trial is true if a part was in quarantine and the request is sent to find out whether it is sound.
+	trial bool
 	// late is true if the caller has probably been trying for longer than the latency objective already.
 	late bool
 
@@ -85,6 +89,8 @@
 	stageHead responseStage = "head"
 	// stageEvents is after the first event of a stream.
 	stageEvents responseStage = "events"
+	// stageSound is after the replica has survived the prompt.
+	stageSound responseStage = "sound"
 )
 
 // attemptResult describes how an attempt ended.
@@ -101,7 +107,9 @@
 	latency       time.Duration
 	// stage is how far the response had come when the attempt ended.
 	stage responseStage
-	err   error
+	// connectionLost reports whether the replica's connection ended before the response was complete.
+	connectionLost bool
+	err            error
 }
 
 // serve sends the request to one replica after the other until one serves it or no further attempt is allowed.
@@ -149,8 +157,12 @@
 	result.outcome = dispatch.OutcomeAbandoned
 	defer func() { c.h.router.done(choice, result.outcome, result.latency) }()
 	c.stage = stageNone
+	sentAt := c.h.Now()
 	result = c.attempt(ctx, choice)
 	result.stage = c.stage
+	if result.connectionLost {
+		c.recordLoss(choice, sentAt)
+	}
 	return result
 }
 
@@ -165,16 +177,29 @@
 // pickReplica chooses a replica. While none has capacity for the request it waits up to CapacityWaitShare of the latency
 // objective.
 func (c *call) pickReplica(ctx context.Context) (dispatch.Choice, *transport.Error) {
-	if c.nextChoice != nil {
+	if c.nextChoice != nil && !c.quarantined() {
 		choice := *c.nextChoice
 		c.nextChoice = nil
 		return choice, nil
 	}
+	c.releaseNextChoice()
 	maxWait := time.Duration(float64(c.route.Objective) * c.h.Config.CapacityWaitShare)
 	waitDeadline := c.h.Now().Add(maxWait)
 	for {
-		choice, verdict := c.h.router.pickReplica(c.dispatchRequest())
+		decision, quarantineErr := c.checkQuarantine()
+		if quarantineErr != nil {
+			return dispatch.Choice{}, quarantineErr
+		}
+		request := c.dispatchRequest()
+		if decision.Verdict == quarantine.VerdictTrial {
+			request.Only = c.h.router.trialReplica(c.upstream, decision.Key)
+		}
+		choice, verdict := c.h.router.pickReplica(request)
 		if verdict == dispatch.VerdictChosen {
+			if decision.Verdict == quarantine.VerdictTrial {
+				c.trial = true
+				c.h.Quarantine.beginTrial(decision.Key)
+			}
 			return choice, nil
 		}
 		if verdict == dispatch.VerdictHeldOff && choice.HeldUntil.After(waitDeadline) {
@@ -231,7 +256,14 @@
 	if c.deadline.Sub(c.h.Now()) < minAttemptTime || c.h.Closing.Err() != nil {
 		return false
 	}
+	if errors.Is(result.err, errQuarantined) {
+		// The next choice is refused with the reason.
+		return true
+	}
 	c.tried = append(c.tried, choice.ID)
+	if c.trial || c.quarantined() {
+		return false
+	}
 	if c.nextChoice != nil {
 		// The guard has taken the retry from the budget.
 		return true
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/retry"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -19,6 +20,8 @@
 type Config struct {
 	Dispatch dispatch.Config
 	Retry    retry.Config
+	// Quarantine holds the settings of the quarantine of prompt parts.
+	Quarantine quarantine.Config
 	// RetryBurstTotal bounds the bursts of the retry budgets of all hosts together; 0 means no bound. Each host has an equal part of
 	// it, at most Retry.BudgetBurst and at least one retry.
 	RetryBurstTotal float64
@@ -77,6 +80,7 @@
 			BudgetRatio: 0.15,
 			BudgetBurst: 8,
 		},
+		Quarantine:           quarantine.DefaultConfig(),
 		CapacityWaitShare:    0.12,
 		CapacityPollInterval: 10 * time.Millisecond,
 		FirstEventFactor:     3,
@@ -108,6 +112,8 @@
 	// RetryAfter formats a duration as the value of the Retry-After header.
 	RetryAfter func(time.Duration) string
 	Pool       *backend.Pool
+	// Quarantine keeps prompts on which replicas crash from them; nil means that all prompts are sent.
+	Quarantine *Quarantine
 	Now        func() time.Time
 	Log        *logrus.Entry
 }
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -71,6 +71,8 @@
 		return false, "no configuration yet"
 	case h.Config.MaxReadyAge > 0 && h.Age() > h.Config.MaxReadyAge:
 		return false, "configuration not confirmed by the store"
+	case h.Quarantine != nil && !h.Quarantine.known():
+		return false, "prompt parts in quarantine not known yet"
 	}
 	return true, ""
 }
@@ -92,6 +94,9 @@
 
 		buffer: responseBuffer{shared: &h.buffers},
 	}
+	if h.Quarantine != nil {
+		c.sharedParts = sharedParts(c.promptParts)
+	}
 	defer c.finish()
 	defer c.recoverRequest()
 	if h.Leaving() {
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -7,6 +7,7 @@
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/coordination/lateness"
+	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/retry"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -107,6 +108,13 @@
 	return r.balancer.Pick(r.now(), request)
 }
 
+// trialReplica returns the replica that all hosts use to try a part whose quarantine has run out.
+func (r *Router) trialReplica(upstream core.Upstream, key quarantine.Key) fleet.ReplicaID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.TrialReplica(upstream, string(key.Part))
+}
+
 // pickForRetry chooses a replica for another attempt and takes the retry from the budget of the upstream. It returns false if there
 // is no replica with capacity or the budget is used up.
 func (r *Router) pickForRetry(request dispatch.Request) (dispatch.Choice, bool) {
--- a/transport/ingress/slow.go
+++ b/transport/ingress/slow.go
@@ -45,7 +45,7 @@
 func (c *call) guardAttempt(choice dispatch.Choice, cancel context.CancelCauseFunc) *attemptGuard {
 	g := &attemptGuard{call: c, choice: choice, cancel: cancel, lastProgress: c.h.Now()}
 	g.startVersionTimer()
-	if !c.route.Repeatable() || c.attempts+1 >= c.route.Attempts {
+	if !c.route.Repeatable() || c.attempts+1 >= c.route.Attempts || c.trial {
 		return g
 	}
 	g.exclude = append([]fleet.ReplicaID{choice.ID}, c.tried...)
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -38,6 +38,7 @@
 ) attemptResult {
 	var pending []byte
 	var latency time.Duration
+	var begun time.Time
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -48,6 +49,10 @@
 			}
 			latency = c.h.Now().Sub(sent)
 			c.stage = stageEvents
+			begun = c.h.Now()
+		}
+		if n > 0 && !begun.IsZero() && c.h.Now().Sub(begun) >= soundAfter {
+			c.recordSound()
 		}
 		rest, writeErr := c.forwardEvents(response, pending, guard)
 		if writeErr != nil {
@@ -55,11 +60,17 @@
 		}
 		pending = append(pending[:0], rest...)
 		switch {
+		case err == io.EOF && len(pending) == 0 && begun.IsZero() && !response.Framed:
+			// Nothing tells an empty stream from one whose replica has ended.
+			return attemptResult{outcome: dispatch.OutcomeBroken, connectionLost: true, err: eris.New("stream ended before its first event")}
 		case err == io.EOF && len(pending) == 0:
+			c.recordSound()
 			c.startStream(response)
 			return attemptResult{outcome: dispatch.OutcomeServed, responded: true, latency: latency}
 		case err == io.EOF:
-			return attemptResult{outcome: dispatch.OutcomeBroken, err: eris.New("stream ended inside an event")}
+			return attemptResult{
+				outcome: dispatch.OutcomeBroken, connectionLost: !response.Framed, err: eris.New("stream ended inside an event"),
+			}
 		case err != nil:
 			return c.brokenStream(ctx, err)
 		case len(pending) > maxEventBytes:
@@ -69,7 +80,7 @@
 }
 
 func (c *call) brokenStream(ctx context.Context, err error) attemptResult {
-	result := attemptResult{outcome: dispatch.OutcomeBroken, err: err}
+	result := attemptResult{outcome: dispatch.OutcomeBroken, connectionLost: context.Cause(ctx) == nil, err: err}
 	if cause := context.Cause(ctx); cause != nil {
 		result.err = cause
 		result.outcome = cancelOutcome(cause)
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -146,6 +146,9 @@
 	if c.outdated(choice) {
 		return errOutdated
 	}
+	if c.quarantined() {
+		return errQuarantined
+	}
 	return nil
 }
 
@@ -166,8 +169,10 @@
 		c.attempts++
 		c.mayHaveRun = true
 	}
-	result := attemptResult{outcome: dispatch.OutcomeBroken, notRun: !sent, unsent: !sent, err: err}
-	if errors.Is(err, errNotAllowed) || errors.Is(err, errOutdated) {
+	result := attemptResult{
+		outcome: dispatch.OutcomeBroken, notRun: !sent, unsent: !sent, connectionLost: sent && context.Cause(ctx) == nil, err: err,
+	}
+	if errors.Is(err, errNotAllowed) || errors.Is(err, errOutdated) || errors.Is(err, errQuarantined) {
 		result.outcome = dispatch.OutcomeAbandoned
 	}
 	if cause := context.Cause(ctx); cause != nil {
@@ -259,7 +264,7 @@
 ) attemptResult {
 	body, err := c.buffer.readAll(response.Body, c.h.Config.MaxResponseBytes)
 	if err != nil {
-		result := attemptResult{outcome: dispatch.OutcomeBroken, err: err}
+		result := attemptResult{outcome: dispatch.OutcomeBroken, connectionLost: context.Cause(ctx) == nil, err: err}
 		if cause := context.Cause(ctx); cause != nil {
 			result.outcome = cancelOutcome(cause)
 		}
@@ -273,6 +278,7 @@
 			outcome: dispatch.OutcomeFailed, errorResponse: buffered, err: eris.Errorf("replica returned status %d", response.Status),
 		}
 	}
+	c.recordSound()
 	c.responseLatency = c.h.Now().Sub(c.arrived)
 	buffered.write(c)
 	return attemptResult{outcome: dispatch.OutcomeServed, responded: true, latency: c.h.Now().Sub(sent)}
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/relay"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -51,6 +54,11 @@
 	current    dispatch.Report
 	born       int64
 	hasReport  bool
+	// ledger holds the notices of all entry hosts, unsent those that have not been passed on yet; push receives a value for them.
+	ledger *quarantine.Ledger
+	unsent []quarantine.Notice
+	push   chan struct{}
+	host   netip.Addr
 }
 
 // NewReporter opens the UDP socket of an agent at ip.
@@ -59,13 +67,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Reporter{conn: conn, view: view, sink: sink, log: log, requesters: make(map[netip.AddrPort]requester)}, nil
+	// An address that is not an IP address has no notices.
+	host, _ := netip.ParseAddr(ip)
+	return &Reporter{
+		conn: conn, view: view, sink: sink, log: log, requesters: make(map[netip.AddrPort]requester),
+		ledger: quarantine.NewLedger(quarantine.DefaultConfig()), push: make(chan struct{}, 1), host: host,
+	}, nil
 }
 
 // Run receives requests and sends reports until ctx is done.
 func (r *Reporter) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(r.receive)
+	loops.Go(func() { r.pushNotices(ctx) })
 	ticker := time.NewTicker(ReportInterval)
 	defer ticker.Stop()
 	for {
@@ -151,12 +165,17 @@
 func (r *Reporter) recordRequest(from netip.AddrPort, request message) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, registered := r.requesters[from]; registered || len(r.requesters) < maxRequesters {
+	_, registered := r.requesters[from]
+	if len(request.Notices) == 0 && (registered || len(r.requesters) < maxRequesters) {
 		r.requesters[from] = requester{
 			lastRequest: bootclock.Time(), storeUnresponsive: request.StoreUnresponsive,
 			failureDomain: request.FailureDomain, direct: request.Direct, demand: request.Demand,
 		}
 	}
+	r.addNotices(decodeNotices(bootclock.Time(), request.Notices))
+	if request.Digest != nil {
+		r.answerComparison(from, *request.Digest)
+	}
 	if !request.AskRelays {
 		return
 	}
@@ -169,6 +188,80 @@
 	_, _ = r.conn.WriteToUDPAddrPort(body, from)
 }
 
+// WorkerEnded tells entry hosts that a process of the worker on this host has ended.
+func (r *Reporter) WorkerEnded(born int64) {
+	if !r.host.IsValid() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addNotices([]quarantine.Notice{
+		quarantine.EndedNotice(bootclock.Time(), quarantine.Process{Host: r.host, Born: born}),
+	})
+}
+
+// addNotices adds notices, which are passed on to all entry hosts if they are new; the caller holds the lock.
+func (r *Reporter) addNotices(notices []quarantine.Notice) {
+	for _, n := range notices {
+		if r.ledger.Add(bootclock.Time(), n) {
+			r.unsent = append(r.unsent, n)
+		}
+	}
+	if len(r.unsent) == 0 {
+		return
+	}
+	select {
+	case r.push <- struct{}{}:
+	default:
+	}
+}
+
+// answerComparison tells an entry host the digest of the notices, and the notices if its own are others; the caller holds the lock.
+func (r *Reporter) answerComparison(to netip.AddrPort, digest uint64) {
+	r.ledger.Expire(bootclock.Time())
+	own := r.ledger.Digest()
+	var notices []quarantine.Notice
+	if own != digest {
+		notices = r.ledger.Notices()
+	}
+	r.sendNotices(notices, &own, to)
+}
+
+// pushNotices passes new notices on until ctx is done.
+func (r *Reporter) pushNotices(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.push:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(noticePushDelay):
+		}
+		r.mu.Lock()
+		unsent := r.unsent
+		r.unsent = nil
+		r.sendNotices(unsent, nil, slices.Collect(maps.Keys(r.requesters))...)
+		r.mu.Unlock()
+	}
+}
+
+func (r *Reporter) sendNotices(notices []quarantine.Notice, digest *uint64, to ...netip.AddrPort) {
+	datagrams, err := encodeDatagrams(bootclock.Time(), notices, digest)
+	if err != nil {
+		r.log.WithError(err).Error("encode notices")
+		return
+	}
+	for _, address := range to {
+		for _, body := range datagrams {
+			// Errors are ignored: the next comparison makes up for a lost datagram.
+			_, _ = r.conn.WriteToUDPAddrPort(body, address)
+		}
+	}
+}
+
 func (r *Reporter) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -30,6 +31,19 @@
 	Relay func(netip.Addr)
 }
 
+// Notices holds what a host knows about prompts on which replicas crash.
+type Notices interface {
+	// Outgoing receives a value when TakeOutgoing has notices that other hosts have not been told yet.
+	Outgoing() <-chan struct{}
+	TakeOutgoing() []quarantine.Notice
+	// Notices returns all notices, Digest their digest.
+	Notices() []quarantine.Notice
+	Digest() uint64
+	Merge([]quarantine.Notice)
+	// MarkCompared records that an agent has compared its notices with those of this host.
+	MarkCompared()
+}
+
 // ListenerDependencies holds what a Listener tells agents about this host, and what it needs to know which agents there are.
 type ListenerDependencies struct {
 	FailureDomain core.FailureDomain
@@ -42,8 +56,10 @@
 	Direct            func() bool
 	// Demand returns the rate of requests per second of this host's callers for an upstream.
 	Demand func(core.Upstream) float64
-	Sink   Sink
-	Log    *logrus.Entry
+	// Notices, if set, is exchanged with other hosts.
+	Notices Notices
+	Sink    Sink
+	Log     *logrus.Entry
 }
 
 // Listener requests load reports from agents and passes them to a Sink.
@@ -55,6 +71,8 @@
 	byHost atomic.Pointer[map[netip.Addr][]fleet.Member]
 	// demand holds the demand by upstream that agents have been told last.
 	demand atomic.Pointer[map[core.Upstream]float64]
+	// compared is set once an agent has compared its notices with those of this host.
+	compared atomic.Bool
 }
 
 // Listen opens the UDP socket of an entry host at ip.
@@ -70,6 +88,9 @@
 func (l *Listener) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(l.receive)
+	if l.Notices != nil {
+		loops.Go(func() { l.pushNotices(ctx) })
+	}
 	for {
 		interval := RequestInterval
 		if !l.View().Ready() {
@@ -109,10 +130,15 @@
 		if _, measured := demand[upstream]; !measured {
 			demand[upstream] = l.Demand(upstream)
 		}
-		body, err := json.Marshal(message{
+		request := message{
 			StoreUnresponsive: l.StoreUnresponsive(), Wanted: recentWanted(bootclock.Time(), view),
 			FailureDomain: l.FailureDomain, Direct: l.Direct(), AskRelays: asked < relayQuestions, Demand: demand[upstream],
-		})
+		}
+		if l.Notices != nil && (asked < noticeQuestions || request.AskRelays && !l.compared.Load()) {
+			digest := l.Notices.Digest()
+			request.Digest = &digest
+		}
+		body, err := json.Marshal(request)
 		if err != nil {
 			l.Log.WithError(err).Error("encode request for reports")
 			return
@@ -154,6 +180,9 @@
 	if address, ok := received.Relays[l.FailureDomain]; ok {
 		l.Sink.Relay(address)
 	}
+	if l.Notices != nil {
+		l.exchangeNotices(from, received)
+	}
 	byHost := l.byHost.Load()
 	if received.Report == nil || byHost == nil {
 		return
@@ -167,6 +196,62 @@
 	deliverWanted(received.Report.Wanted, l.Sink.WantedVersion)
 }
 
+// exchangeNotices adds the notices of an agent, and sends it those that it lacks if it has compared.
+func (l *Listener) exchangeNotices(from netip.AddrPort, received message) {
+	if len(received.Notices) > 0 {
+		l.Notices.Merge(decodeNotices(bootclock.Time(), received.Notices))
+	}
+	if received.Digest == nil {
+		return
+	}
+	l.compared.Store(true)
+	l.Notices.MarkCompared()
+	if *received.Digest != l.Notices.Digest() {
+		l.sendNotices(from, l.Notices.Notices())
+	}
+}
+
+// pushNotices sends new notices to some agents until ctx is done.
+func (l *Listener) pushNotices(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.Notices.Outgoing():
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(noticePushDelay):
+		}
+		outgoing := l.Notices.TakeOutgoing()
+		byHost := l.byHost.Load()
+		if len(outgoing) == 0 || byHost == nil {
+			continue
+		}
+		sent := 0
+		// The order of a map differs each time.
+		for host := range *byHost {
+			if sent++; sent > noticePushAgents {
+				break
+			}
+			l.sendNotices(netip.AddrPortFrom(host, l.port), outgoing)
+		}
+	}
+}
+
+func (l *Listener) sendNotices(to netip.AddrPort, notices []quarantine.Notice) {
+	datagrams, err := encodeDatagrams(bootclock.Time(), notices, nil)
+	if err != nil {
+		l.Log.WithError(err).Error("encode notices")
+		return
+	}
+	for _, body := range datagrams {
+		// Errors are ignored: the next comparison makes up for a lost datagram.
+		_, _ = l.conn.WriteToUDPAddrPort(body, to)
+	}
+}
+
 // toldDemand returns the demand for an upstream that agents have been told last.
 func (l *Listener) toldDemand(upstream core.Upstream) float64 {
 	if demand := l.demand.Load(); demand != nil {
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -39,7 +39,7 @@
 	maxDatagramBytes = 2048
 )
 
-// message is the content of a datagram. One without a report and without relays is a request for reports.
+// message is the content of a datagram. One from an entry host is a request for reports, unless it has notices.
 type message struct {
 	Report *report `json:"r,omitempty"`
 	// Relays holds, in a response to AskRelays, the address of the relay of each failure domain.
@@ -55,6 +55,10 @@
 	StoreUnresponsive bool `json:"x,omitempty"`
 	// Wanted lists, in a request, the versions that recently became wanted as known to the sender.
 	Wanted []wantedVersion `json:"v,omitempty"`
+	// Notices lists what the sender knows about prompts on which replicas crash. Digest is the digest of all that it knows: in a
+	// request it asks for the notices that the sender lacks, and in a response for those that the agent lacks.
+	Notices []notice `json:"k,omitempty"`
+	Digest  *uint64  `json:"g,omitempty"`
 }
 
 type report struct {
--- a/transport/loadshare/receive.go
+++ b/transport/loadshare/receive.go
@@ -49,6 +49,11 @@
 	if received.Demand < 0 {
 		return received, eris.Errorf("demand is %f", received.Demand)
 	}
+	for i := range received.Notices {
+		if err := received.Notices[i].check(); err != nil {
+			return received, err
+		}
+	}
 	return received, received.Report.check()
 }
 
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -106,6 +106,8 @@
 	// the next Publish.
 	Publish     func(born int64, report dispatch.Report, urgent bool)
 	StopReports func()
+	// WorkerEnded, if set, is called when a process of the worker has ended. born is its start.
+	WorkerEnded func(born int64)
 	Random      *rand.Rand
 	Now         func() time.Time
 	Log         *logrus.Entry
@@ -123,6 +125,8 @@
 	report     worker.Report
 	reportedAt time.Time
 	responding bool
+	// endedBorn is the last process of the worker that WorkerEnded was called for.
+	endedBorn int64
 	// loading is true from the load notice until the worker has loaded the version or has restarted, the order has
 	// failed, or no load is due.
 	loading bool
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -43,6 +43,7 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			// The worker's process is gone, and with it any order of an earlier agent process.
 			a.inherited.settled = true
+			a.noteEnd()
 		}
 		a.StopReports()
 		return
@@ -55,6 +56,7 @@
 		a.Log.WithField("born", report.Born).WithField("models", len(report.Models)).Info("worker answers")
 	}
 	if report.Born != a.report.Born {
+		a.noteEnd()
 		// A restarted worker may have lost its staged pieces.
 		a.staged, a.accepted = target{}, target{}
 		a.loading = false
@@ -69,6 +71,15 @@
 	a.publishReport(false)
 }
 
+// noteEnd reports once that the process of the last report has ended; the caller holds the lock.
+func (a *Agent) noteEnd() {
+	if a.report.Born == 0 || a.endedBorn == a.report.Born || a.WorkerEnded == nil {
+		return
+	}
+	a.endedBorn = a.report.Born
+	a.WorkerEnded(a.report.Born)
+}
+
 // logNewlyLoaded logs each version that the last report did not list; the caller holds the lock.
 func (a *Agent) logNewlyLoaded(report worker.Report) {
 	for _, loaded := range report.Models {
