Test the quarantine of prompts at the entry and the guards of its decision

Three unit tests of the detector: without them, a detector that compares with no other requests, that doesn't protect parts used before, or that does not prefer new parts passed all tests.

--- a/coordination/quarantine/detector_test.go
+++ b/coordination/quarantine/detector_test.go
@@ -297,3 +297,58 @@
 	}
 	return notices
 }
+
+// losses records requests with a part that are lost with the processes of their replicas all at once.
+func (b *bed) losses(count int, part quarantine.Part) {
+	for range count {
+		b.crash("blue", "first", part)
+		b.now = b.now.Add(-100 * time.Millisecond)
+	}
+}
+
+// TestPartIsNotBlamedWhileOthersAreLostAsOften guards against a rarely used part that is blamed because it was in several crashes of a
+// time in which every request is likely to be lost.
+func TestPartIsNotBlamedWhileOthersAreLostAsOften(t *testing.T) {
+	b := newBed()
+	b.serve(50)
+	for i := range 6 {
+		b.crash("blue", "first", "rare")
+		b.crash("blue", "first", quarantine.Part(fmt.Sprint("q", i)))
+		b.serve(1)
+	}
+	require.Equal(t, quarantine.VerdictSend, b.verdict("blue", "rare"))
+}
+
+// TestPartThatIsUsedOftenIsNotBlamedAtOnce guards against a part that is blamed because many replicas ended at once, before a request
+// with it could be served again.
+func TestPartThatIsUsedOftenIsNotBlamedAtOnce(t *testing.T) {
+	b := newBed()
+	for range 20 {
+		b.serve(3)
+		b.Served(b.now, "llm", []quarantine.Part{"often"})
+	}
+	b.losses(8, "often")
+	b.serve(8)
+	require.Equal(t, quarantine.VerdictSend, b.verdict("blue", "often"))
+	b.serve(100)
+	require.Equal(t, quarantine.VerdictRefuse, b.verdict("blue", "often"), "it would have been served again by now")
+}
+
+// TestNewPartIsBlamedBeforeAKnownOne guards against the blame for a sound part that stood in more crashes than the cause, because news
+// of some requests with the cause was lost.
+func TestNewPartIsBlamedBeforeAKnownOne(t *testing.T) {
+	b, other := newBed(), newBed()
+	for i := range 6 {
+		parts := []quarantine.Part{"known", "bad"}
+		if i < 2 {
+			parts = parts[:1]
+		}
+		b.crash("blue", parts...)
+	}
+	other.Served(other.now, "llm", []quarantine.Part{"known"})
+	other.now = b.now
+	other.serve(110)
+	other.Merge(other.now, b.TakeOutgoing())
+	require.Equal(t, quarantine.VerdictSend, other.verdict("blue", "known"))
+	require.Equal(t, quarantine.VerdictRefuse, other.verdict("blue", "bad"))
+}
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -51,6 +51,8 @@
 	frontend *httptest.Server
 	log      *logtest.Hook
 
+	quarantine *ingress.Quarantine
+
 	mu       sync.Mutex
 	requests []receivedRequest
 }
@@ -77,6 +79,8 @@
 	logger.SetOutput(io.Discard)
 	h.log = logtest.NewLocal(logger)
 	pool := backend.NewPool()
+	h.quarantine = ingress.NewQuarantine(cfg.Quarantine, rand.New(rand.NewPCG(1, 2)), time.Now, logrus.NewEntry(logger))
+	h.quarantine.MarkCompared()
 	handler := ingress.NewHandler(ingress.Dependencies{
 		Config:  cfg,
 		Headers: names,
@@ -93,12 +97,14 @@
 		Leaving:    h.leaving.Load,
 		RetryAfter: func(d time.Duration) string { return d.String() },
 		Pool:       pool,
+		Quarantine: h.quarantine,
 		Now:        time.Now,
 		Log:        logrus.NewEntry(logger),
 	}, h.router)
 	h.frontend = httptest.NewServer(handler)
 	t.Cleanup(func() {
 		h.frontend.Close()
+		h.quarantine.Wait()
 		pool.Close()
 	})
 	h.table.SetConfiguration(&fleet.Configuration{
