Let the test of coalesced configurations control the clock

Cause: the test put groups of four versions one after the other in real time; a pause of the process of more than 150 ms between two groups ends the burst, and the next group is read version by version, as it should be.

The follower's clock can be replaced by tests, and the test runs in a synctest bubble.

--- a/transport/follow/era.go
+++ b/transport/follow/era.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol"
 )
 
@@ -22,7 +21,7 @@
 	case era < f.era:
 		return protocol.Errorf(protocol.CodeUnavailable, "the response is of era %d of the store, the latest is %d", era, f.era)
 	}
-	now := bootclock.Time()
+	now := f.time()
 	f.log.WithField("era", era).WithField("previous_era", f.era).Warn("store came back from an older copy")
 	f.era = era
 	f.settledAt = now.Add(restoreSettleTime)
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -106,6 +106,8 @@
 	source feed.Source
 	cfg    Config
 	log    *logrus.Entry
+	// now returns the time since the host's boot; tests replace it.
+	now func() bootclock.Instant
 
 	mu     sync.Mutex
 	table  *fleet.Table
@@ -142,6 +144,7 @@
 		source:        source,
 		cfg:           cfg,
 		log:           log,
+		now:           bootclock.Now,
 		table:         fleet.NewTable(),
 		listed:        make(map[feed.Kind]bool),
 		completeUntil: make(map[feed.Kind]time.Time),
@@ -152,6 +155,9 @@
 	}
 }
 
+// time returns the time since the host's boot as a time.Time.
+func (f *Follower) time() time.Time { return time.Unix(0, int64(f.now())) }
+
 // OnChange registers a function that is called with every new view, in order. It must not block and must be registered
 // before Run.
 func (f *Follower) OnChange(fn func(*fleet.View)) { f.onChange = append(f.onChange, fn) }
@@ -166,7 +172,7 @@
 	case current.confirmedAt == 0:
 		return current.view, neverConfirmed
 	}
-	return current.view, bootclock.Since(current.confirmedAt)
+	return current.view, time.Duration(f.now() - current.confirmedAt)
 }
 
 // View returns the view of Current.
@@ -192,7 +198,7 @@
 func (f *Follower) Answered() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.lastAnswered.IsZero() && !f.storeUnresponsive(bootclock.Time())
+	return !f.lastAnswered.IsZero() && !f.storeUnresponsive(f.time())
 }
 
 // StoreUnresponsive reports whether the store has not responded to this process for longer than a watch takes. It is
@@ -200,7 +206,7 @@
 func (f *Follower) StoreUnresponsive() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.storeUnresponsive(bootclock.Time())
+	return f.storeUnresponsive(f.time())
 }
 
 // storeUnresponsive is StoreUnresponsive for callers that hold the lock.
@@ -213,7 +219,7 @@
 func (f *Follower) RecordPeerReachability(hosts, unreachable int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if hosts >= outageMinHosts && float64(unreachable) >= outageMinShare*float64(hosts) && f.storeUnresponsive(bootclock.Time()) {
+	if hosts >= outageMinHosts && float64(unreachable) >= outageMinShare*float64(hosts) && f.storeUnresponsive(f.time()) {
 		f.sharedOutage = true
 	}
 }
@@ -228,7 +234,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.table.SetWanted(bootclock.Time().Add(-age), fleet.WeightTarget{Model: model, Version: version})
+	f.table.SetWanted(f.time().Add(-age), fleet.WeightTarget{Model: model, Version: version})
 	f.log.WithField("model", model).WithField("version", version).WithField("age_ms", age.Milliseconds()).
 		Info("version wanted, as another host says")
 	f.publish()
@@ -240,7 +246,7 @@
 	if !view.Ready() {
 		return
 	}
-	since := bootclock.Time().Add(-age)
+	since := f.time().Add(-age)
 	if _, isNew := view.Wanted[model].WithSince(version, since); !isNew {
 		return
 	}
@@ -272,7 +278,7 @@
 			return
 		case <-ticker.C:
 			f.mu.Lock()
-			if f.table.Expire(bootclock.Time()) {
+			if f.table.Expire(f.time()) {
 				f.publish()
 			}
 			f.mu.Unlock()
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -260,22 +261,50 @@
 
 // TestBurstOfConfigurationsIsCoalesced checks that a burst of configurations is not read version by version. A watch
 // returns every version in full, 100 KB each with 260 routes, which can saturate a link, while only the newest is needed.
+// A pause of the process between two groups ends the burst, so the test controls the clock.
 func TestBurstOfConfigurationsIsCoalesced(t *testing.T) {
 	const versions = 40
-	s := newSource()
-	s.put(feed.KindConfiguration, configuration(1))
-	follower := startWith(t, s, follow.Kind{Kind: feed.KindConfiguration, CoalesceDelay: 50 * time.Millisecond, NewestOnly: true})
-	eventually(t, func() bool { return follower.View().Ready() })
-	for version := range int64(versions) {
-		s.put(feed.KindConfiguration, configuration(version+2))
-		if version%4 == 3 {
-			eventually(t, func() bool { return follower.View().Configuration.Version == version+2 })
+	synctest.Test(t, func(t *testing.T) {
+		s := newSource()
+		s.put(feed.KindConfiguration, configuration(1))
+		kind := follow.Kind{Kind: feed.KindConfiguration, CoalesceDelay: 50 * time.Millisecond, NewestOnly: true}
+		follower := startInBubble(t, s, follow.Config{Kinds: []follow.Kind{kind}, ProbeWait: 50 * time.Millisecond})
+		for version := range int64(versions) {
+			s.put(feed.KindConfiguration, configuration(version+2))
+			if version%4 == 3 {
+				awaitVersion(follower, version+2)
+			}
 		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		// Each group of four costs one record from a watch and one from a list, and may cost one more from a watch.
+		require.LessOrEqual(t, s.watched[feed.KindConfiguration]+s.lists[feed.KindConfiguration], 3*versions/4+1)
+	})
+}
+
+// startInBubble starts a follower whose clock is that of the synctest bubble, and waits for its first view.
+func startInBubble(t *testing.T, s *source, cfg follow.Config) *follow.Follower {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	follower := follow.New(s, cfg, rand.New(rand.NewPCG(1, 1)), logrus.NewEntry(logger))
+	follower.UseTimeNow()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { follower.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	awaitVersion(follower, 1)
+	return follower
+}
+
+// awaitVersion waits until a configuration is in the view. Without one the time of the bubble goes on until the test's timeout.
+func awaitVersion(follower *follow.Follower, version int64) {
+	for view := follower.View(); !view.Ready() || view.Configuration.Version != version; view = follower.View() {
+		time.Sleep(time.Millisecond)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	// Each group of four costs one record from a watch and one from a list, and may cost one more from a watch.
-	require.LessOrEqual(t, s.watched[feed.KindConfiguration]+s.lists[feed.KindConfiguration], 3*versions/4+1)
 }
 
 // TestRefreshedKindIsListedAndNotWatched checks that a kind with a RefreshInterval causes no watches.
--- a/transport/follow/loop.go
+++ b/transport/follow/loop.go
@@ -14,7 +14,7 @@
 	failures := 0
 	var from position
 	for ctx.Err() == nil {
-		started := bootclock.Now()
+		started := f.now()
 		next, err := f.listOrWatch(ctx, kind, from, probe, failures > 0)
 		if err == nil {
 			from, failures = next, 0
@@ -32,7 +32,7 @@
 		}
 		if probe {
 			f.restartWatches(ctx)
-			if bootclock.Since(started) < quickFailureLimit {
+			if time.Duration(f.now()-started) < quickFailureLimit {
 				f.backOff(ctx, failures)
 			}
 		} else {
@@ -56,13 +56,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(parent, wait+watchTimeoutSlack)
 	defer cancel()
-	sent := bootclock.Now()
+	sent := f.now()
 	batch, err := f.source.Watch(callCtx, kind.Kind, from.revision, wait)
 	if err != nil {
 		if parent.Err() != nil && ctx.Err() == nil {
 			return from, nil
 		}
-		if protocol.CodeOf(err) == protocol.CodeExpired && bootclock.Since(sent) > promptResponseLimit {
+		if protocol.CodeOf(err) == protocol.CodeExpired && time.Duration(f.now()-sent) > promptResponseLimit {
 			f.recordQuietWatch(kind.Kind)
 		}
 		return from, err
@@ -72,7 +72,7 @@
 		return position{}, f.enterEra(ctx, batch.Era)
 	}
 	next := position{known: true, revision: batch.Revision, era: batch.Era}
-	got := arrival{sent: sent, completeAt: confirmedUntil(sent, wait, batch)}
+	got := arrival{sent: sent, completeAt: f.confirmedUntil(sent, wait, batch)}
 	f.applyBatch(kind.Kind, batch, got)
 	if len(batch.Records) == 0 {
 		return next, nil
@@ -98,7 +98,7 @@
 func (f *Follower) recordQuietWatch(kind feed.Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.completeUntil[kind] = bootclock.Time().Add(-promptResponseLimit)
+	f.completeUntil[kind] = f.time().Add(-promptResponseLimit)
 }
 
 // canWatch reports whether a position can be watched: it is known and of the store's latest era.
@@ -110,11 +110,11 @@
 
 // confirmedUntil returns the time up to which the batch of a watch is complete. Without changes that is the end of the wait, or the
 // time at which the watch was sent if it was answered before its wait was over. A source that read through a relay states the time itself.
-func confirmedUntil(sent bootclock.Instant, wait time.Duration, batch feed.Batch) bootclock.Instant {
+func (f *Follower) confirmedUntil(sent bootclock.Instant, wait time.Duration, batch feed.Batch) bootclock.Instant {
 	switch {
 	case batch.Relayed || batch.CompleteAfter != 0:
 		return sent + bootclock.Instant(batch.CompleteAfter)
-	case len(batch.Records) > 0 || bootclock.Since(sent) < wait:
+	case len(batch.Records) > 0 || time.Duration(f.now()-sent) < wait:
 		return sent
 	}
 	return sent + bootclock.Instant(wait)
@@ -124,7 +124,7 @@
 func (f *Follower) inBurst(kind Kind) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := bootclock.Time()
+	now := f.time()
 	last := f.lastChange[kind.Kind]
 	f.lastChange[kind.Kind] = now
 	return !last.IsZero() && now.Sub(last) < burstDelays*kind.CoalesceDelay
@@ -134,7 +134,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	stale := kind.RefreshInterval > 0
-	sent := bootclock.Now()
+	sent := f.now()
 	batch, err := f.source.List(callCtx, kind.Kind, stale)
 	if err != nil {
 		return position{}, err
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -35,7 +35,7 @@
 		// The store came back from an older copy after it sent the batch.
 		return
 	}
-	now := bootclock.Time()
+	now := f.time()
 	if f.storeUnresponsive(now) {
 		f.log.WithField("silent_ms", now.Sub(f.lastAnswered).Milliseconds()).WithField("shared", f.sharedOutage).
 			Info("store answers again")
@@ -49,7 +49,7 @@
 		f.probeAnswered = make(chan struct{})
 	}
 	since := f.completeUntil[kind]
-	if !got.list && bootclock.Since(got.sent) > promptResponseLimit {
+	if !got.list && time.Duration(f.now()-got.sent) > promptResponseLimit {
 		// The change ended the wait of the watch, so it was made just now.
 		since = now
 	}
