--- a/transport/loadshare/fuzz_test.go
+++ b/transport/loadshare/fuzz_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
@@ -17,11 +18,19 @@
 	f.Add([]byte(`{"v":[{"n":"m","v":1,"a":9223372036854775807},{"n":"m","v":1,"a":-9223372036854775808}],"e":1e308}`))
 	f.Add([]byte(`{"r":null,"r":{"n":1},"z":{"a":"::1","b":""},"y":true}`))
 	f.Add([]byte(`{"r":{"m":null,"v":null}}`))
+	f.Add([]byte(`{"g":18446744073709551615,"k":[{"i":1,"k":"l","a":5,"h":"10.0.0.1","b":2,"u":"llm","p":["aa"],"t":"x"},{"i":2,"k":"e","h":"10.0.0.1"}]}`))
+	f.Add([]byte(`{"k":[{"i":3,"k":"s","u":"llm","p":["aa"],"a":7},{"i":4,"k":"q","u":"llm","p":["aa"],"s":9,"n":5,"r":64,"x":true}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		received, err := decodeMessage(data)
 		if err != nil {
 			return
 		}
+		now := time.Unix(1<<32, 0)
+		ledger := quarantine.NewLedger(quarantine.DefaultConfig())
+		for _, n := range decodeNotices(now, received.Notices) {
+			require.False(t, n.At.After(now), "time of a notice")
+			ledger.Add(now, n)
+		}
 		sink := func(_ core.Model, _ int64, age time.Duration) {
 			require.GreaterOrEqual(t, age, time.Duration(0), "age of a version")
 		}
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -242,7 +243,7 @@
 		Config: cfg, HostIP: ip, ReplicaAddress: ip + ":80", Upstream: "llm", Region: "ra", FailureDomain: "a",
 		Regions: map[core.FailureDomain]core.Region{"a": "ra"}, PeerPort: peerPort,
 		Worker: w, Origin: g.origin, View: g.view,
-		Publish: published.add, StopReports: func() {},
+		Publish: published.add, StopReports: func() {}, WorkerEnded: published.addEnd,
 		Random: rand.New(rand.NewPCG(1, 1)), Now: g.clock, Log: logrus.NewEntry(logger),
 	})
 	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, peerPort))
@@ -266,6 +267,20 @@
 type reports struct {
 	mu   sync.Mutex
 	list []dispatch.Report
+	// ended holds the starts of the worker's processes that have ended.
+	ended []int64
+}
+
+func (r *reports) addEnd(born int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = append(r.ended, born)
+}
+
+func (r *reports) ends() []int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.ended)
 }
 
 func (r *reports) add(_ int64, report dispatch.Report, _ bool) {
