Refuse requests on kept connections that would outlast a planned stop

What callers saw: a stream closed in the middle of its answer, 7.4 s after the signal to stop; the request had been sent 3.4 s after the signal.

Cause: a connection that is kept open past the close of the listener gets its next request served whatever its deadline is, and the process exits 8 s after the signal. That it came on a kept connection is inferred: new ones are refused from 2.6 s on.

Once the listener is closed, a request whose deadline lies after the cut gets 503 leaving, not_run, with Retry-After, so that its caller goes to another host; one that ends before is still served.

--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -111,6 +111,8 @@
 	// quarantine keeps prompts on which replicas crash from them.
 	quarantine *ingress.Quarantine
 	leaving    atomic.Bool
+	// stopsAt is the time at which requests are cut off, in nanoseconds of the boot clock; 0 while new connections are taken.
+	stopsAt atomic.Int64
 	// closing ends the requests that outlast the time to stop.
 	closing context.Context
 	abort   context.CancelFunc
@@ -168,6 +170,7 @@
 		Headers:    deps.Headers,
 		Current:    e.follower.Current,
 		Leaving:    e.leaving.Load,
+		StopsAt:    e.stopTime,
 		Closing:    e.closing,
 		RetryAfter: deps.RetryAfter,
 		Pool:       e.pool,
@@ -306,6 +309,7 @@
 	deadline := time.Now().Add(e.Host.ShutdownTimeout - exitMargin)
 	e.leaving.Store(true)
 	time.Sleep(min(drainDelay, time.Until(deadline.Add(-answerMargin))))
+	e.stopsAt.Store(int64(bootclock.Now()) + int64(time.Until(deadline.Add(-answerMargin))))
 	if err := shutdownUntil(s.callers, deadline.Add(-answerMargin)); err != nil {
 		e.Log.WithError(err).Warn("aborting requests that did not finish before the shutdown deadline")
 		e.abort()
@@ -321,6 +325,14 @@
 	e.Log.Info("process stopped")
 }
 
+// stopTime returns the time at which requests are cut off, or zero while new connections are taken.
+func (e *entry) stopTime() time.Time {
+	if at := e.stopsAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 func shutdownUntil(s *server.Graceful, deadline time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -107,6 +107,9 @@
 	Current func() (*fleet.View, time.Duration)
 	// Leaving reports whether the process is shutting down.
 	Leaving func() bool
+	// StopsAt, if set, returns the time at which requests that have not ended are cut off, once the process takes no new connections;
+	// zero before that.
+	StopsAt func() time.Time
 	// Closing, if set, is done when requests that have not ended must be answered at once, because the process is about to exit.
 	Closing context.Context
 	// RetryAfter formats a duration as the value of the Retry-After header.
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -135,9 +135,24 @@
 	if err := c.setDeadline(); err != nil {
 		return err
 	}
+	if err := c.checkStop(); err != nil {
+		return err
+	}
 	return c.readBody()
 }
 
+// checkStop refuses a request on a kept connection that the process may have to cut off because it is about to exit.
+func (c *call) checkStop() *transport.Error {
+	if c.h.StopsAt == nil {
+		return nil
+	}
+	if stopsAt := c.h.StopsAt(); !stopsAt.IsZero() && c.deadline.After(stopsAt) {
+		return transport.Errorf(http.StatusServiceUnavailable, api.CodeLeaving, api.RunNotRun,
+			"this host stops before the deadline of the request; another one takes it")
+	}
+	return nil
+}
+
 // authorize finds the team of a request by its API key. Without configured teams every request is allowed.
 func (c *call) authorize() *transport.Error {
 	key, present := strings.CutPrefix(c.r.Header.Get("Authorization"), bearerPrefix)
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -46,6 +46,8 @@
 	// viewWasRead, if set, is called right after the handler has read the view.
 	viewWasRead func()
 	leaving     atomic.Bool
+	// stopsAt, if set, is the time at which the host stops.
+	stopsAt atomic.Pointer[time.Time]
 	// onAge, if set, is called whenever a request asks for the age of the configuration.
 	onAge    atomic.Pointer[func()]
 	frontend *httptest.Server
@@ -94,7 +96,13 @@
 			}
 			return view, age
 		},
-		Leaving:    h.leaving.Load,
+		Leaving: h.leaving.Load,
+		StopsAt: func() time.Time {
+			if at := h.stopsAt.Load(); at != nil {
+				return *at
+			}
+			return time.Time{}
+		},
 		RetryAfter: func(d time.Duration) string { return d.String() },
 		Pool:       pool,
 		Quarantine: h.quarantine,
