Begin at most one trial of a prompt part at a time

Two requests that were checked before either was sent both became trials, so that a part whose quarantine has run out could end two processes of the trial replica's host at once.

--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -53,12 +53,17 @@
 	return decision
 }
 
-// BeginTrial records that this host sends a request with a part whose quarantine has run out.
-func (d *Detector) BeginTrial(now time.Time, key Key) {
+// BeginTrial records that this host sends a request with a part whose quarantine has run out. It returns false if another trial has
+// begun since the decision.
+func (d *Detector) BeginTrial(now time.Time, key Key) bool {
+	if now.Before(d.trialAt[key].Add(d.cfg.TrialInterval)) {
+		return false
+	}
 	if len(d.trialAt) >= d.cfg.MaxNotices {
 		clear(d.trialAt)
 	}
 	d.trialAt[key] = now
+	return true
 }
 
 // Status is a quarantine for state dumps.
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -195,11 +195,13 @@
 			request.Only = c.h.router.trialReplica(c.upstream, decision.Key)
 		}
 		choice, verdict := c.h.router.pickReplica(request)
-		if verdict == dispatch.VerdictChosen {
-			if decision.Verdict == quarantine.VerdictTrial {
-				c.trial = true
-				c.h.Quarantine.beginTrial(decision.Key)
+		if verdict == dispatch.VerdictChosen && decision.Verdict == quarantine.VerdictTrial {
+			if c.trial = c.h.Quarantine.beginTrial(decision.Key); !c.trial {
+				c.h.router.done(choice, dispatch.OutcomeAbandoned, 0)
+				continue
 			}
+		}
+		if verdict == dispatch.VerdictChosen {
 			return choice, nil
 		}
 		if verdict == dispatch.VerdictHeldOff && choice.HeldUntil.After(waitDeadline) {
--- a/transport/ingress/quarantine.go
+++ b/transport/ingress/quarantine.go
@@ -173,12 +173,16 @@
 	return q.detector.Check(q.now(), upstream, team, parts)
 }
 
-func (q *Quarantine) beginTrial(key quarantine.Key) {
+// beginTrial returns false if another request is the trial.
+func (q *Quarantine) beginTrial(key quarantine.Key) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !q.detector.BeginTrial(q.now(), key) {
+		return false
+	}
 	varQuarantineTrials.Add(1)
-	q.detector.BeginTrial(q.now(), key)
 	q.log.WithField("part", key.Part).WithField("upstream", key.Upstream).Info("trial request for a prompt part")
+	return true
 }
 
 func (q *Quarantine) served(upstream core.Upstream, parts []quarantine.Part) {
