Don't take every end of a response for a sound prompt

The test fails in all three cases without the check.

Also: the digest leaves out expired notices, so that hosts which forget them at other moments don't exchange everything again, and Retry-After is that of the quarantine only for requests refused for it.

--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -107,7 +107,8 @@
 	latency       time.Duration
 	// stage is how far the response had come when the attempt ended.
 	stage responseStage
-	// connectionLost reports whether the replica's connection ended before the response was complete.
+	// connectionLost reports whether the replica's connection ended before the response was complete, or with the response, so that
+	// its end may be that of the replica.
 	connectionLost bool
 	err            error
 }
@@ -188,6 +189,7 @@
 	for {
 		decision, quarantineErr := c.checkQuarantine()
 		if quarantineErr != nil {
+			c.heldUntil = decision.Until
 			return dispatch.Choice{}, quarantineErr
 		}
 		request := c.dispatchRequest()
--- a/transport/ingress/quarantine.go
+++ b/transport/ingress/quarantine.go
@@ -19,6 +19,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/transport"
+	"github.com/guavatrestle/guavatrestle/transport/backend"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
@@ -100,6 +101,8 @@
 func (q *Quarantine) Digest() uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	// Hosts forget notices at the same age, so expired ones must not count.
+	q.detector.Ledger().Expire(q.now())
 	return q.detector.Ledger().Digest()
 }
 
@@ -252,7 +255,6 @@
 	if decision.Verdict != quarantine.VerdictRefuse {
 		return decision, nil
 	}
-	c.heldUntil = decision.Until
 	return decision, transport.Errorf(http.StatusServiceUnavailable, api.CodePromptQuarantined, api.RunNotRun,
 		"part %s of the prompt is in quarantine: %d replicas of %s ended under requests with it",
 		decision.Key.Part, decision.Processes, c.upstream)
@@ -278,6 +280,14 @@
 	}
 }
 
+// recordEnd records that a response is complete. One that ends with its connection may have been cut off by the end of the replica, and
+// one with an error says nothing about the prompt.
+func (c *call) recordEnd(response *backend.Response) {
+	if response.Framed && response.Status < http.StatusMultipleChoices {
+		c.recordSound()
+	}
+}
+
 // recordLoss records that the connection of an attempt ended before the replica had survived the prompt.
 func (c *call) recordLoss(choice dispatch.Choice, sentAt time.Time) {
 	address, err := netip.ParseAddrPort(choice.Address)
--- a/transport/ingress/quarantine_test.go
+++ b/transport/ingress/quarantine_test.go
@@ -241,3 +241,36 @@
 	require.Equal(t, http.StatusOK, <-statuses)
 	require.Equal(t, quarantine.VerdictSend, h.verdictOf("bad"), "it was served")
 }
+
+// TestResponsesThatProveNothingDontClearAPart guards against a part that counts as sound although its replica ended with the response, or
+// rejected the request.
+func TestResponsesThatProveNothingDontClearAPart(t *testing.T) {
+	for name, serve := range map[string]http.HandlerFunc{
+		"stream without a length": func(w http.ResponseWriter, r *http.Request) {
+			if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+				writeUnframed(conn, r.Header.Get(names.RequestID), "text/event-stream", "id: 1\ndata: x\n\n")
+				_ = conn.Close()
+			}
+		},
+		"response without a length": func(w http.ResponseWriter, r *http.Request) {
+			if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+				writeUnframed(conn, r.Header.Get(names.RequestID), "text/plain", "whole")
+				_ = conn.Close()
+			}
+		},
+		"rejected": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(names.Stamp, "s")
+			w.WriteHeader(http.StatusBadRequest)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, streamRoute())
+			h.startReplica("r1", "llm", func(w http.ResponseWriter, r *http.Request) {
+				h.putInQuarantine("bad")
+				serve(w, r)
+			})
+			_ = h.call(http.MethodPost, "/stream/x", "", withPrompt("first:40,bad:800,last:9"))
+			require.Equal(t, quarantine.VerdictRefuse, h.verdictOf("bad"))
+		})
+	}
+}
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -64,9 +64,11 @@
 			// Nothing tells an empty stream from one whose replica has ended.
 			return attemptResult{outcome: dispatch.OutcomeBroken, connectionLost: true, err: eris.New("stream ended before its first event")}
 		case err == io.EOF && len(pending) == 0:
-			c.recordSound()
+			c.recordEnd(response)
 			c.startStream(response)
-			return attemptResult{outcome: dispatch.OutcomeServed, responded: true, latency: latency}
+			return attemptResult{
+				outcome: dispatch.OutcomeServed, responded: true, latency: latency, connectionLost: !response.Framed,
+			}
 		case err == io.EOF:
 			return attemptResult{
 				outcome: dispatch.OutcomeBroken, connectionLost: !response.Framed, err: eris.New("stream ended inside an event"),
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -278,10 +278,12 @@
 			outcome: dispatch.OutcomeFailed, errorResponse: buffered, err: eris.Errorf("replica returned status %d", response.Status),
 		}
 	}
-	c.recordSound()
+	c.recordEnd(response)
 	c.responseLatency = c.h.Now().Sub(c.arrived)
 	buffered.write(c)
-	return attemptResult{outcome: dispatch.OutcomeServed, responded: true, latency: c.h.Now().Sub(sent)}
+	return attemptResult{
+		outcome: dispatch.OutcomeServed, responded: true, latency: c.h.Now().Sub(sent), connectionLost: !response.Framed,
+	}
 }
 
 func isEventStream(header http.Header) bool {
