Tell others of sound parts only where a quarantine is near

A part is now told as sound if it was in losses at two ended processes since it was served, at most 2 a second and 10 at once, or if it is in quarantine. Only news that lifts a quarantine is logged. A notice of a sound part removes the quarantines of the part and needs not outlive them. TestServedPartsAreToldOnlyWhereTheyMatter fails without the change.

--- a/coordination/quarantine/decide.go
+++ b/coordination/quarantine/decide.go
@@ -195,8 +195,6 @@
 	return notices
 }
 
-func (d *Detector) inQuarantine(key Key) bool { return len(d.quarantinesOf(key)) > 0 }
-
 // inForce reports whether a quarantine has not been lifted.
 func (d *Detector) inForce(n Notice) bool {
 	return !d.soundSince(n.Quarantine.Key, n.At)
--- a/coordination/quarantine/detector.go
+++ b/coordination/quarantine/detector.go
@@ -15,16 +15,17 @@
 	soundHalfLife = 30 * time.Second
 	// maxRecent bounds the served requests, and the lost ones, of this host that are remembered by their time.
 	maxRecent = 256
-	// repeatSoundAfter is the time between two notices that the same part is sound.
-	repeatSoundAfter = time.Second
+	// suspectProcesses is the number of ended processes from which on other hosts are told that a part is sound.
+	suspectProcesses = 2
+	// soundRate and soundBurst bound these notices, per second and at once.
+	soundRate  = 2
+	soundBurst = 10
 )
 
 // usage counts served requests, with a weight that decays with their age.
 type usage struct {
 	weight float64
 	last   time.Time
-	// publishedAt is the time of the last notice that the part is sound.
-	publishedAt time.Time
 }
 
 func (u *usage) at(now time.Time) float64 {
@@ -59,6 +60,7 @@
 	// trialAt holds the times of the last trials of this host.
 	trialAt  map[Key]time.Time
 	losses   *limits.Bucket
+	sounds   *limits.Bucket
 	outgoing []Notice
 }
 
@@ -68,6 +70,7 @@
 		cfg: cfg, random: random, ledger: NewLedger(cfg), parts: make(map[Key]*usage),
 		traffic: make(map[core.Upstream]*traffic), trialAt: make(map[Key]time.Time),
 		losses: limits.NewBucket(now, cfg.LossRate, cfg.LossBurst),
+		sounds: limits.NewBucket(now, soundRate, soundBurst),
 	}
 }
 
@@ -95,12 +98,13 @@
 	var cleared []Key
 	for _, part := range parts {
 		key := Key{upstream, part}
-		if d.inQuarantine(key) {
-			cleared = append(cleared, key)
-		}
+		inQuarantine, suspected := d.InQuarantine(key), d.isSuspected(key)
 		d.usageOf(now, key).add(now)
-		if d.isSuspected(key) {
-			d.publishSound(now, key)
+		if inQuarantine {
+			cleared = append(cleared, key)
+			d.publish(now, Notice{Sound: &key})
+		} else if suspected {
+			d.publishSuspect(now, key)
 		}
 	}
 	d.evaluate(now)
@@ -151,7 +155,7 @@
 		}
 		added = append(added, n)
 		if n.Quarantine != nil && d.servedSince(n.Quarantine.Key, n.Quarantine.Since) {
-			d.publishSound(now, n.Quarantine.Key)
+			d.publish(now, Notice{Sound: &n.Quarantine.Key})
 		}
 	}
 	if len(added) > 0 {
@@ -160,6 +164,9 @@
 	return added
 }
 
+// InQuarantine reports whether a part is in quarantine for any team.
+func (d *Detector) InQuarantine(key Key) bool { return len(d.quarantinesOf(key)) > 0 }
+
 func (d *Detector) trafficOf(upstream core.Upstream) *traffic {
 	t := d.traffic[upstream]
 	if t == nil {
@@ -208,28 +215,24 @@
 	return d.servedSince(key, at) || d.ledger.soundSince(key, at)
 }
 
-// isSuspected reports whether another host may blame a part: it is in a loss or a quarantine that other hosts know.
+// isSuspected reports whether another host may blame a part soon: it was in losses at several processes since a request with it was
+// served.
 func (d *Detector) isSuspected(key Key) bool {
-	for _, n := range d.ledger.quarantines {
-		if n.Quarantine.Key == key {
-			return true
-		}
-	}
+	processes := make(map[Process]bool)
 	for _, n := range d.ledger.losses {
-		if n.Loss.Upstream == key.Upstream && slices.Contains(n.Loss.Parts, key.Part) {
-			return true
+		if n.Loss.Upstream == key.Upstream && slices.Contains(n.Loss.Parts, key.Part) && !d.soundSince(key, n.At) {
+			processes[n.Loss.Process] = true
 		}
 	}
-	return false
+	return len(processes) >= min(suspectProcesses, d.cfg.MinProcesses)
 }
 
-func (d *Detector) publishSound(now time.Time, key Key) {
-	u := d.usageOf(now, key)
-	if !u.publishedAt.IsZero() && now.Sub(u.publishedAt) < repeatSoundAfter && !d.inQuarantine(key) {
-		return
+// publishSuspect tells other hosts that a suspected part is sound. The number of such notices is limited: hosts that have served
+// requests with the part themselves don't need them.
+func (d *Detector) publishSuspect(now time.Time, key Key) {
+	if _, ok := d.sounds.Take(now); ok {
+		d.publish(now, Notice{Sound: &key})
 	}
-	u.publishedAt = now
-	d.publish(now, Notice{Sound: &key})
 }
 
 func (d *Detector) publish(now time.Time, n Notice) {
--- a/coordination/quarantine/detector_test.go
+++ b/coordination/quarantine/detector_test.go
@@ -353,3 +353,40 @@
 	require.Equal(t, quarantine.VerdictSend, other.verdict("blue", "known"))
 	require.Equal(t, quarantine.VerdictRefuse, other.verdict("blue", "bad"))
 }
+
+// soundNotices returns the number of notices about sound parts that other hosts are told.
+func (b *bed) soundNotices() int {
+	count := 0
+	for _, n := range b.TakeOutgoing() {
+		if n.Sound != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// TestServedPartsAreToldOnlyWhereTheyMatter guards against news about every part that was ever in a crash, which on a day with many
+// crashes and parts costs each host a share of its processor.
+func TestServedPartsAreToldOnlyWhereTheyMatter(t *testing.T) {
+	b := newBed()
+	b.crash("blue", "p")
+	b.Served(b.now, "llm", []quarantine.Part{"p"})
+	require.Zero(t, b.soundNotices(), "one crash is far from a quarantine")
+	for range 2 {
+		b.crash("blue", "p")
+	}
+	b.Served(b.now, "llm", []quarantine.Part{"p"})
+	require.Equal(t, 1, b.soundNotices())
+	b.Served(b.now, "llm", []quarantine.Part{"p"})
+	require.Zero(t, b.soundNotices(), "it is known")
+
+	for i := range 60 {
+		part := quarantine.Part(fmt.Sprint("p", i))
+		for range 2 {
+			b.crash("blue", part)
+		}
+		b.now = b.now.Add(-200 * time.Millisecond)
+		b.Served(b.now.Add(200*time.Millisecond), "llm", []quarantine.Part{part})
+	}
+	require.LessOrEqual(t, b.soundNotices(), 12)
+}
--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -37,6 +37,9 @@
 	case n.Loss != nil:
 		return add(l, l.losses, n.ID, n)
 	case n.Quarantine != nil:
+		if l.soundSince(n.Quarantine.Key, n.At) {
+			return false
+		}
 		return add(l, l.quarantines, n.ID, n)
 	case n.Ended != nil:
 		return add(l, l.ended, *n.Ended, n)
@@ -44,6 +47,7 @@
 		if known, ok := l.sound[*n.Sound]; ok && !n.At.After(known.At) {
 			return false
 		}
+		l.lift(*n.Sound, n.At)
 		return add(l, l.sound, *n.Sound, n)
 	}
 	return false
@@ -130,15 +134,23 @@
 // comes before the part is used as any other.
 func (l *Ledger) expired(now time.Time, n Notice) bool {
 	lifetime := l.cfg.Window
-	switch {
-	case n.Quarantine != nil:
+	if n.Quarantine != nil {
 		lifetime = 2 * l.cfg.duration(n.Quarantine)
-	case n.Sound != nil:
-		lifetime = 2 * l.cfg.MaxDuration
 	}
 	return now.Sub(n.At) > lifetime
 }
 
+// lift removes the quarantines of a part that were decided up to a time. A notice that the part is sound does not have to be kept for as
+// long as them: within its lifetime all hosts hear of it.
+func (l *Ledger) lift(key Key, until time.Time) {
+	for id, n := range l.quarantines {
+		if n.Quarantine.Key == key && !n.At.After(until) {
+			l.forget(n)
+			delete(l.quarantines, id)
+		}
+	}
+}
+
 // soundSince reports whether a part is known to be sound from a time on.
 func (l *Ledger) soundSince(key Key, at time.Time) bool {
 	n, ok := l.sound[key]
--- a/transport/ingress/quarantine.go
+++ b/transport/ingress/quarantine.go
@@ -109,13 +109,16 @@
 // Merge adds notices of other hosts.
 func (q *Quarantine) Merge(notices []quarantine.Notice) {
 	q.change(func(now time.Time) {
+		before := q.detector.Quarantines()
 		for _, n := range q.detector.Merge(now, notices) {
 			if n.Quarantine != nil {
 				varQuarantineLearned.Add(1)
 				q.logQuarantine("prompt part in quarantine, as another host says", now, n)
 			}
-			if n.Sound != nil {
-				q.log.WithField("part", n.Sound.Part).WithField("upstream", n.Sound.Upstream).Info("prompt part is sound, as another host says")
+		}
+		for _, s := range before {
+			if !q.detector.InQuarantine(s.Key) {
+				q.log.WithField("part", s.Key.Part).WithField("upstream", s.Key.Upstream).Info("prompt part is sound, as another host says")
 			}
 		}
 	})
