Bound lists from a relay while configurations follow each other

What callers saw: 404 for a route, 2.1 s after the acknowledgment of its version, where 2 s are allowed.

A watch of the configuration gives a relay up after 1 s, but a list after 2.5 s, a time made for the start, when the relay has to read the kind itself.

Further lists of a kind now give the relay 0.7 s. The test has 2 s for a list from a suspended relay and fails with 2.5 s.

--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -257,6 +257,26 @@
 	}
 }
 
+// TestListDuringABurstDoesNotWaitForASuspendedRelay guards against a configuration that comes into force seconds late because it is
+// listed from a relay that does not answer.
+func TestListDuringABurstDoesNotWaitForASuspendedRelay(t *testing.T) {
+	// configurationBound is the shortest time in which the platform requires a configuration to be in force.
+	const configurationBound = 2 * time.Second
+	s := newStore()
+	list := hosts(t, s, "127.0.21.1", "127.0.21.2")
+	first, second := list[0], list[1]
+	s.put("a", false)
+	first.readAll(t)
+	second.SetRelay(first.addr)
+	require.True(t, second.readAll(t).Relayed)
+	first.hangs.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), configurationBound)
+	defer cancel()
+	batch, err := second.List(ctx, feed.KindConfiguration, false)
+	require.NoError(t, err)
+	require.False(t, batch.Relayed)
+}
+
 // TestRelayStatesTheWaitOfItsWatch guards against API keys that are accepted for longer because a watch of a relay, which waits at the
 // store for less than it was asked to, counts as one that waited in full if the host was suspended meanwhile.
 func TestRelayStatesTheWaitOfItsWatch(t *testing.T) {
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -37,8 +37,10 @@
 	probeSlack = 500 * time.Millisecond
 	// fallbackWait is the wait of a watch at the store after the relay failed.
 	fallbackWait = 100 * time.Millisecond
-	// listTimeout bounds a list from a relay.
-	listTimeout = 2500 * time.Millisecond
+	// listTimeout bounds the first list of a kind from a relay, which may have to read the kind itself. relistTimeout bounds further
+	// ones, during a burst of changes: a relay that is suspended is noticed well within the time in which a change must be in force.
+	listTimeout   = 2500 * time.Millisecond
+	relistTimeout = 700 * time.Millisecond
 	// relayPatience is the time after its start for which a process waits for a relay before it reads the configuration from the
 	// store. After a restart of all hosts their reads of a large configuration would saturate the links between regions.
 	relayPatience = 1200 * time.Millisecond
@@ -148,7 +150,7 @@
 		if !ok {
 			return s.listDirectly(ctx, kind, stale)
 		}
-		batch, err := s.readRelay(ctx, address, kind, url.Values{}, listTimeout)
+		batch, err := s.readRelay(ctx, address, kind, url.Values{}, s.listTimeout(kind))
 		if err == nil {
 			return batch, nil
 		}
@@ -159,6 +161,14 @@
 	}
 }
 
+// listTimeout returns the time in which a relay must answer a list of a kind.
+func (s *Source) listTimeout(kind feed.Kind) time.Duration {
+	if s.newestOf(kind) == (position{}) {
+		return listTimeout
+	}
+	return relistTimeout
+}
+
 // awaitRelay waits until a relay is known, up to relayPatience after the start of the process.
 func (s *Source) awaitRelay(ctx context.Context) {
 	for bootclock.Since(s.startedAt) < relayPatience && ctx.Err() == nil {
