Keep an extended quarantine to the team whose trial failed

Read in review: a quarantine that followed one which had run out always applied to all teams, so that a part one team's requests had crashed on was refused for the others 10 minutes later.

--- a/coordination/quarantine/decide.go
+++ b/coordination/quarantine/decide.go
@@ -32,23 +32,29 @@
 		if worst == nil {
 			return
 		}
-		quarantine := Quarantine{Key: worst.key, Since: worst.firstAt, Processes: len(worst.processes)}
-		previous := d.quarantinesOf(worst.key)
-		quarantine.AllTeams = len(worst.teams) > 1 || len(previous) > 0
-		for team := range worst.teams {
-			quarantine.Team = team
-		}
-		for _, n := range previous {
-			quarantine.Round = max(quarantine.Round, n.Quarantine.Round)
-			if d.lapsed(now, n) {
-				quarantine.Round = max(quarantine.Round, n.Quarantine.Round+1)
-			}
-		}
-		if quarantine.AllTeams {
-			quarantine.Team = ""
+		d.publish(now, Notice{Quarantine: d.quarantineFor(now, worst)})
+	}
+}
+
+// quarantineFor returns the quarantine of a part against which the case is strong enough. It extends one that has run out, and one that
+// is in force for another team becomes one for all.
+func (d *Detector) quarantineFor(now time.Time, s *suspicion) *Quarantine {
+	q := &Quarantine{Key: s.key, Since: s.firstAt, Processes: len(s.processes), AllTeams: len(s.teams) > 1}
+	for team := range s.teams {
+		q.Team = team
+	}
+	for _, n := range d.quarantinesOf(s.key) {
+		round, lapsed := n.Quarantine.Round, d.lapsed(now, n)
+		if lapsed {
+			round++
 		}
-		d.publish(now, Notice{Quarantine: &quarantine})
+		q.Round = max(q.Round, round)
+		q.AllTeams = q.AllTeams || !lapsed || n.Quarantine.AllTeams
+	}
+	if q.AllTeams {
+		q.Team = ""
 	}
+	return q
 }
 
 // mostSuspect returns the part with the strongest case, or nil if no case is strong enough.
--- a/coordination/quarantine/detector_test.go
+++ b/coordination/quarantine/detector_test.go
@@ -230,6 +230,7 @@
 	extended := b.Check(b.now, "llm", "blue", []quarantine.Part{"bad"})
 	require.Equal(t, quarantine.VerdictRefuse, extended.Verdict)
 	require.Equal(t, 2*cfg.Duration, extended.Until.Sub(b.now))
+	require.Equal(t, quarantine.VerdictSend, b.verdict("red", "bad"), "no other team's request has failed")
 
 	b.now = extended.Until.Add(time.Second)
 	require.Equal(t, quarantine.VerdictTrial, b.verdict("blue", "bad"))
