Log how evacuations are read and watches that end without an answer

Change: a line for each watch that is sent again because another read failed, and for each kind that is listed again because its history is lost, with the revision, the time that it waited and the age of the kind; the lines of evacuations say whether they were listed or watched, from a relay or not, and how old the news before was. Two counters; the age of each kind is in the state dump of an entry. No decision changes.

--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -58,7 +58,7 @@
 	restoreSettleTime = 2 * time.Second
 	// quickFailureLimit is the duration below which a failed call is followed by a backoff; a call that took longer needs none.
 	quickFailureLimit = 400 * time.Millisecond
-	// neverConfirmed is the age of a configuration that the store has never confirmed.
+	// neverConfirmed is the age of records that the store has never confirmed.
 	neverConfirmed = time.Duration(math.MaxInt64)
 )
 
@@ -114,7 +114,9 @@
 	listed map[feed.Kind]bool
 	// completeUntil holds, by kind, the time up to which all changes are known.
 	completeUntil map[feed.Kind]time.Time
-	lastAnswered  time.Time
+	// completeAt holds, by kind, the time up to which the store has confirmed that no change is missing; zero if it never did.
+	completeAt   map[feed.Kind]bootclock.Instant
+	lastAnswered time.Time
 	// era is the latest era of the store; it is valid once lastAnswered is set.
 	era int64
 	// settledAt is the time from which the store confirms the configuration again after it came back from an older copy.
@@ -148,6 +150,7 @@
 		table:         fleet.NewTable(),
 		listed:        make(map[feed.Kind]bool),
 		completeUntil: make(map[feed.Kind]time.Time),
+		completeAt:    make(map[feed.Kind]bootclock.Instant),
 		probeAnswered: make(chan struct{}),
 
 		lastChange: make(map[feed.Kind]time.Time),
@@ -187,6 +190,26 @@
 	return age
 }
 
+// KindAges returns, by kind, the time since the store confirmed that no change is missing, or the maximum duration if it never did.
+// Kinds that are only read by stale lists are never confirmed.
+func (f *Follower) KindAges() map[feed.Kind]time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ages := make(map[feed.Kind]time.Duration, len(f.cfg.Kinds))
+	for _, kind := range f.cfg.Kinds {
+		ages[kind.Kind] = f.kindAge(kind.Kind)
+	}
+	return ages
+}
+
+// kindAge is KindAges for one kind and callers that hold the lock.
+func (f *Follower) kindAge(kind feed.Kind) time.Duration {
+	if f.completeAt[kind] == 0 {
+		return neverConfirmed
+	}
+	return time.Duration(f.now() - f.completeAt[kind])
+}
+
 // Replicas returns the replicas that have been read so far, also before there is a view.
 func (f *Follower) Replicas() []fleet.Member {
 	f.mu.Lock()
--- a/transport/follow/loop.go
+++ b/transport/follow/loop.go
@@ -2,13 +2,22 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
 )
 
+// Counters of the reads that ended without an answer.
+var (
+	varHistoriesLost   = expvar.NewInt("follow_histories_lost")
+	varWatchesRepeated = expvar.NewInt("follow_watches_repeated")
+)
+
 // followKind lists a kind and then watches it until ctx ends. It lists again when the store no longer has the history.
 func (f *Follower) followKind(ctx context.Context, kind Kind, probe bool) {
 	failures := 0
@@ -24,6 +33,8 @@
 			return
 		}
 		if protocol.CodeOf(err) == protocol.CodeExpired {
+			varHistoriesLost.Add(1)
+			f.log.WithError(err).WithFields(f.readFields(kind, from, started)).Info("history is lost, listing again")
 			from = position{}
 			continue
 		}
@@ -60,6 +71,8 @@
 	batch, err := f.source.Watch(callCtx, kind.Kind, from.revision, wait)
 	if err != nil {
 		if parent.Err() != nil && ctx.Err() == nil {
+			varWatchesRepeated.Add(1)
+			f.log.WithFields(f.readFields(kind, from, sent)).Info("watch is sent again")
 			return from, nil
 		}
 		if protocol.CodeOf(err) == protocol.CodeExpired && time.Duration(f.now()-sent) > promptResponseLimit {
@@ -84,6 +97,16 @@
 	return next, nil
 }
 
+// readFields returns the fields of log lines about a read that began at a time and ended without an answer.
+func (f *Follower) readFields(kind Kind, from position, began bootclock.Instant) logrus.Fields {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return logrus.Fields{
+		"kind": kind.Kind, "since_revision": from.revision, "waited_ms": time.Duration(f.now() - began).Milliseconds(),
+		"age_ms": f.kindAge(kind.Kind).Milliseconds(),
+	}
+}
+
 // coalesceDelay returns the pause after a change. It is short for changes from a relay, which has paused itself and costs the store
 // nothing.
 func coalesceDelay(kind Kind, batch feed.Batch) time.Duration {
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -56,8 +58,12 @@
 	for _, record := range batch.Records {
 		f.applyRecord(now, since, kind, record)
 	}
+	if kind == feed.KindEvacuations {
+		f.logEvacuations(batch, got)
+	}
 	if !got.stale {
 		f.completeUntil[kind] = got.quietUntil(batch)
+		f.completeAt[kind] = max(f.completeAt[kind], got.completeAt)
 	}
 	if got.list {
 		f.removeUnlisted(now, kind, batch.Records)
@@ -118,7 +124,6 @@
 		f.table.SetReplica(now, record.Revision, value)
 	case fleet.Evacuation:
 		f.table.SetEvacuated(now, value.FailureDomain, true)
-		f.log.WithField("failure_domain", value.FailureDomain).Info("failure domain out of service")
 	case fleet.WeightTarget:
 		if f.table.SetWanted(since, value) {
 			f.log.WithField("model", value.Model).WithField("version", value.Version).Info("version wanted")
@@ -132,7 +137,21 @@
 		f.table.RemoveReplica(now, fleet.ReplicaID(name))
 	case feed.KindEvacuations:
 		f.table.SetEvacuated(now, core.FailureDomain(name), false)
-		f.log.WithField("failure_domain", name).Info("failure domain back in service")
+	}
+}
+
+// logEvacuations writes a line for each record of a batch, with how it was read and how old the news before it was; the caller
+// holds the lock.
+func (f *Follower) logEvacuations(batch feed.Batch, got arrival) {
+	for _, record := range batch.Records {
+		message := "failure domain out of service"
+		if record.Removed || record.Err != nil {
+			message = "failure domain back in service"
+		}
+		f.log.WithFields(logrus.Fields{
+			"failure_domain": record.Name, "revision": record.Revision, "listed": got.list, "relayed": batch.Relayed,
+			"previous_age_ms": f.kindAge(feed.KindEvacuations).Milliseconds(),
+		}).Info(message)
 	}
 }
 
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -264,9 +264,11 @@
 
 // entryState is the debug dump of an entry process.
 type entryState struct {
-	Host         core.HostID
-	Leaving      bool
-	ViewAge      string
+	Host    core.HostID
+	Leaving bool
+	ViewAge string
+	// KindAges holds, by kind of record, the time since the store confirmed that no change is missing.
+	KindAges     map[feed.Kind]string
 	View         *fleet.View
 	Replicas     []dispatch.State
 	Quarantines  []quarantine.Status
@@ -279,6 +281,7 @@
 		Host:         e.Host.ID,
 		Leaving:      e.leaving.Load(),
 		ViewAge:      e.follower.Age().String(),
+		KindAges:     kindAges(e.follower),
 		View:         e.follower.View().WithoutKeys(),
 		Replicas:     e.router.State(),
 		Quarantines:  e.quarantine.State(),
@@ -286,6 +289,15 @@
 	}
 }
 
+// kindAges returns the ages of the kinds for a debug dump.
+func kindAges(follower *follow.Follower) map[feed.Kind]string {
+	ages := make(map[feed.Kind]string)
+	for kind, age := range follower.KindAges() {
+		ages[kind] = age.String()
+	}
+	return ages
+}
+
 // prune periodically closes idle connections that have expired or lead to addresses that are no longer in the view.
 func (e *entry) prune(ctx context.Context) {
 	ticker := time.NewTicker(pruneInterval)
