--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -84,6 +84,8 @@
 	Kinds []Kind
 	// ProbeWait is the long-poll wait of the probing watch. A longer one costs fewer calls and detects outages later.
 	ProbeWait time.Duration
+	// Now returns the time since the host's boot; nil means bootclock.Now.
+	Now func() bootclock.Instant
 }
 
 // position is a point in the store's history from which a kind can be watched. The zero position means that the kind must be
@@ -106,8 +108,6 @@
 	source feed.Source
 	cfg    Config
 	log    *logrus.Entry
-	// now returns the time since the host's boot; tests replace it.
-	now func() bootclock.Instant
 
 	mu     sync.Mutex
 	table  *fleet.Table
@@ -142,11 +142,13 @@
 
 // New returns a Follower that follows source while Run runs.
 func New(source feed.Source, cfg Config, random *rand.Rand, log *logrus.Entry) *Follower {
+	if cfg.Now == nil {
+		cfg.Now = bootclock.Now
+	}
 	return &Follower{
 		source:        source,
 		cfg:           cfg,
 		log:           log,
-		now:           bootclock.Now,
 		table:         fleet.NewTable(),
 		listed:        make(map[feed.Kind]bool),
 		completeUntil: make(map[feed.Kind]time.Time),
@@ -158,6 +160,8 @@
 	}
 }
 
+func (f *Follower) now() bootclock.Instant { return f.cfg.Now() }
+
 // time returns the time since the host's boot as a time.Time.
 func (f *Follower) time() time.Time { return time.Unix(0, int64(f.now())) }
 
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -287,8 +287,8 @@
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	cfg.Now = func() bootclock.Instant { return bootclock.Instant(time.Now().UnixNano()) }
 	follower := follow.New(s, cfg, rand.New(rand.NewPCG(1, 1)), logrus.NewEntry(logger))
-	follower.UseTimeNow()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { follower.Run(ctx) })
--- /dev/null
+++ b/transport/hosted/news_test.go
@@ -0,0 +1,412 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/feed"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport/follow"
+)
+
+// Bounds of the platform for the time from the acknowledgement of a change to its effect at an entry. After a fault of the store they
+// hold again once the store has been sound for the stable window.
+const (
+	evacuationBound    = 5 * time.Second
+	drainBound         = 2 * time.Second
+	configurationBound = 2 * time.Second
+	stableWindow       = 3 * time.Second
+)
+
+const (
+	outDomain   = core.FailureDomain("a")
+	drainingID  = fleet.ReplicaID("r")
+	answerTime  = 4 * time.Millisecond
+	slowAnswer  = 300 * time.Millisecond
+	withholding = time.Second
+)
+
+// newsStore is a stand-in for the platform's store whose watches may hear nothing, and whose calls may fail, hang or be slow.
+type newsStore struct {
+	mu        sync.Mutex
+	revision  int64
+	records   map[feed.Kind]map[string]feed.Record
+	events    map[feed.Kind][]feed.Record
+	compacted int64
+	changed   chan struct{}
+	// withhold makes watches hear nothing. cut is closed and replaced to reset the watches that wait.
+	withhold bool
+	cut      chan struct{}
+	// epoch counts how often all connections went silent; a call of an earlier epoch gets no answer.
+	epoch int
+	// mutedKind is a kind whose waiting watches of mutedEpoch and before get no answer.
+	muted map[feed.Kind]int
+	// failing and hanging hold for all calls.
+	failing, hanging, slow bool
+}
+
+func newNewsStore() *newsStore {
+	return &newsStore{
+		records: map[feed.Kind]map[string]feed.Record{}, events: map[feed.Kind][]feed.Record{}, changed: make(chan struct{}),
+		cut: make(chan struct{}), muted: map[feed.Kind]int{},
+	}
+}
+
+func (s *newsStore) put(kind feed.Kind, record feed.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	record.Revision = s.revision
+	if s.records[kind] == nil {
+		s.records[kind] = map[string]feed.Record{}
+	}
+	s.records[kind][record.Name] = record
+	if record.Removed {
+		delete(s.records[kind], record.Name)
+	}
+	s.events[kind] = append(s.events[kind], record)
+	s.wake()
+}
+
+// change changes the state under the lock and wakes the watches that wait.
+func (s *newsStore) change(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+	s.wake()
+}
+
+func (s *newsStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// resetWatches resets the connections of the watches that wait; the caller holds the lock.
+func (s *newsStore) resetWatches() {
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+// dropHistory drops the events without a word to the watches that wait; the caller holds the lock.
+func (s *newsStore) dropHistory() {
+	s.events = map[feed.Kind][]feed.Record{}
+	s.compacted = s.revision
+}
+
+// begin makes the time that a call takes pass, and fails it if the store is down or silent.
+func (s *newsStore) begin(ctx context.Context) error {
+	s.mu.Lock()
+	failing, hanging, delay := s.failing, s.hanging, answerTime
+	if s.slow {
+		delay = slowAnswer
+	}
+	s.mu.Unlock()
+	if hanging {
+		<-ctx.Done()
+	} else {
+		sleepUntilDone(ctx, delay)
+	}
+	if ctx.Err() != nil {
+		return protocol.Wrap(protocol.CodeUnavailable, ctx.Err(), "call the store")
+	}
+	if failing {
+		return protocol.Errorf(protocol.CodeUnavailable, "the store is down")
+	}
+	return nil
+}
+
+func sleepUntilDone(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (s *newsStore) List(ctx context.Context, kind feed.Kind, _ bool) (feed.Batch, error) {
+	if err := s.begin(ctx); err != nil {
+		return feed.Batch{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := feed.Batch{Revision: s.revision}
+	for _, record := range s.records[kind] {
+		batch.Records = append(batch.Records, record)
+	}
+	return batch, nil
+}
+
+func (s *newsStore) Watch(ctx context.Context, kind feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
+	if err := s.begin(ctx); err != nil {
+		return feed.Batch{}, err
+	}
+	s.mu.Lock()
+	if since < s.compacted {
+		s.mu.Unlock()
+		return feed.Batch{}, protocol.Errorf(protocol.CodeExpired, "the history is gone")
+	}
+	epoch, muteCount, cut := s.epoch, s.muted[kind], s.cut
+	s.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		batch, changed := feed.Batch{Revision: s.revision}, s.changed
+		for _, record := range s.events[kind] {
+			if record.Revision > since {
+				batch.Records = append(batch.Records, record)
+			}
+		}
+		silent := s.withhold || s.epoch != epoch || s.muted[kind] != muteCount
+		expired := since < s.compacted && (over || len(batch.Records) > 0)
+		s.mu.Unlock()
+		switch {
+		case silent:
+		case expired:
+			return feed.Batch{}, protocol.Errorf(protocol.CodeExpired, "the history is gone")
+		case len(batch.Records) > 0 || over:
+			return batch, nil
+		}
+		select {
+		case <-ctx.Done():
+			return feed.Batch{}, protocol.Wrap(protocol.CodeUnavailable, ctx.Err(), "watch")
+		case <-cut:
+			return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "connection reset")
+		case <-timer.C:
+			over = true
+		case <-changed:
+		}
+	}
+}
+
+// news is what operators wrote last, with the time of its acknowledgement.
+type news struct {
+	out, draining bool
+	configuration int64
+	outAt, drain  time.Time
+	configuredAt  time.Time
+}
+
+// newsRun plays changes and faults against one follower with the settings of an entry.
+type newsRun struct {
+	t        *testing.T
+	store    *newsStore
+	follower *follow.Follower
+	random   *rand.Rand
+	expected news
+	// faultEnd is the end of the last fault, faulty is true during one.
+	faultEnd time.Time
+	faulty   bool
+	story    []string
+}
+
+func startNewsRun(t *testing.T, seed uint64) *newsRun {
+	r := &newsRun{t: t, store: newNewsStore(), random: rand.New(rand.NewPCG(seed, 31))}
+	r.writeConfiguration()
+	r.writeReplica()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	cfg := entryFollowConfig
+	cfg.Now = func() bootclock.Instant { return bootclock.Instant(time.Now().UnixNano()) }
+	r.follower = follow.New(r.store, cfg, rand.New(rand.NewPCG(seed, 32)), logrus.NewEntry(logger))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { r.follower.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	r.faultEnd = time.Now()
+	return r
+}
+
+func (r *newsRun) note(format string, values ...any) {
+	r.story = append(r.story, time.Now().Format("05.000 ")+fmt.Sprintf(format, values...))
+}
+
+func (r *newsRun) writeConfiguration() {
+	r.expected.configuration++
+	r.expected.configuredAt = time.Now()
+	r.store.put(feed.KindConfiguration, feed.Record{Name: "main", Value: &fleet.Configuration{Version: r.expected.configuration}})
+	r.note("configuration %d", r.expected.configuration)
+}
+
+func (r *newsRun) writeReplica() {
+	r.store.put(feed.KindReplicas, feed.Record{Name: string(drainingID), Value: &fleet.Replica{
+		ID: drainingID, FailureDomain: outDomain, Draining: r.expected.draining,
+	}})
+}
+
+func (r *newsRun) drain() {
+	if r.expected.draining {
+		return
+	}
+	r.expected.draining, r.expected.drain = true, time.Now()
+	r.writeReplica()
+	r.note("drain")
+}
+
+func (r *newsRun) evacuate(out bool) {
+	if out == r.expected.out {
+		return
+	}
+	r.expected.out, r.expected.outAt = out, time.Now()
+	r.store.put(feed.KindEvacuations, feed.Record{
+		Name: string(outDomain), Removed: !out, Value: fleet.Evacuation{FailureDomain: outDomain},
+	})
+	r.note("out of service: %t", out)
+}
+
+// sleep lets time pass and checks all the while that what is due has taken effect.
+func (r *newsRun) sleep(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(min(step, time.Until(end))) {
+		r.check()
+	}
+}
+
+func (r *newsRun) check() {
+	if r.faulty || time.Since(r.faultEnd) < stableWindow {
+		return
+	}
+	view := r.follower.View()
+	require.True(r.t, view.Ready(), "no view: %q", r.story)
+	member := view.Members[0]
+	require.False(r.t, r.due(r.expected.outAt, evacuationBound) && member.Evacuated != r.expected.out, "evacuation: %q", r.story)
+	require.False(r.t, r.expected.draining && r.due(r.expected.drain, drainBound) && !member.Draining, "drain: %q", r.story)
+	require.False(r.t, r.due(r.expected.configuredAt, configurationBound) && view.Configuration.Version < r.expected.configuration,
+		"configuration: %q", r.story)
+}
+
+func (r *newsRun) due(at time.Time, bound time.Duration) bool {
+	return !at.IsZero() && time.Since(at) > bound
+}
+
+// newsFaults are the faults of the store that a run draws from. Each ends by itself; changes may be made while it lasts.
+var newsFaults = map[string]func(r *newsRun){
+	"compaction": func(r *newsRun) {
+		r.store.change(func() { r.store.withhold = true })
+		r.changeDuring(withholding)
+		r.store.change(func() {
+			r.store.withhold = false
+			if r.random.IntN(2) == 0 {
+				r.store.resetWatches()
+			}
+		})
+		// Watches that are sent again right away are accepted before the history is gone.
+		r.sleep(time.Duration(r.random.IntN(120)) * time.Millisecond)
+		r.store.change(r.store.dropHistory)
+	},
+	"silent connections": func(r *newsRun) { r.store.change(func() { r.store.epoch++ }) },
+	"silent watch": func(r *newsRun) {
+		kind := entryFollowConfig.Kinds[r.random.IntN(len(entryFollowConfig.Kinds))].Kind
+		r.store.change(func() { r.store.muted[kind]++ })
+	},
+	"outage": func(r *newsRun) {
+		r.store.change(func() {
+			r.store.failing = true
+			r.store.resetWatches()
+		})
+		r.changeDuring(time.Duration(r.random.IntN(6000)) * time.Millisecond)
+		r.store.change(func() { r.store.failing = false })
+	},
+	"hanging calls": func(r *newsRun) {
+		r.store.change(func() { r.store.hanging = true })
+		r.changeDuring(time.Duration(r.random.IntN(4000)) * time.Millisecond)
+		r.store.change(func() { r.store.hanging = false })
+	},
+	"slow answers": func(r *newsRun) {
+		r.store.change(func() { r.store.slow = true })
+		r.changeDuring(time.Duration(r.random.IntN(4000)) * time.Millisecond)
+		r.store.change(func() { r.store.slow = false })
+	},
+}
+
+// changeDuring makes some changes within a time.
+func (r *newsRun) changeDuring(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		r.sleep(min(time.Until(end), time.Duration(r.random.IntN(700))*time.Millisecond))
+		r.changeOnce()
+	}
+}
+
+func (r *newsRun) changeOnce() {
+	switch r.random.IntN(6) {
+	case 0, 1:
+		r.evacuate(!r.expected.out)
+	case 2:
+		r.drain()
+	case 3:
+		r.writeConfiguration()
+	}
+}
+
+func (r *newsRun) playFault(name string) {
+	r.note("%s", name)
+	r.faulty = true
+	newsFaults[name](r)
+	r.faulty, r.faultEnd = false, time.Now()
+	r.note("end of %s", name)
+}
+
+// TestNewsTakesEffectInTimeAfterFaultsOfTheStore guards against an evacuation, a drain or a configuration that an entry learns too late
+// because a watch was silent, was reset, hung or lost its history. Faults and changes are drawn and follow each other.
+func TestNewsTakesEffectInTimeAfterFaultsOfTheStore(t *testing.T) {
+	names := []string{"compaction", "silent connections", "silent watch", "outage", "hanging calls", "slow answers"}
+	const runs, faultsPerRun = 60, 8
+	for seed := range uint64(runs) {
+		synctest.Test(t, func(t *testing.T) {
+			r := startNewsRun(t, seed)
+			r.note("seed %d", seed)
+			r.sleep(stableWindow)
+			for range faultsPerRun {
+				r.playFault(names[r.random.IntN(len(names))])
+				r.changeDuring(time.Duration(r.random.IntN(9000)) * time.Millisecond)
+			}
+			r.sleep(evacuationBound + stableWindow)
+		})
+	}
+}
+
+// TestEvacuationWrittenWhileWatchesHearNothingTakesEffect guards against an entry that goes on sending to a failure domain because the
+// store dropped the history of a watch that waits and doesn't end it.
+func TestEvacuationWrittenWhileWatchesHearNothingTakesEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := startNewsRun(t, 1)
+		r.sleep(stableWindow)
+		r.faulty = true
+		r.store.change(func() { r.store.withhold = true })
+		r.sleep(withholding / 2)
+		r.evacuate(true)
+		r.sleep(withholding / 2)
+		r.store.change(func() {
+			r.store.withhold = false
+			r.store.dropHistory()
+		})
+		r.faulty, r.faultEnd = false, time.Now()
+		r.sleep(2 * evacuationBound)
+	})
+}
+
+// TestEvacuationTakesEffectWhileItsWatchIsSilent guards against an entry that waits for a single watch whose connection has gone silent
+// although the store answers on others.
+func TestEvacuationTakesEffectWhileItsWatchIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := startNewsRun(t, 1)
+		r.sleep(stableWindow)
+		r.store.change(func() { r.store.muted[feed.KindEvacuations]++ })
+		r.evacuate(true)
+		r.sleep(2 * evacuationBound)
+	})
+}
