Bound the time for which a silent watch counts as one without changes

Callers saw nothing; requests reached replicas of a failure domain more than 5 s after its evacuation was acknowledged.

Cause: an entry watches each kind of record with one long poll. All but that of the configuration waited for 25 s, and silence was taken for "no changes". The store had shown no changes to watches for a second, in which the evacuation was written, and then dropped its history. Watches that waited since before, or that were sent again before the history was gone, were neither answered nor ended. The watch of the configuration, which ends after 0.5 to 1.6 s, got 410 and was listed again; nobody drew from it that the other kinds had lost their history too.

A kind that has lost its history makes all others be watched again at once. A failed watch doesn't wait for the probing one if the store has answered another call since.

--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	// watchWait is the long-poll wait of all watches but the probing one; the store allows 30 s.
-	watchWait = 25 * time.Second
+	// defaultWatchWait is the long-poll wait of a kind that states none; the store allows 30 s.
+	defaultWatchWait = 25 * time.Second
 	// watchTimeoutSlack is the time after the wait of a watch within which the store must respond.
-	watchTimeoutSlack = 1200 * time.Millisecond
+	watchTimeoutSlack = 800 * time.Millisecond
 	// listTimeout bounds one list call.
 	listTimeout = 3 * time.Second
 	// retryBase and retryCap are the first and the longest backoff after a failed call of the probing watch.
@@ -67,6 +67,10 @@
 	feed.Kind
 	// CoalesceDelay is the pause after a change. A longer one reads more changes with one call and shows them later.
 	CoalesceDelay time.Duration
+	// WatchWait is the long-poll wait of the watches, unless the kind is the probing one. A watch may miss changes without an error:
+	// its connection is silent, or the store has dropped the history while it waited. So the wait, watchTimeoutSlack and a list
+	// must be shorter than the time in which a change must take effect. The default is defaultWatchWait.
+	WatchWait time.Duration
 	// NewestOnly states that only the newest record matters. During a burst of changes the kind is then listed after
 	// CoalesceDelay, instead of reading every change from the watch.
 	NewestOnly bool
--- a/transport/follow/loop.go
+++ b/transport/follow/loop.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"time"
@@ -36,6 +37,8 @@
 			varHistoriesLost.Add(1)
 			f.log.WithError(err).WithFields(f.readFields(kind, from, started)).Info("history is lost, listing again")
 			from = position{}
+			// The watches of the other kinds may wait for changes of the lost history.
+			f.restartWatches(ctx)
 			continue
 		}
 		if failures == 0 {
@@ -47,7 +50,7 @@
 				f.backOff(ctx, failures)
 			}
 		} else {
-			f.awaitProbe(ctx)
+			f.awaitProbe(ctx, started)
 		}
 		failures++
 	}
@@ -58,7 +61,7 @@
 	if kind.RefreshInterval > 0 || !f.canWatch(from) {
 		return f.list(ctx, kind)
 	}
-	wait, parent := watchWait, f.watchContext()
+	wait, parent := cmp.Or(kind.WatchWait, defaultWatchWait), f.watchContext()
 	if probe {
 		wait, parent = f.cfg.ProbeWait, ctx
 	}
@@ -207,11 +210,15 @@
 	f.watchCtx, f.cancelWatches = context.WithCancel(ctx)
 }
 
-// awaitProbe waits until the probing watch is answered again, so that an unavailable store gets few calls.
-func (f *Follower) awaitProbe(ctx context.Context) {
+// awaitProbe waits until the probing watch is answered again, so that an unavailable store gets few calls. It doesn't wait if the store
+// has answered another call since the failed one was sent.
+func (f *Follower) awaitProbe(ctx context.Context, sent bootclock.Instant) {
 	f.mu.Lock()
-	answered := f.probeAnswered
+	answered, available := f.probeAnswered, f.lastAnswered.After(time.Unix(0, int64(sent)))
 	f.mu.Unlock()
+	if available {
+		return
+	}
 	// The wait is bounded, since the failure may concern this connection only while the probing watch stays pending.
 	timer := time.NewTimer(maxProbeAwait)
 	defer timer.Stop()
