Load a version that may have been ordered before replacing its pieces

Callers got 503 from all entries, "no replica of wura3a can serve the request", for more than 12 s after all hosts had returned.

Cause: a new agent process doesn't know whether its predecessor's order is still outstanding at the worker, which would load whatever is staged by then. It waited up to 15 s before it replaced staged pieces that belong neither to the wanted nor to a loaded version, and took any earlier version whose manifest the origin no longer has for such an order. After a loss of all hosts no worker has anything loaded, so as soon as two versions had been named since the first, every agent waited, with the workers empty: each waits for an order that no process can have sent any more.

Change: pieces of two versions prove that no order for the earlier one is outstanding, since pieces of the next version are only staged once it is settled; so a version without manifest is only possible if nearly all pieces match no version that is known, or all of them. If a version between the loaded and the wanted one is staged completely, the agent takes the order over instead of waiting: it sends the order again with the same count, which settles both, and goes on from there. The wait remains where the staged version can't be told.

Without the rule for versions without manifest TestPiecesOfAVersionWithoutManifestAreKept fails, without taking the order over TestOrderThatMayBeInheritedIsSentAgain.

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -40,7 +40,8 @@
 	// them. An agent that was suspended in between verifies them again.
 	MaxVerificationAge time.Duration
 	// LateOrderTimeout is the time for which the worker may still carry out an order that it has not answered. It bounds the
-	// wait for an order of an earlier process on this host, and for one that the worker rejects when it is sent again.
+	// wait for an order of an earlier process on this host whose version can't be told, and for one that the worker rejects when
+	// it is sent again.
 	LateOrderTimeout time.Duration
 	// RetryPause is the pause after a failed rollout step.
 	RetryPause time.Duration
@@ -145,7 +146,9 @@
 	repeatAt        time.Time
 	repeatPause     time.Duration
 	inherited       inheritedOrder
-	wake            chan struct{}
+	// adopted is the unanswered order while only an earlier process may have sent it.
+	adopted loadOrder
+	wake    chan struct{}
 }
 
 // New returns an Agent.
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -57,9 +57,6 @@
 	if err != nil {
 		return err
 	}
-	if err := a.awaitInheritedOrder(ctx, t, manifest); err != nil {
-		return err
-	}
 	a.pieces.reset(t, manifest)
 	ctx, cancel := context.WithCancel(ctx)
 	cfg := a.Config.Transfer
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -20,7 +20,7 @@
 	verifiedAt := a.Now()
 	order := loadOrder{target: t, orders: report.Orders}
 	repeated := a.isUnanswered(order)
-	if !repeated {
+	if !repeated || a.isAdopted(order) {
 		a.announceLoad(t)
 		select {
 		case <-ctx.Done():
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -66,7 +66,7 @@
 	defer a.mu.Unlock()
 	now := a.Now()
 	loaded := a.loadedOrLoading(t.model, spec.Layers)
-	unanswered := a.unanswered.target == t
+	unanswered := a.unanswered.target == t && a.adopted.isZero()
 	earliest := a.repeatAt
 	if !unanswered {
 		earliest = rollout.EarliestLoadTime(a.Config.Rollout, wanted, loaded, view.Members, a.Upstream, a.ReplicaAddress)
@@ -91,6 +91,9 @@
 		return nil
 	}
 	started := a.Now()
+	if replace, err := a.settleInheritedOrder(ctx, t); err != nil || !replace {
+		return eris.Wrapf(err, "look for an order of an earlier process before version %d of %s", t.version, t.model)
+	}
 	if err := a.fetch(ctx, t); err != nil {
 		return eris.Wrapf(err, "fetch version %d of %s", t.version, t.model)
 	}
@@ -119,6 +122,7 @@
 func (a *Agent) targetVersion(wanted fleet.Wanted, model core.Model, layers int) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.expireAdoptedOrder()
 	stagedVersion := int64(0)
 	if a.staged.model == model {
 		stagedVersion = a.staged.version
