Don't take the wait of a watch that lost its history for a quiet one

Cause: a watch of the weight targets that failed with a lost history after a wait was recorded as "no change until now", because a change would have ended it. A version named then would have counted as wanted since later than it was. Since the inference was lost at times anyway, when another kind's lost history had canceled the watch before its own answer: TestVersionSetAfterLostHistoryHasAKnownTime failed once with the race detector.

Change: the inference is gone. A version found by a list after a lost history counts from the last answer of a watch, which is at most 2 s old: the watch of the weight targets waits for 2 s in place of 4 s. The test keeps its assertion; its watch of the weight targets now has a bounded wait, as that of an entry does.

--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -360,7 +360,12 @@
 	const quiet = 1500 * time.Millisecond
 	s := newSource()
 	s.put(feed.KindConfiguration, configuration(1))
-	follower := startFollower(t, s)
+	follower := startConfigured(t, s, follow.Config{
+		Kinds: []follow.Kind{
+			{Kind: feed.KindConfiguration}, {Kind: feed.KindWeightTargets, WatchWait: quiet / 4},
+		},
+		ProbeWait: 50 * time.Millisecond,
+	})
 	eventually(t, func() bool { return follower.View().Ready() })
 	readyAt := bootclock.Time()
 	s.dropHistory()
--- a/transport/follow/loop.go
+++ b/transport/follow/loop.go
@@ -78,9 +78,6 @@
 			f.log.WithFields(f.readFields(kind, from, sent)).Info("watch is sent again")
 			return from, nil
 		}
-		if protocol.CodeOf(err) == protocol.CodeExpired && time.Duration(f.now()-sent) > promptResponseLimit {
-			f.recordQuietWatch(kind.Kind)
-		}
 		return from, err
 	}
 	if batch.Era != from.era {
@@ -119,14 +116,6 @@
 	return kind.CoalesceDelay
 }
 
-// recordQuietWatch records that a watch of a kind waited until just now, although it then failed because the store no longer has the
-// history: a change would have ended it before.
-func (f *Follower) recordQuietWatch(kind feed.Kind) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.completeUntil[kind] = f.time().Add(-promptResponseLimit)
-}
-
 // canWatch reports whether a position can be watched: it is known and of the store's latest era.
 func (f *Follower) canWatch(from position) bool {
 	f.mu.Lock()
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -63,7 +63,7 @@
 		{Kind: feed.KindConfiguration, CoalesceDelay: 700 * time.Millisecond, NewestOnly: true},
 		{Kind: feed.KindReplicas, CoalesceDelay: 700 * time.Millisecond, WatchWait: 2 * time.Second},
 		{Kind: feed.KindEvacuations, CoalesceDelay: 600 * time.Millisecond, WatchWait: 2 * time.Second},
-		{Kind: feed.KindWeightTargets, CoalesceDelay: 300 * time.Millisecond, WatchWait: 4 * time.Second},
+		{Kind: feed.KindWeightTargets, CoalesceDelay: 300 * time.Millisecond, WatchWait: 2 * time.Second},
 	},
 	ProbeWait: 1600 * time.Millisecond,
 }
--- a/transport/hosted/news_test.go
+++ b/transport/hosted/news_test.go
@@ -27,7 +27,10 @@
 	evacuationBound    = 5 * time.Second
 	drainBound         = 2 * time.Second
 	configurationBound = 2 * time.Second
-	stableWindow       = 3 * time.Second
+	versionBound       = 5 * time.Second
+	// lateSince is the time by which a version may count as wanted too late: a slow answer that ended the wait of its watch.
+	lateSince    = 600 * time.Millisecond
+	stableWindow = 3 * time.Second
 )
 
 const (
@@ -192,10 +195,10 @@
 
 // news is what operators wrote last, with the time of its acknowledgement.
 type news struct {
-	out, draining bool
-	configuration int64
-	outAt, drain  time.Time
-	configuredAt  time.Time
+	out, draining          bool
+	configuration, version int64
+	outAt, drain           time.Time
+	configuredAt, namedAt  time.Time
 }
 
 // newsRun plays changes and faults against one follower with the settings of an entry.
@@ -242,6 +245,13 @@
 	r.note("configuration %d", r.expected.configuration)
 }
 
+func (r *newsRun) nameVersion() {
+	r.expected.version++
+	r.expected.namedAt = time.Now()
+	r.store.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: r.expected.version}})
+	r.note("version %d", r.expected.version)
+}
+
 func (r *newsRun) writeReplica() {
 	r.store.put(feed.KindReplicas, feed.Record{Name: string(drainingID), Value: &fleet.Replica{
 		ID: drainingID, FailureDomain: outDomain, Draining: r.expected.draining,
@@ -287,6 +297,22 @@
 	require.False(r.t, r.expected.draining && r.due(r.expected.drain, drainBound) && !member.Draining, "drain: %q", r.story)
 	require.False(r.t, r.due(r.expected.configuredAt, configurationBound) && view.Configuration.Version < r.expected.configuration,
 		"configuration: %q", r.story)
+	r.checkVersion(view.Wanted["m"])
+}
+
+// checkVersion checks that the newest version is known and does not count as wanted since later than it is.
+func (r *newsRun) checkVersion(wanted fleet.Wanted) {
+	if !r.due(r.expected.namedAt, versionBound) {
+		return
+	}
+	require.Equal(r.t, r.expected.version, wanted.Newest(), "version: %q", r.story)
+	// The time in which a version must be loaded only counts while the store is sound.
+	latest := r.expected.namedAt
+	if r.faultEnd.After(latest) {
+		latest = r.faultEnd
+	}
+	since := wanted[len(wanted)-1].Since
+	require.False(r.t, since.After(latest.Add(lateSince)), "version since %s: %q", since.Format("05.000"), r.story)
 }
 
 func (r *newsRun) due(at time.Time, bound time.Duration) bool {
@@ -342,13 +368,15 @@
 }
 
 func (r *newsRun) changeOnce() {
-	switch r.random.IntN(6) {
+	switch r.random.IntN(7) {
 	case 0, 1:
 		r.evacuate(!r.expected.out)
 	case 2:
 		r.drain()
 	case 3:
 		r.writeConfiguration()
+	case 4:
+		r.nameVersion()
 	}
 }
 
