--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -128,6 +128,8 @@
 	random    *rand.Rand
 	// lastChange holds the time of the last change by kind.
 	lastChange map[feed.Kind]time.Time
+	// skipped holds the records that have been logged as not decodable.
+	skipped map[skippedRecord]bool
 	// sharedOutage reports whether most other processes do not reach the store either.
 	sharedOutage bool
 	// probeAnswered is closed and replaced when a call for the first kind is answered.
@@ -160,6 +162,7 @@
 		probeAnswered: make(chan struct{}),
 
 		lastChange: make(map[feed.Kind]time.Time),
+		skipped:    make(map[skippedRecord]bool),
 		random:     random,
 	}
 }
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -11,6 +11,16 @@
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
+// maxSkippedRecords bounds the records that are remembered as logged.
+const maxSkippedRecords = 1000
+
+// skippedRecord identifies a record that can't be decoded.
+type skippedRecord struct {
+	kind     feed.Kind
+	name     string
+	revision int64
+}
+
 // arrival describes how a batch was read.
 type arrival struct {
 	// list marks the result of a list, stale that of a list that may be older than the call.
@@ -109,7 +119,11 @@
 // applyRecord applies a record to the table. since is a time before which the record was not written, or zero if unknown.
 func (f *Follower) applyRecord(now, since time.Time, kind feed.Kind, record feed.Record) {
 	if record.Err != nil {
-		f.log.WithError(record.Err).WithField("kind", kind).WithField("name", record.Name).Warn("skip record")
+		f.logSkipped(kind, record)
+	}
+	if kind == feed.KindEvacuations && record.Err != nil && record.Name != "" && !record.Removed {
+		// The name says which failure domain is out of service.
+		record.Value, record.Err = fleet.Evacuation{FailureDomain: core.FailureDomain(record.Name)}, nil
 	}
 	if record.Removed || record.Err != nil {
 		f.removeRecord(now, kind, record.Name)
@@ -131,6 +145,20 @@
 	}
 }
 
+// logSkipped logs a record that can't be decoded, once per revision: lists return it each time.
+func (f *Follower) logSkipped(kind feed.Kind, record feed.Record) {
+	key := skippedRecord{kind: kind, name: record.Name, revision: record.Revision}
+	if f.skipped[key] {
+		return
+	}
+	if len(f.skipped) >= maxSkippedRecords {
+		clear(f.skipped)
+	}
+	f.skipped[key] = true
+	f.log.WithError(record.Err).WithField("kind", kind).WithField("name", record.Name).WithField("revision", record.Revision).
+		Warn("skip record")
+}
+
 func (f *Follower) removeRecord(now time.Time, kind feed.Kind, name string) {
 	switch kind {
 	case feed.KindReplicas:
@@ -145,7 +173,7 @@
 func (f *Follower) logEvacuations(batch feed.Batch, got arrival) {
 	for _, record := range batch.Records {
 		message := "failure domain out of service"
-		if record.Removed || record.Err != nil {
+		if record.Removed {
 			message = "failure domain back in service"
 		}
 		f.log.WithFields(logrus.Fields{
@@ -159,8 +187,8 @@
 func (f *Follower) removeUnlisted(now time.Time, kind feed.Kind, records []feed.Record) {
 	listed := make(map[string]bool, len(records))
 	for _, record := range records {
-		// A registration that does not decode counts as removed.
-		if record.Err == nil && !record.Removed {
+		// A registration that does not decode counts as removed, an evacuation does not.
+		if !record.Removed && (record.Err == nil || kind == feed.KindEvacuations) {
 			listed[record.Name] = true
 		}
 	}
