Don't take a late copy of a refusal for the response to another try

And a second try of a request on the same connection, as at another replica on the same address, was answered by the copy, since the IDs are the same (TestSecondCopyOfARefusalDoesNotAnswerTheNextTry: "" before, "ran" now). A copy with the ID of another request was skipped before.

Change: on a kept connection a response must have the request's ID, or the attempt counts as one that may have run and the connection is closed. A connection carries no second request with the ID of one of its last 64. A request without an ID has a connection of its own.

--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -256,3 +256,75 @@
 		_, err = io.WriteString(conn, block)
 	}
 }
+
+// TestSecondCopyOfARefusalDoesNotAnswerTheNextTry guards against a second copy of a refusal on a kept connection that is taken for the
+// response to another try of the same request, which the back end runs.
+func TestSecondCopyOfARefusalDoesNotAnswerTheNextTry(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nReq-Id: same\r\nContent-Length: 0\r\n\r\n"
+	address := listen(t, func(conn net.Conn, number int) {
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for readRequest(t, reader) != nil {
+				if number == 0 {
+					_, _ = io.WriteString(conn, refusal)
+				} else {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nReq-Id: same\r\nContent-Length: 3\r\n\r\nran")
+				}
+			}
+		}()
+	})
+	pool := backend.NewPool()
+	defer pool.Close()
+	response, err := pool.Do(t.Context(), request(address, "same"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.Status)
+	require.Empty(t, read(t, response))
+	response, err = pool.Do(t.Context(), request(address, "same"))
+	require.NoError(t, err)
+	require.Equal(t, "ran", read(t, response))
+}
+
+// TestResponseWithoutIDOnAKeptConnectionIsNotBelieved guards against a late response without an ID that is taken for the response to
+// the request that was sent on the connection since.
+func TestResponseWithoutIDOnAKeptConnectionIsNotBelieved(t *testing.T) {
+	address := listen(t, func(conn net.Conn, _ int) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		readRequest(t, reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n")
+		readRequest(t, reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	})
+	pool := backend.NewPool()
+	defer pool.Close()
+	response, err := pool.Do(t.Context(), request(address, "1"))
+	require.NoError(t, err)
+	require.Empty(t, read(t, response))
+	_, err = pool.Do(t.Context(), request(address, "2"))
+	var sendErr *backend.Error
+	require.ErrorAs(t, err, &sendErr)
+	require.True(t, sendErr.Sent)
+	require.True(t, sendErr.Reused)
+}
+
+// TestRequestWithoutIDHasAConnectionOfItsOwn guards against a request without an ID that gets the late response to another one, which
+// nothing tells from its own.
+func TestRequestWithoutIDHasAConnectionOfItsOwn(t *testing.T) {
+	address := listen(t, func(conn net.Conn, number int) {
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for sent := readRequest(t, reader); sent != nil; sent = readRequest(t, reader) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nReq-Id: "+sent.Header.Get("Req-Id")+"\r\nContent-Length: 1\r\n\r\n"+string(rune('0'+number)))
+			}
+		}()
+	})
+	pool := backend.NewPool()
+	defer pool.Close()
+	for i, id := range []string{"1", "", "", "2"} {
+		response, err := pool.Do(t.Context(), request(address, id))
+		require.NoError(t, err)
+		require.Equal(t, []string{"0", "1", "2", "0"}[i], read(t, response))
+	}
+}
--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,8 @@
 	maxHeadBytes = 64 << 10
 	// maxIdlePerAddress bounds the idle connections kept to one address.
 	maxIdlePerAddress = 24
+	// maxRecentIDs bounds the IDs of requests that a connection remembers. A request is sent again within seconds, if at all.
+	maxRecentIDs = 64
 )
 
 // conn is a connection to a back end that carries one request at a time.
@@ -43,8 +46,24 @@
 	// returnedAt is the time at which the connection became idle, idleTimeout the time for which it may stay so.
 	returnedAt  time.Time
 	idleTimeout time.Duration
+	// recentIDs holds the IDs of the latest requests on this connection. A late second copy of the response to one of them could be
+	// taken for the response to another try with the same ID.
+	recentIDs []string
+	// reused is true from the second request on.
+	reused bool
 }
 
+// begin notes that a request is sent on the connection.
+func (c *conn) begin(id string) {
+	if len(c.recentIDs) == maxRecentIDs {
+		c.recentIDs = slices.Delete(c.recentIDs, 0, 1)
+	}
+	c.recentIDs = append(c.recentIDs, id)
+}
+
+// mayCarry reports whether a request with the ID may be sent on a connection that was used before.
+func (c *conn) mayCarry(id string) bool { return id != "" && !slices.Contains(c.recentIDs, id) }
+
 // reusable reports whether the idle connection is still open and no unexpected bytes have arrived on it.
 func (c *conn) reusable() bool {
 	if c.reader.Buffered() > 0 {
@@ -77,38 +96,36 @@
 	return &Pool{idleConns: make(map[string][]*conn), dial: netdial.Dial, now: bootclock.Time}
 }
 
-// get returns an idle connection that was last used within maxIdle, or a new one. reused is true for an idle one.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (c *conn, reused bool, err error) {
-	for {
-		c = p.popIdle(address)
-		if c == nil {
-			break
-		}
+// get returns an idle connection that was last used within maxIdle and may carry a request with the ID, or a new one.
+func (p *Pool) get(ctx context.Context, address, id string, maxIdle time.Duration) (*conn, error) {
+	for c := p.popIdle(address, id); c != nil; c = p.popIdle(address, id) {
 		idleTime := p.now().Sub(c.returnedAt)
 		if idleTime < min(c.idleTimeout, maxIdle) && c.reusable() {
-			return c, true, nil
+			c.reused = true
+			return c, nil
 		}
 		_ = c.Close()
 	}
 	raw, err := p.dial(ctx, address)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	input := &limitedInput{reader: raw, left: unlimitedInput}
-	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, false, nil
+	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection that may carry a request with the ID, or nil.
+func (p *Pool) popIdle(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idleConns[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.mayCarry(id) {
+			p.idleConns[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idleConns[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put adds a connection whose last response has been read completely. announcedTimeout is the idle timeout that the back
--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -35,10 +35,13 @@
 	// MaySend, if set, is called right before the request is sent, after a connection has been opened. If it returns an error,
 	// nothing is sent.
 	MaySend func() error
-	// EchoHeader is the header in which the back end echoes the request ID. It serves to detect late responses.
+	// EchoHeader is the header in which the back end echoes the request ID. It serves to detect late responses. A request without an
+	// ID has a connection of its own.
 	EchoHeader string
 }
 
+func (r *Request) id() string { return r.Header.Get(r.EchoHeader) }
+
 // Error is the reason why a request got no response.
 type Error struct {
 	// Sent is true if a byte of the request may have reached the back end.
@@ -66,14 +69,14 @@
 // Do sends a request and returns its response after reading the head. When ctx ends, the connection is closed, also while
 // the body is being read. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
-	c, reused, err := p.get(ctx, request.Address, request.MaxIdle)
+	c, err := p.get(ctx, request.Address, request.id(), request.MaxIdle)
 	if err != nil {
 		return nil, &Error{err: eris.Wrap(err, "connect to back end")}
 	}
 	if request.MaySend != nil {
 		if err := request.MaySend(); err != nil {
 			_ = c.Close()
-			return nil, &Error{Reused: reused, err: err}
+			return nil, &Error{Reused: c.reused, err: err}
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -81,9 +84,9 @@
 	if err != nil {
 		stop()
 		_ = c.Close()
-		return nil, &Error{Sent: true, Reused: reused, err: eris.Wrap(err, "exchange with back end")}
+		return nil, &Error{Sent: true, Reused: c.reused, err: eris.Wrap(err, "exchange with back end")}
 	}
-	body := &body{pool: p, conn: c, address: request.Address, response: response, stop: stop}
+	body := &body{pool: p, conn: c, address: request.Address, response: response, stop: stop, keep: request.id() != ""}
 	return &Response{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -94,10 +97,11 @@
 
 // exchange writes the request and reads the head of its response, skipping late responses to earlier requests.
 func (c *conn) exchange(request *Request) (*http.Response, error) {
+	want := request.id()
+	c.begin(want)
 	if _, err := c.Write(encode(request)); err != nil {
 		return nil, err
 	}
-	want := request.Header.Get(request.EchoHeader)
 	httpRequest := &http.Request{Method: request.Method}
 	for range maxStaleResponses + 1 {
 		response, err := c.readHead(httpRequest)
@@ -105,7 +109,11 @@
 			return nil, err
 		}
 		got := response.Header.Get(request.EchoHeader)
-		if got == "" || want == "" || got == want {
+		switch {
+		case got == "" && c.reused:
+			return nil, eris.Errorf("status %d without the request's ID on a kept connection, so it may be the response to another request",
+				response.StatusCode)
+		case got == "" || want == "" || got == want:
 			return response, nil
 		}
 		// The echoed ID differs, so this is a late response to an earlier request.
@@ -161,7 +169,9 @@
 	address  string
 	response *http.Response
 	stop     func() bool
-	once     sync.Once
+	// keep allows other requests on the connection.
+	keep bool
+	once sync.Once
 }
 
 // Read implements io.Reader.
@@ -178,7 +188,7 @@
 // releaseConn returns the connection to the pool if it can be reused, and closes it otherwise.
 func (b *body) releaseConn() {
 	b.once.Do(func() {
-		if !b.stop() || b.response.Close || b.conn.reader.Buffered() > 0 {
+		if !b.stop() || !b.keep || b.response.Close || b.conn.reader.Buffered() > 0 {
 			_ = b.conn.Close()
 			return
 		}
