End a stream as broken if another replica doesn't go on with it

It could happen here where the answer has status 200 and is an event stream. Of 13 answers in place of the rest of a stream, each with two and three attempts, these went wrong before: a head without events and a stream of comments ended the caller's stream as complete; an error as an event, and the text of an error's head, were passed on into the stream, which then ended as complete; a replica that repeats only earlier events ended it as complete. Errors with another status, refusals, 421, answers that are no stream, resets and answers without the stamp were right before. A stream that broke before any event with an ID was begun again from its start (TestStreamWithoutIDsIsNotBegunAgain fails before).

Change: a replica that goes on with a stream must send a new event, or repeat the last one that the caller has; otherwise the end of its response is a broken attempt. An event with data and without an ID is not part of such a stream. Comments of it are left out until the first new event. A stream without IDs is not sent to another replica.

Not told apart: a stream that broke between its last event and its end, if the next replica answers with nothing; it ends as broken, and the caller may resume it.

--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -257,7 +257,7 @@
 // mayRetry reports whether another attempt may follow a failed one. It excludes the failed replica from further attempts
 // and, unless nothing was sent, takes a retry from the budget.
 func (c *call) mayRetry(choice dispatch.Choice, result attemptResult) bool {
-	if c.deadline.Sub(c.h.Now()) < minAttemptTime || c.h.Closing.Err() != nil {
+	if c.deadline.Sub(c.h.Now()) < minAttemptTime || c.h.Closing.Err() != nil || !c.stream.resumable() {
 		return false
 	}
 	if errors.Is(result.err, errQuarantined) {
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -29,8 +30,24 @@
 	lastID     string
 	lastNumber int64
 	hasNumber  bool
+	// resumed is set while another replica goes on with the stream. advanced is then set once it has sent a new event, repeated once it
+	// has sent the last one that the caller has.
+	resumed, advanced, repeated bool
 }
 
+// errNotTheRest is returned for an event that is not part of the stream that a replica should go on with.
+var errNotTheRest = eris.New("replica sent an event without an ID in place of the rest of the stream")
+
+// beginAttempt prepares for the response of another replica.
+func (s *streamState) beginAttempt() { s.resumed, s.advanced, s.repeated = s.started, false, false }
+
+// ended reports whether the end of a response is that of the whole stream. A replica that goes on with a stream and sends nothing new
+// has not ended it, unless it has shown that there is nothing left.
+func (s *streamState) ended() bool { return !s.resumed || s.advanced || s.repeated }
+
+// resumable reports whether another replica can go on with the stream: it has not started, or its last event has an ID.
+func (s *streamState) resumable() bool { return !s.started || s.lastID != "" }
+
 // relayStream forwards a stream event by event. Only complete events are sent, so that the stream can be resumed at
 // another replica.
 func (c *call) relayStream(
@@ -39,6 +56,7 @@
 	var pending []byte
 	var latency time.Duration
 	var begun time.Time
+	c.stream.beginAttempt()
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -55,7 +73,10 @@
 			c.recordSound()
 		}
 		rest, writeErr := c.forwardEvents(response, pending, guard)
-		if writeErr != nil {
+		switch {
+		case errors.Is(writeErr, errNotTheRest):
+			return attemptResult{outcome: dispatch.OutcomeBroken, err: writeErr}
+		case writeErr != nil:
 			return attemptResult{outcome: dispatch.OutcomeAbandoned, err: writeErr}
 		}
 		pending = append(pending[:0], rest...)
@@ -63,6 +84,10 @@
 		case err == io.EOF && len(pending) == 0 && begun.IsZero() && !response.Framed:
 			// Nothing tells an empty stream from one whose replica has ended.
 			return attemptResult{outcome: dispatch.OutcomeBroken, connectionLost: true, err: eris.New("stream ended before its first event")}
+		case err == io.EOF && len(pending) == 0 && !c.stream.ended():
+			return attemptResult{
+				outcome: dispatch.OutcomeBroken, connectionLost: !response.Framed, err: eris.New("replica ended the rest of the stream before a new event"),
+			}
 		case err == io.EOF && len(pending) == 0:
 			c.recordEnd(response)
 			c.startStream(response)
@@ -103,7 +128,11 @@
 		if sse.HasData(event) {
 			guard.progress()
 		}
-		if c.stream.recordEvent(event) {
+		send, err := c.stream.recordEvent(event)
+		if err != nil {
+			return nil, err
+		}
+		if send {
 			ready = append(ready, event...)
 		}
 	}
@@ -117,19 +146,25 @@
 	return data, http.NewResponseController(c.w).Flush()
 }
 
-// recordEvent records an event to be sent to the caller. It returns false for an event that was sent before.
-func (s *streamState) recordEvent(event []byte) bool {
+// recordEvent records an event to be sent to the caller. It returns false for an event that was sent before, and for a comment of a
+// replica that has not gone on with the stream yet.
+func (s *streamState) recordEvent(event []byte) (send bool, err error) {
 	text, number, numeric := sse.EventID(event)
-	if numeric {
-		if s.hasNumber && number <= s.lastNumber {
-			return false
-		}
+	switch {
+	case numeric && s.hasNumber && number <= s.lastNumber:
+		s.repeated = s.repeated || number == s.lastNumber
+		return false, nil
+	case numeric:
 		s.lastNumber, s.hasNumber = number, true
+	case s.resumed && s.hasNumber && sse.HasData(event):
+		return false, errNotTheRest
+	case s.resumed && !s.advanced && text == "":
+		return false, nil
 	}
 	if text != "" {
-		s.lastID = text
+		s.lastID, s.advanced = text, true
 	}
-	return true
+	return true, nil
 }
 
 // startStream sends the response header, unless it was sent before. A resumed stream keeps the header of the first replica.
