Play evacuations and a loss of all hosts in the soak

The soak had no evacuations, no store that withholds changes before it drops its history, and no loss of all processes and workers during a rollout. It now takes failure domains out of service while changes are withheld, with and without resets of the connections, and ends all hosts after two versions were named; workers keep what is staged. It checks that no request begins in a failure domain 5 s after it was taken out while the entries and the store were undisturbed for 3 s, and, as before, that most requests are served 6 s after the last fault. The origin stand-in forgets versions two back, as the platform's does.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -122,7 +122,7 @@
 	}
 	err := errors.Join(
 		f.serve(hostPort(f.ip(3, 0), storePort), f.store),
-		f.serve(hostPort(f.ip(3, 1), storePort), &platformtest.Origin{Chunks: chunks}),
+		f.serve(hostPort(f.ip(3, 1), storePort), &platformtest.Origin{Chunks: chunks, Newest: f.version.Load}),
 	)
 	f.configure(func(c *platformtest.Configuration) { *c = f.initialConfiguration() })
 	for i := range cfg.PlainWorkers {
@@ -223,7 +223,12 @@
 }
 
 // start starts a worker that has version loaded; version 0 means that it has no weights.
-func (h *workerHost) start(version int64) error {
+func (h *workerHost) start(version int64) error { return h.startWith(version, nil) }
+
+// startAfter starts a worker that has loaded nothing and finds what is staged at its predecessor.
+func (h *workerHost) startAfter(previous *platformtest.Worker) error { return h.startWith(0, previous) }
+
+func (h *workerHost) startWith(version int64, previous *platformtest.Worker) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.runsStarted++
@@ -239,6 +244,9 @@
 	if h.service == engineName {
 		w.Model = modelName
 		w.SetLoadedVersion(version)
+		if previous != nil {
+			w.KeepStaged(previous)
+		}
 	}
 	server, err := listenAndServe(h.directAddress, w)
 	if err != nil {
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -55,6 +55,8 @@
 	faults      []interval
 	// disturbed holds those of faults in which entries, or the store that they read, don't work as usual.
 	disturbed []interval
+	// evacuations holds the periods in which a failure domain was out of service.
+	evacuations []evacuation
 	// crashes holds the times at which workers crashed on a prompt.
 	crashes    []time.Time
 	violations []string
@@ -133,6 +135,7 @@
 		c.checkResponse(c.requests[id], response, len(c.runs[id]))
 	}
 	c.checkQuarantine()
+	c.checkEvacuations()
 	return c.violations
 }
 
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -54,6 +54,10 @@
 	FaultPeriod time.Duration
 	// CrashingPrompts makes callers send prompts on which workers crash, beside the faults.
 	CrashingPrompts bool
+	// Evacuations takes failure domains out of service while the store withholds changes, beside the faults.
+	Evacuations bool
+	// LoseAll ends all processes and workers during a rollout, after the faults.
+	LoseAll bool
 }
 
 // DefaultConfig returns the default settings.
@@ -98,12 +102,18 @@
 		for _, planned := range faults {
 			result.Faults = append(result.Faults, fmt.Sprintf("%s at %s for %s", planned.name, planned.at, planned.duration))
 		}
-		var prompts sync.WaitGroup
+		var beside sync.WaitGroup
 		if cfg.CrashingPrompts {
-			prompts.Go(func() { f.sendCrashingPrompts(ctx) })
+			beside.Go(func() { f.sendCrashingPrompts(ctx) })
+		}
+		if cfg.Evacuations {
+			beside.Go(func() { f.evacuateRepeatedly(ctx, rand.New(rand.NewPCG(cfg.Seed, 1))) })
 		}
 		f.runFaults(ctx, faults)
-		prompts.Wait()
+		beside.Wait()
+		if cfg.LoseAll {
+			f.loseAllHosts(ctx, rand.New(rand.NewPCG(cfg.Seed, 2)))
+		}
 		sleep(ctx, recoveryBound+recoveryWindow)
 	}
 	end := time.Now()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -62,3 +62,18 @@
 		require.NotZero(t, result.Requests)
 	}
 }
+
+// TestEvacuationsHoldAndServiceReturnsAfterALossOfAllHosts guards against requests to a failure domain that is out of service because the
+// store has not told all entries, and against a fleet that does not serve soon after all processes and workers have ended during a rollout.
+func TestEvacuationsHoldAndServiceReturnsAfterALossOfAllHosts(t *testing.T) {
+	for _, seed := range []uint64{3, 5} {
+		cfg := DefaultConfig()
+		cfg.Binary, cfg.Dir, cfg.Seed = binary, t.TempDir(), seed
+		cfg.Faults = 2
+		cfg.Evacuations, cfg.LoseAll = true, true
+		result, err := Run(context.Background(), cfg)
+		require.NoError(t, err)
+		require.Empty(t, result.Broken, "faults: %v", result.Faults)
+		require.NotZero(t, result.Requests)
+	}
+}
