Know from a worker's age that it has no order of an earlier process

After a loss of all hosts agents still waited 15 s where the staged version can't be told: two versions had been named at once before any agent had fetched the first, so the pieces are those of a version whose manifest the origin no longer has.

Change: an agent sends no order to a worker's process that it has known for less than 0.5 s. So an agent that starts beside a process of the worker younger than that knows that none of its predecessors can have sent it an order.

Tests: TestWorkerThatHasJustStartedHasNoInheritedOrder fails without the rule, and TestOrderIsNotSentToAWorkerThatHasJustStarted without the wait.

The start of a worker is a time of day.

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -66,7 +66,10 @@
 // TestEvacuationsHoldAndServiceReturnsAfterALossOfAllHosts guards against requests to a failure domain that is out of service because the
 // store has not told all entries, and against a fleet that does not serve soon after all processes and workers have ended during a rollout.
 func TestEvacuationsHoldAndServiceReturnsAfterALossOfAllHosts(t *testing.T) {
-	for _, seed := range []uint64{3, 5} {
+	for _, seed := range []uint64{
+		3, 5,
+		4, // agents waited because two versions were named at once and the staged one had no manifest any more
+	} {
 		cfg := DefaultConfig()
 		cfg.Binary, cfg.Dir, cfg.Seed = binary, t.TempDir(), seed
 		cfg.Faults = 2
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -39,6 +39,9 @@
 	// MaxVerificationAge is the longest time from the end of the verification of the staged pieces to the order that loads
 	// them. An agent that was suspended in between verifies them again.
 	MaxVerificationAge time.Duration
+	// MinWorkerAge is the time for which this process must have known a worker's process before it sends an order to it. An agent
+	// that starts beside a younger worker knows from it that no earlier agent process has sent an order.
+	MinWorkerAge time.Duration
 	// LateOrderTimeout is the time for which the worker may still carry out an order that it has not answered. It bounds the
 	// wait for an order of an earlier process on this host whose version can't be told, and for one that the worker rejects when
 	// it is sent again.
@@ -74,6 +77,7 @@
 		LoadNoticeDelay:  60 * time.Millisecond,
 		OrderReportDelay: 800 * time.Millisecond,
 
+		MinWorkerAge:       500 * time.Millisecond,
 		MaxVerificationAge: 2 * time.Second,
 		LateOrderTimeout:   15 * time.Second,
 
@@ -111,7 +115,9 @@
 	WorkerEnded func(born int64)
 	Random      *rand.Rand
 	Now         func() time.Time
-	Log         *logrus.Entry
+	// WallClock returns the time of day, as workers state their start; nil means time.Now.
+	WallClock func() time.Time
+	Log       *logrus.Entry
 }
 
 // Agent stages the wanted model versions at the worker of its host and orders the worker to load them.
@@ -128,6 +134,8 @@
 	responding bool
 	// endedBorn is the last process of the worker that WorkerEnded was called for.
 	endedBorn int64
+	// workerSeenAt is the time from which the worker's present process is known.
+	workerSeenAt time.Time
 	// loading is true from the load notice until the worker has loaded the version or has restarted, the order has
 	// failed, or no load is due.
 	loading bool
@@ -153,13 +161,18 @@
 
 // New returns an Agent.
 func New(deps Dependencies) *Agent {
+	if deps.WallClock == nil {
+		deps.WallClock = time.Now
+	}
 	return &Agent{
 		Dependencies: deps,
 		pieces:       &pieceCache{},
 		peers:        newPeerClient(),
 		throttle:     newThrottle(deps.Config.Transfer.DownloadSlots),
-		inherited:    inheritedOrder{until: deps.Now().Add(deps.Config.LateOrderTimeout)},
-		wake:         make(chan struct{}, 1),
+		inherited: inheritedOrder{
+			until: deps.Now().Add(deps.Config.LateOrderTimeout), startedAt: deps.WallClock().UnixMilli(),
+		},
+		wake: make(chan struct{}, 1),
 	}
 }
 
--- a/transport/staging/inherited.go
+++ b/transport/staging/inherited.go
@@ -18,12 +18,27 @@
 type inheritedOrder struct {
 	// until is the time from which no such order is expected.
 	until time.Time
+	// startedAt is the start of this process in Unix milliseconds.
+	startedAt int64
 	// known is set with the worker's first report, which fills born and orders.
 	known        bool
 	born, orders int64
 	settled      bool
 }
 
+// recordFirstReport records the first report of the worker. A process of the worker that was younger than minAge at the start of this
+// process has got no order before.
+func (i *inheritedOrder) recordFirstReport(report worker.Report, minAge time.Duration) {
+	if i.known {
+		return
+	}
+	i.known, i.born, i.orders = true, report.Born, report.Orders
+	age := i.startedAt - report.Born
+	if age >= 0 && age < minAge.Milliseconds() {
+		i.settled = true
+	}
+}
+
 // isPossible reports whether such an order may be outstanding, given the last report.
 func (i inheritedOrder) isPossible(now time.Time, report worker.Report) bool {
 	sameState := !i.known || (i.born == report.Born && i.orders == report.Orders)
--- a/transport/staging/inherited_test.go
+++ b/transport/staging/inherited_test.go
@@ -71,3 +71,36 @@
 	require.Equal(t, piece(1, pieceCount-1), last)
 	require.Eventually(t, func() bool { return w.version() == 3 }, 8*time.Second, time.Millisecond)
 }
+
+// TestWorkerThatHasJustStartedHasNoInheritedOrder guards against a fleet that serves nothing for 15 s after all processes and workers have
+// ended, because two versions were named at once and what is staged has no manifest any more.
+func TestWorkerThatHasJustStartedHasNoInheritedOrder(t *testing.T) {
+	g := newGroup(t)
+	g.origin.oldest = 2
+	w := newWorker()
+	w.born = time.Now().UnixMilli()
+	for index := range pieceCount {
+		w.staged[index] = piece(1, index)
+	}
+	g.setWanted(3)
+	g.startAgentWith("127.0.14.17", w, func(cfg *staging.Config) {
+		cfg.LateOrderTimeout, cfg.MinWorkerAge = time.Hour, 500*time.Millisecond
+	})
+	require.Eventually(t, func() bool { return w.version() == 3 }, 8*time.Second, time.Millisecond)
+	require.Empty(t, w.wrong())
+}
+
+// TestOrderIsNotSentToAWorkerThatHasJustStarted guards against an order to a worker that an agent which starts then takes for one without
+// orders.
+func TestOrderIsNotSentToAWorkerThatHasJustStarted(t *testing.T) {
+	const minAge = 300 * time.Millisecond
+	g := newGroup(t)
+	g.setWanted(1)
+	w := newWorker()
+	var sentAt time.Time
+	w.beforeLoad = func() { sentAt = time.Now() }
+	startedAt := time.Now()
+	g.startAgentWith("127.0.14.18", w, func(cfg *staging.Config) { cfg.MinWorkerAge = minAge })
+	require.Eventually(t, func() bool { return w.version() == 1 }, 8*time.Second, time.Millisecond)
+	require.GreaterOrEqual(t, sentAt.Sub(startedAt), minAge)
+}
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -14,6 +14,13 @@
 // orderLoad verifies the staged pieces, notifies entry hosts and orders the worker to load the version. An order that was
 // not answered is sent again without notice: the worker serves until it accepts one of the two.
 func (a *Agent) orderLoad(ctx context.Context, t target, report worker.Report) error {
+	if wait := a.workerTooYoungFor(); wait > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
 	if err := a.verifyStaged(ctx, t); err != nil {
 		return err
 	}
@@ -39,6 +46,13 @@
 	return a.sendOrder(ctx, order, report, repeated)
 }
 
+// workerTooYoungFor returns the time until the worker's process has been known for MinWorkerAge.
+func (a *Agent) workerTooYoungFor() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Config.MinWorkerAge - a.Now().Sub(a.workerSeenAt)
+}
+
 // sendOrder sends a load order and notes its outcome.
 func (a *Agent) sendOrder(ctx context.Context, order loadOrder, report worker.Report, repeated bool) error {
 	t := order.target
--- a/transport/staging/order.go
+++ b/transport/staging/order.go
@@ -87,9 +87,7 @@
 // settleOrders ends the wait for an unanswered order if the worker has begun one since or has restarted; the caller holds
 // the lock and has not stored the report yet.
 func (a *Agent) settleOrders(report worker.Report) {
-	if !a.inherited.known {
-		a.inherited.known, a.inherited.born, a.inherited.orders = true, report.Born, report.Orders
-	}
+	a.inherited.recordFirstReport(report, a.Config.MinWorkerAge)
 	if a.unanswered.isZero() {
 		return
 	}
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -60,6 +60,7 @@
 		// A restarted worker may have lost its staged pieces.
 		a.staged, a.accepted = target{}, target{}
 		a.loading = false
+		a.workerSeenAt = started
 	}
 	a.logNewlyLoaded(report)
 	a.logNewOrders(report)
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -234,7 +234,7 @@
 	logger.SetOutput(io.Discard)
 	cfg := staging.DefaultConfig()
 	cfg.ReportInterval, cfg.OrderReportDelay, cfg.LoadNoticeDelay = 5*time.Millisecond, 20*time.Millisecond, time.Millisecond
-	cfg.RetryPause = 5 * time.Millisecond
+	cfg.RetryPause, cfg.MinWorkerAge = 5*time.Millisecond, 5*time.Millisecond
 	cfg.Rollout.FirstLoadDelay, cfg.Rollout.LastLoadDelay = 0, 50*time.Millisecond
 	cfg.Transfer.TakeOver, cfg.Transfer.Avoid = 200*time.Millisecond, 50*time.Millisecond
 	cfg.Transfer.RetryBase, cfg.Transfer.RetryCap = 5*time.Millisecond, 20*time.Millisecond
