Don't take a relay's news of the configuration for news of all kinds

Since a relay's own watches are bounded, so hosts were late by seconds at most; now a relay that has heard nothing of a kind for 6 s refuses reads of it, and hosts refuse answers of that age, and both read the store.

TestRelayThatHearsNothingOfAKindIsNotUsed fails if only the configuration is checked.

--- a/transport/relay/cache.go
+++ b/transport/relay/cache.go
@@ -12,8 +12,9 @@
 type Cache struct {
 	mu    sync.Mutex
 	kinds map[feed.Kind]*kindCache
-	// maxAge is the age of the last confirmation of the configuration up to which the cache is used; lapse wakes all watches then.
-	maxAge time.Duration
+	// maxAge returns the age of the last confirmation of a kind up to which the cache is used; lapse wakes all watches when the
+	// configuration is older.
+	maxAge func(feed.Kind) time.Duration
 	lapse  *time.Timer
 }
 
@@ -57,16 +58,27 @@
 
 // NewCache returns an empty Cache.
 func NewCache() *Cache {
-	return &Cache{kinds: make(map[feed.Kind]*kindCache), maxAge: maxConfirmationAge}
+	return &Cache{kinds: make(map[feed.Kind]*kindCache), maxAge: maxAgeOf}
 }
 
-// freshness reports whether the cache holds the configuration, and whether the store has confirmed it within maxAge, so that changes
-// of any kind would have arrived.
-func (c *Cache) freshness() (started, fresh bool) {
+// started reports whether the cache holds the configuration.
+func (c *Cache) started() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := c.kinds[feed.KindConfiguration]
-	return k != nil, k != nil && bootclock.Since(k.completeAt) <= c.maxAge
+	return c.kinds[feed.KindConfiguration] != nil
+}
+
+// fresh reports whether the store has confirmed both the configuration and a kind recently. The configuration shows soonest that the store
+// no longer answers; it doesn't tell whether changes of another kind arrive.
+func (c *Cache) fresh(kind feed.Kind) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, checked := range []feed.Kind{feed.KindConfiguration, kind} {
+		if k := c.kinds[checked]; k == nil || bootclock.Since(k.completeAt) > c.maxAge(checked) {
+			return false
+		}
+	}
+	return true
 }
 
 // confirm restarts the timer that ends the watches if the store doesn't confirm the configuration again; the caller holds the lock.
@@ -77,7 +89,7 @@
 	if c.lapse != nil {
 		c.lapse.Stop()
 	}
-	c.lapse = time.AfterFunc(c.maxAge, c.wakeWatches)
+	c.lapse = time.AfterFunc(c.maxAge(kind), c.wakeWatches)
 }
 
 func (c *Cache) wakeWatches() {
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -305,6 +305,27 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 }
 
+// TestRelayThatHearsNothingOfAKindIsNotUsed guards against hosts that rely on a relay whose watch of one kind is silent, because it still
+// hears of the configuration.
+func TestRelayThatHearsNothingOfAKindIsNotUsed(t *testing.T) {
+	s := newStore()
+	list := hosts(t, s, "127.0.21.1", "127.0.21.2")
+	list[0].cache.SetMaxAges(func(of feed.Kind) time.Duration {
+		if of == kind {
+			return 50 * time.Millisecond
+		}
+		return time.Minute
+	})
+	list[0].readAll(t)
+	s.put("a", false)
+	require.Eventually(t, func() bool {
+		list[1].SetRelay(list[0].addr)
+		batch, err := list[1].List(t.Context(), kind, false)
+		require.NoError(t, err)
+		return !batch.Relayed && len(names(batch)) == 1
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
 // TestHostsThatNameEachOtherReadTheStore guards against two hosts that each take the other for the relay and never see a change.
 func TestHostsThatNameEachOtherReadTheStore(t *testing.T) {
 	s := newStore()
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -55,7 +55,7 @@
 		result = s.list(r.Context(), feed.Kind(kind))
 	}
 	switch {
-	case !result.known || !s.available():
+	case !result.known || !s.available(feed.Kind(kind)):
 		http.Error(w, "this host does not read the store itself", http.StatusServiceUnavailable)
 	case result.expired:
 		http.Error(w, "the changes since the revision are not known", http.StatusGone)
@@ -64,19 +64,15 @@
 	}
 }
 
-// available reports whether this host reads the store itself and hears from it.
-func (s *Server) available() bool {
-	_, fresh := s.Cache.freshness()
-	return fresh && s.Direct()
-}
+// available reports whether this host reads the store itself and hears from it, also of a kind.
+func (s *Server) available(kind feed.Kind) bool { return s.Cache.fresh(kind) && s.Direct() }
 
 // list returns all records of a kind. It waits a little until this host has read them and the configuration.
 func (s *Server) list(ctx context.Context, kind feed.Kind) read {
 	deadline := bootclock.Time().Add(maxListWait)
 	for {
 		result := s.Cache.list(kind)
-		started, _ := s.Cache.freshness()
-		if result.known && started || !bootclock.Time().Before(deadline) || ctx.Err() != nil {
+		if result.known && s.Cache.started() || !bootclock.Time().Before(deadline) || ctx.Err() != nil {
 			return result
 		}
 		sleep(ctx, listCheckInterval)
@@ -91,7 +87,7 @@
 	first := s.Cache.changes(kind, era, since)
 	for result := first; ; result = s.Cache.changes(kind, era, since) {
 		confirmed := kind == feed.KindConfiguration && result.completeAt > first.completeAt
-		if !result.known || result.expired || len(result.records) > 0 || confirmed || !s.available() {
+		if !result.known || result.expired || len(result.records) > 0 || confirmed || !s.available(kind) {
 			return result
 		}
 		select {
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -49,6 +49,9 @@
 	// maxConfirmationAge is the age of the store's last confirmation of the configuration beyond which a relay is not used: it has
 	// lost the store. A sound relay gets one at least every 1.2 s: the wait of its watch and the pause after a change.
 	maxConfirmationAge = 1350 * time.Millisecond
+	// maxOtherAge is the same for the other kinds, of which a sound relay watches each for 2 s at a time: one watch that ends with a
+	// change, the pause after it, the next watch and the time that the store has to answer it.
+	maxOtherAge = 6 * time.Second
 	// maxResponseBytes bounds a response of a relay.
 	maxResponseBytes = 16 << 20
 )
@@ -79,8 +82,8 @@
 	cfg       Config
 	client    *resty.Client
 	startedAt bootclock.Instant
-	// maxAge is the age of a relay's last confirmation by the store up to which it is used.
-	maxAge time.Duration
+	// maxAge returns the age of a relay's last confirmation of a kind by the store up to which it is used.
+	maxAge func(feed.Kind) time.Duration
 
 	mu        sync.Mutex
 	directory *relay.Directory
@@ -117,10 +120,18 @@
 	return &Source{
 		cfg: cfg, client: client, startedAt: bootclock.Now(), directory: relay.NewDirectory(cfg.Self),
 		newest: make(map[feed.Kind]position), relayed: make(map[feed.Kind]bool),
-		failed: make(chan struct{}), maxAge: maxConfirmationAge,
+		failed: make(chan struct{}), maxAge: maxAgeOf,
 	}
 }
 
+// maxAgeOf returns the age of the last confirmation of a kind beyond which a relay is not used.
+func maxAgeOf(kind feed.Kind) time.Duration {
+	if kind == feed.KindConfiguration {
+		return maxConfirmationAge
+	}
+	return maxOtherAge
+}
+
 // SetRelay records that an agent has named the relay of this host's failure domain.
 func (s *Source) SetRelay(address netip.Addr) {
 	s.mu.Lock()
@@ -250,8 +261,8 @@
 	if err := json.Unmarshal(response.Body(), &wire); err != nil {
 		return feed.Batch{}, protocol.Wrap(protocol.CodeMalformed, err, "decode "+string(kind)+" from the relay")
 	}
-	if age := time.Duration(wire.AgeMS) * time.Millisecond; kind == feed.KindConfiguration && age > s.maxAge {
-		return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "the relay has lost the store %s ago", age)
+	if age := time.Duration(wire.AgeMS) * time.Millisecond; age > s.maxAge(kind) {
+		return feed.Batch{}, protocol.Errorf(protocol.CodeUnavailable, "the relay has heard nothing of %s from the store for %s", kind, age)
 	}
 	batch := feed.Batch{
 		Revision: wire.Revision, Era: wire.Era, Relayed: true,
