--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -66,6 +66,8 @@
 	restarts sync.WaitGroup
 	// version is the newest target version.
 	version atomic.Int64
+	// outOfService is the failure domain that is out of service, empty if none is.
+	outOfService string
 }
 
 // workerHost is a host that runs one worker at a time and starts a new one after a crash.
@@ -173,10 +175,28 @@
 	return time.Now()
 }
 
-// rewriteStore writes the configuration, the target version and the registrations again, as after the store lost them.
+// takeOutOfService writes the evacuation of a failure domain, returnToService removes it.
+func (f *fleet) takeOutOfService(domain string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outOfService = domain
+	f.store.PutEvacuation(domain)
+}
+
+func (f *fleet) returnToService(domain string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outOfService = ""
+	f.store.RemoveEvacuation(domain)
+}
+
+// rewriteStore writes the configuration, the evacuation, the target version and the registrations again, as after the store lost them.
 func (f *fleet) rewriteStore() {
 	f.mu.Lock()
 	f.store.PutConfiguration(f.configuration)
+	if f.outOfService != "" {
+		f.store.PutEvacuation(f.outOfService)
+	}
 	f.mu.Unlock()
 	if version := f.version.Load(); version > 0 {
 		f.store.SetTargetVersion(modelName, version)
--- a/bench/soak/losses.go
+++ b/bench/soak/losses.go
@@ -35,7 +35,7 @@
 		begin := time.Now()
 		f.store.WithholdEvents()
 		sleep(ctx, time.Duration(random.Int64N(int64(withholdTime))))
-		f.store.PutEvacuation(domain)
+		f.takeOutOfService(domain)
 		out := evacuation{domain: domain, interval: interval{from: time.Now()}}
 		sleep(ctx, time.Until(begin.Add(withholdTime)))
 		reset := random.IntN(2) == 0
@@ -47,7 +47,7 @@
 		sleep(ctx, time.Until(out.from.Add(evacuationTime)))
 		out.to = time.Now()
 		f.checker.recordEvacuation(out)
-		f.store.RemoveEvacuation(domain)
+		f.returnToService(domain)
 	}
 }
 
