Read and log the request limits that replicas state

Callers lost nothing that the record shows; two engines got 18 and 26 requests in 4 s where they took 15 and 16. The logs could not tell whether a host knew of a limit, which one, since when, from whom, or how many requests it had sent meanwhile.

The platform's header Server-Limit is read strictly (a decimal number without sign and exponent, at most 32 characters; of several the lowest holds; a malformed one neither sets nor ends a limit), from responses and from the report that an agent reads, which passes it on to the entries. Hosts log "replica limits its requests" and "replica limits its requests no more" with source, value, how long the limit was known and for how many requests the replica was chosen meanwhile; the dump has the limit and since when, ingress_request_limits counts. The balancer does not use it yet.

A limit ends by a response to a request that was sent after the limit was last heard, or by reports that have stated it before. A 421 and responses that no replica has marked as its own say nothing.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -50,17 +50,17 @@
 }
 
 // RecordReport stores the load report of a replica that arrived at now. A report without models keeps the models and the
-// fields sent with them from the previous report.
-func (b *Balancer) RecordReport(now time.Time, id fleet.ReplicaID, report Report) {
+// fields sent with them from the previous report. It returns the change of the replica's request limit, nil if there is none.
+func (b *Balancer) RecordReport(now time.Time, id fleet.ReplicaID, report Report) *LimitChange {
 	r := b.replicas[id]
 	if r == nil {
-		return
+		return nil
 	}
 	fromAgent := report.Models != nil
 	if !fromAgent {
 		report.Models, report.Loading = r.report.Models, r.report.Loading
 		report.Senders, report.Share = r.report.Senders, r.report.Share
-		report.Pace = r.report.Pace
+		report.Pace, report.RequestLimit = r.report.Pace, r.report.RequestLimit
 	}
 	if report.Senders > 0 {
 		b.senders = report.Senders
@@ -75,6 +75,10 @@
 	}
 	reportMadeAt := now.Add(-b.cfg.ReportLag)
 	r.recentSends = slices.DeleteFunc(r.recentSends, func(at time.Time) bool { return !at.After(reportMadeAt) })
+	if !fromAgent {
+		return nil
+	}
+	return b.recordReportedLimit(now, r, report.RequestLimit)
 }
 
 // Pick chooses the replica with the lowest score for a request and counts the request as sent to it. If all replicas that could
@@ -131,6 +135,9 @@
 	if chosen.cold != nil && now.Before(chosen.member.ColdUntil) {
 		chosen.cold.take(now)
 	}
+	if limit := b.statedLimit(chosen.member.ID, chosen.member.Born); limit != nil {
+		limit.chosen++
+	}
 	chosen.recordSend(now)
 	return choice
 }
@@ -318,6 +325,9 @@
 	Moved    bool
 	Report   Report
 	Reported time.Time
+	// RequestLimit is the replica's request limit, LimitedSince the time since which this host knows it.
+	RequestLimit fleet.RequestLimit
+	LimitedSince time.Time
 }
 
 // States returns the state of every replica, sorted by ID.
@@ -325,7 +335,7 @@
 	var states []State
 	for _, id := range slices.Sorted(maps.Keys(b.replicas)) {
 		r := b.replicas[id]
-		states = append(states, State{
+		state := State{
 			ID:       id,
 			Upstream: r.member.Upstream,
 			InFlight: r.inFlight,
@@ -336,7 +346,12 @@
 			Moved:    r.addressMoved,
 			Report:   r.report,
 			Reported: r.reportedAt,
-		})
+		}
+		if limit := b.statedLimit(id, r.member.Born); limit != nil {
+			state.RequestLimit = fleet.RequestLimit{Stated: true, PerSecond: limit.perSecond}
+			state.LimitedSince = limit.since
+		}
+		states = append(states, state)
 	}
 	return states
 }
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -194,6 +194,8 @@
 	Share float64
 	// Pace is the current service time as a multiple of the usual one; 0 means unknown.
 	Pace float64
+	// RequestLimit is the request rate that the replica takes from all hosts together.
+	RequestLimit fleet.RequestLimit
 }
 
 // share returns this host's share of the replica's capacity: in proportion to its demand, or the same as that of every other host
--- a/coordination/dispatch/notice.go
+++ b/coordination/dispatch/notice.go
@@ -23,6 +23,8 @@
 	leaving bool
 	// holdUntil is the end of the time for which the replica wants no requests.
 	holdUntil time.Time
+	// limit is the replica's request limit, nil if it states none.
+	limit     *statedLimit
 	changedAt time.Time
 }
 
--- a/protocol/headers/headers.go
+++ b/protocol/headers/headers.go
@@ -30,6 +30,8 @@
 	Priority      string
 	// Leaving marks, with the value LeavingValue, the responses of a back end that is about to leave and wants no new requests.
 	Leaving string
+	// RequestLimit carries the request rate per second that a back end in need takes from all hosts together.
+	RequestLimit string
 	// PromptPrefix lists the parts of a request's prompt; requests share all but the last one.
 	PromptPrefix string
 }
@@ -42,7 +44,7 @@
 	for _, name := range []*string{
 		&n.RequestID, &n.Deadline, &n.Stamp, &n.Team, &n.ExpectReplica, &n.ExpectVersion, &n.Load, &n.NotRun, &n.Replica,
 		&n.ColdRemaining, &n.Model, &n.Priority, &n.Leaving,
-		&n.PromptPrefix,
+		&n.RequestLimit, &n.PromptPrefix,
 	} {
 		*name = textproto.CanonicalMIMEHeaderKey(*name)
 	}
--- a/protocol/worker/worker.go
+++ b/protocol/worker/worker.go
@@ -28,6 +28,8 @@
 	Pace float64
 	// Leaving is true if the worker is about to leave and wants no new requests.
 	Leaving bool
+	// RequestLimit is the request rate that the worker takes from all hosts together.
+	RequestLimit fleet.RequestLimit
 }
 
 // LoadOrder instructs a worker to load the staged pieces of a version.
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -135,7 +135,7 @@
 		Demand:            e.router.MeasureDemand,
 		Notices:           e.quarantine,
 		Sink: loadshare.Sink{
-			Report: e.router.RecordLoad, WantedVersion: e.follower.LearnTargetTime,
+			Report: e.recordLoad, WantedVersion: e.follower.LearnTargetTime,
 			EntryHostCounts: e.follower.RecordPeerReachability, Relay: e.source.SetRelay,
 		},
 		Log: deps.Log,
@@ -190,6 +190,13 @@
 	})
 }
 
+// recordLoad passes a load report on and logs a change of the replica's request limit.
+func (e *entry) recordLoad(id fleet.ReplicaID, report dispatch.Report) {
+	if change := e.router.RecordLoad(id, report); change != nil {
+		ingress.LogLimitChange(e.Log, change)
+	}
+}
+
 // mayBeRelay reports whether agents may name this host as relay. A leaving host still answers other hosts.
 func (e *entry) mayBeRelay() bool {
 	return !e.leaving.Load() && e.source.Direct() && e.follower.Answered()
--- /dev/null
+++ b/transport/ingress/limit_test.go
@@ -0,0 +1,47 @@
+package ingress_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+// limitingReplica answers with a request limit as long as the value is not empty.
+func limitingReplica(limit *atomic.Pointer[string]) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if value := limit.Load(); value != nil {
+			w.Header().Set(names.RequestLimit, *value)
+		}
+		respondStamped("ok")(w, r)
+	}
+}
+
+// TestChangesOfARequestLimitAreLogged guards against a limit whose begin, value, end or source can't be found in the log.
+func TestChangesOfARequestLimitAreLogged(t *testing.T) {
+	h := newHarness(t, safeRoute())
+	var limit atomic.Pointer[string]
+	h.startReplica("r1", "orders", limitingReplica(&limit))
+	for _, value := range []string{"1000.5", "1000.5", "abc", "2000", ""} {
+		limit.Store(&value)
+		if value == "" {
+			limit.Store(nil)
+		}
+		require.Equal(t, "ok", h.call(http.MethodGet, "/safe/", "", nil).body)
+	}
+	begun := h.logLines("replica limits its requests")
+	require.Len(t, begun, 2)
+	require.Equal(t, fleet.ReplicaID("r1"), begun[0].Data["replica"])
+	require.InDelta(t, 1000.5, begun[0].Data["requests_per_s"], 0)
+	require.Equal(t, dispatch.LimitFromResponse, begun[0].Data["source"])
+	require.EqualValues(t, "id-1", begun[0].Data["request_id"])
+	require.InDelta(t, 2000, begun[1].Data["requests_per_s"], 0)
+	require.Len(t, h.logLines("replica states a malformed request limit"), 1)
+	ended := h.logLines("replica limits its requests no more")
+	require.Len(t, ended, 1)
+	require.Equal(t, 4, ended[0].Data["chosen"])
+}
--- a/transport/ingress/log.go
+++ b/transport/ingress/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/coordination/limits"
 )
 
@@ -39,3 +40,17 @@
 	}
 	l.log.WithFields(fields).Info(message)
 }
+
+// LogLimitChange logs that a replica states a request limit, another one than before, or none any more.
+func LogLimitChange(log *logrus.Entry, change *dispatch.LimitChange) {
+	message := "replica limits its requests"
+	fields := logrus.Fields{
+		"replica": change.Replica, "source": change.Source, "known_ms": change.Known.Milliseconds(), "chosen": change.Chosen,
+	}
+	if change.Limit.Stated {
+		fields["requests_per_s"] = change.Limit.PerSecond
+	} else {
+		message = "replica limits its requests no more"
+	}
+	log.WithFields(fields).Info(message)
+}
--- a/transport/ingress/metrics.go
+++ b/transport/ingress/metrics.go
@@ -28,6 +28,7 @@
 	varStreamsCut       = expvar.NewInt("ingress_streams_cut")
 	varAbandoned        = expvar.NewInt("ingress_abandoned")
 	varAborted          = expvar.NewInt("ingress_aborted")
+	varRequestLimits    = expvar.NewInt("ingress_request_limits")
 	varLogDropped       = expvar.NewInt("ingress_log_lines_dropped")
 	varOutcomeLatency   = expvar.NewMap("ingress_outcome_latency_ms")
 	varUpstreamRequests = expvar.NewMap("ingress_upstream_requests")
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -53,12 +53,31 @@
 	r.balancer.SetView(view)
 }
 
-// RecordLoad records a load report of a replica.
-func (r *Router) RecordLoad(id fleet.ReplicaID, report dispatch.Report) {
+// RecordLoad records a load report of a replica. It returns the change of the replica's request limit, nil if there is none.
+func (r *Router) RecordLoad(id fleet.ReplicaID, report dispatch.Report) *dispatch.LimitChange {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.RecordReport(r.now(), id, report)
+	change := r.balancer.RecordReport(r.now(), id, report)
+	countLimit(change)
 	r.shareRetryBurst(report.Senders)
+	return change
+}
+
+// recordLimit records what the response to a request that was sent at sentAt says about the replica's request limit. It returns nil
+// if nothing has changed.
+func (r *Router) recordLimit(choice dispatch.Choice, sentAt time.Time, limit fleet.RequestLimit) *dispatch.LimitChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change := r.balancer.RecordLimit(r.now(), choice, sentAt, limit)
+	countLimit(change)
+	return change
+}
+
+// countLimit counts a limit that was not known before.
+func countLimit(change *dispatch.LimitChange) {
+	if change != nil && change.Limit.Stated && change.Known == 0 {
+		varRequestLimits.Add(1)
+	}
 }
 
 // shareRetryBurst sets the burst of the retry budgets to this host's part among the given number of hosts, if that is known; the
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -80,6 +80,7 @@
 	defer response.Body.Close()
 	c.stage = stageHead
 	c.recordReplicaState(choice, response)
+	c.recordLimit(choice, response, sent)
 	if result, refused := c.refusal(choice, response); refused {
 		return result
 	}
@@ -209,6 +210,23 @@
 	}
 }
 
+// recordLimit records what the response says about the replica's request limit. A response that may be of another replica says nothing,
+// and one that no replica has marked as its own does not end a limit.
+func (c *call) recordLimit(choice dispatch.Choice, response *backend.Response, sentAt time.Time) {
+	names, header := &c.h.Headers, response.Header
+	limit := headers.RequestLimit(header, names.RequestLimit)
+	if response.Status == http.StatusMisdirectedRequest ||
+		!limit.Stated && header.Get(names.Stamp) == "" && header.Get(names.NotRun) == "" {
+		return
+	}
+	if limit.Malformed {
+		c.h.log.write("replica states a malformed request limit", c.fields(logrus.Fields{"replica": choice.ID}))
+	}
+	if change := c.h.router.recordLimit(choice, sentAt, limit); change != nil {
+		LogLimitChange(c.h.Log.WithField("request_id", c.id), change)
+	}
+}
+
 // refusal returns the result of a response which states that the replica did not run the request, and false for any other
 // response.
 func (c *call) refusal(choice dispatch.Choice, response *backend.Response) (attemptResult, bool) {
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -65,14 +65,16 @@
 }
 
 type report struct {
-	Born    int64   `json:"b"`
-	Running int     `json:"n"`
-	Waiting int     `json:"w"`
-	Slots   int     `json:"s"`
-	Loading bool    `json:"l,omitempty"`
-	Leaving bool    `json:"q,omitempty"`
-	Models  []model `json:"m"`
-	Senders int     `json:"f"`
+	Born    int64 `json:"b"`
+	Running int   `json:"n"`
+	Waiting int   `json:"w"`
+	Slots   int   `json:"s"`
+	Loading bool  `json:"l,omitempty"`
+	Leaving bool  `json:"q,omitempty"`
+	// RequestLimit is the request rate per second that the worker takes from all hosts together, nil if it states none.
+	RequestLimit *float64 `json:"t,omitempty"`
+	Models       []model  `json:"m"`
+	Senders      int      `json:"f"`
 	// Demand is the total demand of the Senders in requests per second, 0 if one of them is unknown.
 	Demand float64         `json:"e,omitempty"`
 	Pace   float64         `json:"p,omitempty"`
@@ -142,6 +144,9 @@
 		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace, Demand: demand,
 		Wanted: versions, StoreUnresponsiveCount: unresponsive,
 	}
+	if r.RequestLimit.Stated {
+		wire.RequestLimit = &r.RequestLimit.PerSecond
+	}
 	for _, m := range r.Models {
 		wire.Models = append(wire.Models, model{Name: string(m.Model), Version: m.Version, Layers: m.Layers})
 	}
@@ -154,6 +159,9 @@
 		Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace,
 		Models: []fleet.LoadedModel{},
 	}
+	if r.RequestLimit != nil {
+		decoded.RequestLimit = fleet.RequestLimit{Stated: true, PerSecond: *r.RequestLimit}
+	}
 	if r.Demand > 0 {
 		decoded.Share = min(ownDemand/r.Demand, 1)
 	}
--- a/transport/loadshare/receive.go
+++ b/transport/loadshare/receive.go
@@ -76,5 +76,8 @@
 	if r.Demand < 0 || r.Pace < 0 {
 		return eris.Errorf("demand %f or pace %f is negative", r.Demand, r.Pace)
 	}
+	if r.RequestLimit != nil && *r.RequestLimit < 0 {
+		return eris.Errorf("request limit %f is negative", *r.RequestLimit)
+	}
 	return nil
 }
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -11,6 +11,7 @@
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
 // watchWorker reads the worker's report every ReportInterval until ctx ends. It publishes a load report, or stops the
@@ -62,6 +63,7 @@
 		a.loading = false
 		a.workerSeenAt = started
 	}
+	a.checkRequestLimit(&report)
 	a.logNewlyLoaded(report)
 	a.logNewOrders(report)
 	a.settleOrders(report)
@@ -72,6 +74,23 @@
 	a.publishReport(false)
 }
 
+// checkRequestLimit logs a change of the worker's request limit. A malformed one leaves the last limit of the same process in force;
+// the caller holds the lock.
+func (a *Agent) checkRequestLimit(report *worker.Report) {
+	var last fleet.RequestLimit
+	if report.Born == a.report.Born {
+		last = a.report.RequestLimit
+	}
+	if report.RequestLimit.Malformed {
+		report.RequestLimit = last
+	}
+	if report.RequestLimit != last {
+		a.Log.WithFields(logrus.Fields{
+			"limited": report.RequestLimit.Stated, "requests_per_s": report.RequestLimit.PerSecond,
+		}).Info("worker changes its request limit")
+	}
+}
+
 // noteEnd reports once that the process of the last report has ended; the caller holds the lock.
 func (a *Agent) noteEnd() {
 	if a.report.Born == 0 || a.endedBorn == a.report.Born || a.WorkerEnded == nil {
@@ -113,6 +132,8 @@
 		Leaving: a.report.Leaving,
 		Models:  a.report.Models,
 		Pace:    a.report.Pace,
+
+		RequestLimit: a.report.RequestLimit,
 	}, urgent)
 }
 
