--- /dev/null
+++ b/coordination/dispatch/limit_test.go
@@ -0,0 +1,68 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+// TestStatedLimitsOfAReplicaOverlap guards against responses that arrive in another order than they were made in: an older one ends a
+// limit or raises it, or one of an earlier process is taken for the present one's.
+func TestStatedLimitsOfAReplicaOverlap(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	choice, _ := b.Pick(start, request())
+	limit := func(perSecond float64) fleet.RequestLimit {
+		return fleet.RequestLimit{Stated: true, PerSecond: perSecond}
+	}
+	state := func() fleet.RequestLimit { return b.States(start)[0].RequestLimit }
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+	require.NotNil(t, b.RecordLimit(at(100), choice, at(50), limit(2)))
+	require.Nil(t, b.RecordLimit(at(150), choice, at(90), fleet.RequestLimit{}), "sent before the limit was known")
+	require.Nil(t, b.RecordLimit(at(160), choice, at(155), fleet.RequestLimit{Malformed: true}))
+	b.RecordLimit(at(170), choice, at(60), limit(9))
+	require.Equal(t, limit(2), state(), "not known to be newer")
+	b.RecordLimit(at(250), choice, at(200), limit(9))
+	require.Equal(t, limit(9), state())
+	change := b.RecordLimit(at(350), choice, at(300), fleet.RequestLimit{})
+	require.NotNil(t, change)
+	require.Equal(t, 250*time.Millisecond, change.Known)
+	require.Equal(t, fleet.RequestLimit{}, state())
+
+	b.RecordLimit(at(450), choice, at(400), limit(2))
+	successor := member("r1", "a")
+	successor.Born = 2
+	b.SetView(view(successor))
+	require.Equal(t, fleet.RequestLimit{}, state(), "of the earlier process")
+}
+
+// TestReportWithoutALimitEndsOnlyWhatReportsHaveStated guards against reports of an agent that never has the limit and ends one that
+// responses state, and against one that was made before the response.
+func TestReportWithoutALimitEndsOnlyWhatReportsHaveStated(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	choice, _ := b.Pick(start, request())
+	limit := fleet.RequestLimit{Stated: true, PerSecond: 2}
+	models := member("r1", "a").Models
+	b.RecordLimit(start, choice, start.Add(-time.Second), limit)
+	require.Nil(t, b.RecordReport(start.Add(time.Minute), "r1", dispatch.Report{Models: models}))
+	require.Equal(t, limit, b.States(start)[0].RequestLimit)
+
+	now := start.Add(time.Hour)
+	require.Nil(t, b.RecordReport(now, "r1", dispatch.Report{Models: models, RequestLimit: limit}))
+	require.Nil(t, b.RecordReport(now.Add(200*time.Millisecond), "r1", dispatch.Report{Models: models}))
+	require.NotNil(t, b.RecordReport(now.Add(time.Second), "r1", dispatch.Report{Models: models}))
+}
+
+// TestRequestChosenBeforeALimitWasKnownIsNotSent guards against requests that were waiting for their connection when their replica stated
+// a limit.
+func TestRequestChosenBeforeALimitWasKnownIsNotSent(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	first, _ := b.Pick(start, request())
+	waiting, _ := b.Pick(start, request())
+	b.RecordLimit(start.Add(time.Millisecond), first, start, fleet.RequestLimit{Stated: true, PerSecond: 1})
+	require.False(t, b.MaySend(start.Add(2*time.Millisecond), waiting))
+}
--- a/transport/ingress/limit_test.go
+++ b/transport/ingress/limit_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -45,3 +46,21 @@
 	require.Len(t, ended, 1)
 	require.Equal(t, 4, ended[0].Data["chosen"])
 }
+
+// TestReplicaGetsNoMoreRequestsThanItsLimit guards against requests beyond the limit that a replica has stated in its responses, and
+// against callers that wait for a replica that takes nothing more.
+func TestReplicaGetsNoMoreRequestsThanItsLimit(t *testing.T) {
+	h := newHarness(t, safeRoute())
+	var limit atomic.Pointer[string]
+	value := "0.5"
+	limit.Store(&value)
+	h.startReplica("r1", "orders", limitingReplica(&limit))
+	began := time.Now()
+	for range 40 {
+		if got := h.call(http.MethodGet, "/safe/", "", nil); got.status != http.StatusOK {
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+			require.NotEmpty(t, got.header.Get("Retry-After"))
+		}
+	}
+	require.LessOrEqual(t, float64(len(h.received())), 0.5*1.5*time.Since(began).Seconds()+5)
+}
