Keep the request limit of a replica over all hosts

Cause: entries chose replicas by load alone; nothing kept the limit. The class is a bound on a sum over all hosts, of which each host sees only its own part. Cold starts are the same, so both now have one mechanism: a host takes its part of the rate, by its share of the demand or of the number of hosts, as one permit in each period at a random phase, and a permit that is not used soon is lost. If a replica is cold and limited the lower rate holds. All hosts together use 0.7 of a limit, since random phases exceed their mean at times.

A request that was chosen before the limit was known, or more than 0.5 s ago, is not sent: the check right before sending knows permits now. A host whose part of the limits of all replicas is used up until later than a request would wait refuses it at once (verdict "limited"). A limit below 0.25 a second counts as that much, so that its end is heard.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -82,14 +82,15 @@
 }
 
 // Pick chooses the replica with the lowest score for a request and counts the request as sent to it. If all replicas that could
-// serve the request want none for now, the verdict is VerdictHeldOff and the choice holds only the soonest end of that.
+// serve the request want none for now, the verdict is VerdictHeldOff; if this host has used its part of the request limits of those
+// that do, it is VerdictLimited. The choice then holds only the soonest end of that.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, Verdict) {
 	group := b.groups[request.Upstream]
 	baseline := baselineLatency(group)
 	var best *replica
 	bestScore := 0.0
 	verdict := VerdictNoCandidate
-	heldOff, soonest := true, time.Time{}
+	var waits waits
 	avoidSilent := b.avoidsSilent(now, request.Upstream)
 	for _, candidate := range group {
 		if !b.eligible(now, &request, candidate) {
@@ -97,16 +98,16 @@
 		}
 		verdict = VerdictFull
 		if until := b.heldUntil(candidate); now.Before(until) {
-			if soonest.IsZero() || until.Before(soonest) {
-				soonest = until
-			}
+			waits.add(VerdictHeldOff, until)
 			continue
 		}
-		heldOff = false
-		if avoidSilent && b.silent(now, candidate) {
+		if avoidSilent && b.silent(now, candidate) ||
+			!b.hasCapacity(now, &request, candidate) || !b.startsInTime(now, &request, candidate) {
+			waits.add(VerdictFull, time.Time{})
 			continue
 		}
-		if !b.hasCapacity(now, &request, candidate) || !b.startsInTime(now, &request, candidate) {
+		if !b.hasPermit(now, candidate) {
+			waits.add(b.permitVerdict(candidate), candidate.permits.next(now))
 			continue
 		}
 		score := b.score(now, candidate, baseline)
@@ -115,12 +116,51 @@
 		}
 	}
 	switch {
-	case best == nil && heldOff && verdict == VerdictFull:
-		return Choice{HeldUntil: soonest}, VerdictHeldOff
-	case best == nil:
+	case best != nil:
+		return b.assign(now, &request, best), VerdictChosen
+	case verdict == VerdictNoCandidate:
 		return Choice{}, verdict
 	}
-	return b.assign(now, &request, best), VerdictChosen
+	return Choice{HeldUntil: waits.until}, waits.verdict()
+}
+
+// permitVerdict returns why a replica without a permit is not chosen.
+func (b *Balancer) permitVerdict(r *replica) Verdict {
+	if b.statedLimit(r.member.ID, r.member.Born) != nil {
+		return VerdictLimited
+	}
+	return VerdictFull
+}
+
+// waits sums up why none of the replicas that could serve a request is chosen.
+type waits struct {
+	full, limited bool
+	// until is the soonest known time at which a replica takes a request; zero if one may do so at any moment.
+	until time.Time
+}
+
+func (w *waits) add(reason Verdict, until time.Time) {
+	switch reason {
+	case VerdictFull:
+		w.full, w.until = true, time.Time{}
+		return
+	case VerdictLimited:
+		w.limited = true
+	}
+	if !w.full && (w.until.IsZero() || until.Before(w.until)) {
+		w.until = until
+	}
+}
+
+func (w *waits) verdict() Verdict {
+	switch {
+	case w.full:
+		return VerdictFull
+	case w.limited:
+		return VerdictLimited
+	default:
+		return VerdictHeldOff
+	}
 }
 
 func (b *Balancer) assign(now time.Time, request *Request, chosen *replica) Choice {
@@ -132,8 +172,9 @@
 		Load:    chosen.load(&b.cfg, now),
 		born:    chosen.member.Born,
 	}
-	if chosen.cold != nil && now.Before(chosen.member.ColdUntil) {
-		chosen.cold.take(now)
+	if chosen.permits != nil {
+		chosen.permits.take(now)
+		choice.sendBefore = now.Add(maxSendDelay)
 	}
 	if limit := b.statedLimit(chosen.member.ID, chosen.member.Born); limit != nil {
 		limit.chosen++
@@ -220,7 +261,7 @@
 	case !request.Moved && r.headroomUsed(&b.cfg, now):
 		return false
 	}
-	return b.allowsColdRequest(now, r)
+	return true
 }
 
 // startsInTime reports whether a replica is expected to start a request while its loaded version is still allowed.
@@ -232,37 +273,6 @@
 	return version >= request.NextMinVersion || float64(r.load(&b.cfg, now)) < b.cfg.IdleShare*float64(r.slots())
 }
 
-// allowsColdRequest reports whether this host's share of a cold replica's permitted rate allows another request. It creates,
-// changes or removes the replica's permits as its state requires.
-func (b *Balancer) allowsColdRequest(now time.Time, r *replica) bool {
-	if !now.Before(r.member.ColdUntil) {
-		r.cold = nil
-		return true
-	}
-	rate := b.specs[r.member.Upstream].ColdPerSecond
-	if rate <= 0 {
-		return true
-	}
-	rate *= b.cfg.ColdShare * b.coldShare(now, r)
-	if r.cold == nil {
-		r.cold = newColdPermits(now, rate, b.random.Float64())
-	}
-	r.cold.setRate(now, rate)
-	return r.cold.ready(now)
-}
-
-// coldShare returns this host's share of the rate of a cold replica. Without a report of the replica itself it takes the number of
-// hosts from the last report of any replica.
-func (b *Balancer) coldShare(now time.Time, r *replica) float64 {
-	if r.hasFreshReport(&b.cfg, now) && r.report.Senders > 0 {
-		return r.report.share()
-	}
-	if b.senders > 0 {
-		return 1 / float64(b.senders)
-	}
-	return 1 / float64(b.cfg.DefaultSenders)
-}
-
 // score returns the load of a replica as a share of its slots, plus penalties for distance, failures and slowness and a
 // random jitter. Lower is better.
 func (b *Balancer) score(now time.Time, r *replica, baseline float64) float64 {
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -63,10 +63,14 @@
 	SlowWeight    float64
 	SlowThreshold float64
 	SlowCap       float64
-	// DefaultSenders is the number of hosts assumed to send to a cold replica while no report has given the number.
+	// DefaultSenders is the number of hosts assumed to send to a replica that is cold or has a request limit, while no report has given
+	// the number.
 	DefaultSenders int
 	// ColdShare is the share of a cold replica's permitted request rate that all hosts together use.
 	ColdShare float64
+	// LimitShare is the share of a replica's request limit that all hosts together use. Since they take their parts at random phases, a
+	// higher one lets them exceed the limit for some seconds more often.
+	LimitShare float64
 }
 
 // DefaultConfig returns the default settings.
@@ -96,6 +100,7 @@
 		SlowCap:               1.5,
 		DefaultSenders:        24,
 		ColdShare:             0.8,
+		LimitShare:            0.7,
 	}
 }
 
@@ -138,6 +143,8 @@
 	VerdictFull Verdict = "full"
 	// VerdictHeldOff means that all eligible replicas have asked to get no requests for a while.
 	VerdictHeldOff Verdict = "held_off"
+	// VerdictLimited means that this host has used its part of the request limits of the eligible replicas.
+	VerdictLimited Verdict = "limited"
 	// VerdictNoCandidate means that no replica is eligible.
 	VerdictNoCandidate Verdict = "none"
 )
@@ -150,8 +157,10 @@
 	Version int64
 	// Load is the estimated number of requests at the replica, for logs.
 	Load int
-	// HeldUntil is set only with VerdictHeldOff: the soonest time at which a replica takes requests again.
+	// HeldUntil is set only with VerdictHeldOff and VerdictLimited: the soonest time at which a replica takes a request of this host.
 	HeldUntil time.Time
+	// sendBefore is the time before which the request must be sent if the replica takes only a limited rate.
+	sendBefore time.Time
 	// born distinguishes successive processes of a replica with the same ID.
 	born int64
 }
--- a/coordination/dispatch/limit_test.go
+++ b/coordination/dispatch/limit_test.go
@@ -66,3 +66,23 @@
 	b.RecordLimit(start.Add(time.Millisecond), first, start, fleet.RequestLimit{Stated: true, PerSecond: 1})
 	require.False(t, b.MaySend(start.Add(2*time.Millisecond), waiting))
 }
+
+// TestRequestsAreRefusedAtOnceWhenOnlyLimitedReplicasAreLeft guards against requests that wait for replicas whose limits leave this host
+// no request for longer than they can wait.
+func TestRequestsAreRefusedAtOnceWhenOnlyLimitedReplicasAreLeft(t *testing.T) {
+	b := newBalancer(member("r1", "a"), member("r2", "a"))
+	verdict := dispatch.VerdictChosen
+	var choice dispatch.Choice
+	for range 4 {
+		if choice, verdict = b.Pick(start, request()); verdict != dispatch.VerdictChosen {
+			break
+		}
+		b.RecordLimit(start, choice, start.Add(-time.Second), fleet.RequestLimit{Stated: true, PerSecond: 0.5})
+	}
+	require.Equal(t, dispatch.VerdictLimited, verdict)
+	require.True(t, choice.HeldUntil.After(start))
+	next, verdict := b.Pick(choice.HeldUntil, request())
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+	require.True(t, b.MaySend(choice.HeldUntil, next))
+	require.False(t, b.MaySend(choice.HeldUntil.Add(5*time.Second), next), "after a pause")
+}
--- a/coordination/dispatch/notice.go
+++ b/coordination/dispatch/notice.go
@@ -85,5 +85,13 @@
 func (b *Balancer) MaySend(now time.Time, choice Choice) bool {
 	r := b.replicas[choice.ID]
 	return r != nil && r.member.Born == choice.born && r.member.Address == choice.Address && r.member.Usable() &&
-		!b.isLeaving(r) && !now.Before(b.heldUntil(r))
+		!b.isLeaving(r) && !now.Before(b.heldUntil(r)) && b.permitHolds(now, r, choice)
+}
+
+// permitHolds reports whether the replica takes requests at any rate, or the request has a permit that is not too old.
+func (b *Balancer) permitHolds(now time.Time, r *replica, choice Choice) bool {
+	if _, limited := b.allowance(now, r); !limited {
+		return true
+	}
+	return now.Before(choice.sendBefore)
 }
--- a/coordination/dispatch/permits.go
+++ b/coordination/dispatch/permits.go
@@ -2,33 +2,50 @@
 
 import "time"
 
-// maxPermitWindow bounds the time for which a permit to send to a cold replica can be used.
-const maxPermitWindow = 300 * time.Millisecond
+const (
+	// coldPermitWindow and limitPermitWindow bound the time for which a permit to send to a cold replica, or to one with a request
+	// limit, can be used. Longer ones use more of the rate, and let more hosts send at the same moment after a time without callers.
+	coldPermitWindow  = 300 * time.Millisecond
+	limitPermitWindow = 1500 * time.Millisecond
+	// maxSendDelay is the time within which a request with a permit must be sent.
+	maxSendDelay = 500 * time.Millisecond
+	// minRequestLimit is the least rate over all hosts in requests per second. It lets them find out that a limit has ended.
+	minRequestLimit = 0.25
+)
 
-// coldPermits spaces the requests of this host to a cold replica. There is one permit in each period, at a random phase, and one that
-// is not used soon is lost: permits that are kept would let all hosts send at the same moment.
-type coldPermits struct {
+// allowance is the rate at which this host may send to a replica that takes only a limited rate from all hosts together.
+type allowance struct {
+	perSecond float64
+	// window bounds the time for which a permit can be used.
+	window time.Duration
+}
+
+// permits spaces the requests of this host to a replica. There is one permit in each period, at a random phase, and one that is not
+// used soon is lost: permits that are kept would let all hosts send at the same moment.
+type permits struct {
 	period time.Duration
+	window time.Duration
 	// origin is the start of a period.
 	origin time.Time
 	// lastUsed is the number of the period since origin whose permit was used last; -1 means none.
 	lastUsed int64
 }
 
-// newColdPermits returns the permits for a rate in requests per second. random is the phase, in [0, 1).
-func newColdPermits(now time.Time, rate, random float64) *coldPermits {
-	p := &coldPermits{period: permitPeriod(rate), lastUsed: -1}
+// newPermits returns the permits for an allowance. random is the phase, in [0, 1).
+func newPermits(now time.Time, a allowance, random float64) *permits {
+	p := &permits{period: permitPeriod(a.perSecond), window: a.window, lastUsed: -1}
 	p.origin = now.Add(-time.Duration(random * float64(p.period)))
 	return p
 }
 
-func permitPeriod(rate float64) time.Duration {
-	return max(time.Duration(float64(time.Second)/rate), 1)
+func permitPeriod(perSecond float64) time.Duration {
+	return max(time.Duration(float64(time.Second)/perSecond), 1)
 }
 
-// setRate changes the rate and keeps the phase, and whether the permit of the present period was used.
-func (p *coldPermits) setRate(now time.Time, rate float64) {
-	period := permitPeriod(rate)
+// set changes the allowance and keeps the phase, and whether the permit of the present period was used.
+func (p *permits) set(now time.Time, a allowance) {
+	p.window = a.window
+	period := permitPeriod(a.perSecond)
 	if period == p.period {
 		return
 	}
@@ -43,16 +60,69 @@
 }
 
 // ready reports whether there is a permit.
-func (p *coldPermits) ready(now time.Time) bool {
+func (p *permits) ready(now time.Time) bool {
 	number, within := p.position(now)
-	return number != p.lastUsed && within < min(p.period, maxPermitWindow)
+	return number != p.lastUsed && within < min(p.period, p.window)
+}
+
+// next returns the time of the first permit after the present one.
+func (p *permits) next(now time.Time) time.Time {
+	number, _ := p.position(now)
+	return p.origin.Add(time.Duration(number+1) * p.period)
 }
 
 // take uses the permit.
-func (p *coldPermits) take(now time.Time) { p.lastUsed, _ = p.position(now) }
+func (p *permits) take(now time.Time) { p.lastUsed, _ = p.position(now) }
 
 // position returns the number of the present period and the time since its start.
-func (p *coldPermits) position(now time.Time) (number int64, within time.Duration) {
+func (p *permits) position(now time.Time) (number int64, within time.Duration) {
 	elapsed := now.Sub(p.origin)
 	return int64(elapsed / p.period), elapsed % p.period
 }
+
+// allowance returns this host's part of what a replica takes from all hosts together. It returns false if the replica is neither cold
+// nor has a request limit.
+func (b *Balancer) allowance(now time.Time, r *replica) (allowance, bool) {
+	var a allowance
+	found := false
+	cold := b.specs[r.member.Upstream].ColdPerSecond
+	if now.Before(r.member.ColdUntil) && cold > 0 {
+		a, found = allowance{perSecond: cold * b.cfg.ColdShare, window: coldPermitWindow}, true
+	}
+	if limit := b.statedLimit(r.member.ID, r.member.Born); limit != nil {
+		limited := allowance{perSecond: max(limit.perSecond, minRequestLimit) * b.cfg.LimitShare, window: limitPermitWindow}
+		if !found || limited.perSecond < a.perSecond {
+			a, found = limited, true
+		}
+	}
+	a.perSecond *= b.hostShare(now, r)
+	return a, found
+}
+
+// hasPermit reports whether this host may send a request to the replica now, as far as the replica takes only a limited rate. It
+// creates, changes or removes the replica's permits as its state requires.
+func (b *Balancer) hasPermit(now time.Time, r *replica) bool {
+	a, limited := b.allowance(now, r)
+	switch {
+	case !limited:
+		r.permits = nil
+		return true
+	case r.permits == nil:
+		r.permits = newPermits(now, a, b.random.Float64())
+	default:
+		r.permits.set(now, a)
+	}
+	return r.permits.ready(now)
+}
+
+// hostShare returns this host's share of the rate that a replica takes from all hosts together. Without a report of the replica itself
+// it takes the number of hosts from the last report of any replica.
+func (b *Balancer) hostShare(now time.Time, r *replica) float64 {
+	if r.hasFreshReport(&b.cfg, now) && r.report.Senders > 0 {
+		return r.report.share()
+	}
+	if b.senders > 0 {
+		return 1 / float64(b.senders)
+	}
+	return 1 / float64(b.cfg.DefaultSenders)
+}
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -36,8 +36,8 @@
 	// excludedUntil is the end of the current ejection or shed backoff.
 	excludedUntil time.Time
 	addressMoved  bool
-	// cold holds the permits while the replica is cold, nil otherwise.
-	cold *coldPermits
+	// permits holds the permits to send to the replica while it is cold or has a request limit, nil otherwise.
+	permits *permits
 }
 
 // hasFreshReport reports whether the last report is recent enough to use.
