Check a planned stop again before a request is sent

One whose body ended later, that waited for capacity, was tried again or whose connection opened late was sent all the same and got 502 or 504, run unknown. One whose body had not come at the end got 408, which tells the caller that it was too slow, where 503 (not run, come back) is true.

The check is repeated while a request waits for a replica, which covers the time after its body and each further try, and right before it is sent. A stream that has begun may still be resumed. A body cut off by the exit is refused as not run.

--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -187,6 +187,9 @@
 	maxWait := time.Duration(float64(c.route.Objective) * c.h.Config.CapacityWaitShare)
 	waitDeadline := c.h.Now().Add(maxWait)
 	for {
+		if c.outlastsStop() {
+			return dispatch.Choice{}, leavingError()
+		}
 		decision, quarantineErr := c.checkQuarantine()
 		if quarantineErr != nil {
 			c.heldUntil = decision.Until
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -135,22 +135,25 @@
 	if err := c.setDeadline(); err != nil {
 		return err
 	}
-	if err := c.checkStop(); err != nil {
-		return err
+	if c.outlastsStop() {
+		return leavingError()
 	}
 	return c.readBody()
 }
 
-// checkStop refuses a request on a kept connection that the process may have to cut off because it is about to exit.
-func (c *call) checkStop() *transport.Error {
-	if c.h.StopsAt == nil {
-		return nil
-	}
-	if stopsAt := c.h.StopsAt(); !stopsAt.IsZero() && c.deadline.After(stopsAt) {
-		return transport.Errorf(http.StatusServiceUnavailable, api.CodeLeaving, api.RunNotRun,
-			"this host stops before the deadline of the request; another one takes it")
-	}
-	return nil
+// outlastsStop reports whether the process may have to cut off the request because it is about to exit. A stream that has begun goes on:
+// the work on it would be lost.
+func (c *call) outlastsStop() bool {
+	if c.h.StopsAt == nil || c.stream.started {
+		return false
+	}
+	stopsAt := c.h.StopsAt()
+	return !stopsAt.IsZero() && c.deadline.After(stopsAt)
+}
+
+func leavingError() *transport.Error {
+	return transport.Errorf(http.StatusServiceUnavailable, api.CodeLeaving, api.RunNotRun,
+		"this host stops before the deadline of the request; another one takes it")
 }
 
 // authorize finds the team of a request by its API key. Without configured teams every request is allowed.
@@ -193,6 +196,9 @@
 	stop := context.AfterFunc(c.h.Closing, func() { transport.BoundBody(c.w, 0) })
 	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
 	stop()
+	if transport.BodyTimedOut(err) && c.h.Closing.Err() != nil {
+		return leavingError()
+	}
 	if transport.BodyTimedOut(err) {
 		return transport.Errorf(http.StatusRequestTimeout, api.CodeDeadlineExceeded, api.RunNotRun,
 			"the request body did not arrive before the deadline")
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -49,6 +50,8 @@
 	leaving     atomic.Bool
 	// stopsAt, if set, is the time at which the host stops.
 	stopsAt atomic.Pointer[time.Time]
+	// close ends the requests that have not ended, as shortly before the exit of the process.
+	close context.CancelFunc
 	// onAge, if set, is called whenever a request asks for the age of the configuration.
 	onAge    atomic.Pointer[func()]
 	frontend *httptest.Server
@@ -77,6 +80,9 @@
 	cfg.OldVersionGrace, cfg.OldVersionIdleOnlyAfter, cfg.OldVersionCancelAfter = time.Minute, time.Minute, 30*time.Second
 	cfg.Dispatch.Jitter = 0
 	change(&cfg)
+	closing, closeRequests := context.WithCancel(context.Background())
+	t.Cleanup(closeRequests)
+	h.close = closeRequests
 	h.router = ingress.NewRouter(cfg, rand.New(rand.NewPCG(1, 1)), time.Now)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -104,6 +110,7 @@
 			}
 			return time.Time{}
 		},
+		Closing:    closing,
 		RetryAfter: func(d time.Duration) string { return d.String() },
 		Pool:       pool,
 		Quarantine: h.quarantine,
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -29,6 +29,9 @@
 // used any more.
 var errNotAllowed = errors.New("the replica or the caller's key may not be used any more")
 
+// errLeaving is the cause of giving up an attempt before anything was sent, because the process stops before it may have ended.
+var errLeaving = errors.New("the process stops before the deadline of the request")
+
 // maxLoadNumber bounds the numbers of a load header, so that their sums don't overflow.
 const maxLoadNumber = 1 << 20
 
@@ -150,6 +153,9 @@
 	if c.quarantined() {
 		return errQuarantined
 	}
+	if c.outlastsStop() {
+		return errLeaving
+	}
 	return nil
 }
 
@@ -173,7 +179,8 @@
 	result := attemptResult{
 		outcome: dispatch.OutcomeBroken, notRun: !sent, unsent: !sent, connectionLost: sent && context.Cause(ctx) == nil, err: err,
 	}
-	if errors.Is(err, errNotAllowed) || errors.Is(err, errOutdated) || errors.Is(err, errQuarantined) {
+	if errors.Is(err, errNotAllowed) || errors.Is(err, errOutdated) || errors.Is(err, errQuarantined) ||
+		errors.Is(err, errLeaving) {
 		result.outcome = dispatch.OutcomeAbandoned
 	}
 	if cause := context.Cause(ctx); cause != nil {
