Begin the stop right before the send in its test

The stop begins now when the age is asked for the second time, right before the send. Without the check: 200 where 503 is expected.

--- a/transport/ingress/stop_test.go
+++ b/transport/ingress/stop_test.go
@@ -153,8 +153,13 @@
 	route.Timeout = time.Hour
 	h := newHarness(t, route)
 	h.startReplica("r1", "orders", respondStamped("ok"))
-	// The age is asked for right before the request is sent.
-	stop := h.stopSoon
+	// The age is asked for when the request arrives, and again right before it is sent.
+	var asked atomic.Int64
+	stop := func() {
+		if asked.Add(1) == 2 {
+			h.stopSoon()
+		}
+	}
 	h.onAge.Store(&stop)
 	requireLeaving(t, h.call(http.MethodPost, "/unsafe/", "x", patient))
 	require.Empty(t, h.received())
