Don't take a response that ends after its head for an empty one

It could happen here in one form: the whole head, neither a length nor chunks, and no byte of body. The entry passed it on with Content-Length 0. HEAD, 204 and 304 have no body and are passed on; so are a length of 0 and no chunks.

A body without a length that is closed after its first byte can't be told from a whole one; a reset is.

Not changed: on the product's own path the agent rejects a response that is neither delimited by a length nor chunked.

--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -58,7 +58,7 @@
 		// Keeps net/http from adding a detected Content-Type.
 		target["Content-Type"] = nil
 	}
-	if c.r.Method != http.MethodHead && r.status != http.StatusNoContent && r.status != http.StatusNotModified {
+	if c.mayHaveBody(r.status) {
 		target.Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
 	c.w.WriteHeader(r.status)
@@ -295,6 +295,10 @@
 		}
 		return result
 	}
+	if len(body) == 0 && !response.Framed && c.mayHaveBody(response.Status) {
+		// Nothing tells an empty response from one whose replica has ended after the head.
+		return attemptResult{outcome: dispatch.OutcomeBroken, connectionLost: true, err: eris.New("response ended before its body")}
+	}
 	// A complete response is forwarded even if the guard has canceled the attempt meanwhile.
 	_ = guard.disarm()
 	buffered := &bufferedResponse{replica: choice.ID, status: response.Status, header: response.Header, body: body}
@@ -311,6 +315,11 @@
 	}
 }
 
+// mayHaveBody reports whether a response with a status may have a body.
+func (c *call) mayHaveBody(status int) bool {
+	return c.r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 func isEventStream(header http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
 	return err == nil && mediaType == headers.EventStream
