--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -293,19 +293,19 @@
 	return c.h.router.takeRetry(c.upstream)
 }
 
-// finalError returns the error for a request that no replica served.
+// finalError returns the error for a request that no replica served. What a replica has sent is for the log, not for callers.
 func (c *call) finalError(ctx context.Context, result attemptResult) *transport.Error {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return transport.Errorf(http.StatusGatewayTimeout, api.CodeDeadlineExceeded, api.RunUnknown, "the deadline has passed")
 	case c.mayHaveRun:
-		return transport.Errorf(http.StatusBadGateway, api.CodeUpstreamFailed, api.RunUnknown, "the replica failed: %v", result.err)
+		return transport.Errorf(http.StatusBadGateway, api.CodeUpstreamFailed, api.RunUnknown, "the replica failed before its response was complete")
 	case result.outcome == dispatch.OutcomeShed:
 		return transport.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.RunNotRun,
 			"the replica rejected the request as full")
 	default:
 		return transport.Errorf(http.StatusServiceUnavailable, api.CodeUpstreamFailed, api.RunNotRun,
-			"no replica could be reached: %v", result.err)
+			"no replica could be reached")
 	}
 }
 
--- a/transport/ingress/cut_response_test.go
+++ b/transport/ingress/cut_response_test.go
@@ -113,3 +113,17 @@
 		})
 	}
 }
+
+// TestResponseCutOffDoesNotShowItsBytesToCallers guards against spoilt bytes and the names of internal headers in errors for callers.
+func TestResponseCutOffDoesNotShowItsBytesToCallers(t *testing.T) {
+	h := newHarness(t, unsafeRoute())
+	text := responseHead("Content-Length: 5")
+	h.startReplica("r1", "orders", (&cutReplica{text: text, after: strings.Index(text, names.Stamp) + len(names.Stamp)}).serve)
+	got := h.call(http.MethodPost, "/unsafe/", "x", nil)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.NotContains(t, got.body, names.Stamp)
+	require.NotContains(t, got.body, "malformed")
+	tries := h.logLines("try failed")
+	require.Len(t, tries, 1)
+	require.Contains(t, tries[0].Data["reason"], names.Stamp, "the log has the cause")
+}
