Let the soak's workers state request limits

The judge counts what each runs in each 4 s from 1 s on, over all entries, unless an entry was disturbed shortly before.

--- a/bench/cmd/gtbench/soak.go
+++ b/bench/cmd/gtbench/soak.go
@@ -51,6 +51,7 @@
 	flags.IntVar(&cfg.Faults, "faults", cfg.Faults, "number of faults in each run")
 	flags.BoolVar(&cfg.CrashingPrompts, "crashing-prompts", false, "send prompts on which workers crash, beside the faults")
 	flags.BoolVar(&cfg.Evacuations, "evacuations", false, "take failure domains out of service while the store withholds changes, beside the faults")
+	flags.BoolVar(&cfg.RequestLimits, "request-limits", false, "make workers state request limits, beside the faults")
 	flags.BoolVar(&cfg.LoseAll, "lose-all", false, "end all processes and workers during a rollout, after the faults")
 	flags.StringVar(&logs, "logs", os.TempDir(), "directory for the settings and logs of the runs")
 	return cmd
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -79,7 +79,9 @@
 	mu                     sync.Mutex
 	server                 *http.Server
 	worker                 *platformtest.Worker
-	runsStarted            int
+	// limit is the request limit that the worker states, nil for none.
+	limit       atomic.Pointer[platformtest.RequestLimit]
+	runsStarted int
 	// previousID is the ID of the worker that crashed last, empty if none has.
 	previousID string
 }
@@ -255,7 +257,7 @@
 	w := &platformtest.Worker{
 		ID: fmt.Sprintf("%s-run%d", h.name, h.runsStarted), Born: time.Now().UnixMilli(), Slots: slots,
 		Layers: layers, Chunks: chunks, OnRun: h.fleet.checker.recordRun, ShouldDropResponse: h.fleet.shouldDropResponse,
-		OrderDelay: h.fleet.orderDelay, CrashesOn: crashesOn,
+		OrderDelay: h.fleet.orderDelay, CrashesOn: crashesOn, Limit: h.limit.Load,
 	}
 	w.OnCrash = sync.OnceFunc(func() {
 		h.fleet.checker.recordCrash(time.Now())
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -58,7 +58,9 @@
 	// evacuations holds the periods in which a failure domain was out of service.
 	evacuations []evacuation
 	// crashes holds the times at which workers crashed on a prompt.
-	crashes    []time.Time
+	crashes []time.Time
+	// limited holds the periods in which workers stated request limits.
+	limited    []limitedPeriod
 	violations []string
 }
 
@@ -136,6 +138,7 @@
 	}
 	c.checkQuarantine()
 	c.checkEvacuations()
+	c.checkLimits()
 	return c.violations
 }
 
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -56,6 +56,8 @@
 	CrashingPrompts bool
 	// Evacuations takes failure domains out of service while the store withholds changes, beside the faults.
 	Evacuations bool
+	// RequestLimits makes workers state request limits, beside the faults.
+	RequestLimits bool
 	// LoseAll ends all processes and workers during a rollout, after the faults.
 	LoseAll bool
 }
@@ -109,6 +111,9 @@
 		if cfg.Evacuations {
 			beside.Go(func() { f.evacuateRepeatedly(ctx, rand.New(rand.NewPCG(cfg.Seed, 1))) })
 		}
+		if cfg.RequestLimits {
+			beside.Go(func() { f.limitWorkers(ctx, rand.New(rand.NewPCG(cfg.Seed, 3))) })
+		}
 		f.runFaults(ctx, faults)
 		beside.Wait()
 		if cfg.LoseAll {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -80,3 +80,18 @@
 		require.NotZero(t, result.Requests)
 	}
 }
+
+// TestRequestLimitsOfWorkersAreKept guards against entries that together send a worker more than the request limit that it states, also
+// while processes restart and links fail.
+func TestRequestLimitsOfWorkersAreKept(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		cfg := DefaultConfig()
+		cfg.Binary, cfg.Dir, cfg.Seed = binary, t.TempDir(), seed
+		cfg.Faults = 3
+		cfg.RequestLimits = true
+		result, err := Run(context.Background(), cfg)
+		require.NoError(t, err)
+		require.Empty(t, result.Broken, "faults: %v", result.Faults)
+		require.NotZero(t, result.Requests)
+	}
+}
