Keep permits longer where few hosts share a request limit

Where the hosts are so few that the bound allows one request of each in 4 s, a permit is now kept until 4 s before the next, so that no host can use two within 4 s.

TestFewHostsUseARequestLimitWithFewCallers: fails without the change. The test of a jump of the load plays 8 and 12 hosts too, beside 52. The window that applies to a cold replica with a limit is the shorter one, 0.3 s.

--- a/coordination/dispatch/limit_fleet_test.go
+++ b/coordination/dispatch/limit_fleet_test.go
@@ -223,6 +223,22 @@
 	}
 }
 
+// TestFewHostsUseARequestLimitWithFewCallers guards against a limit of which little is used because the permits of hosts with few callers
+// run out.
+func TestFewHostsUseARequestLimitWithFewCallers(t *testing.T) {
+	used := 0.0
+	const runs = 8
+	for seed := range uint64(runs) {
+		const hosts, limit = 8, 1.7
+		f := newLimitedFleet(hosts, limit, 3*limit/hosts)
+		f.agent = true
+		f.run(t, seed)
+		f.checkKept(t)
+		used += f.used(limitedAt+settleTime) / runs
+	}
+	require.GreaterOrEqual(t, used, 0.55)
+}
+
 // TestRequestLimitIsKeptWhenHostsAreSuspendedOrJoin guards against hosts that send what they were allowed before a pause, and against a
 // division of the limit that doesn't follow the number of hosts.
 func TestRequestLimitIsKeptWhenHostsAreSuspendedOrJoin(t *testing.T) {
@@ -249,7 +265,7 @@
 // TestRequestLimitIsKeptWhenTheLoadJumps guards against permissions that hosts without callers save up and use all at once.
 func TestRequestLimitIsKeptWhenTheLoadJumps(t *testing.T) {
 	for seed := range uint64(6) {
-		f := newLimitedFleet(52, 1.7, 0)
+		f := newLimitedFleet([]int{8, 12, 52}[seed%3], 1.7, 0)
 		f.demand = func(now time.Duration) float64 {
 			if now > 3*time.Second && now < 15*time.Second {
 				return 0.01
--- a/coordination/dispatch/permits.go
+++ b/coordination/dispatch/permits.go
@@ -7,6 +7,11 @@
 	// limit, can be used. Longer ones use more of the rate, and let more hosts send at the same moment after a time without callers.
 	coldPermitWindow  = 300 * time.Millisecond
 	limitPermitWindow = 1500 * time.Millisecond
+	// A replica may get limitFactor times what its request limit allows in limitPeriod, and limitSlack requests more. The slack is less
+	// than the platform's, so that some hosts may join.
+	limitPeriod = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 3
 	// maxSendDelay is the time within which a request with a permit must be sent.
 	maxSendDelay = 500 * time.Millisecond
 	// minRequestLimit is the least rate over all hosts in requests per second. It lets them find out that a limit has ended.
@@ -83,20 +88,37 @@
 // allowance returns this host's part of what a replica takes from all hosts together. It returns false if the replica is neither cold
 // nor has a request limit.
 func (b *Balancer) allowance(now time.Time, r *replica) (allowance, bool) {
-	var a allowance
-	found := false
-	cold := b.specs[r.member.Upstream].ColdPerSecond
-	if now.Before(r.member.ColdUntil) && cold > 0 {
-		a, found = allowance{perSecond: cold * b.cfg.ColdShare, window: coldPermitWindow}, true
+	coldRate := b.specs[r.member.Upstream].ColdPerSecond
+	cold := coldRate > 0 && now.Before(r.member.ColdUntil)
+	limit := b.statedLimit(r.member.ID, r.member.Born)
+	switch {
+	case limit != nil && cold:
+		return lower(b.limitAllowance(now, r, limit.perSecond), b.coldAllowance(now, r, coldRate)), true
+	case limit != nil:
+		return b.limitAllowance(now, r, limit.perSecond), true
+	case cold:
+		return b.coldAllowance(now, r, coldRate), true
 	}
-	if limit := b.statedLimit(r.member.ID, r.member.Born); limit != nil {
-		limited := allowance{perSecond: max(limit.perSecond, minRequestLimit) * b.cfg.LimitShare, window: limitPermitWindow}
-		if !found || limited.perSecond < a.perSecond {
-			a, found = limited, true
-		}
+	return allowance{}, false
+}
+
+// lower returns an allowance that keeps to two others.
+func lower(a, b allowance) allowance {
+	return allowance{perSecond: min(a.perSecond, b.perSecond), window: min(a.window, b.window)}
+}
+
+func (b *Balancer) coldAllowance(now time.Time, r *replica, rate float64) allowance {
+	return allowance{perSecond: rate * b.cfg.ColdShare * b.hostShare(now, r), window: coldPermitWindow}
+}
+
+func (b *Balancer) limitAllowance(now time.Time, r *replica, limit float64) allowance {
+	limit = max(limit, minRequestLimit)
+	a := allowance{perSecond: limit * b.cfg.LimitShare * b.hostShare(now, r), window: limitPermitWindow}
+	if float64(b.hosts(now, r)) <= limitSlack+limitFactor*limitPeriod.Seconds()*limit {
+		// The bound allows one request of each host, and no host can use two permits within limitPeriod.
+		a.window = max(a.window, permitPeriod(a.perSecond)-limitPeriod)
 	}
-	a.perSecond *= b.hostShare(now, r)
-	return a, found
+	return a
 }
 
 // hasPermit reports whether this host may send a request to the replica now, as far as the replica takes only a limited rate. It
@@ -115,14 +137,23 @@
 	return r.permits.ready(now)
 }
 
-// hostShare returns this host's share of the rate that a replica takes from all hosts together. Without a report of the replica itself
-// it takes the number of hosts from the last report of any replica.
+// hostShare returns this host's share of the rate that a replica takes from all hosts together.
 func (b *Balancer) hostShare(now time.Time, r *replica) float64 {
 	if r.hasFreshReport(&b.cfg, now) && r.report.Senders > 0 {
 		return r.report.share()
 	}
-	if b.senders > 0 {
-		return 1 / float64(b.senders)
+	return 1 / float64(b.hosts(now, r))
+}
+
+// hosts returns the number of hosts that send to a replica. Without a report of the replica itself it takes the number from the last
+// report of any replica.
+func (b *Balancer) hosts(now time.Time, r *replica) int {
+	switch {
+	case r.hasFreshReport(&b.cfg, now) && r.report.Senders > 0:
+		return r.report.Senders
+	case b.senders > 0:
+		return b.senders
+	default:
+		return b.cfg.DefaultSenders
 	}
-	return 1 / float64(b.cfg.DefaultSenders)
 }
