--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -100,7 +100,7 @@
 		SlowCap:               1.5,
 		DefaultSenders:        24,
 		ColdShare:             0.8,
-		LimitShare:            0.7,
+		LimitShare:            0.8,
 	}
 }
 
