Keep a late response of an earlier process from hiding a limit

A replica may restart under the same ID. A response of its earlier process that arrived late with a limit replaced that of the present one, which then counted as unlimited until its next response. Found on reading; nothing shows that callers saw it. A limit of a later process is kept now. The new lines of TestStatedLimitsOfAReplicaOverlap failed before.

--- a/coordination/dispatch/limit.go
+++ b/coordination/dispatch/limit.go
@@ -76,8 +76,12 @@
 	return b.endLimit(now, id, LimitFromReport)
 }
 
+// setLimit records a limit of the replica's process that was born at a time, unless there is one of a later process.
 func (b *Balancer) setLimit(now time.Time, id fleet.ReplicaID, born int64, perSecond float64, source LimitSource) *LimitChange {
 	n := b.noticeOf(now, id)
+	if n.limit != nil && n.limit.born > born {
+		return nil
+	}
 	known := n.limit != nil && n.limit.born == born
 	if !known {
 		n.limit = &statedLimit{born: born, since: now}
--- a/coordination/dispatch/limit_test.go
+++ b/coordination/dispatch/limit_test.go
@@ -38,6 +38,11 @@
 	successor.Born = 2
 	b.SetView(view(successor))
 	require.Equal(t, fleet.RequestLimit{}, state(), "of the earlier process")
+	next, verdict := b.Pick(at(500), request())
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+	b.RecordLimit(at(510), next, at(500), limit(3))
+	require.Nil(t, b.RecordLimit(at(520), choice, at(505), limit(9)), "a late response of the earlier process")
+	require.Equal(t, limit(3), state())
 }
 
 // TestReportWithoutALimitEndsOnlyWhatReportsHaveStated guards against reports of an agent that never has the limit and ends one that
