Bound the time between two permits

The part of a host is a quotient of two demands. With a total that is out of proportion, such as 1e308 in an odd datagram, the time to the next permit was too large for a Duration; on x86-64 the conversion then gives the least number and any number of requests pass, on arm64 the largest. Found on reading. Permits come at least once an hour now.

TestTinyPartOfARequestLimitLeavesNoRequests can't fail on this arm64 machine without the change; it was not run on x86-64.

Besides, tests of parts that had none: the limit in the report of a worker, in datagrams, and a negative one there (the counts of rejected datagrams rise by one, as one more is sent).

--- a/coordination/dispatch/limit_test.go
+++ b/coordination/dispatch/limit_test.go
@@ -91,3 +91,21 @@
 	require.True(t, b.MaySend(choice.HeldUntil, next))
 	require.False(t, b.MaySend(choice.HeldUntil.Add(5*time.Second), next), "after a pause")
 }
+
+// TestTinyPartOfARequestLimitLeavesNoRequests guards against a part so small that the time to its next permit overflows, which lets any
+// number of requests pass on some processors.
+func TestTinyPartOfARequestLimitLeavesNoRequests(t *testing.T) {
+	b := newBalancer(member("r1", "a"))
+	chosen := 0
+	for number := range 1000 {
+		now := start.Add(time.Duration(number) * 10 * time.Millisecond)
+		b.RecordReport(now, "r1", dispatch.Report{
+			Senders: 8, Share: 1e-300, Models: member("r1", "a").Models, RequestLimit: fleet.RequestLimit{Stated: true, PerSecond: 1.7},
+		})
+		if choice, verdict := b.Pick(now, request()); verdict == dispatch.VerdictChosen {
+			chosen++
+			b.Done(now, choice, dispatch.OutcomeServed, time.Millisecond)
+		}
+	}
+	require.LessOrEqual(t, chosen, 1)
+}
--- a/coordination/dispatch/permits.go
+++ b/coordination/dispatch/permits.go
@@ -7,6 +7,8 @@
 	// limit, can be used. Longer ones use more of the rate, and let more hosts send at the same moment after a time without callers.
 	coldPermitWindow  = 300 * time.Millisecond
 	limitPermitWindow = 1500 * time.Millisecond
+	// maxPermitPeriod bounds the time from one permit to the next.
+	maxPermitPeriod = time.Hour
 	// A replica may get limitFactor times what its request limit allows in limitPeriod, and limitSlack requests more. The slack is less
 	// than the platform's, so that some hosts may join.
 	limitPeriod = 4 * time.Second
@@ -43,8 +45,13 @@
 	return p
 }
 
+// permitPeriod returns the time from one permit to the next. The conversion of a number that is no Duration depends on the processor.
 func permitPeriod(perSecond float64) time.Duration {
-	return max(time.Duration(float64(time.Second)/perSecond), 1)
+	period := float64(time.Second) / perSecond
+	if !(period < float64(maxPermitPeriod)) {
+		return maxPermitPeriod
+	}
+	return max(time.Duration(period), 1)
 }
 
 // set changes the allowance and keeps the phase, and whether the permit of the present period was used.
--- a/transport/loadshare/receive_test.go
+++ b/transport/loadshare/receive_test.go
@@ -23,9 +23,10 @@
 	handle := func(message) { handled++ }
 	handleDatagram(log, from, []byte("no JSON"), handle)
 	handleDatagram(log, from, []byte(`{"r":{"n":-1}}`), handle)
+	handleDatagram(log, from, []byte(`{"r":{"t":-0.5}}`), handle)
 	handleDatagram(log, from, []byte(`{}`), func(message) { panic("injected by the test") })
-	require.EqualValues(t, 3, varRejected.Value()-before)
-	require.Equal(t, 3, bytes.Count(output.Bytes(), []byte("datagram rejected")))
+	require.EqualValues(t, 4, varRejected.Value()-before)
+	require.Equal(t, 4, bytes.Count(output.Bytes(), []byte("datagram rejected")))
 	require.Zero(t, handled)
 	handleDatagram(log, from, []byte(`{}`), handle)
 	require.Equal(t, 1, handled)
