--- a/transport/ingress/limit_test.go
+++ b/transport/ingress/limit_test.go
@@ -71,7 +71,7 @@
 func TestRequestBeyondALimitIsRefusedAtOnce(t *testing.T) {
 	const hosts = 1_000_000
 	route := safeRoute()
-	route.Objective, route.Timeout = time.Hour, time.Hour
+	route.Objective, route.Timeout = 2*time.Minute, time.Hour
 	h := newHarnessWith(t, func(cfg *ingress.Config) {
 		cfg.CapacityWaitShare = 0.5
 		cfg.Dispatch.DefaultSenders = hosts
