--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -90,7 +90,7 @@
 	var best *replica
 	bestScore := 0.0
 	verdict := VerdictNoCandidate
-	var waits waits
+	var waiting waitSummary
 	avoidSilent := b.avoidsSilent(now, request.Upstream)
 	for _, candidate := range group {
 		if !b.eligible(now, &request, candidate) {
@@ -98,16 +98,16 @@
 		}
 		verdict = VerdictFull
 		if until := b.heldUntil(candidate); now.Before(until) {
-			waits.add(VerdictHeldOff, until)
+			waiting.add(VerdictHeldOff, until)
 			continue
 		}
 		if avoidSilent && b.silent(now, candidate) ||
 			!b.hasCapacity(now, &request, candidate) || !b.startsInTime(now, &request, candidate) {
-			waits.add(VerdictFull, time.Time{})
+			waiting.add(VerdictFull, time.Time{})
 			continue
 		}
 		if !b.hasPermit(now, candidate) {
-			waits.add(b.permitVerdict(candidate), candidate.permits.next(now))
+			waiting.add(b.permitVerdict(candidate), candidate.permits.next(now))
 			continue
 		}
 		score := b.score(now, candidate, baseline)
@@ -121,7 +121,7 @@
 	case verdict == VerdictNoCandidate:
 		return Choice{}, verdict
 	}
-	return Choice{HeldUntil: waits.until}, waits.verdict()
+	return Choice{HeldUntil: waiting.until}, waiting.verdict()
 }
 
 // permitVerdict returns why a replica without a permit is not chosen.
@@ -132,14 +132,14 @@
 	return VerdictFull
 }
 
-// waits sums up why none of the replicas that could serve a request is chosen.
-type waits struct {
+// waitSummary sums up why none of the replicas that could serve a request is chosen.
+type waitSummary struct {
 	full, limited bool
 	// until is the soonest known time at which a replica takes a request; zero if one may do so at any moment.
 	until time.Time
 }
 
-func (w *waits) add(reason Verdict, until time.Time) {
+func (w *waitSummary) add(reason Verdict, until time.Time) {
 	switch reason {
 	case VerdictFull:
 		w.full, w.until = true, time.Time{}
@@ -152,7 +152,7 @@
 	}
 }
 
-func (w *waits) verdict() Verdict {
+func (w *waitSummary) verdict() Verdict {
 	switch {
 	case w.full:
 		return VerdictFull
