--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,12 +15,16 @@
 	statusBroken = 1
 )
 
+// dir is the temporary folder of the run.
+var dir string
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Println("usage: standin CASE RECORD")
 		os.Exit(2)
 	}
-	dir, err := os.MkdirTemp("", "review-")
+	var err error
+	dir, err = os.MkdirTemp("", "review-")
 	check(err)
 	run := map[string]func(dir string, r *record, trouble string) bool{"cold": runCold, "spoilt": runSpoilt}[os.Args[1]]
 	if run == nil {
@@ -35,11 +39,6 @@
 	trouble := os.Getenv("TROUBLE")
 	broken := run(dir, newRecord(os.Args[2]), trouble)
 	stopAll()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(dir)
-	} else {
-		fmt.Println(dir)
-	}
 	if broken {
 		fmt.Println("the rule was broken")
 		os.Exit(statusBroken)
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -109,6 +109,7 @@
 	return cmd
 }
 
+// stopAll ends all processes that were started and removes the temporary folder.
 func stopAll() {
 	startedMu.Lock()
 	defer startedMu.Unlock()
@@ -118,6 +119,9 @@
 		_ = cmd.Wait()
 	}
 	started = nil
+	if dir != "" {
+		_ = os.RemoveAll(dir)
+	}
 }
 
 // settings returns the settings file of a process, with the bounds of the litoral-guava site.
