Log how old the oldest read of an order's pieces is

The logs could not tell a suspension inside the verification from one after it. The agent logs the duration of a verification and, with each order, the time since the start of the oldest read.

--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -21,10 +21,14 @@
 		case <-time.After(wait):
 		}
 	}
+	firstReadAt := a.Now()
 	if err := a.verifyStaged(ctx, t); err != nil {
 		return err
 	}
 	verifiedAt := a.Now()
+	a.Log.WithFields(logrus.Fields{
+		"model": t.model, "version": t.version, "took_ms": verifiedAt.Sub(firstReadAt).Milliseconds(),
+	}).Info("staged pieces verified")
 	order := loadOrder{target: t, orders: report.Orders}
 	repeated := a.isUnanswered(order)
 	if !repeated || a.isAdopted(order) {
@@ -43,7 +47,7 @@
 		a.setLoading(false)
 		return err
 	}
-	return a.sendOrder(ctx, order, report, repeated)
+	return a.sendOrder(ctx, order, report, repeated, firstReadAt)
 }
 
 // workerTooYoungFor returns the time until the worker's process has been known for MinWorkerAge.
@@ -53,12 +57,12 @@
 	return a.Config.MinWorkerAge - a.Now().Sub(a.workerSeenAt)
 }
 
-// sendOrder sends a load order and notes its outcome.
-func (a *Agent) sendOrder(ctx context.Context, order loadOrder, report worker.Report, repeated bool) error {
+// sendOrder sends a load order and notes its outcome. firstReadAt is the start of the oldest read of a staged piece.
+func (a *Agent) sendOrder(ctx context.Context, order loadOrder, report worker.Report, repeated bool, firstReadAt time.Time) error {
 	t := order.target
 	fields := logrus.Fields{
 		"model": t.model, "version": t.version, "expected_orders": order.orders, "running": report.Running,
-		"waiting": report.Waiting, "repeated": repeated,
+		"waiting": report.Waiting, "repeated": repeated, "oldest_read_age_ms": a.Now().Sub(firstReadAt).Milliseconds(),
 	}
 	a.Log.WithFields(fields).Info("load order sent")
 	a.beginOrder(order)
