Measure a verification's age from its oldest read, right before the send

Cause: MaxVerificationAge ran from the end of the verification, so a suspension between two reads, or with the response of a read in the socket, was not noticed; and it was looked at before the worker's report was read and the connection for the order opened, so neither were suspensions there.

Change: each piece has the time of the start of its last sound read. The age of the oldest is looked at once, in a callback that the worker's client calls with the connection open, right before the write; only the write lies after it.

The fakes of the tests call the check as the clients do (sender in staging_test.go); their checks are unchanged.

--- a/protocol/worker/worker.go
+++ b/protocol/worker/worker.go
@@ -40,12 +40,23 @@
 	ExpectedOrders int64
 	// FencingToken makes the worker reject the order if it has received one with a higher token.
 	FencingToken int64
+	// MaySend, if set, is called right before the first byte of the order is sent, after a connection has been opened. If it
+	// returns an error, nothing is sent, and Load returns that error.
+	MaySend func() error
+}
+
+// CheckSend calls MaySend if it is set.
+func (o LoadOrder) CheckSend() error {
+	if o.MaySend == nil {
+		return nil
+	}
+	return o.MaySend()
 }
 
 // Worker is the model worker on the agent's host. Errors are of type *protocol.Error: CodeConflict means that the
 // worker rejects an order in its present state, CodeRefused that it would reject the same order at any time, such as one with a
-// low fencing token. After any other failure of Load the worker may still carry out the order, even after seconds, if
-// ExpectedOrders matches then.
+// low fencing token. After any other failure of Load since LoadOrder.MaySend allowed it, the worker may still carry out the order,
+// even after seconds, if ExpectedOrders matches then.
 type Worker interface {
 	Report(ctx context.Context) (Report, error)
 	// Stage stores a piece of a model's weights and replaces the piece staged under the same index.
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -36,8 +36,8 @@
 	// OrderReportDelay is the time that an accepted order may take to show in the worker's report. Until then the
 	// worker counts as busy.
 	OrderReportDelay time.Duration
-	// MaxVerificationAge is the longest time from the end of the verification of the staged pieces to the order that loads
-	// them. An agent that was suspended in between verifies them again.
+	// MaxVerificationAge is the longest time from the start of the oldest read of a staged piece to the order that loads it. An
+	// agent that was suspended in between verifies the pieces again. A shorter one than the verification takes prevents loads.
 	MaxVerificationAge time.Duration
 	// MinWorkerAge is the time for which this process must have known a worker's process before it sends an order to it. An agent
 	// that starts beside a younger worker knows from it that no earlier agent process has sent an order.
@@ -78,7 +78,7 @@
 		OrderReportDelay: 800 * time.Millisecond,
 
 		MinWorkerAge:       500 * time.Millisecond,
-		MaxVerificationAge: 2 * time.Second,
+		MaxVerificationAge: 1500 * time.Millisecond,
 		LateOrderTimeout:   15 * time.Second,
 
 		RetryPause: 300 * time.Millisecond,
--- a/transport/staging/metrics.go
+++ b/transport/staging/metrics.go
@@ -15,6 +15,8 @@
 	varLoadOrders           = expvar.NewInt("staging_load_orders")
 	varLoadOrdersRefused    = expvar.NewInt("staging_load_orders_refused")
 	varLoadOrdersUnanswered = expvar.NewInt("staging_load_orders_unanswered")
+	varLoadOrdersPutOff     = expvar.NewInt("staging_load_orders_put_off")
+	varVerifications        = expvar.NewInt("staging_verifications")
 	varPiecesRestaged       = expvar.NewInt("staging_pieces_restaged")
 	varWritesUnanswered     = expvar.NewInt("staging_writes_unanswered")
 )
--- a/transport/staging/order.go
+++ b/transport/staging/order.go
@@ -35,14 +35,26 @@
 	return a.unanswered == order
 }
 
-// beginOrder notes that the worker may carry out an order from now on, whether or not it answers.
-func (a *Agent) beginOrder(order loadOrder) {
+// beginOrder notes that the worker may carry out an order from now on, whether or not it answers. It returns an error, and the order
+// must not be sent, if a staged piece was last read back longer ago than MaxVerificationAge; age is that of the oldest read. The caller
+// sends the order without waiting for anything else.
+func (a *Agent) beginOrder(order loadOrder, verified *verification) (age time.Duration, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.Now()
+	oldest := verified.oldest()
+	if oldest.IsZero() {
+		return 0, protocol.Errorf(protocol.CodeChanged, "a staged piece of version %d has become corrupt", order.target.version)
+	}
+	age = now.Sub(oldest)
+	if age > a.Config.MaxVerificationAge {
+		return age, protocol.Errorf(protocol.CodeExpired, "a staged piece of version %d was last read back %v ago", order.target.version, age)
+	}
 	if a.unanswered != order {
-		a.unansweredSince, a.repeatPause = a.Now(), a.Config.RetryPause
+		a.unansweredSince, a.repeatPause = now, a.Config.RetryPause
 	}
 	a.unanswered, a.accepted, a.adopted = order, target{}, loadOrder{}
+	return age, nil
 }
 
 // endOrder notes the outcome of an order. Without an answer, the order stays unanswered unless a report has shown meanwhile
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -55,35 +55,51 @@
 	expected func(version int64, index int) []byte
 	// beforeLoad runs when an order arrives.
 	beforeLoad func()
+	// onRead, onReport and onStage, if set, run when the response to the read of a piece, to the read of the report and to the staging
+	// of a piece is on its way.
+	onRead   func(index int)
+	onReport func()
+	onStage  func(index int)
 }
 
 func newWorker() *fakeWorker { return &fakeWorker{born: 1, staged: map[int][]byte{}} }
 
 func (w *fakeWorker) Report(context.Context) (worker.Report, error) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	return worker.Report{Born: w.born, Models: w.loaded, Orders: w.orders}, nil
+	report := worker.Report{Born: w.born, Models: w.loaded, Orders: w.orders}
+	w.mu.Unlock()
+	if w.onReport != nil {
+		w.onReport()
+	}
+	return report, nil
 }
 
 func (w *fakeWorker) Stage(_ context.Context, _ core.Model, index int, data []byte) error {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.staged[index] = append([]byte(nil), data...)
 	if index == 5 && w.corruptions > 0 {
 		w.corruptions--
 		w.staged[index][0]++
 	}
+	w.mu.Unlock()
+	if w.onStage != nil {
+		w.onStage(index)
+	}
 	return nil
 }
 
 func (w *fakeWorker) ReadStaged(_ context.Context, _ core.Model, index int) ([]byte, error) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	data, ok := w.staged[index]
+	data = append([]byte(nil), data...)
+	w.mu.Unlock()
 	if !ok {
 		return nil, protocol.Errorf(protocol.CodeNotFound, "piece %d is not staged", index)
 	}
-	return append([]byte(nil), data...), nil
+	if w.onRead != nil {
+		w.onRead(index)
+	}
+	return data, nil
 }
 
 func (w *fakeWorker) Load(_ context.Context, order worker.LoadOrder) error {
@@ -109,6 +125,22 @@
 	return nil
 }
 
+// sender sends orders to a worker as its clients do: each is checked a last time right before it is sent.
+type sender struct {
+	worker.Worker
+	onSend func()
+}
+
+func (s sender) Load(ctx context.Context, order worker.LoadOrder) error {
+	if s.onSend != nil {
+		s.onSend()
+	}
+	if err := order.CheckSend(); err != nil {
+		return err
+	}
+	return s.Worker.Load(ctx, order)
+}
+
 func (w *fakeWorker) wrong() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -185,6 +217,8 @@
 	origin *fakeOrigin
 	// clock is the time that agents see; time.Now by default.
 	clock func() time.Time
+	// onSend, if set, runs before an order is checked a last time and sent.
+	onSend func()
 }
 
 func newGroup(t *testing.T) *group {
@@ -242,7 +276,7 @@
 	agent := staging.New(staging.Dependencies{
 		Config: cfg, HostIP: ip, ReplicaAddress: ip + ":80", Upstream: "llm", Region: "ra", FailureDomain: "a",
 		Regions: map[core.FailureDomain]core.Region{"a": "ra"}, PeerPort: peerPort,
-		Worker: w, Origin: g.origin, View: g.view,
+		Worker: sender{Worker: w, onSend: g.onSend}, Origin: g.origin, View: g.view,
 		Publish: published.add, StopReports: func() {}, WorkerEnded: published.addEnd,
 		Random: rand.New(rand.NewPCG(1, 1)), Now: g.clock, Log: logrus.NewEntry(logger),
 	})
