Verify staged pieces while an order for them is unanswered

A worker that accepts a load order late loads what is staged then. Between the order and its repeat nobody looked at the pieces: 2 s for the answer, up to 2.4 s of pause and the next verification add up to more than the 3 s for which a corrupt piece may be loaded, without any suspension. The same held while an order of an earlier agent process waited for its turn.

Change: the pieces are verified every second from the first verification until the order's call returns, and in the rollout step while an order is unanswered or adopted. Corrupt ones are staged again, which is harmless, since only the ordered version is staged meanwhile.

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -39,6 +39,9 @@
 	// MaxVerificationAge is the longest time from the start of the oldest read of a staged piece to the order that loads it. An
 	// agent that was suspended in between verifies the pieces again. A shorter one than the verification takes prevents loads.
 	MaxVerificationAge time.Duration
+	// VerificationInterval is the time between two verifications of staged pieces that the worker may be about to load. A piece that
+	// becomes corrupt may be loaded until it and the next verification are over.
+	VerificationInterval time.Duration
 	// MinWorkerAge is the time for which this process must have known a worker's process before it sends an order to it. An agent
 	// that starts beside a younger worker knows from it that no earlier agent process has sent an order.
 	MinWorkerAge time.Duration
@@ -81,6 +84,8 @@
 		MaxVerificationAge: 1500 * time.Millisecond,
 		LateOrderTimeout:   15 * time.Second,
 
+		VerificationInterval: time.Second,
+
 		RetryPause: 300 * time.Millisecond,
 		LinkShare:  0.85,
 
@@ -141,6 +146,8 @@
 	loading bool
 	// staged is the version whose pieces have all been staged since the worker's last start.
 	staged target
+	// verifiedAt is the start of the oldest read of the last complete verification of staged pieces.
+	verifiedAt time.Time
 	// announced is the version of the last load notice; orderedAt is the time of the last answer to an order, or of the report
 	// that showed that the worker had begun one.
 	orderedAt time.Time
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -21,6 +21,7 @@
 	if err != nil {
 		return err
 	}
+	defer a.keepVerified(ctx, verified)()
 	order := loadOrder{target: t, orders: report.Orders}
 	repeated := a.isUnanswered(order)
 	if !repeated || a.isAdopted(order) {
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -48,6 +48,8 @@
 			a.setLoading(false)
 		}
 		return a.cacheForPeers(ctx, t, state)
+	case rollout.ActionWait:
+		return a.verifyOrdered(ctx, t)
 	}
 	return nil
 }
--- a/transport/staging/verify.go
+++ b/transport/staging/verify.go
@@ -65,6 +65,7 @@
 		return err
 	}
 	varVerifications.Add(1)
+	a.noteVerified(v)
 	a.Log.WithFields(logrus.Fields{
 		"model": v.target.model, "version": v.target.version, "took_ms": a.Now().Sub(startedAt).Milliseconds(),
 	}).Info("staged pieces verified")
@@ -102,3 +103,46 @@
 	varPiecesRestaged.Add(1)
 	return a.stage(ctx, t, index, data)
 }
+
+// noteVerified notes that all staged pieces of a version were sound.
+func (a *Agent) noteVerified(v *verification) {
+	oldest := v.oldest()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.verifiedAt = oldest
+}
+
+// keepVerified verifies the staged pieces every VerificationInterval until the returned function is called, which waits for the end of
+// the last verification.
+func (a *Agent) keepVerified(ctx context.Context, v *verification) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var loop sync.WaitGroup
+	loop.Go(func() {
+		for pause(ctx, a.Config.VerificationInterval) == nil {
+			if err := a.verifyAgain(ctx, v); err != nil && ctx.Err() == nil {
+				a.Log.WithError(err).WithField("version", v.target.version).Warn("verification of staged pieces failed")
+			}
+		}
+	})
+	return func() {
+		cancel()
+		loop.Wait()
+	}
+}
+
+// verifyOrdered verifies the staged pieces of a version if the worker may still carry out an order for it and they have not been
+// verified for VerificationInterval.
+func (a *Agent) verifyOrdered(ctx context.Context, t target) error {
+	if !a.isVerificationDue(t) {
+		return nil
+	}
+	_, err := a.verifyStaged(ctx, t)
+	return err
+}
+
+func (a *Agent) isVerificationDue(t target) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unanswered.target == t && a.staged == t && a.responding &&
+		a.Now().Sub(a.verifiedAt) >= a.Config.VerificationInterval
+}
--- a/transport/staging/verify_test.go
+++ b/transport/staging/verify_test.go
@@ -1,6 +1,7 @@
 package staging_test
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -8,6 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/staging"
 )
 
@@ -130,6 +134,96 @@
 	}
 }
 
+// isSound reports whether a staged piece matches that of the version.
+func (w *fakeWorker) isSound(version int64, index int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return string(w.staged[index]) == string(piece(version, index))
+}
+
+func (w *fakeWorker) corrupt(index int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.staged[index][0]++
+}
+
+// TestPieceCorruptedWhileAnOrderWaitsForItsAnswerIsStagedAgain guards against a worker that accepts an order late and loads a piece that
+// has become corrupt since the order was sent.
+func TestPieceCorruptedWhileAnOrderWaitsForItsAnswerIsStagedAgain(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &scriptedWorker{fakeWorker: newWorker()}
+	w.respond = func(ctx context.Context, _ int, order worker.LoadOrder) error {
+		w.corrupt(5)
+		for !w.isSound(2, 5) && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		return w.fakeWorker.Load(ctx, order)
+	}
+	g.startAgentWith("127.0.16.7", w, func(cfg *staging.Config) { cfg.VerificationInterval = 10 * time.Millisecond })
+	eventually(t, func() bool { return w.version() == 2 })
+	require.Empty(t, w.wrong())
+}
+
+// TestPieceCorruptedBeforeAnOrderIsRepeatedIsStagedAgain guards against pieces that nobody looks after in the pause before an unanswered
+// order is sent again, while the worker may accept it.
+func TestPieceCorruptedBeforeAnOrderIsRepeatedIsStagedAgain(t *testing.T) {
+	t.Parallel()
+	// The pauses before the repeats are 0.3 s, 0.6 s, 1.2 s and 2.4 s.
+	const lastOrder, acceptedAfter = 4, 2 * time.Second
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &scriptedWorker{fakeWorker: newWorker()}
+	var late sync.WaitGroup
+	t.Cleanup(late.Wait)
+	w.respond = func(ctx context.Context, n int, order worker.LoadOrder) error {
+		<-ctx.Done()
+		if n == lastOrder {
+			w.corrupt(5)
+			late.Go(func() {
+				accepted := time.NewTimer(acceptedAfter)
+				defer accepted.Stop()
+				select {
+				case <-accepted.C:
+				case <-t.Context().Done():
+				}
+				_ = w.fakeWorker.Load(context.WithoutCancel(ctx), order)
+			})
+		}
+		return protocol.Wrap(protocol.CodeOutcomeUnknown, ctx.Err(), "send load order")
+	}
+	g.startAgentWith("127.0.16.8", w, func(cfg *staging.Config) {
+		cfg.OrderTimeout, cfg.RetryPause = 20*time.Millisecond, 300*time.Millisecond
+	})
+	eventually(t, func() bool { return w.version() == 2 })
+	require.Empty(t, w.wrong())
+}
+
+// TestPieceOfAnAdoptedOrderIsStagedAgain guards against a restarted agent that doesn't look after pieces while it waits for its turn to
+// load a version that its predecessor has ordered.
+func TestPieceOfAnAdoptedOrderIsStagedAgain(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	w := &scriptedWorker{fakeWorker: newWorker()}
+	w.respond = func(ctx context.Context, _ int, order worker.LoadOrder) error { return w.hold(ctx, order) }
+	w.loaded = []fleet.LoadedModel{{Model: "m", Version: 1, Layers: layers}}
+	_, stop := g.runAgent("127.0.16.10", w, shortOrders)
+	eventually(t, func() bool { return w.ordersSent() == 1 })
+	stop()
+	var reads atomic.Int32
+	w.onRead = func(int) { reads.Add(1) }
+	g.setWanted(3)
+	g.startAgentWith("127.0.16.10", w, func(cfg *staging.Config) {
+		cfg.Rollout.FirstLoadDelay, cfg.Rollout.LastLoadDelay = time.Hour, time.Hour
+		cfg.VerificationInterval = 10 * time.Millisecond
+	})
+	// All pieces are read once to tell their version and once to adopt them.
+	eventually(t, func() bool { return reads.Load() >= 2*pieceCount })
+	w.corrupt(5)
+	eventually(t, func() bool { return w.isSound(2, 5) })
+	require.Equal(t, 1, w.ordersSent())
+}
+
 // TestSlowReadsOfPiecesDoNotPreventLoads guards against a verification that takes longer than its age may be, so that no order is ever
 // sent.
 func TestSlowReadsOfPiecesDoNotPreventLoads(t *testing.T) {
