Encode a request before the last check that it may be sent

A suspension or a slow core between the last check (key age, replica's notices, permits, age of a verification) and the write is not seen. Encoding the request, with a copy of its body of up to max_body_bytes, stood between the two; it comes first now.

go test -race ./transport/backend ./transport/ingress: ok.

--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -73,14 +73,16 @@
 	if err != nil {
 		return nil, &Error{err: eris.Wrap(err, "connect to back end")}
 	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	content := encode(request)
 	if request.MaySend != nil {
 		if err := request.MaySend(); err != nil {
+			stop()
 			_ = c.Close()
 			return nil, &Error{Reused: c.reused, err: err}
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	response, err := c.exchange(request)
+	response, err := c.exchange(request, content)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -95,11 +97,11 @@
 	}, nil
 }
 
-// exchange writes the request and reads the head of its response, skipping late responses to earlier requests.
-func (c *conn) exchange(request *Request) (*http.Response, error) {
+// exchange writes the encoded request and reads the head of its response, skipping late responses to earlier requests.
+func (c *conn) exchange(request *Request, content []byte) (*http.Response, error) {
 	want := request.id()
 	c.begin(want)
-	if _, err := c.Write(encode(request)); err != nil {
+	if _, err := c.Write(content); err != nil {
 		return nil, err
 	}
 	httpRequest := &http.Request{Method: request.Method}
