Count unfinished events against the limit of buffered responses

Here an entry kept up to 1 MiB of each stream's unfinished event, without a limit on all together, and searched each event from its beginning again with every 4 KiB. Buffered bodies had a shared limit, of which a few endless ones could take all, so that sound responses over 32 KiB got none.

Change: unfinished events count like buffered bodies. A request may use half of what others leave of the limit, so that the largest fail first; a buffer of up to 64 KiB is always granted. A failed buffer is given back at once. Ends of events are searched in new bytes only. ingress_oversized_responses counts what was given up. The worst case is MaxBufferedBytes and 64 KiB for each request in flight.

--- a/transport/ingress/metrics.go
+++ b/transport/ingress/metrics.go
@@ -28,6 +28,7 @@
 	varStreamsCut       = expvar.NewInt("ingress_streams_cut")
 	varAbandoned        = expvar.NewInt("ingress_abandoned")
 	varAborted          = expvar.NewInt("ingress_aborted")
+	varOversized        = expvar.NewMap("ingress_oversized_responses")
 	varRequestLimits    = expvar.NewInt("ingress_request_limits")
 	varLogDropped       = expvar.NewInt("ingress_log_lines_dropped")
 	varOutcomeLatency   = expvar.NewMap("ingress_outcome_latency_ms")
@@ -35,6 +36,17 @@
 	varUpstreamLatency  = expvar.NewMap("ingress_upstream_latency_ms")
 )
 
+// sizeLimit is a limit that a response may exceed; it is a key of varOversized.
+type sizeLimit string
+
+const (
+	limitOfBody    sizeLimit = "body"
+	limitOfEvent   sizeLimit = "event"
+	limitOfBuffers sizeLimit = "shared"
+)
+
+func countOversized(limit sizeLimit) { varOversized.Add(string(limit), 1) }
+
 // outcomes counts the requests that have ended.
 var outcomes = newOutcomeMetrics(func(key string, l *latency) {
 	varUpstreamRequests.Set(key, expvar.Func(l.count))
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -18,8 +18,6 @@
 const (
 	// readBufferBytes is large enough for several events of a stream.
 	readBufferBytes = 4 << 10
-	// maxEventBytes bounds an event that is buffered until it is complete.
-	maxEventBytes = 1 << 20
 )
 
 // streamState records what the caller has received of a stream.
@@ -53,15 +51,19 @@
 func (c *call) relayStream(
 	ctx context.Context, response *backend.Response, sent time.Time, guard *attemptGuard,
 ) attemptResult {
-	var pending []byte
+	pending := eventBuffer{counter: &c.buffer}
+	defer pending.release()
 	var latency time.Duration
 	var begun time.Time
 	c.stream.beginAttempt()
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		if sse.EventLength(pending) > 0 && latency == 0 {
+		if addErr := pending.add(buffer[:n]); addErr != nil {
+			return attemptResult{outcome: dispatch.OutcomeBroken, err: addErr}
+		}
+		event := pending.next()
+		if event != nil && latency == 0 {
 			if cause := guard.begin(); cause != nil {
 				return attemptResult{outcome: cancelOutcome(cause), err: cause}
 			}
@@ -72,23 +74,22 @@
 		if n > 0 && !begun.IsZero() && c.h.Now().Sub(begun) >= soundAfter {
 			c.recordSound()
 		}
-		rest, writeErr := c.forwardEvents(response, pending, guard)
+		writeErr := c.forwardEvents(response, event, &pending, guard)
 		switch {
 		case errors.Is(writeErr, errNotTheRest):
 			return attemptResult{outcome: dispatch.OutcomeBroken, err: writeErr}
 		case writeErr != nil:
 			return attemptResult{outcome: dispatch.OutcomeAbandoned, err: writeErr}
 		}
-		pending = append(pending[:0], rest...)
 		switch {
-		case err == io.EOF && len(pending) == 0 && begun.IsZero() && !response.Framed:
+		case err == io.EOF && pending.isEmpty() && begun.IsZero() && !response.Framed:
 			// Nothing tells an empty stream from one whose replica has ended.
 			return attemptResult{outcome: dispatch.OutcomeBroken, connectionLost: true, err: eris.New("stream ended before its first event")}
-		case err == io.EOF && len(pending) == 0 && !c.stream.ended():
+		case err == io.EOF && pending.isEmpty() && !c.stream.ended():
 			return attemptResult{
 				outcome: dispatch.OutcomeBroken, connectionLost: !response.Framed, err: eris.New("replica ended the rest of the stream before a new event"),
 			}
-		case err == io.EOF && len(pending) == 0:
+		case err == io.EOF && pending.isEmpty():
 			c.recordEnd(response)
 			c.startStream(response)
 			return attemptResult{
@@ -100,8 +101,6 @@
 			}
 		case err != nil:
 			return c.brokenStream(ctx, err)
-		case len(pending) > maxEventBytes:
-			return attemptResult{outcome: dispatch.OutcomeBroken, err: eris.Errorf("event exceeds the limit of %d bytes", maxEventBytes)}
 		}
 	}
 }
@@ -115,35 +114,29 @@
 	return result
 }
 
-// forwardEvents sends the complete events of data to the caller and returns the rest.
-func (c *call) forwardEvents(response *backend.Response, data []byte, guard *attemptGuard) (rest []byte, err error) {
+// forwardEvents sends the first complete event, nil for none, and those that follow it in pending to the caller.
+func (c *call) forwardEvents(response *backend.Response, event []byte, pending *eventBuffer, guard *attemptGuard) error {
 	var ready []byte
-	for {
-		length := sse.EventLength(data)
-		if length == 0 {
-			break
-		}
-		event := data[:length]
-		data = data[length:]
+	for ; event != nil; event = pending.next() {
 		if sse.HasData(event) {
 			guard.progress()
 		}
 		send, err := c.stream.recordEvent(event)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if send {
 			ready = append(ready, event...)
 		}
 	}
 	if len(ready) == 0 {
-		return data, nil
+		return nil
 	}
 	c.startStream(response)
 	if _, err := c.w.Write(ready); err != nil {
-		return nil, err
+		return err
 	}
-	return data, http.NewResponseController(c.w).Flush()
+	return http.NewResponseController(c.w).Flush()
 }
 
 // recordEvent records an event to be sent to the caller. It returns false for an event that was sent before, and for a comment of a
