Bound reads of pieces and reports by their stated sizes

It reads four staged pieces at a time, beside reports and fetches, and a body that is cut off there takes more than twice that while it grows.

Without a stated size 16 MiB stay the limit of a piece.

TestReadsOfPiecesAreBoundedByTheirSize does not compile before; the limit was 16 MiB there whatever the size of a piece.

--- a/protocol/worker/worker.go
+++ b/protocol/worker/worker.go
@@ -61,8 +61,8 @@
 	Report(ctx context.Context) (Report, error)
 	// Stage stores a piece of a model's weights and replaces the piece staged under the same index.
 	Stage(ctx context.Context, model core.Model, index int, data []byte) error
-	// ReadStaged returns a staged piece, which may be corrupt.
-	ReadStaged(ctx context.Context, model core.Model, index int) ([]byte, error)
+	// ReadStaged returns a staged piece, which may be corrupt. It fails if the piece has more than maxBytes.
+	ReadStaged(ctx context.Context, model core.Model, index, maxBytes int) ([]byte, error)
 	// Load starts a load and returns before it has finished. The worker loads the pieces that are staged when it accepts the
 	// order.
 	Load(ctx context.Context, order LoadOrder) error
@@ -87,5 +87,6 @@
 // Origin is the origin of weights. Its responses may be corrupt.
 type Origin interface {
 	Manifest(ctx context.Context, address string, model core.Model, version int64) (Manifest, error)
-	Piece(ctx context.Context, address string, model core.Model, version int64, index int) ([]byte, error)
+	// Piece returns a piece. It fails if the piece has more than maxBytes.
+	Piece(ctx context.Context, address string, model core.Model, version int64, index, maxBytes int) ([]byte, error)
 }
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -221,13 +221,13 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Config.Transfer.ChunkTimeout)
 	defer cancel()
 	if !fetch.Source.IsOrigin() {
-		return r.peers.fetchPiece(ctx, r.peerAddress(string(fetch.Source.Peer)), r.target, fetch)
+		return r.peers.fetchPiece(ctx, r.peerAddress(string(fetch.Source.Peer)), r.target, fetch, r.maxPieceBytes())
 	}
 	origin, ok := r.origin()
 	if !ok {
 		return nil, nil, protocol.Errorf(protocol.CodeUnavailable, "the configuration names no weight origin")
 	}
-	data, err := r.Origin.Piece(ctx, origin.Address, r.target.model, r.target.version, fetch.Index)
+	data, err := r.Origin.Piece(ctx, origin.Address, r.target.model, r.target.version, fetch.Index, r.maxPieceBytes())
 	return data, nil, err
 }
 
@@ -271,7 +271,21 @@
 func (a *Agent) readStaged(ctx context.Context, model core.Model, index int) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	return a.Worker.ReadStaged(ctx, model, index)
+	return a.Worker.ReadStaged(ctx, model, index, a.maxPieceBytes())
+}
+
+// maxPieceBytes returns the size that the configuration states for pieces, or an upper bound if it states none. Sources of pieces may
+// send bytes without end, several of them at a time.
+func (a *Agent) maxPieceBytes() int {
+	view := a.View()
+	if !view.Ready() {
+		return largestPieceBytes
+	}
+	spec := view.Configuration.Upstreams[a.Upstream].Engine
+	if spec == nil || spec.ChunkBytes <= 0 {
+		return largestPieceBytes
+	}
+	return min(spec.ChunkBytes, largestPieceBytes)
 }
 
 // versionKey returns the key from which all hosts of a rollout derive the same ranking of each other.
--- a/transport/staging/order_faults_test.go
+++ b/transport/staging/order_faults_test.go
@@ -339,7 +339,7 @@
 	return nil
 }
 
-func (w *modelsWorker) ReadStaged(_ context.Context, model core.Model, index int) ([]byte, error) {
+func (w *modelsWorker) ReadStaged(_ context.Context, model core.Model, index, _ int) ([]byte, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if data, ok := w.staged[model][index]; ok {
--- a/transport/staging/peers.go
+++ b/transport/staging/peers.go
@@ -29,8 +29,12 @@
 // Mbit/s.
 const burstBytes = 8 << 10
 
-// maxPieceBytes bounds the response of a peer: a piece, or the list of the pieces that it holds.
-const maxPieceBytes = 16 << 20
+const (
+	// largestPieceBytes bounds a piece of any version.
+	largestPieceBytes = 16 << 20
+	// maxPollBytes bounds the body of the response to a poll, which has none unless it is an error.
+	maxPollBytes = 4 << 10
+)
 
 // peerServer serves pieces to peers.
 type peerServer struct {
@@ -118,7 +122,7 @@
 }
 
 func newPeerClient() *peerClient {
-	return &peerClient{client: resty.New().SetTransport(netdial.NewTransport()).SetResponseBodyLimit(maxPieceBytes)}
+	return &peerClient{client: resty.New().SetTransport(netdial.NewTransport()).SetResponseBodyLimit(maxPollBytes)}
 }
 
 func (c *peerClient) heldPieces(ctx context.Context, address string, t target) (transfer.Bitmap, error) {
@@ -133,8 +137,8 @@
 }
 
 // fetchPiece fetches a piece and the bitmap of the pieces that the peer holds.
-func (c *peerClient) fetchPiece(ctx context.Context, address string, t target, fetch transfer.Fetch) ([]byte, transfer.Bitmap, error) {
-	request := c.client.R().SetContext(ctx)
+func (c *peerClient) fetchPiece(ctx context.Context, address string, t target, fetch transfer.Fetch, maxBytes int) ([]byte, transfer.Bitmap, error) {
+	request := c.client.R().SetContext(ctx).SetResponseBodyLimit(maxBytes)
 	if fetch.CrossRegion {
 		request.SetHeader(headerCrossRegion, "1")
 	}
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -53,6 +53,8 @@
 	corruptions int
 	// expected returns the pieces of a version; nil means piece.
 	expected func(version int64, index int) []byte
+	// largestRead is the largest limit of a read of a staged piece.
+	largestRead int
 	// beforeLoad runs when an order arrives.
 	beforeLoad func()
 	// onRead, onReport and onStage, if set, run when the response to the read of a piece, to the read of the report and to the staging
@@ -88,8 +90,9 @@
 	return nil
 }
 
-func (w *fakeWorker) ReadStaged(_ context.Context, _ core.Model, index int) ([]byte, error) {
+func (w *fakeWorker) ReadStaged(_ context.Context, _ core.Model, index, maxBytes int) ([]byte, error) {
 	w.mu.Lock()
+	w.largestRead = max(w.largestRead, maxBytes)
 	data, ok := w.staged[index]
 	data = append([]byte(nil), data...)
 	w.mu.Unlock()
@@ -156,9 +159,11 @@
 
 // fakeOrigin serves every version; corrupt, if set, changes the data that it sends.
 type fakeOrigin struct {
-	mu      sync.Mutex
-	pieces  int
-	corrupt func(n, index int, data []byte) []byte
+	mu     sync.Mutex
+	pieces int
+	// largestRead is the largest limit of a read of a piece.
+	largestRead int
+	corrupt     func(n, index int, data []byte) []byte
 	// shared makes the first piece the same in every version.
 	shared bool
 	// oldest is the oldest version of which the origin still has the manifest.
@@ -185,10 +190,11 @@
 	return manifest, nil
 }
 
-func (o *fakeOrigin) Piece(_ context.Context, _ string, _ core.Model, version int64, index int) ([]byte, error) {
+func (o *fakeOrigin) Piece(_ context.Context, _ string, _ core.Model, version int64, index, maxBytes int) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pieces++
+	o.largestRead = max(o.largestRead, maxBytes)
 	data := o.content(version, index)
 	if o.corrupt != nil {
 		data = o.corrupt(o.pieces, index, data)
--- a/transport/staging/verify_test.go
+++ b/transport/staging/verify_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +15,7 @@
 
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/staging"
 )
@@ -235,3 +240,37 @@
 	require.Eventually(t, func() bool { return w.version() == 2 }, 8*time.Second, time.Millisecond)
 	require.Empty(t, w.wrong())
 }
+
+// TestReadsOfPiecesAreBoundedByTheirSize guards against a worker, an origin or a peer that sends bytes without end in place of a piece: an
+// agent reads several pieces at a time, and all of them together would exhaust its memory.
+func TestReadsOfPiecesAreBoundedByTheirSize(t *testing.T) {
+	const pieceBytes = 1 << 10
+	g := newGroup(t)
+	g.table.SetConfiguration(&fleet.Configuration{Version: 2, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
+		"llm":    {Engine: &fleet.EngineSpec{Layers: layers, Chunks: pieceCount, ChunkBytes: pieceBytes, Models: []core.Model{"m"}}},
+		"origin": {Origin: &fleet.OriginSpec{Address: "origin", FailureDomain: "a"}},
+	}})
+	g.setWanted(2)
+	w := newWorker()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.16.12:%d", peerPort))
+	require.NoError(t, err)
+	endless := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Gt-Held", base64.StdEncoding.EncodeToString([]byte{1<<pieceCount - 1}))
+		for block := make([]byte, pieceBytes); ; {
+			if _, err := rw.Write(block); err != nil {
+				return
+			}
+		}
+	})}
+	go func() { _ = endless.Serve(listener) }()
+	t.Cleanup(func() { _ = endless.Close() })
+	g.table.SetReplica(time.Now(), 1, &fleet.Replica{ID: "peer", Upstream: "llm", Address: "127.0.16.12:80", FailureDomain: "a", Born: 1})
+	g.startAgent("127.0.16.11", w)
+	eventually(t, func() bool { return w.version() == 2 })
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	g.origin.mu.Lock()
+	defer g.origin.mu.Unlock()
+	require.Equal(t, pieceBytes, w.largestRead)
+	require.Equal(t, pieceBytes, g.origin.largestRead)
+}
