Bound heads and call responses on the product's own paths

Generated clients read a response of any size.

Change: 64 KiB for a head, as on the users' platform; 64 MiB for the response to a call between processes.

Failed before: TestHeadOfALargeSizeEndsTheRequest ('Expected nil, but got: &wire.End{...}': a head of 1 MiB was passed on).

--- a/transport/body.go
+++ b/transport/body.go
@@ -38,3 +38,22 @@
 		w = wrapper.Unwrap()
 	}
 }
+
+// maxCallResponseBytes bounds the response to a call between processes: a list of settings or a manifest.
+const maxCallResponseBytes = 64 << 20
+
+// BoundedClient sends HTTP requests whose responses may have up to maxCallResponseBytes.
+type BoundedClient struct{ client *http.Client }
+
+// BoundResponses returns a client for calls whose generated code reads a response of any size.
+func BoundResponses(client *http.Client) BoundedClient { return BoundedClient{client: client} }
+
+// Do sends a request. A response that is too large fails with *http.MaxBytesError when its body is read.
+func (c BoundedClient) Do(r *http.Request) (*http.Response, error) {
+	response, err := c.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxCallResponseBytes)
+	return response, nil
+}
--- a/transport/claims/service.go
+++ b/transport/claims/service.go
@@ -20,6 +20,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport/netdial"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
 
@@ -108,7 +109,7 @@
 func newOwnerTransport() *http.Transport {
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{Protocols: protocols, HTTP2: server.HTTP2()}
+	return &http.Transport{Protocols: protocols, HTTP2: server.HTTP2(), MaxResponseHeaderBytes: netdial.MaxHeadBytes}
 }
 
 // Run periodically deletes old segments of the shards that this entry owns, until ctx is done.
--- a/transport/claims/twirp.go
+++ b/transport/claims/twirp.go
@@ -10,6 +10,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/transport"
 )
 
 // Server implements the Twirp service Claims on the entry that owns a shard. It never forwards a record, so that two
@@ -61,7 +62,7 @@
 func (s *Service) forwardToOwner(ctx context.Context, owner core.Host, r claims.Record) appendResult {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.OwnerTimeout)
 	defer cancel()
-	client := wire.NewClaimsProtobufClient("http://"+owner.ControlAddr, s.client)
+	client := wire.NewClaimsProtobufClient("http://"+owner.ControlAddr, transport.BoundResponses(s.client))
 	key, _ := hex.DecodeString(string(r.Key))
 	if r.Op != claims.OpClaim {
 		_, err := client.Settle(ctx, &wire.SettleRequest{
--- a/transport/control/push.go
+++ b/transport/control/push.go
@@ -9,6 +9,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/settings"
+	"github.com/guavatrestle/guavatrestle/transport"
 )
 
 const (
@@ -141,5 +142,5 @@
 // peerClient returns a client for the control listener of a host. The URL scheme is http also with TLS, which the
 // transport of Client adds.
 func (n *Node) peerClient(host core.Host) wire.Settings {
-	return wire.NewSettingsProtobufClient("http://"+host.ControlAddr, n.Client)
+	return wire.NewSettingsProtobufClient("http://"+host.ControlAddr, transport.BoundResponses(n.Client))
 }
--- a/transport/daemon/control.go
+++ b/transport/daemon/control.go
@@ -10,6 +10,7 @@
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/transport/admin"
 	"github.com/guavatrestle/guavatrestle/transport/control"
+	"github.com/guavatrestle/guavatrestle/transport/netdial"
 	"github.com/guavatrestle/guavatrestle/transport/platform"
 	"github.com/guavatrestle/guavatrestle/transport/secure"
 	"github.com/guavatrestle/guavatrestle/transport/server"
@@ -50,7 +51,7 @@
 func (p *process) peerTransport() http.RoundTripper {
 	http2Config := server.HTTP2()
 	http2Config.SendPingTimeout = peerPingAfter
-	transport := &http.Transport{HTTP2: http2Config, IdleConnTimeout: peerIdleTimeout}
+	transport := &http.Transport{HTTP2: http2Config, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: netdial.MaxHeadBytes}
 	if p.credentials != nil {
 		return p.credentials.Transport(transport)
 	}
--- a/transport/entry/heartbeat.go
+++ b/transport/entry/heartbeat.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport"
 )
 
 const (
@@ -151,7 +152,7 @@
 }
 
 func (h *Heartbeat) requestStatus(ctx context.Context, host core.Host) {
-	client := wire.NewAgentProtobufClient("http://"+host.ControlAddr, h.client)
+	client := wire.NewAgentProtobufClient("http://"+host.ControlAddr, transport.BoundResponses(h.client))
 	response, err := client.Status(ctx, &wire.StatusRequest{Host: string(h.self.ID), Incarnation: string(h.self.Incarnation)})
 	if err != nil && ctx.Err() != nil {
 		return
--- a/transport/entry/pool.go
+++ b/transport/entry/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/guavatrestle/guavatrestle/transport/netdial"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
 
@@ -111,5 +112,7 @@
 		HTTP2:              server.HTTP2(),
 		IdleConnTimeout:    idleConnTimeout,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
 }
--- a/transport/netdial/netdial.go
+++ b/transport/netdial/netdial.go
@@ -24,8 +24,8 @@
 	maxIdlePerHost = 8
 	// idleTimeout is the time after which an HTTP transport closes an idle connection.
 	idleTimeout = 20 * time.Second
-	// maxHeadBytes bounds the head of a response that an HTTP transport reads.
-	maxHeadBytes = 64 << 10
+	// MaxHeadBytes bounds the head of a response that an HTTP transport reads. The default of net/http is 10 MB.
+	MaxHeadBytes = 64 << 10
 )
 
 // Dialer returns a dialer for connections that fail when the peer becomes unreachable.
@@ -68,7 +68,7 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
--- a/transport/platform/engine.go
+++ b/transport/platform/engine.go
@@ -12,6 +12,7 @@
 
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
+	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
 // Headers of a load order.
@@ -44,7 +45,7 @@
 	return &EngineClient{
 		base:          base,
 		statusClient:  newStatusClient(baseURL),
-		loadClient:    resty.New().SetBaseURL(baseURL).SetResponseBodyLimit(maxResponseBytes),
+		loadClient:    newClient(baseURL),
 		callTransport: callTransport,
 	}, nil
 }
@@ -52,11 +53,9 @@
 // newStatusClient returns a client that opens a new connection for each read. On a reused connection, a process that no
 // longer accepts connections could report its boot ID after its successor has taken over the address.
 func newStatusClient(baseURL string) *resty.Client {
-	return resty.New().
-		SetTransport(&http.Transport{DisableKeepAlives: true}).
-		SetBaseURL(baseURL).
-		SetTimeout(StatusTimeout).
-		SetResponseBodyLimit(maxResponseBytes)
+	return newClient(baseURL).
+		SetTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: netdial.MaxHeadBytes}).
+		SetTimeout(StatusTimeout)
 }
 
 // Status implements platform.Engine.
--- a/transport/platform/hosts.go
+++ b/transport/platform/hosts.go
@@ -27,7 +27,7 @@
 
 // NewHostListClient returns a client for the host list at baseURL.
 func NewHostListClient(baseURL string) *HostListClient {
-	return &HostListClient{client: resty.New().SetBaseURL(baseURL).SetTimeout(callTimeout).SetResponseBodyLimit(maxResponseBytes)}
+	return &HostListClient{client: newClient(baseURL).SetTimeout(callTimeout)}
 }
 
 // Hosts implements platform.HostList.
--- a/transport/platform/objects.go
+++ b/transport/platform/objects.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/go-resty/resty/v2"
@@ -13,6 +14,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
+	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
 const (
@@ -47,6 +49,15 @@
 // maxResponseBytes bounds a response of the platform, such as a page of objects or a range of weights.
 const maxResponseBytes = 64 << 20
 
+// newClient returns a client of the platform at baseURL whose responses are bounded.
+func newClient(baseURL string) *resty.Client {
+	client := resty.New().SetBaseURL(baseURL).SetResponseBodyLimit(maxResponseBytes)
+	if base, ok := client.GetClient().Transport.(*http.Transport); ok {
+		base.MaxResponseHeaderBytes = netdial.MaxHeadBytes
+	}
+	return client
+}
+
 // ObjectClient implements platform.ObjectStore over the REST interface of the object API.
 type ObjectClient struct {
 	client      *resty.Client
@@ -60,8 +71,8 @@
 // NewObjectClient returns a client for the object API at baseURL.
 func NewObjectClient(baseURL, namespace string) *ObjectClient {
 	return &ObjectClient{
-		client:      resty.New().SetBaseURL(baseURL).SetTimeout(callTimeout).SetResponseBodyLimit(maxResponseBytes),
-		watchClient: resty.New().SetBaseURL(baseURL).SetResponseBodyLimit(maxResponseBytes),
+		client:      newClient(baseURL).SetTimeout(callTimeout),
+		watchClient: newClient(baseURL),
 		pathPrefix:  fmt.Sprintf("/apis/%s/namespaces/%s", apiVersion, namespace),
 		breaker:     newCircuitBreaker(),
 	}
--- a/transport/platform/weights.go
+++ b/transport/platform/weights.go
@@ -26,7 +26,7 @@
 
 // NewWeightClient returns a client for the weight source at baseURL.
 func NewWeightClient(baseURL string) *WeightClient {
-	return &WeightClient{client: resty.New().SetBaseURL(baseURL).SetTimeout(rangeTimeout).SetResponseBodyLimit(maxResponseBytes)}
+	return &WeightClient{client: newClient(baseURL).SetTimeout(rangeTimeout)}
 }
 
 // Manifest implements platform.WeightSource.
--- a/transport/upstream/handler_test.go
+++ b/transport/upstream/handler_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -80,6 +81,19 @@
 	}
 }
 
+// TestHeadOfALargeSizeEndsTheRequest guards against a back end that sends a head without end, of which the agent would keep the 10 MB that
+// net/http allows for each request.
+func TestHeadOfALargeSizeEndsTheRequest(t *testing.T) {
+	b := startBackEnd(t, "a", hijack("HTTP/1.1 200 OK\r\nX-Filler: "+strings.Repeat("x", 1<<20)+"\r\nContent-Length: 4\r\n\r\nfour"))
+	a := newAgent(t, b.URL, longTiming)
+	a.monitor.Poll(t.Context())
+	o := a.call(t.Context(), "r1", http.MethodPost, "order")
+	require.NoError(t, o.err)
+	require.Nil(t, o.end)
+	require.Equal(t, wire.Run_RUN_UNKNOWN, o.refusal.GetRun())
+	require.Equal(t, 1, b.count("r1"))
+}
+
 // TestSilentBackEndEndsAsUnknown guards against a request that hangs because no data arrives on its connection.
 func TestSilentBackEndEndsAsUnknown(t *testing.T) {
 	canceled := make(chan struct{})
--- a/transport/upstream/transport.go
+++ b/transport/upstream/transport.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
 const (
@@ -41,6 +42,8 @@
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: netdial.MaxHeadBytes,
 	}
 	return t
 }
--- a/transport/weights/peers.go
+++ b/transport/weights/peers.go
@@ -15,6 +15,8 @@
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport"
+	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
 const (
@@ -43,6 +45,7 @@
 	base := http.DefaultTransport.(*http.Transport).Clone()
 	base.MaxIdleConnsPerHost = idlePeerConns
 	base.IdleConnTimeout = idlePeerTimeout
+	base.MaxResponseHeaderBytes = netdial.MaxHeadBytes
 	return &PeerClient{self: self, chunks: chunks, http: &http.Client{Transport: base}}
 }
 
@@ -59,7 +62,7 @@
 func (c *PeerClient) PollChunks(ctx context.Context, peer core.Host, digest core.Digest, manifest bool) (*wire.ChunksResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	client := wire.NewAgentProtobufClient("http://"+peer.ControlAddr, c.http)
+	client := wire.NewAgentProtobufClient("http://"+peer.ControlAddr, transport.BoundResponses(c.http))
 	response, err := client.Chunks(ctx, &wire.ChunksRequest{
 		VersionDigest: string(digest), Host: string(c.self.ID), WantManifest: manifest, Bitmap: c.chunks.Bitmap(digest),
 	})
@@ -73,7 +76,7 @@
 func (c *PeerClient) ServesVersion(ctx context.Context, peer core.Host) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	client := wire.NewAgentProtobufClient("http://"+peer.ControlAddr, c.http)
+	client := wire.NewAgentProtobufClient("http://"+peer.ControlAddr, transport.BoundResponses(c.http))
 	response, err := client.Status(ctx, &wire.StatusRequest{Host: string(c.self.ID), Incarnation: string(c.self.Incarnation)})
 	if err != nil {
 		return false, protocol.Wrap(protocol.CodeUnavailable, err, "ask "+string(peer.ID)+" for its status")
