--- a/bench/cmd/gtbench/soak.go
+++ b/bench/cmd/gtbench/soak.go
@@ -52,6 +52,11 @@
 	flags.BoolVar(&cfg.CrashingPrompts, "crashing-prompts", false, "send prompts on which workers crash, beside the faults")
 	flags.BoolVar(&cfg.Evacuations, "evacuations", false, "take failure domains out of service while the store withholds changes, beside the faults")
 	flags.BoolVar(&cfg.RequestLimits, "request-limits", false, "make workers state request limits, beside the faults")
+	flags.BoolVar(&cfg.EndlessResponses, "endless-responses", false, "make workers answer without end, beside the faults")
+	flags.BoolVar(&cfg.SuspendVerifications, "suspend-verifications", false, "suspend agents while they verify staged pieces, beside the faults")
+	flags.IntVar(&cfg.Entries, "entries", cfg.Entries, "number of entries")
+	flags.IntVar(&cfg.Agents, "agents", cfg.Agents, "number of agents, each with an engine")
+	flags.IntVar(&cfg.Callers, "callers", cfg.Callers, "number of concurrent callers")
 	flags.BoolVar(&cfg.LoseAll, "lose-all", false, "end all processes and workers during a rollout, after the faults")
 	flags.StringVar(&logs, "logs", os.TempDir(), "directory for the settings and logs of the runs")
 	return cmd
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -62,6 +62,8 @@
 	longestOrderDelay atomic.Int64
 	// crashingPrompts is true while some callers send prompts on which workers crash.
 	crashingPrompts atomic.Bool
+	// suspensions counts the agents that were suspended during a verification.
+	suspensions atomic.Int64
 	// restarts waits for the workers that restart after such a crash.
 	restarts sync.WaitGroup
 	// version is the newest target version.
@@ -80,7 +82,11 @@
 	server                 *http.Server
 	worker                 *platformtest.Worker
 	// limit is the request limit that the worker states, nil for none.
-	limit       atomic.Pointer[platformtest.RequestLimit]
+	limit atomic.Pointer[platformtest.RequestLimit]
+	// suspension suspends the agent at a chosen moment of its next verification, nil for none.
+	suspension atomic.Pointer[suspension]
+	// endless is how the worker's responses do not end, nil while they do.
+	endless     atomic.Pointer[endlessResponses]
 	runsStarted int
 	// previousID is the ID of the worker that crashed last, empty if none has.
 	previousID string
@@ -258,7 +264,10 @@
 		ID: fmt.Sprintf("%s-run%d", h.name, h.runsStarted), Born: time.Now().UnixMilli(), Slots: slots,
 		Layers: layers, Chunks: chunks, OnRun: h.fleet.checker.recordRun, ShouldDropResponse: h.fleet.shouldDropResponse,
 		OrderDelay: h.fleet.orderDelay, CrashesOn: crashesOn, Limit: h.limit.Load,
+		Endless: h.endlessWay,
 	}
+	w.OnStagedRead = func(index int) { h.suspension.Load().observeRead(w, index) }
+	w.OnReport = func() { h.suspension.Load().observeReport(w) }
 	w.OnCrash = sync.OnceFunc(func() {
 		h.fleet.checker.recordCrash(time.Now())
 		h.fleet.restarts.Go(func() { h.crash(h.fleet.version.Load()) })
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -60,7 +60,9 @@
 	// crashes holds the times at which workers crashed on a prompt.
 	crashes []time.Time
 	// limited holds the periods in which workers stated request limits.
-	limited    []limitedPeriod
+	limited []limitedPeriod
+	// endless holds the periods in which a worker answered without end.
+	endless    []interval
 	violations []string
 }
 
@@ -137,6 +139,7 @@
 		c.checkResponse(c.requests[id], response, len(c.runs[id]))
 	}
 	c.checkQuarantine()
+	c.checkEndlessPeriods()
 	c.checkEvacuations()
 	c.checkLimits()
 	return c.violations
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -30,6 +30,8 @@
 	minSoundRequests = 20
 	// crashingPromptsPeriod is the time for which such prompts are sent.
 	crashingPromptsPeriod = 18 * time.Second
+	// maxMemoryMB is the memory in MB of a host with each role. The platform ends a process that takes more.
+	maxEntryMemoryMB, maxAgentMemoryMB = 206, 152
 	// startBound bounds the time until the fleet serves most requests for the first time.
 	startBound = 15 * time.Second
 	// recoveryBound is the time after the last fault within which the fleet must serve most requests again.
@@ -58,6 +60,10 @@
 	Evacuations bool
 	// RequestLimits makes workers state request limits, beside the faults.
 	RequestLimits bool
+	// EndlessResponses makes a worker after the other answer without end, beside the faults.
+	EndlessResponses bool
+	// SuspendVerifications suspends agents while they verify staged pieces, of which one becomes corrupt then, beside the faults.
+	SuspendVerifications bool
 	// LoseAll ends all processes and workers during a rollout, after the faults.
 	LoseAll bool
 }
@@ -78,6 +84,10 @@
 	Served float64
 	// Crashes is the number of workers that crashed on a prompt.
 	Crashes int
+	// PeakMemory is the largest resident size in MB of the process of each host, since its last start.
+	PeakMemory map[string]int
+	// Suspensions is the number of agents that were suspended during a verification.
+	Suspensions int
 	// Broken lists the violated guarantees.
 	Broken []string
 }
@@ -114,6 +124,12 @@
 		if cfg.RequestLimits {
 			beside.Go(func() { f.limitWorkers(ctx, rand.New(rand.NewPCG(cfg.Seed, 3))) })
 		}
+		if cfg.EndlessResponses {
+			beside.Go(func() { f.answerWithoutEnd(ctx, rand.New(rand.NewPCG(cfg.Seed, 4))) })
+		}
+		if cfg.SuspendVerifications {
+			beside.Go(func() { f.suspendVerifications(ctx, rand.New(rand.NewPCG(cfg.Seed, 5))) })
+		}
 		f.runFaults(ctx, faults)
 		beside.Wait()
 		if cfg.LoseAll {
@@ -124,6 +140,9 @@
 	end := time.Now()
 	stopCallers()
 	callers.Wait()
+	result.Suspensions = int(f.suspensions.Load())
+	result.PeakMemory = f.peakMemory()
+	c.checkMemory(result.PeakMemory)
 	unexpectedExits := f.close()
 	result.Served, result.Requests = c.servedSince(begin)
 	result.Crashes = c.crashCount()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -95,3 +95,33 @@
 		require.NotZero(t, result.Requests)
 	}
 }
+
+// TestSuspendedAgentsLoadNoCorruptPieces guards against an agent that is suspended between the first read of a staged piece and its load
+// order, and has a piece loaded that has become corrupt meanwhile.
+func TestSuspendedAgentsLoadNoCorruptPieces(t *testing.T) {
+	for _, seed := range []uint64{
+		1, // the age of a verification was counted from its end
+	} {
+		cfg := DefaultConfig()
+		cfg.Binary, cfg.Dir, cfg.Seed = binary, t.TempDir(), seed
+		cfg.Faults = 0
+		cfg.SuspendVerifications = true
+		result, err := Run(context.Background(), cfg)
+		require.NoError(t, err)
+		require.Empty(t, result.Broken)
+		require.NotZero(t, result.Suspensions)
+	}
+}
+
+// TestResponsesWithoutEndLeaveMemoryAndService guards against workers that send bytes without end until the processes that call them have
+// used up the memory of their hosts, or serve no other requests any more.
+func TestResponsesWithoutEndLeaveMemoryAndService(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Binary, cfg.Dir, cfg.Seed = binary, t.TempDir(), 1
+	cfg.Faults = 0
+	cfg.EndlessResponses = true
+	result, err := Run(context.Background(), cfg)
+	require.NoError(t, err)
+	require.Empty(t, result.Broken, "peaks in MB: %v", result.PeakMemory)
+	require.NotZero(t, result.Requests)
+}
