Replace staged pieces that are too large

Change: such a piece counts as one that does not match its digest: it is staged again, fetched, or is of no known version.

Failed before: TestPiecesThatAreTooLargeAreReplaced ('Condition never satisfied').

--- a/protocol/worker/worker.go
+++ b/protocol/worker/worker.go
@@ -61,7 +61,7 @@
 	Report(ctx context.Context) (Report, error)
 	// Stage stores a piece of a model's weights and replaces the piece staged under the same index.
 	Stage(ctx context.Context, model core.Model, index int, data []byte) error
-	// ReadStaged returns a staged piece, which may be corrupt. It fails if the piece has more than maxBytes.
+	// ReadStaged returns a staged piece, which may be corrupt. It fails with CodeMalformed if the piece has more than maxBytes.
 	ReadStaged(ctx context.Context, model core.Model, index, maxBytes int) ([]byte, error)
 	// Load starts a load and returns before it has finished. The worker loads the pieces that are staged when it accepts the
 	// order.
@@ -87,6 +87,6 @@
 // Origin is the origin of weights. Its responses may be corrupt.
 type Origin interface {
 	Manifest(ctx context.Context, address string, model core.Model, version int64) (Manifest, error)
-	// Piece returns a piece. It fails if the piece has more than maxBytes.
+	// Piece returns a piece. It fails with CodeMalformed if the piece has more than maxBytes.
 	Piece(ctx context.Context, address string, model core.Model, version int64, index, maxBytes int) ([]byte, error)
 }
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -118,10 +118,10 @@
 			}
 			continue
 		}
-		if err != nil {
+		if err != nil && !isWrongPiece(err) {
 			return err
 		}
-		if !manifest.Digests[index].Matches(data) {
+		if err != nil || !manifest.Digests[index].Matches(data) {
 			// The worker has staged another version.
 			if index == 0 {
 				return nil
--- a/transport/staging/inherited.go
+++ b/transport/staging/inherited.go
@@ -115,14 +115,17 @@
 	return a.wants(t), nil
 }
 
-// readAllStaged returns the staged pieces of a model; a missing one is nil.
+// readAllStaged returns the staged pieces of a model; a missing one is nil, one that is too large empty.
 func (a *Agent) readAllStaged(ctx context.Context, model core.Model, count int) ([][]byte, error) {
 	staged := make([][]byte, count)
 	for index := range staged {
 		data, err := a.readStaged(ctx, model, index)
-		if err != nil && protocol.CodeOf(err) != protocol.CodeNotFound {
+		if err != nil && !isWrongPiece(err) {
 			return nil, err
 		}
+		if protocol.CodeOf(err) == protocol.CodeMalformed {
+			data = []byte{}
+		}
 		staged[index] = data
 	}
 	return staged, nil
--- a/transport/staging/staging_test.go
+++ b/transport/staging/staging_test.go
@@ -102,6 +102,9 @@
 	if w.onRead != nil {
 		w.onRead(index)
 	}
+	if len(data) > maxBytes {
+		return nil, protocol.Errorf(protocol.CodeMalformed, "piece %d has %d bytes", index, len(data))
+	}
 	return data, nil
 }
 
--- a/transport/staging/verify.go
+++ b/transport/staging/verify.go
@@ -81,7 +81,7 @@
 			v.setSoundAt(index, startedAt)
 			return nil
 		}
-		if err != nil && protocol.CodeOf(err) != protocol.CodeNotFound {
+		if err != nil && !isWrongPiece(err) {
 			return err
 		}
 		v.setSoundAt(index, time.Time{})
@@ -93,6 +93,12 @@
 		v.target.version, maxStageAttempts)
 }
 
+// isWrongPiece reports whether the read of a staged piece failed because the piece is missing, or larger than any piece of a version.
+func isWrongPiece(err error) bool {
+	code := protocol.CodeOf(err)
+	return code == protocol.CodeNotFound || code == protocol.CodeMalformed
+}
+
 // restage stages a piece again.
 func (a *Agent) restage(ctx context.Context, t target, index int) error {
 	data, ok := a.pieces.get(t, index)
--- a/transport/staging/verify_test.go
+++ b/transport/staging/verify_test.go
@@ -241,15 +241,45 @@
 	require.Empty(t, w.wrong())
 }
 
+// setPieceBytes states the size of pieces in the configuration.
+func (g *group) setPieceBytes(size int) {
+	g.table.SetConfiguration(&fleet.Configuration{Version: 2, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
+		"llm":    {Engine: &fleet.EngineSpec{Layers: layers, Chunks: pieceCount, ChunkBytes: size, Models: []core.Model{"m"}}},
+		"origin": {Origin: &fleet.OriginSpec{Address: "origin", FailureDomain: "a"}},
+	}})
+}
+
+// TestPiecesThatAreTooLargeAreReplaced guards against an agent that fails at each staged piece that is larger than those of its version,
+// of an older version or corrupt, and never loads the new one.
+func TestPiecesThatAreTooLargeAreReplaced(t *testing.T) {
+	const pieceBytes = 1 << 10
+	g := newGroup(t)
+	g.setPieceBytes(pieceBytes)
+	g.setWanted(2)
+	w := newWorker()
+	w.loaded = []fleet.LoadedModel{{Model: "m", Version: 1, Layers: layers}}
+	for index := range pieceCount {
+		w.staged[index] = make([]byte, 2*pieceBytes)
+	}
+	var once sync.Once
+	w.onReport = func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if string(w.staged[pieceCount-1]) == string(piece(2, pieceCount-1)) {
+			once.Do(func() { w.staged[5] = make([]byte, 2*pieceBytes) })
+		}
+	}
+	g.startAgentWith("127.0.16.13", w, func(cfg *staging.Config) { cfg.LateOrderTimeout = 200 * time.Millisecond })
+	eventually(t, func() bool { return w.version() == 2 })
+	require.Empty(t, w.wrong())
+}
+
 // TestReadsOfPiecesAreBoundedByTheirSize guards against a worker, an origin or a peer that sends bytes without end in place of a piece: an
 // agent reads several pieces at a time, and all of them together would exhaust its memory.
 func TestReadsOfPiecesAreBoundedByTheirSize(t *testing.T) {
 	const pieceBytes = 1 << 10
 	g := newGroup(t)
-	g.table.SetConfiguration(&fleet.Configuration{Version: 2, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
-		"llm":    {Engine: &fleet.EngineSpec{Layers: layers, Chunks: pieceCount, ChunkBytes: pieceBytes, Models: []core.Model{"m"}}},
-		"origin": {Origin: &fleet.OriginSpec{Address: "origin", FailureDomain: "a"}},
-	}})
+	g.setPieceBytes(pieceBytes)
 	g.setWanted(2)
 	w := newWorker()
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.16.12:%d", peerPort))
