--- a/transport/ingress/buffer_test.go
+++ b/transport/ingress/buffer_test.go
@@ -87,6 +87,7 @@
 				got += string(event)
 			}
 		}
+		require.LessOrEqual(t, cap(buffer.data), max(readBufferBytes, 2*len(stream)), "bytes kept")
 		require.True(t, strings.HasPrefix(stream, got))
 		require.Zero(t, sse.EventLength([]byte(stream[len(got):])), "the rest holds no complete event")
 		require.Equal(t, got == stream, buffer.isEmpty())
