Soak: fix a race of the suspension, count served requests once

Cause: the list of pieces that were sent was read without its lock when the suspension began, while another response was noted. A fault of the test itself; its checks are as before. Three runs of both new soak tests with the race detector pass.

The share of served requests is counted by one function.

--- a/bench/soak/endless.go
+++ b/bench/soak/endless.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -86,17 +85,10 @@
 // checkEndlessPeriods checks that most requests were served while one of several workers answered without end; the caller holds the lock.
 func (c *checker) checkEndlessPeriods() {
 	for _, period := range c.endless {
-		served, all := 0, 0
-		for id, s := range c.requests {
-			_, revoked := c.revoked[s.key]
-			if revoked || s.at.Before(period.from) || s.at.After(period.to) || !noneBetween(c.faults, period.from, period.to) {
-				continue
-			}
-			all++
-			if response := c.responses[id]; response.status == http.StatusOK && response.complete {
-				served++
-			}
+		if !noneBetween(c.faults, period.from, period.to) {
+			continue
 		}
+		served, all := c.countServed(func(s sentRequest) bool { return !s.at.Before(period.from) && !s.at.After(period.to) })
 		if float64(served) < minServedBesideEndless*float64(all) {
 			c.addViolation("only %d of %d requests were served while one worker answered without end", served, all)
 		}
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -219,9 +219,15 @@
 func (c *checker) servedSince(at time.Time) (float64, int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	served, all := 0, 0
+	served, all := c.countServed(func(s sentRequest) bool { return !s.at.Before(at) })
+	return float64(served) / float64(max(all, 1)), all
+}
+
+// countServed returns how many of the requests that isCounted selects got a complete 200 response, and the number of these requests.
+// Requests with a key that is revoked during the run are not counted; the caller holds the lock.
+func (c *checker) countServed(isCounted func(sentRequest) bool) (served, all int) {
 	for id, s := range c.requests {
-		if _, revoked := c.revoked[s.key]; s.at.Before(at) || revoked {
+		if _, revoked := c.revoked[s.key]; revoked || !isCounted(s) {
 			continue
 		}
 		all++
@@ -229,5 +235,5 @@
 			served++
 		}
 	}
-	return float64(served) / float64(max(all, 1)), all
+	return served, all
 }
--- a/bench/soak/suspend.go
+++ b/bench/soak/suspend.go
@@ -42,10 +42,10 @@
 	}
 	s.mu.Lock()
 	s.read = append(s.read, index)
-	due := len(s.read) >= s.afterReads && !s.atReport
+	due, first := len(s.read) >= s.afterReads && !s.atReport, s.read[0]
 	s.mu.Unlock()
 	if due {
-		s.begin(w)
+		s.begin(w, first)
 	}
 }
 
@@ -56,16 +56,21 @@
 	}
 	s.mu.Lock()
 	due := len(s.read) >= s.afterReads && s.atReport
+	first := 0
+	if due {
+		first = s.read[0]
+	}
 	s.mu.Unlock()
 	if due {
-		s.begin(w)
+		s.begin(w, first)
 	}
 }
 
-func (s *suspension) begin(w *platformtest.Worker) {
+// begin suspends the agent, unless it was suspended before, and corrupts a piece.
+func (s *suspension) begin(w *platformtest.Worker, index int) {
 	s.once.Do(func() {
 		s.agent.signal(syscall.SIGSTOP)
-		w.CorruptStaged(s.read[0])
+		w.CorruptStaged(index)
 		time.AfterFunc(agentSuspension, func() {
 			s.agent.signal(syscall.SIGCONT)
 			close(s.ended)
