Decode the published figures of engines and of the weight origin

Cause: decisions under load need the work of a request and the speed of an engine and of the origin's link; the configuration and two headers state them, and none was decoded. Change: fleet.EngineSpec.Performance, OriginSpec.BytesPerSecond and ConnectionLimit; headers.Names.Tokens; dispatch.Request carries priority and sizes. Nothing reads them yet, so placement is as before.

--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -130,6 +130,11 @@
 	Exclude []fleet.ReplicaID
 	// Only, if set, is the only replica that may serve the request.
 	Only fleet.ReplicaID
+	// Priority is the urgency of the request; 0 is the most urgent.
+	Priority int
+	// PromptTokens and OutputTokens are the sizes of a generation request, 0 if unknown. OutputTokens is an estimate.
+	PromptTokens int
+	OutputTokens int
 }
 
 // Verdict is the result of Pick.
--- a/protocol/headers/headers.go
+++ b/protocol/headers/headers.go
@@ -34,6 +34,10 @@
 	RequestLimit string
 	// PromptPrefix lists the parts of a request's prompt; requests share all but the last one.
 	PromptPrefix string
+	// TokenCounts carries the number of prompt tokens of a request and the maximum of its output tokens.
+	TokenCounts string
+	// LengthHint carries the caller's estimate of the number of output tokens.
+	LengthHint string
 }
 
 // LeavingValue is the value of the header Names.Leaving.
@@ -44,7 +48,7 @@
 	for _, name := range []*string{
 		&n.RequestID, &n.Deadline, &n.Stamp, &n.Team, &n.ExpectReplica, &n.ExpectVersion, &n.Load, &n.NotRun, &n.Replica,
 		&n.ColdRemaining, &n.Model, &n.Priority, &n.Leaving,
-		&n.RequestLimit, &n.PromptPrefix,
+		&n.RequestLimit, &n.PromptPrefix, &n.TokenCounts, &n.LengthHint,
 	} {
 		*name = textproto.CanonicalMIMEHeaderKey(*name)
 	}
--- a/state/fleet/types.go
+++ b/state/fleet/types.go
@@ -101,12 +101,43 @@
 	Chunks     int
 	ChunkBytes int
 	Models     []core.Model
+	// Performance holds the figures that the engines publish, nil if they publish none.
+	Performance *EnginePerformance
+}
+
+// EnginePerformance holds the published figures of the engines of an upstream, for usual conditions. Times scale with the pace that an
+// engine reports. A figure that is not published is 0.
+type EnginePerformance struct {
+	// Step is the time of a pass that generates one token for each running request. Each running request adds PerSequence, and each
+	// 1,000 tokens of its context add ContextPerK.
+	Step        time.Duration
+	PerSequence time.Duration
+	ContextPerK time.Duration
+	// ReadTokensPerSecond is the rate at which prompt tokens are read, PairsPerMillion the additional time for a million pairs of a
+	// token and an earlier one.
+	ReadTokensPerSecond float64
+	PairsPerMillion     time.Duration
+	// MaxReadTokens bounds the prompt tokens that are read within one step.
+	MaxReadTokens int
+	// Stride is the number of steps in a pass while requests are generating.
+	Stride int
+	// CacheTokens is the number of tokens of all requests that an engine holds at most.
+	CacheTokens int
+	// UsualPromptTokens and UsualOutputTokens are the mean lengths of requests.
+	UsualPromptTokens int
+	UsualOutputTokens int
+	// ReportLag is the age of the figures in an engine's report.
+	ReportLag time.Duration
 }
 
 // OriginSpec describes the origin of weights.
 type OriginSpec struct {
 	Address       string
 	FailureDomain core.FailureDomain
+	// BytesPerSecond is the bandwidth of the origin's link, 0 if unknown.
+	BytesPerSecond float64
+	// ConnectionLimit is the number of connections that the origin accepts at a time, 0 if unknown.
+	ConnectionLimit int
 }
 
 // Limits bounds the size of callers' requests and the time to send them.
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -11,6 +11,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport"
@@ -246,6 +247,7 @@
 		TeamRegions:  teamRegions(c.team),
 		Exclude:      c.tried,
 		Late:         c.late,
+		Priority:     c.priority(),
 	}
 	spec := c.view.Configuration.Upstreams[c.upstream]
 	if spec.Engine == nil {
@@ -253,6 +255,8 @@
 	}
 	request.Model = core.Model(c.r.Header.Get(c.h.Headers.Model))
 	request.Layers = spec.Engine.Layers
+	tokens := c.h.Headers.Tokens(c.r.Header)
+	request.PromptTokens, request.OutputTokens = tokens.Prompt, expectedOutput(tokens)
 	if c.h.Config.OldVersionGrace > 0 {
 		// Uses the current view, since a version may have become the target after the request arrived.
 		wanted := c.h.View().Wanted[request.Model]
@@ -262,6 +266,17 @@
 	return request
 }
 
+// expectedOutput returns the caller's estimate of the number of output tokens, or the maximum if there is none.
+func expectedOutput(tokens headers.Tokens) int {
+	switch {
+	case tokens.OutputHint == 0:
+		return tokens.MaxOutput
+	case tokens.MaxOutput == 0:
+		return tokens.OutputHint
+	}
+	return min(tokens.OutputHint, tokens.MaxOutput)
+}
+
 // mayRetry reports whether another attempt may follow a failed one. It excludes the failed replica from further attempts
 // and, unless nothing was sent, takes a retry from the budget.
 func (c *call) mayRetry(choice dispatch.Choice, result attemptResult) bool {
