Leave slots to more urgent requests of all entries

Cause: in a burst of plan-draft (priority 2) note-summary (priority 0) was served worst, since less urgent requests take every slot that comes free. Change: entries tell agents their demand by priority in the requests for reports, and reports carry the totals (left out where the routes of an upstream have one priority). A less urgent request leaves as many slots of a replica free as urgent ones arrive there within 250 ms, at most a quarter. Nothing is reserved without a fresh report with totals, and not for a priority below its minimum share.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -19,7 +19,9 @@
 	replicas map[fleet.ReplicaID]*replica
 	groups   map[core.Upstream][]*replica
 	specs    map[core.Upstream]fleet.UpstreamSpec
-	notices  map[fleet.ReplicaID]*notice
+	// ranked has the upstreams whose routes have different priorities.
+	ranked  map[core.Upstream]bool
+	notices map[fleet.ReplicaID]*notice
 	// senders is the number of hosts that send to a replica in the last report that has one, 0 if there is none.
 	senders int
 }
@@ -37,6 +39,7 @@
 	next := make(map[fleet.ReplicaID]*replica, len(view.Members))
 	b.groups = make(map[core.Upstream][]*replica)
 	b.specs = view.Configuration.Upstreams
+	b.ranked = view.Configuration.RankedUpstreams()
 	for _, member := range view.Members {
 		current := b.replicas[member.ID]
 		if current == nil || current.member.Born != member.Born || current.member.Address != member.Address {
@@ -59,7 +62,7 @@
 	fromAgent := report.Models != nil
 	if !fromAgent {
 		report.Models, report.Loading = r.report.Models, r.report.Loading
-		report.Senders, report.Share = r.report.Senders, r.report.Share
+		report.Senders, report.Share, report.Demand = r.report.Senders, r.report.Share, r.report.Demand
 		report.Pace, report.RequestLimit = r.report.Pace, r.report.RequestLimit
 	}
 	if report.Senders > 0 {
@@ -71,7 +74,7 @@
 	r.report = report
 	r.reportedAt = now
 	if fromAgent {
-		r.drawHeadroom(&b.cfg, b.random.Float64())
+		r.headroomDraw = b.random.Float64()
 	}
 	reportMadeAt := now.Add(-b.cfg.ReportLag)
 	r.recentSends = slices.DeleteFunc(r.recentSends, func(at time.Time) bool { return !at.After(reportMadeAt) })
@@ -245,7 +248,10 @@
 
 func (b *Balancer) hasCapacity(now time.Time, request *Request, r *replica) bool {
 	limit := r.slots() + b.cfg.Overcommit
+	reserved, ranked := b.reservedSlots(now, request, r)
 	switch {
+	case ranked:
+		limit -= reserved
 	case request.Moved:
 		limit += b.cfg.MovedOvercommit
 	case request.Late && b.specs[r.member.Upstream].Engine != nil:
@@ -258,7 +264,7 @@
 		return false
 	case r.load(&b.cfg, now) >= limit:
 		return false
-	case !request.Moved && r.headroomUsed(&b.cfg, now):
+	case !request.Moved && r.headroomUsed(&b.cfg, now, reserved):
 		return false
 	}
 	return true
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -28,6 +28,10 @@
 	// LateReserve is the share of a replica's slots that a late request leaves free. Higher values answer more requests in time and
 	// fewer of those that were refused before.
 	LateReserve float64
+	// PriorityReserve bounds the share of a replica's slots that a request leaves free for more urgent ones, ReserveTime is the time for
+	// whose urgent requests it does so: about the age of a load report, since a slot that is taken meanwhile shows only in the next one.
+	PriorityReserve float64
+	ReserveTime     time.Duration
 	// HeadroomFactor scales this host's share of a replica's free slots between two load reports; the share is rounded up. Higher
 	// values fill the slots when few hosts send at once, but let more requests queue at the replica when many do.
 	HeadroomFactor float64
@@ -82,6 +86,8 @@
 		Overcommit:            1,
 		MovedOvercommit:       2,
 		LateReserve:           0.3,
+		PriorityReserve:       0.25,
+		ReserveTime:           250 * time.Millisecond,
 		HeadroomFactor:        0.7,
 		CrowdedHeadroomFactor: 1.2,
 		MaxSendersPerSlot:     5,
@@ -126,6 +132,9 @@
 	// Late is true for a request that can't be answered within its latency objective any more. It leaves LateReserve of the slots of
 	// a replica to others: under overload as many requests are served either way, but more of them in time.
 	Late bool
+	// Guaranteed is true for a request of a priority of which fewer requests are started than its minimum share. It leaves no slots to
+	// more urgent ones.
+	Guaranteed bool
 	// Exclude lists the replicas that earlier attempts were sent to.
 	Exclude []fleet.ReplicaID
 	// Only, if set, is the only replica that may serve the request.
@@ -206,6 +215,9 @@
 	Senders int
 	// Share is this host's share of the requests that all hosts have for the replica's upstream; 0 means unknown.
 	Share float64
+	// Demand is the rate of requests per second that all hosts have for the replica's upstream, by the level of their priority; nil
+	// means unknown.
+	Demand []float64
 	// Pace is the current service time as a multiple of the usual one; 0 means unknown.
 	Pace float64
 	// RequestLimit is the request rate that the replica takes from all hosts together.
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -24,8 +24,8 @@
 	// report is the last load report. reportedAt is the time of its arrival; zero means that there is none.
 	report     Report
 	reportedAt time.Time
-	// headroom is the number of requests that this host may send between two reports.
-	headroom int
+	// headroomDraw is the random number, in [0, 1), by which this host's share of the free slots in the last report is rounded.
+	headroomDraw float64
 	// recentSends holds the send times of requests that the last report may not include yet.
 	recentSends []time.Time
 
@@ -53,25 +53,24 @@
 	return max(r.inFlight, r.report.Running+r.report.Waiting+r.unreportedSends(cfg))
 }
 
-// drawHeadroom sets the number of requests that this host may send until the next report: its share of the free slots in the last
-// one. All hosts see the same report; if each rounded its share up, all would send to a replica with one free slot. So a share is
+// headroom returns the number of requests that this host may send until the next report: its share of the free slots in the last one,
+// less those that are reserved for more urgent requests. All hosts see the same report; if each rounded its share up, all would send to a replica with one free slot. So a share is
 // rounded up only while there are few hosts for each free slot, and otherwise up or down at random, in proportion to the remainder.
-func (r *replica) drawHeadroom(cfg *Config, random float64) {
-	freeSlots := float64(max(r.slots()+cfg.Overcommit-r.report.Running-r.report.Waiting, 0))
+func (r *replica) headroom(cfg *Config, reserved int) int {
+	freeSlots := float64(max(r.slots()+cfg.Overcommit-reserved-r.report.Running-r.report.Waiting, 0))
 	share := freeSlots * r.report.share()
 	if float64(r.report.Senders) <= cfg.MaxSendersPerSlot*freeSlots {
-		r.headroom = int(math.Ceil(cfg.HeadroomFactor * share))
-		return
+		return int(math.Ceil(cfg.HeadroomFactor * share))
 	}
-	r.headroom = int(math.Floor(cfg.CrowdedHeadroomFactor*share + random))
+	return int(math.Floor(cfg.CrowdedHeadroomFactor*share + r.headroomDraw))
 }
 
 // headroomUsed reports whether this host has sent all requests that it may send until the next report.
-func (r *replica) headroomUsed(cfg *Config, now time.Time) bool {
+func (r *replica) headroomUsed(cfg *Config, now time.Time, reserved int) bool {
 	if !r.hasFreshReport(cfg, now) || r.report.Senders < 2 {
 		return false
 	}
-	return r.unreportedSends(cfg) >= r.headroom
+	return r.unreportedSends(cfg) >= r.headroom(cfg, reserved)
 }
 
 // unreportedSends returns the number of requests sent after the time at which the last report was made.
--- a/state/fleet/types.go
+++ b/state/fleet/types.go
@@ -30,6 +30,23 @@
 	Limits    Limits
 }
 
+// RankedUpstreams returns the upstreams whose routes have different priorities.
+func (c *Configuration) RankedUpstreams() map[core.Upstream]bool {
+	first := make(map[core.Upstream]int)
+	ranked := make(map[core.Upstream]bool)
+	for i := range c.Routes {
+		for _, target := range c.Routes[i].Targets {
+			priority, seen := first[target.Upstream]
+			if !seen {
+				first[target.Upstream] = c.Routes[i].Priority
+			} else if priority != c.Routes[i].Priority {
+				ranked[target.Upstream] = true
+			}
+		}
+	}
+	return ranked
+}
+
 // Route defines the targets and the handling of requests for a host name and path prefix.
 type Route struct {
 	Name       string
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -133,6 +133,7 @@
 		StoreUnresponsive: e.follower.StoreUnresponsive,
 		Direct:            e.mayBeRelay,
 		Demand:            e.router.MeasureDemand,
+		PriorityDemand:    e.router.PriorityDemand,
 		Notices:           e.quarantine,
 		Sink: loadshare.Sink{
 			Report: e.recordLoad, WantedVersion: e.follower.LearnTargetTime,
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -117,7 +117,7 @@
 // serve sends the request to one replica after the other until one serves it or no further attempt is allowed.
 func (c *call) serve() {
 	c.upstream = c.h.router.pickUpstream(c.route)
-	c.h.router.countRequest(c.upstream)
+	c.h.router.countRequest(c.upstream, c.priority())
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(c.h.Now()))
 	defer cancel()
 	ctx, abort := context.WithCancelCause(ctx)
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -9,6 +9,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/lateness"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/retry"
+	"github.com/guavatrestle/guavatrestle/coordination/workload"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
@@ -20,6 +21,9 @@
 	balancer *dispatch.Balancer
 	budgets  map[core.Upstream]*retry.Budget
 	demand   map[core.Upstream]*demand
+	// ranked has the upstreams whose routes have different priorities, shares what they have started of each priority.
+	ranked map[core.Upstream]bool
+	shares map[core.Upstream]*workload.Shares
 	// retryBurst is this host's part of the burst of the retry budgets of all hosts.
 	retryBurst float64
 	lateness   *lateness.Estimator
@@ -34,6 +38,7 @@
 		balancer: dispatch.NewBalancer(cfg.Dispatch, random),
 		budgets:  make(map[core.Upstream]*retry.Budget),
 		demand:   make(map[core.Upstream]*demand),
+		shares:   make(map[core.Upstream]*workload.Shares),
 
 		retryBurst: cfg.Retry.BudgetBurst,
 
@@ -50,6 +55,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.ranked = view.Configuration.RankedUpstreams()
 	r.balancer.SetView(view)
 }
 
@@ -124,7 +130,31 @@
 func (r *Router) pickReplica(request dispatch.Request) (dispatch.Choice, dispatch.Verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.balancer.Pick(r.now(), request)
+	return r.pick(request)
+}
+
+// pick chooses a replica and counts the request as started if there is one; the caller must hold the lock.
+func (r *Router) pick(request dispatch.Request) (dispatch.Choice, dispatch.Verdict) {
+	now := r.now()
+	if !r.ranked[request.Upstream] {
+		return r.balancer.Pick(now, request)
+	}
+	shares := r.sharesOf(request.Upstream)
+	request.Guaranteed = shares.BelowMinimum(now, request.Priority)
+	choice, verdict := r.balancer.Pick(now, request)
+	if verdict == dispatch.VerdictChosen {
+		shares.Started(now, request.Priority)
+	}
+	return choice, verdict
+}
+
+func (r *Router) sharesOf(upstream core.Upstream) *workload.Shares {
+	shares := r.shares[upstream]
+	if shares == nil {
+		shares = &workload.Shares{}
+		r.shares[upstream] = shares
+	}
+	return shares
 }
 
 // trialReplica returns the replica that all hosts use to try a part whose quarantine has run out.
@@ -191,12 +221,17 @@
 	return r.lateness.Elapsed(r.now(), route, left)
 }
 
-// countRequest adds a request to the retry budget and the demand of its upstream.
-func (r *Router) countRequest(upstream core.Upstream) {
+// countRequest adds a request to the retry budget, the demand and the shares of its upstream.
+func (r *Router) countRequest(upstream core.Upstream, priority int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.budget(upstream).AddRequest()
-	r.demandOf(upstream).count++
+	d := r.demandOf(upstream)
+	d.count++
+	d.levels[workload.Level(priority)].count++
+	if r.ranked[upstream] {
+		r.sharesOf(upstream).Arrived(r.now(), priority)
+	}
 }
 
 // takeRetry takes a retry from the budget of an upstream. It returns false if the budget is used up.
--- a/transport/ingress/router_test.go
+++ b/transport/ingress/router_test.go
@@ -17,7 +17,7 @@
 	cfg.RetryBurstTotal = 150
 	retries := func(hosts int) int {
 		router := NewRouter(cfg, rand.New(rand.NewPCG(1, 1)), time.Now)
-		router.countRequest("llm")
+		router.countRequest("llm", 0)
 		router.RecordLoad("r1", dispatch.Report{Senders: hosts})
 		count := 0
 		for router.takeRetry("llm") {
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -27,6 +27,7 @@
 	storeUnresponsive bool
 	failureDomain     core.FailureDomain
 	demand            float64
+	priorityDemand    []float64
 	// direct is set when the host reads the store itself and the store answers it.
 	direct bool
 }
@@ -128,7 +129,7 @@
 	if !r.hasReport || len(r.requesters) == 0 {
 		return
 	}
-	r.current.Senders = len(r.requesters)
+	r.current.Senders, r.current.Demand = len(r.requesters), r.totalPriorityDemand()
 	body, err := encodeReport(r.born, r.current, r.totalDemand(), unresponsive, recentWanted(now, r.view()))
 	if err != nil {
 		r.log.WithError(err).Error("encode load report")
@@ -152,6 +153,20 @@
 	return total
 }
 
+// totalPriorityDemand returns the demand by priority of all requesters that have told it; the caller holds the lock.
+func (r *Reporter) totalPriorityDemand() []float64 {
+	var total []float64
+	for _, host := range r.requesters {
+		for level, perSecond := range host.priorityDemand {
+			if level == len(total) {
+				total = append(total, 0)
+			}
+			total[level] = roundDemand(total[level] + perSecond)
+		}
+	}
+	return total
+}
+
 // relays returns the relay of each failure domain; the caller holds the lock.
 func (r *Reporter) relays() map[core.FailureDomain]netip.Addr {
 	var candidates []relay.Candidate
@@ -172,6 +187,7 @@
 		r.requesters[from] = requester{
 			lastRequest: bootclock.Time(), storeUnresponsive: request.StoreUnresponsive,
 			failureDomain: request.FailureDomain, direct: request.Direct, demand: request.Demand,
+			priorityDemand: request.PriorityDemand,
 		}
 	}
 	r.addNotices(decodeNotices(bootclock.Time(), request.Notices))
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -56,6 +56,9 @@
 	Direct            func() bool
 	// Demand returns the rate of requests per second of this host's callers for an upstream.
 	Demand func(core.Upstream) float64
+	// PriorityDemand, if set, returns the same by the level of the requests' priority, as of the last call of Demand; nil if the routes
+	// of the upstream have only one priority.
+	PriorityDemand func(core.Upstream) []float64
 	// Notices, if set, is exchanged with other hosts.
 	Notices Notices
 	Sink    Sink
@@ -134,6 +137,9 @@
 			StoreUnresponsive: l.StoreUnresponsive(), Wanted: recentWanted(bootclock.Time(), view),
 			FailureDomain: l.FailureDomain, Direct: l.Direct(), AskRelays: asked < relayQuestions, Demand: demand[upstream],
 		}
+		if l.PriorityDemand != nil {
+			request.PriorityDemand = l.PriorityDemand(upstream)
+		}
 		if engine := engineOf(view, upstream); engine != nil {
 			request.Newest = newestWithoutTime(view, engine.Models)
 		}
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/netip"
 	"time"
 
@@ -51,6 +52,9 @@
 	AskRelays     bool               `json:"y,omitempty"`
 	// Demand is, in a request, the rate of requests per second that the sender has for the upstream of the agent.
 	Demand float64 `json:"e,omitempty"`
+	// PriorityDemand is, in a request, the same by the level of the requests' priority. It is left out where the routes of the upstream
+	// have only one priority.
+	PriorityDemand []float64 `json:"i,omitempty"`
 	// StoreUnresponsive is set in a request when the store does not answer the sender.
 	StoreUnresponsive bool `json:"x,omitempty"`
 	// Wanted lists, in a request, the versions that recently became wanted as known to the sender.
@@ -76,9 +80,11 @@
 	Models       []model  `json:"m"`
 	Senders      int      `json:"f"`
 	// Demand is the total demand of the Senders in requests per second, 0 if one of them is unknown.
-	Demand float64         `json:"e,omitempty"`
-	Pace   float64         `json:"p,omitempty"`
-	Wanted []wantedVersion `json:"v,omitempty"`
+	Demand float64 `json:"e,omitempty"`
+	// PriorityDemand is the total by the level of the requests' priority of those Senders that have told it.
+	PriorityDemand []float64       `json:"i,omitempty"`
+	Pace           float64         `json:"p,omitempty"`
+	Wanted         []wantedVersion `json:"v,omitempty"`
 	// StoreUnresponsiveCount is the number of Senders that the store does not answer.
 	StoreUnresponsiveCount int `json:"x,omitempty"`
 }
@@ -139,10 +145,11 @@
 	}
 }
 
+// encodeReport encodes a report, whose Demand is the total by priority, with the total demand.
 func encodeReport(born int64, r dispatch.Report, demand float64, unresponsive int, versions []wantedVersion) ([]byte, error) {
 	wire := &report{
 		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace, Demand: demand,
-		Wanted: versions, StoreUnresponsiveCount: unresponsive,
+		PriorityDemand: r.Demand, Wanted: versions, StoreUnresponsiveCount: unresponsive,
 	}
 	if r.RequestLimit.Stated {
 		wire.RequestLimit = &r.RequestLimit.PerSecond
@@ -157,7 +164,7 @@
 func (r *report) decode(ownDemand float64) dispatch.Report {
 	decoded := dispatch.Report{
 		Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace,
-		Models: []fleet.LoadedModel{},
+		Models: []fleet.LoadedModel{}, Demand: r.PriorityDemand,
 	}
 	if r.RequestLimit != nil {
 		decoded.RequestLimit = fleet.RequestLimit{Stated: true, PerSecond: *r.RequestLimit}
@@ -170,3 +177,6 @@
 	}
 	return decoded
 }
+
+// roundDemand rounds a rate of requests per second to a tenth, which keeps messages short.
+func roundDemand(perSecond float64) float64 { return math.Round(perSecond*10) / 10 }
--- a/transport/loadshare/receive.go
+++ b/transport/loadshare/receive.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/guavatrestle/guavatrestle/coordination/workload"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
@@ -49,6 +50,9 @@
 	if received.Demand < 0 {
 		return received, eris.Errorf("demand is %f", received.Demand)
 	}
+	if err := checkPriorityDemand(received.PriorityDemand); err != nil {
+		return received, err
+	}
 	for i := range received.Notices {
 		if err := received.Notices[i].check(); err != nil {
 			return received, err
@@ -79,5 +83,17 @@
 	if r.RequestLimit != nil && *r.RequestLimit < 0 {
 		return eris.Errorf("request limit %f is negative", *r.RequestLimit)
 	}
+	return checkPriorityDemand(r.PriorityDemand)
+}
+
+func checkPriorityDemand(demand []float64) error {
+	if len(demand) > workload.Levels {
+		return eris.Errorf("demand has %d priorities", len(demand))
+	}
+	for _, perSecond := range demand {
+		if perSecond < 0 || perSecond > maxCount {
+			return eris.Errorf("demand %f of a priority is out of range", perSecond)
+		}
+	}
 	return nil
 }
