--- a/coordination/workload/workload.go
+++ b/coordination/workload/workload.go
@@ -19,6 +19,9 @@
 	// workShift is the part of the objective by which a request of twice the usual work ranks later. Small requests go first among
 	// those with about the same time left, since more of them are answered with the same capacity.
 	workShift = 0.1
+	// returnedAfter is the time for which a caller must have been trying to count as one that was refused before. It is the least delay
+	// that a refused caller is told, and longer than the jitter of the network.
+	returnedAfter = 50 * time.Millisecond
 )
 
 // Level returns the level of a priority, from 0 for the most urgent to Levels-1.
@@ -68,6 +71,23 @@
 	FirstEvent time.Duration
 	// Work is the result of the function Work.
 	Work float64
+	// Resumed is true for a stream that has begun and goes on at another replica. Its caller has no use for another beginning, so it goes
+	// before others of its priority.
+	Resumed bool
+}
+
+// startBy returns the latest start with which the objective is met.
+func (r *Request) startBy() time.Time { return r.Arrived.Add(r.Objective - r.Elapsed - r.FirstEvent) }
+
+// Latest returns the latest start with which the response begins before the deadline.
+func (r *Request) Latest() time.Time { return r.Deadline.Add(-r.FirstEvent) }
+
+// Returned reports whether the caller has probably been refused before.
+func (r *Request) Returned() bool { return r.Elapsed >= returnedAfter }
+
+// Late reports whether the objective can't be met any more.
+func (r *Request) Late(now time.Time) bool {
+	return r.Objective > 0 && !r.Resumed && r.startBy().Before(now)
 }
 
 // Rank is the place of a request among others. The zero value of its unexported fields is the most urgent.
@@ -85,12 +105,14 @@
 // RankAt returns the rank that a request has at now.
 func RankAt(now time.Time, r Request) Rank {
 	rank := Rank{Level: Level(r.Priority)}
-	startBy := r.Arrived.Add(r.Objective - r.Elapsed - r.FirstEvent)
-	latest := r.Deadline.Add(-r.FirstEvent)
+	startBy, latest := r.startBy(), r.Latest()
 	switch {
+	case r.Resumed:
+		rank.StartBy = latest
+		return rank
 	case r.Objective <= 0:
 		rank.StartBy = latest
-	case startBy.Before(now):
+	case r.Late(now):
 		rank.Lost, rank.StartBy = true, latest
 	case latest.Before(startBy):
 		rank.StartBy = latest
--- a/state/fleet/types.go
+++ b/state/fleet/types.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -30,19 +31,28 @@
 	Limits    Limits
 }
 
-// RankedUpstreams returns the upstreams whose routes have different priorities.
-func (c *Configuration) RankedUpstreams() map[core.Upstream]bool {
-	first := make(map[core.Upstream]int)
-	ranked := make(map[core.Upstream]bool)
+// RankedUpstreams returns the upstreams whose routes have different priorities, each with the priorities of its routes and of the teams
+// in ascending order.
+func (c *Configuration) RankedUpstreams() map[core.Upstream][]int {
+	ranked := make(map[core.Upstream][]int)
 	for i := range c.Routes {
 		for _, target := range c.Routes[i].Targets {
-			priority, seen := first[target.Upstream]
-			if !seen {
-				first[target.Upstream] = c.Routes[i].Priority
-			} else if priority != c.Routes[i].Priority {
-				ranked[target.Upstream] = true
+			ranked[target.Upstream] = append(ranked[target.Upstream], c.Routes[i].Priority)
+		}
+	}
+	for upstream, priorities := range ranked {
+		slices.Sort(priorities)
+		if priorities = slices.Compact(priorities); len(priorities) == 1 {
+			delete(ranked, upstream)
+			continue
+		}
+		for i := range c.Teams {
+			if c.Teams[i].HasPriority {
+				priorities = append(priorities, c.Teams[i].Priority)
 			}
 		}
+		slices.Sort(priorities)
+		ranked[upstream] = slices.Compact(priorities)
 	}
 	return ranked
 }
