Bound the usual start and the wait of late requests

Change: only requests that were not late when they were sent count in the usual start, which takes at most 0.8 of the objective; late requests wait 250 ms; refused callers are promised at least 0.03 of the starts. TestSlowStartsLeaveTimeToWait fails without the bound.

--- a/coordination/waiting/forecast.go
+++ b/coordination/waiting/forecast.go
@@ -13,6 +13,9 @@
 	ratesWindow = 2 * time.Second
 	// leastRateShare is the least part of the starts that a class is assumed to get when more urgent requests take all of them.
 	leastRateShare = 0.05
+	// leastPromisedShare is the least part of the starts that is promised to refused callers who come back. Without it, callers are turned
+	// away for good in a short moment in which all replicas are full.
+	leastPromisedShare = 0.03
 	// minStarts is the number of starts within the window below which nothing is forecast.
 	minStarts = 2
 	// minReturn and maxReturn bound the time after which a refused caller is told to come back.
@@ -102,7 +105,8 @@
 	rank.Lost = true
 	gap := time.Duration(0)
 	if spare := q.rates.spare(now, rank); q.rates.starts >= minStarts {
-		gap = time.Duration(float64(time.Second) / (spare * q.cfg.PromisedShare))
+		promised := max(spare*q.cfg.PromisedShare, leastPromisedShare*q.rates.starts/ratesWindow.Seconds())
+		gap = time.Duration(float64(time.Second) / promised)
 	}
 	next := q.returns[rank.Level].Add(gap)
 	if soonest := now.Add(max(q.Forecast(now, rank), minReturn)); next.Before(soonest) {
--- a/coordination/waiting/queue.go
+++ b/coordination/waiting/queue.go
@@ -30,7 +30,7 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxRequests: 256, MaxBytes: 4 << 20,
-		MaxLateWait: 500 * time.Millisecond, MaxLateShare: 0.25, MaxReturnedWait: 2 * time.Second, MaxReturnedShare: 0.5, PromisedShare: 0.25,
+		MaxLateWait: 250 * time.Millisecond, MaxLateShare: 0.25, MaxReturnedWait: 2 * time.Second, MaxReturnedShare: 0.5, PromisedShare: 0.25,
 	}
 }
 
--- a/coordination/waiting/queue_test.go
+++ b/coordination/waiting/queue_test.go
@@ -21,6 +21,13 @@
 	}
 }
 
+// newQueue returns a queue whose requests wait for 500 ms after their objective is lost, and for 2 s if they were refused before.
+func newQueue() *waiting.Queue {
+	cfg := waiting.DefaultConfig()
+	cfg.MaxLateWait, cfg.MaxReturnedWait = 500*time.Millisecond, 2*time.Second
+	return waiting.NewQueue(cfg)
+}
+
 func order(q *waiting.Queue, now time.Time) []waiting.ID {
 	var ids []waiting.ID
 	for _, w := range q.Order(now) {
@@ -44,7 +51,7 @@
 // TestRequestsStartInOrderOfRank guards against a request that waits behind one whose delay costs less, and against one that has lost its
 // objective and stays ahead of those that can still meet theirs.
 func TestRequestsStartInOrderOfRank(t *testing.T) {
-	q := waiting.NewQueue(waiting.DefaultConfig())
+	q := newQueue()
 	for id, request := range map[waiting.ID]workload.Request{1: stream(2, 0), 2: stream(1, 250*time.Millisecond), 3: stream(1, 0), 4: stream(0, 0)} {
 		q.Add(start, waiting.Item{ID: id, Request: request})
 	}
@@ -73,7 +80,7 @@
 // TestRequestThatCannotStartInTimeIsRefusedAtOnce guards against a request that is held although it can't be served, when it arrives and
 // when the forecast gets worse while it waits.
 func TestRequestThatCannotStartInTimeIsRefusedAtOnce(t *testing.T) {
-	q := waiting.NewQueue(waiting.DefaultConfig())
+	q := newQueue()
 	serve(q, 1, 0, 10)
 	for id := range waiting.ID(30) {
 		q.Add(start, waiting.Item{ID: id + 1, Request: stream(1, 0)})
@@ -91,7 +98,7 @@
 
 // TestWaitEndsInTime guards against a request that is held until its deadline.
 func TestWaitEndsInTime(t *testing.T) {
-	q := waiting.NewQueue(waiting.DefaultConfig())
+	q := newQueue()
 	short := stream(0, 0)
 	short.Deadline = at(150)
 	none := stream(0, 0)
@@ -112,7 +119,7 @@
 // TestReturnsAreSpread guards against refused callers that come back at the same moment, and against callers that are told to come back
 // although no room is expected before their deadline.
 func TestReturnsAreSpread(t *testing.T) {
-	q := waiting.NewQueue(waiting.DefaultConfig())
+	q := newQueue()
 	serve(q, 1, 0, 10)
 	invited, last := 0, time.Duration(0)
 	for range 50 {
@@ -132,7 +139,7 @@
 
 // TestLevelBelowItsMinimumShareGoesFirst guards against a priority that starves behind more urgent ones.
 func TestLevelBelowItsMinimumShareGoesFirst(t *testing.T) {
-	q := waiting.NewQueue(waiting.DefaultConfig())
+	q := newQueue()
 	q.Add(start, waiting.Item{ID: 1, Request: stream(0, 0)})
 	q.Add(start, waiting.Item{ID: 2, Request: stream(2, 0)})
 	q.Add(start, waiting.Item{ID: 3, Request: stream(2, 0)})
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -55,6 +55,8 @@
 	// refusedWait is set if the request is refused because it may not wait for a replica any longer, waited once it has been queued.
 	refusedWait *waitResult
 	waited      bool
+	// sentLate is true if the objective was lost when the present attempt's replica was chosen.
+	sentLate bool
 
 	// attempts is the number of attempts charged against the limit of the route. undelivered is the number of attempts that
 	// reached no replica, or another replica than the chosen one; they are not charged.
@@ -166,7 +168,7 @@
 	sentAt := c.h.Now()
 	result = c.attempt(ctx, choice)
 	result.stage = c.stage
-	if result.outcome == dispatch.OutcomeServed && result.latency > 0 {
+	if result.outcome == dispatch.OutcomeServed && result.latency > 0 && !c.sentLate {
 		c.h.router.recordStart(c.route.Name, result.latency)
 	}
 	if result.connectionLost {
--- a/transport/ingress/contention_sim_test.go
+++ b/transport/ingress/contention_sim_test.go
@@ -159,9 +159,9 @@
 	report := r.load()
 	report.Models, report.Senders = []fleet.LoadedModel{}, simEntries
 	total := 0.0
-	for router, levels := range r.demand {
+	for _, router := range s.routers {
 		total += r.total[router]
-		for level, perSecond := range levels {
+		for level, perSecond := range r.demand[router] {
 			if level == len(report.Demand) {
 				report.Demand = append(report.Demand, 0)
 			}
@@ -182,13 +182,13 @@
 
 // simCaller is a caller with its present attempt.
 type simCaller struct {
-	s               *simulation
-	kind            int
-	large           bool
-	prompt, output  int
-	first, deadline time.Time
-	returned        bool
-	router          *Router
+	s                  *simulation
+	kind               int
+	large              bool
+	prompt, output     int
+	first, deadline    time.Time
+	returned, sentLate bool
+	router             *Router
 }
 
 func (s *simulation) nextArrival(kind int) {
@@ -249,13 +249,15 @@
 	ended := false
 	w := &waiter{request: request, item: waiting.Item{Request: workload.Request{
 		Priority: route.Priority, Arrived: s.now, Elapsed: elapsed, Objective: route.Objective, Deadline: c.deadline,
-		FirstEvent: router.usualStart(route.Name), Work: float64(c.output) / float64(simKinds[c.kind].output),
+		FirstEvent: router.usualStart(route), Work: float64(c.output) / float64(simKinds[c.kind].output),
 	}}}
 	w.deliver = func(result waitResult) {
 		ended = true
 		s.after(0, func() {
 			if result.verdict == dispatch.VerdictChosen {
-				c.send(result.choice)
+				const width = workload.Levels / 3
+				c.sentLate = result.late
+				c.send(result.choice, route.Priority*width+urgency(s.now, w.item.Request, width))
 			} else {
 				c.refused(result.retryAfter)
 			}
@@ -276,7 +278,7 @@
 	choice, verdict := c.router.pickReplica(request)
 	switch {
 	case verdict == dispatch.VerdictChosen:
-		c.send(choice)
+		c.send(choice, simKinds[c.kind].priority)
 	case !c.s.now.Before(until):
 		left := c.deadline.Sub(c.s.now)
 		cfg := &c.router.cfg
@@ -303,11 +305,12 @@
 	})
 }
 
-func (c *simCaller) send(choice dispatch.Choice) {
+// send sends the request with the priority by which the engine orders its queue.
+func (c *simCaller) send(choice dispatch.Choice, priority int) {
 	for _, replica := range c.s.replicas {
 		if replica.id == choice.ID {
 			sent := c.s.now
-			c.s.after(simNetDelay, func() { replica.receive(&simJob{caller: c, choice: choice, sent: sent}) })
+			c.s.after(simNetDelay, func() { replica.receive(&simJob{caller: c, choice: choice, priority: priority, sent: sent}) })
 		}
 	}
 }
@@ -323,9 +326,10 @@
 }
 
 type simJob struct {
-	caller *simCaller
-	choice dispatch.Choice
-	sent   time.Time
+	caller   *simCaller
+	choice   dispatch.Choice
+	priority int
+	sent     time.Time
 }
 
 func (r *simReplica) load() dispatch.Report {
@@ -337,9 +341,8 @@
 	case r.running < simSlots:
 		r.begin(job)
 	case len(r.queue) < simQueue:
-		priority := simKinds[job.caller.kind].priority
 		at := len(r.queue)
-		for at > 0 && simKinds[r.queue[at-1].caller.kind].priority > priority {
+		for at > 0 && r.queue[at-1].priority > job.priority {
 			at--
 		}
 		r.queue = append(r.queue[:at], append([]*simJob{job}, r.queue[at:]...)...)
@@ -363,7 +366,9 @@
 	s.after(first, func() {
 		latency := s.now.Sub(job.sent)
 		c.router.RecordLoad(r.id, r.load())
-		c.router.recordStart(c.s.routes[c.kind].Name, latency)
+		if !c.sentLate {
+			c.router.recordStart(c.s.routes[c.kind].Name, latency)
+		}
 		c.count(func(stats *simStats) {
 			stats.served++
 			if s.now.Sub(c.first) <= simKinds[c.kind].objective {
--- a/transport/ingress/line.go
+++ b/transport/ingress/line.go
@@ -14,6 +14,9 @@
 const (
 	// startTimeGain is the weight of the newest request in the averages of a startTime.
 	startTimeGain = 0.1
+	// maxStartShare bounds the usual time to the first event as a part of the objective. Beyond it all requests would count as late on
+	// their arrival, and those that have waited longest would go first.
+	maxStartShare = 0.8
 	// waitCheckInterval bounds the time between two checks of a waiting request for what has no event: the age of the API keys, the
 	// time to stop and the quarantine. It is a small part of the bounds of these.
 	waitCheckInterval = 100 * time.Millisecond
@@ -46,6 +49,8 @@
 	choice  dispatch.Choice
 	verdict dispatch.Verdict
 	recheck bool
+	// late is true if the objective was lost when the replica was chosen.
+	late bool
 	// refusal, retryAfter and reportAge, the age of the newest report of a replica, are set if the request may not wait any longer.
 	refusal    waiting.Refusal
 	retryAfter time.Duration
@@ -55,7 +60,8 @@
 // startTime is the usual time from the choice of a replica to the response or its first event.
 type startTime struct{ mean, deviation float64 }
 
-// recordStart records the time to the response or first event of a request.
+// recordStart records the time to the response or first event of a request that could still meet its objective when it was sent. Others
+// wait longer at the replica.
 func (r *Router) recordStart(route string, latency time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -70,13 +76,18 @@
 }
 
 // usualStart returns the time within which most requests of a route get their first event, 0 if none was measured.
-func (r *Router) usualStart(route string) time.Duration {
+func (r *Router) usualStart(route *fleet.Route) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := r.startTimes[route]; t != nil {
-		return time.Duration((t.mean + t.deviation) * float64(time.Second))
+	t := r.startTimes[route.Name]
+	if t == nil {
+		return 0
+	}
+	usual := time.Duration((t.mean + t.deviation) * float64(time.Second))
+	if route.Objective > 0 {
+		usual = min(usual, time.Duration(maxStartShare*float64(route.Objective)))
 	}
-	return 0
+	return usual
 }
 
 // ranks reports whether the requests of an upstream wait in the order of their rank.
@@ -183,7 +194,7 @@
 		}
 		delete(l.waiters, w.id)
 		l.queue.Started(now, w.id, next.Rank.Level)
-		w.deliver(waitResult{choice: choice, verdict: verdict})
+		w.deliver(waitResult{choice: choice, verdict: verdict, late: next.Rank.Lost})
 	}
 }
 
--- a/transport/ingress/wait.go
+++ b/transport/ingress/wait.go
@@ -85,6 +85,7 @@
 		case result.verdict != dispatch.VerdictChosen:
 			return result.choice, c.refuseWait(result)
 		}
+		c.sentLate = result.late
 		if taken, err := c.takeChoice(ctx, decision, result.choice); taken || err != nil {
 			return result.choice, err
 		}
@@ -172,7 +173,7 @@
 func (c *call) workload() workload.Request {
 	request := workload.Request{
 		Priority: c.priority(), Arrived: c.arrived, Elapsed: c.elapsed, Objective: c.route.Objective, Deadline: c.deadline,
-		FirstEvent: c.h.router.usualStart(c.route.Name), Resumed: c.stream.started,
+		FirstEvent: c.h.router.usualStart(c.route), Resumed: c.stream.started,
 	}
 	tokens := c.h.Headers.Tokens(c.r.Header)
 	request.Work = workload.Work(c.view.Configuration.Upstreams[c.upstream].Engine, tokens.Prompt, expectedOutput(tokens))
--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/waiting"
+	"github.com/guavatrestle/guavatrestle/coordination/workload"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -218,6 +219,17 @@
 	require.LessOrEqual(t, last, maxPriority)
 }
 
+// TestSlowStartsLeaveTimeToWait guards against new requests that count as late on their arrival, because earlier ones had waited long at
+// the replicas: then those that have waited longest go first, and none is served in time.
+func TestSlowStartsLeaveTimeToWait(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	c := f.call(t, 0)
+	require.Zero(t, f.router.usualStart(c.route))
+	f.router.recordStart(c.route.Name, 10*time.Second)
+	require.Less(t, f.router.usualStart(c.route), c.route.Objective)
+	require.False(t, workload.RankAt(f.now, c.workload()).Lost)
+}
+
 // BenchmarkAwait measures a decision while 200 requests wait for 34 full replicas.
 func BenchmarkAwait(b *testing.B) {
 	s := &simulation{ranked: true}
