Keep waiting requests in line when only replicas change

Cause: each new view, also one in which only a replica changed, made all waiting requests queue again, which restarted the bound of their wait; and the versions required of a replica were those at the start of the wait. Change: only a new configuration does so, with the first time of waiting kept; other views start what they give room for. The versions are set again at each check. The share of the last slots at ranked replicas has its own test. TestReplicaThatJoins..., TestWaitEnds... and TestHostsShareTheLast... fail without the guard.

--- a/coordination/dispatch/reserve_test.go
+++ b/coordination/dispatch/reserve_test.go
@@ -86,3 +86,25 @@
 	_, verdict = b.Pick(start, req)
 	require.Equal(t, dispatch.VerdictChosen, verdict)
 }
+
+// TestHostsShareTheLastSlotsOfARankedReplica guards against hosts that each round their part of the free slots up and together send many
+// more requests than there are, which then wait at the replica and not in the order of their rank.
+func TestHostsShareTheLastSlotsOfARankedReplica(t *testing.T) {
+	const hosts, reports = 20, 50
+	b, models := newRankedBalancer(0, 2)
+	sent, free := 0, 12+config().RankedOvercommit-11
+	for i := range hosts * reports {
+		now := start.Add(time.Duration(i) * time.Second)
+		b.RecordReport(now, "r1", dispatch.Report{Running: 11, Senders: hosts, Models: models, Demand: []float64{40, 0, 5}})
+		for {
+			choice, verdict := b.Pick(now, request())
+			if verdict != dispatch.VerdictChosen {
+				break
+			}
+			sent++
+			b.Done(now, choice, dispatch.OutcomeServed, time.Millisecond)
+		}
+	}
+	require.LessOrEqual(t, sent, 2*free*reports)
+	require.GreaterOrEqual(t, sent, free*reports)
+}
--- a/coordination/waiting/queue.go
+++ b/coordination/waiting/queue.go
@@ -41,6 +41,8 @@
 type Item struct {
 	ID      ID
 	Request workload.Request
+	// Since is the time since which the request waits; zero means since it is queued.
+	Since time.Time
 	// Bytes is the size of the request's body.
 	Bytes int64
 }
@@ -82,8 +84,7 @@
 
 type queued struct {
 	Item
-	since time.Time
-	rank  workload.Rank
+	rank workload.Rank
 	// until is the time up to which the request may wait.
 	until time.Time
 	// forecast is the wait that was forecast at the first review.
@@ -116,14 +117,17 @@
 // Add queues a request. It is checked by the next Review.
 func (q *Queue) Add(now time.Time, item Item) {
 	q.bytes += item.Bytes
-	q.insert(q.ranked(now, now, item))
+	if item.Since.IsZero() {
+		item.Since = now
+	}
+	q.insert(q.ranked(now, item))
 }
 
-// ranked returns an item, which waits since a time, with its rank at now. Without an objective all of its wait counts as late.
-func (q *Queue) ranked(now, since time.Time, item Item) queued {
+// ranked returns an item with its rank at now. Without an objective all of its wait counts as late.
+func (q *Queue) ranked(now time.Time, item Item) queued {
 	rank := workload.RankAt(now, item.Request)
 	latest := item.Request.Latest()
-	lateFrom := since
+	lateFrom := item.Since
 	if !rank.Lost && item.Request.Objective > 0 && !item.Request.Resumed {
 		lateFrom = rank.StartBy
 	}
@@ -136,7 +140,7 @@
 	if latest.Before(until) {
 		until = latest
 	}
-	return queued{Item: item, since: since, rank: rank, until: until}
+	return queued{Item: item, rank: rank, until: until}
 }
 
 func (q *Queue) insert(item queued) {
--- a/coordination/waiting/queue_test.go
+++ b/coordination/waiting/queue_test.go
@@ -114,6 +114,9 @@
 		}
 	}
 	require.Equal(t, map[waiting.ID]int{1: 800, 2: 50, 3: 500, 4: 2000}, ends)
+	q.Add(at(400), waiting.Item{ID: 5, Request: none, Since: start})
+	state, _ := q.State(5)
+	require.Equal(t, at(500), state.Until, "queued again after a new configuration")
 }
 
 // TestReturnsAreSpread guards against refused callers that come back at the same moment, and against callers that are told to come back
--- a/transport/ingress/contention_sim_test.go
+++ b/transport/ingress/contention_sim_test.go
@@ -233,7 +233,7 @@
 	var check func()
 	check = func() {
 		if !ended {
-			s.clock.After(router.check(w).Sub(s.clock.Now()), check)
+			s.clock.After(router.check(w, 0, 0).Sub(s.clock.Now()), check)
 		}
 	}
 	check()
--- a/transport/ingress/line.go
+++ b/transport/ingress/line.go
@@ -44,7 +44,7 @@
 	forecast time.Duration
 }
 
-// waitResult is the end of a wait. recheck is set if the view has changed, so that the request must be checked and queued again.
+// waitResult is the end of a wait. recheck is set if the configuration has changed, so that the request must be checked and queued again.
 type waitResult struct {
 	choice  dispatch.Choice
 	verdict dispatch.Verdict
@@ -135,11 +135,13 @@
 	l.queue.Remove(w.id)
 }
 
-// check refuses the waiting requests whose time has passed, starts what can be started, and returns the time of the next check.
-func (r *Router) check(w *waiter) time.Time {
+// check refuses the waiting requests whose time has passed, starts what can be started, and returns the time of the next check. minVersion
+// and nextMinVersion are the versions that are required of a replica by now.
+func (r *Router) check(w *waiter, minVersion, nextMinVersion int64) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, l := r.now(), r.lineOf(w.request.Upstream)
+	w.request.MinVersion, w.request.NextMinVersion = minVersion, nextMinVersion
 	r.advance(l)
 	r.review(l, w)
 	next := now.Add(waitCheckInterval)
@@ -161,7 +163,7 @@
 	}
 }
 
-// resetLines makes all waiting requests be checked against the new view; the caller must hold the lock.
+// resetLines makes all waiting requests be checked against the new configuration; the caller must hold the lock.
 func (r *Router) resetLines() {
 	for upstream, l := range r.lines {
 		for id, w := range l.waiters {
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -21,6 +21,8 @@
 	balancer *dispatch.Balancer
 	budgets  map[core.Upstream]*retry.Budget
 	demand   map[core.Upstream]*demand
+	// configuration is the one of the present view.
+	configuration *fleet.Configuration
 	// ranked has the upstreams whose routes have different priorities, with these, lines their waiting requests.
 	ranked map[core.Upstream][]int
 	lines  map[core.Upstream]*line
@@ -58,8 +60,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ranked = view.Configuration.RankedUpstreams()
 	r.balancer.SetView(view)
+	if r.configuration == view.Configuration {
+		r.startWaiting()
+		return
+	}
+	r.configuration = view.Configuration
+	r.ranked = view.Configuration.RankedUpstreams()
 	r.resetLines()
 }
 
--- a/transport/ingress/wait.go
+++ b/transport/ingress/wait.go
@@ -65,6 +65,7 @@
 // awaitReplica chooses a replica. While none has capacity, the request waits in the order of rank, as long as it can still be served in
 // its time.
 func (c *call) awaitReplica(ctx context.Context) (dispatch.Choice, *transport.Error) {
+	since := c.h.Now()
 	for {
 		if err := c.followView(); err != nil {
 			return dispatch.Choice{}, err
@@ -76,7 +77,7 @@
 		if err != nil {
 			return dispatch.Choice{}, err
 		}
-		result, err := c.waitInLine(ctx, c.newWaiter(decision))
+		result, err := c.waitInLine(ctx, c.newWaiter(since, decision))
 		switch {
 		case err != nil:
 			return dispatch.Choice{}, err
@@ -160,9 +161,9 @@
 	return nil
 }
 
-// newWaiter returns the request as it waits for a replica.
-func (c *call) newWaiter(decision quarantine.Decision) *waiter {
-	w := &waiter{request: c.dispatchRequest(), item: waiting.Item{Request: c.workload(), Bytes: int64(len(c.body))}}
+// newWaiter returns the request as it waits for a replica since a time.
+func (c *call) newWaiter(since time.Time, decision quarantine.Decision) *waiter {
+	w := &waiter{request: c.dispatchRequest(), item: waiting.Item{Request: c.workload(), Since: since, Bytes: int64(len(c.body))}}
 	if decision.Verdict == quarantine.VerdictTrial {
 		w.request.Only = c.h.router.trialReplica(c.upstream, decision.Key)
 	}
@@ -197,7 +198,8 @@
 	timer := time.NewTimer(waitCheckInterval)
 	defer timer.Stop()
 	for {
-		timer.Reset(c.h.router.check(w).Sub(c.h.Now()))
+		request := c.dispatchRequest()
+		timer.Reset(c.h.router.check(w, request.MinVersion, request.NextMinVersion).Sub(c.h.Now()))
 		select {
 		case result := <-results:
 			if result.verdict == dispatch.VerdictChosen {
--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -94,7 +94,7 @@
 func (f *waitFixture) wait(t *testing.T, priority int) *waitResult {
 	t.Helper()
 	result := &waitResult{}
-	w := f.call(t, priority).newWaiter(quarantine.Decision{})
+	w := f.call(t, priority).newWaiter(f.now, quarantine.Decision{})
 	w.deliver = func(r waitResult) { *result = r }
 	f.router.await(w, true)
 	return result
@@ -135,6 +135,20 @@
 	require.True(t, result.recheck)
 }
 
+// TestReplicaThatJoinsIsUsedAtOnce guards against requests that don't notice a new replica, and against a new view without another
+// configuration that makes all of them queue again.
+func TestReplicaThatJoinsIsUsedAtOnce(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	f.wait(t, 0)
+	result := f.wait(t, 2)
+	f.table.SetReplica(f.now, 2, &fleet.Replica{
+		ID: "r2", Upstream: simUpstream, Address: "r2", Slots: 1, Born: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 1, Layers: 2}},
+	})
+	f.publish()
+	require.False(t, result.recheck)
+	require.EqualValues(t, "r2", result.choice.ID)
+}
+
 // TestRequestsThatNoReplicaWantsAreRefusedAtOnce guards against requests that wait although all replicas have said how long they want none.
 func TestRequestsThatNoReplicaWantsAreRefusedAtOnce(t *testing.T) {
 	f := newWaitFixture(0, 2)
