--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -28,6 +28,14 @@
 	// LateReserve is the share of a replica's slots that a late request leaves free. Higher values answer more requests in time and
 	// fewer of those that were refused before.
 	LateReserve float64
+	// PriorityReserve bounds the share of a replica's slots that a request leaves free for more urgent ones, ReserveTime is the time for
+	// whose urgent requests it does so. It is somewhat shorter than the age of a load report: with 250 ms, 2 % fewer requests of a
+	// replayed day were served in all.
+	PriorityReserve float64
+	ReserveTime     time.Duration
+	// RankedOvercommit replaces Overcommit at engines whose demand by priority is known. They order their queue by priority, and some of
+	// their slots become free while a report is on its way.
+	RankedOvercommit int
 	// HeadroomFactor scales this host's share of a replica's free slots between two load reports; the share is rounded up. Higher
 	// values fill the slots when few hosts send at once, but let more requests queue at the replica when many do.
 	HeadroomFactor float64
@@ -35,6 +43,11 @@
 	// slots. The shares are then rounded at random, so that at 1 they add up to the free slots.
 	CrowdedHeadroomFactor float64
 	MaxSendersPerSlot     float64
+	// RankedHeadroomFactor replaces HeadroomFactor where the demand by priority is known and RankedHeadroomShare of the slots or less
+	// can still be filled. The shares are rounded at random then: requests beyond the free slots would wait at the replica, while at
+	// the entry they wait in the order of their rank and may still be sent elsewhere.
+	RankedHeadroomFactor float64
+	RankedHeadroomShare  float64
 	// MaxReportAge is the age beyond which a load report is ignored and only the requests of this host count.
 	MaxReportAge time.Duration
 	// SilentAfter is the time without a load report after which a model engine counts as silent. It gets no requests then, unless
@@ -82,9 +95,14 @@
 		Overcommit:            1,
 		MovedOvercommit:       2,
 		LateReserve:           0.3,
+		PriorityReserve:       0.25,
+		ReserveTime:           150 * time.Millisecond,
 		HeadroomFactor:        0.7,
 		CrowdedHeadroomFactor: 1.2,
 		MaxSendersPerSlot:     5,
+		RankedOvercommit:      3,
+		RankedHeadroomFactor:  1.4,
+		RankedHeadroomShare:   0.75,
 		MaxReportAge:          1500 * time.Millisecond,
 		SilentAfter:           time.Second,
 		MaxSilentShare:        0.5,
@@ -126,6 +144,9 @@
 	// Late is true for a request that can't be answered within its latency objective any more. It leaves LateReserve of the slots of
 	// a replica to others: under overload as many requests are served either way, but more of them in time.
 	Late bool
+	// Guaranteed is true for a request of a priority of which fewer requests are started than its minimum share. It leaves no slots to
+	// more urgent ones.
+	Guaranteed bool
 	// Exclude lists the replicas that earlier attempts were sent to.
 	Exclude []fleet.ReplicaID
 	// Only, if set, is the only replica that may serve the request.
@@ -206,6 +227,9 @@
 	Senders int
 	// Share is this host's share of the requests that all hosts have for the replica's upstream; 0 means unknown.
 	Share float64
+	// Demand is the rate of requests per second that all hosts have for the replica's upstream, by the level of their priority; nil
+	// means unknown.
+	Demand []float64
 	// Pace is the current service time as a multiple of the usual one; 0 means unknown.
 	Pace float64
 	// RequestLimit is the request rate that the replica takes from all hosts together.
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -9,6 +9,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/lateness"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/retry"
+	"github.com/guavatrestle/guavatrestle/coordination/workload"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
@@ -20,6 +21,13 @@
 	balancer *dispatch.Balancer
 	budgets  map[core.Upstream]*retry.Budget
 	demand   map[core.Upstream]*demand
+	// configuration is the one of the present view.
+	configuration *fleet.Configuration
+	// ranked has the upstreams whose routes have different priorities, with these, lines their waiting requests.
+	ranked map[core.Upstream][]int
+	lines  map[core.Upstream]*line
+	// startTimes holds the usual time to the response or first event by route.
+	startTimes map[string]*startTime
 	// retryBurst is this host's part of the burst of the retry budgets of all hosts.
 	retryBurst float64
 	lateness   *lateness.Estimator
@@ -30,10 +38,12 @@
 // NewRouter returns a Router without replicas.
 func NewRouter(cfg Config, random *rand.Rand, now func() time.Time) *Router {
 	return &Router{
-		cfg:      cfg,
-		balancer: dispatch.NewBalancer(cfg.Dispatch, random),
-		budgets:  make(map[core.Upstream]*retry.Budget),
-		demand:   make(map[core.Upstream]*demand),
+		cfg:        cfg,
+		balancer:   dispatch.NewBalancer(cfg.Dispatch, random),
+		budgets:    make(map[core.Upstream]*retry.Budget),
+		demand:     make(map[core.Upstream]*demand),
+		lines:      make(map[core.Upstream]*line),
+		startTimes: make(map[string]*startTime),
 
 		retryBurst: cfg.Retry.BudgetBurst,
 
@@ -51,6 +61,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.SetView(view)
+	if r.configuration == view.Configuration {
+		r.startWaiting()
+		return
+	}
+	r.configuration = view.Configuration
+	r.ranked = view.Configuration.RankedUpstreams()
+	r.resetLines()
 }
 
 // RecordLoad records a load report of a replica. It returns the change of the replica's request limit, nil if there is none.
@@ -60,6 +77,7 @@
 	change := r.balancer.RecordReport(r.now(), id, report)
 	countLimit(change)
 	r.shareRetryBurst(report.Senders)
+	r.startWaiting()
 	return change
 }
 
@@ -161,6 +179,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.Done(r.now(), choice, outcome, latency)
+	r.startWaiting()
 }
 
 // pickUpstream chooses the upstream of a request at random, by the weights of the route's targets.
@@ -192,11 +211,13 @@
 }
 
 // countRequest adds a request to the retry budget and the demand of its upstream.
-func (r *Router) countRequest(upstream core.Upstream) {
+func (r *Router) countRequest(upstream core.Upstream, priority int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.budget(upstream).AddRequest()
-	r.demandOf(upstream).count++
+	d := r.demandOf(upstream)
+	d.count++
+	d.levels[workload.Level(priority)].count++
 }
 
 // takeRetry takes a retry from the budget of an upstream. It returns false if the budget is used up.
