Read load headers with more than three figures

Cause: the load header of plain services has a fourth figure, the service time of the moment in percent of the usual one. parseLoad accepted exactly three figures, so such replicas had no load at all.

Change: three figures suffice; the fourth is dispatch.Report.MomentPace, malformed further figures are ignored. It has no part in failure counts.

Measured: TestStatedPaceCountsForAMomentOnly fails with MomentWeight 0 (replica 2.5 times slower is chosen) and with momentLifetime and momentPeriod of an hour (still avoided after 450 ms).

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -68,6 +68,7 @@
 	if report.Leaving {
 		b.markLeaving(now, id, r.member.Born)
 	}
+	r.recordMomentPace(now, report.MomentPace)
 	r.report = report
 	r.reportedAt = now
 	if fromAgent {
@@ -278,7 +279,7 @@
 func (b *Balancer) score(now time.Time, r *replica, baseline float64) float64 {
 	score := float64(r.load(&b.cfg, now)+1) / float64(r.slots())
 	score += b.distancePenalty(r) + b.cfg.FailureWeight*r.failureRate
-	score += b.slownessPenalty(r, baseline)
+	score += b.slownessPenalty(r, baseline) + b.cfg.MomentWeight*(r.expectedMomentPace(now)-1)
 	return score + b.cfg.Jitter*b.random.Float64()
 }
 
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -7,7 +7,6 @@
 	"mime"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -333,20 +332,3 @@
 	}
 	return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond, true
 }
-
-// parseLoad decodes a load header: the numbers of running requests, of waiting requests and of slots.
-func parseLoad(value string) (dispatch.Report, bool) {
-	parts := strings.Split(value, ",")
-	if len(parts) != 3 {
-		return dispatch.Report{}, false
-	}
-	var numbers [3]int
-	for i, part := range parts {
-		n, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || n < 0 || n > maxLoadNumber {
-			return dispatch.Report{}, false
-		}
-		numbers[i] = n
-	}
-	return dispatch.Report{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
-}
