Use load headers of services that refuse when full

Cause: a plain service that refuses when full got requests beyond its slots, and its load was taken to be 250 ms old, longer than its requests take.

Change: a replica of such a service gets no request while its last load header, less what has ended since at the usual service time, plus what this host has sent since leaves no slot. The header of a refusal replaces the backoff of 80 ms. An old header tends to the usual load. A request that may run only once avoids replicas at which it would miss its objective, and skips those at which it would be abandoned at its deadline. A service counts as refusing once it refused with all slots occupied or stated its pace, and never when it has reported waiting requests; others are served as before.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -20,6 +20,8 @@
 	groups   map[core.Upstream][]*replica
 	specs    map[core.Upstream]fleet.UpstreamSpec
 	notices  map[fleet.ReplicaID]*notice
+	// services holds what is known of the upstreams that are no engines.
+	services map[core.Upstream]*service
 	// senders is the number of hosts that send to a replica in the last report that has one, 0 if there is none.
 	senders int
 }
@@ -37,12 +39,13 @@
 	next := make(map[fleet.ReplicaID]*replica, len(view.Members))
 	b.groups = make(map[core.Upstream][]*replica)
 	b.specs = view.Configuration.Upstreams
+	b.setServices()
 	for _, member := range view.Members {
 		current := b.replicas[member.ID]
 		if current == nil || current.member.Born != member.Born || current.member.Address != member.Address {
 			current = &replica{}
 		}
-		current.member = member
+		current.member, current.service = member, b.services[member.Upstream]
 		next[member.ID] = current
 		b.groups[member.Upstream] = append(b.groups[member.Upstream], current)
 	}
@@ -65,6 +68,9 @@
 	if report.Senders > 0 {
 		b.senders = report.Senders
 	}
+	if !fromAgent && r.service != nil {
+		r.service.recordHeader(&report)
+	}
 	if report.Leaving {
 		b.markLeaving(now, id, r.member.Born)
 	}
@@ -74,7 +80,7 @@
 	if fromAgent {
 		r.drawHeadroom(&b.cfg, b.random.Float64())
 	}
-	reportMadeAt := now.Add(-b.cfg.ReportLag)
+	reportMadeAt := now.Add(-r.reportLag(&b.cfg))
 	r.recentSends = slices.DeleteFunc(r.recentSends, func(at time.Time) bool { return !at.After(reportMadeAt) })
 	if !fromAgent {
 		return nil
@@ -111,7 +117,7 @@
 			waiting.add(b.permitVerdict(candidate), candidate.permits.next(now))
 			continue
 		}
-		score := b.score(now, candidate, baseline)
+		score := b.score(now, candidate, baseline) + candidate.latePenalty(now, &request)
 		if best == nil || score < bestScore {
 			best, bestScore = candidate, score
 		}
@@ -247,6 +253,9 @@
 func (b *Balancer) hasCapacity(now time.Time, request *Request, r *replica) bool {
 	limit := r.slots() + b.cfg.Overcommit
 	switch {
+	case r.refusesWhenFull():
+		// The check below counts what may have ended since; knownFull is exact.
+		limit = math.MaxInt
 	case request.Moved:
 		limit += b.cfg.MovedOvercommit
 	case request.Late && b.specs[r.member.Upstream].Engine != nil:
@@ -257,7 +266,7 @@
 		return false
 	case r.report.Loading && r.hasFreshReport(&b.cfg, now):
 		return false
-	case r.load(&b.cfg, now) >= limit:
+	case r.load(&b.cfg, now) >= limit, r.knownFull(&b.cfg, now), !r.endsInTime(now, request):
 		return false
 	case !request.Moved && r.headroomUsed(&b.cfg, now):
 		return false
@@ -277,7 +286,7 @@
 // score returns the load of a replica as a share of its slots, plus penalties for distance, failures and slowness and a
 // random jitter. Lower is better.
 func (b *Balancer) score(now time.Time, r *replica, baseline float64) float64 {
-	score := float64(r.load(&b.cfg, now)+1) / float64(r.slots())
+	score := (r.expectedLoad(&b.cfg, now) + 1) / float64(r.slots())
 	score += b.distancePenalty(r) + b.cfg.FailureWeight*r.failureRate
 	score += b.slownessPenalty(r, baseline) + b.cfg.MomentWeight*(r.expectedMomentPace(now)-1)
 	return score + b.cfg.Jitter*b.random.Float64()
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -129,6 +129,12 @@
 	// Late is true for a request that can't be answered within its latency objective any more. It leaves LateReserve of the slots of
 	// a replica to others: under overload as many requests are served either way, but more of them in time.
 	Late bool
+	// Once is true for a request that must not run twice.
+	Once bool
+	// ObjectiveLeft and DeadlineLeft are the times until the request misses its latency objective and until its deadline; 0 means
+	// unknown, or for the objective that it is missed already.
+	ObjectiveLeft time.Duration
+	DeadlineLeft  time.Duration
 	// Exclude lists the replicas that earlier attempts were sent to.
 	Exclude []fleet.ReplicaID
 	// Only, if set, is the only replica that may serve the request.
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -19,7 +19,9 @@
 
 // replica is the state that a Balancer keeps for one replica.
 type replica struct {
-	member   fleet.Member
+	member fleet.Member
+	// service is the state of the upstream if it is a plain service, nil if it is an engine.
+	service  *service
 	inFlight int
 	// report is the last load report. reportedAt is the time of its arrival; zero means that there is none.
 	report     Report
@@ -79,7 +81,7 @@
 
 // unreportedSends returns the number of requests sent after the time at which the last report was made.
 func (r *replica) unreportedSends(cfg *Config) int {
-	reportMadeAt := r.reportedAt.Add(-cfg.ReportLag)
+	reportMadeAt := r.reportedAt.Add(-r.reportLag(cfg))
 	count := 0
 	for _, at := range r.recentSends {
 		if at.After(reportMadeAt) {
@@ -117,6 +119,9 @@
 // recordOutcome updates the failure and latency statistics with the outcome of a request.
 func (r *replica) recordOutcome(cfg *Config, now time.Time, outcome Outcome, latency time.Duration) {
 	r.inFlight = max(r.inFlight-1, 0)
+	if r.service != nil {
+		r.service.recordOutcome(cfg, now, r, outcome, latency)
+	}
 	switch outcome {
 	case OutcomeServed:
 		r.consecutiveBroken = 0
@@ -132,6 +137,10 @@
 		r.failureRate += failureGain * (1 - r.failureRate)
 		r.recordBroken(cfg, now)
 	case OutcomeShed:
+		if r.refusesWhenFull() && r.hasFreshReport(cfg, now) {
+			// The header of the refusal says until when the replica is full.
+			return
+		}
 		r.excludedUntil = later(r.excludedUntil, now.Add(cfg.ShedBackoff))
 	case OutcomeMoved:
 		r.addressMoved = true
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -248,7 +248,9 @@
 		Exclude:      c.tried,
 		Late:         c.late,
 		Priority:     c.priority(),
+		Once:         !c.route.Repeatable(),
 	}
+	request.ObjectiveLeft, request.DeadlineLeft = c.timeLeft()
 	spec := c.view.Configuration.Upstreams[c.upstream]
 	if spec.Engine == nil {
 		return request
