Carry cache sizes in load reports

Cause: whether a long request fits into an engine is known only to its agent.

Change: dispatch.Report and the load report message have CacheUsed and CacheTotal (keys c and o), which staging takes from the worker's report. Negative sizes are rejected.

Measured: TestReportAppliesOnlyToItsProcess carries both over UDP and fails if encodeReport leaves them out; FuzzMessage covers negative sizes.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -64,6 +64,7 @@
 		report.Models, report.Loading = r.report.Models, r.report.Loading
 		report.Senders, report.Share = r.report.Senders, r.report.Share
 		report.Pace, report.RequestLimit = r.report.Pace, r.report.RequestLimit
+		report.CacheUsed, report.CacheTotal = r.report.CacheUsed, r.report.CacheTotal
 	}
 	if report.Senders > 0 {
 		b.senders = report.Senders
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -219,6 +219,8 @@
 	Pace float64
 	// MomentPace is the service time of this moment as a multiple of the usual one, as a response states it; 0 means unknown.
 	MomentPace float64
+	// CacheUsed and CacheTotal are the sizes of an engine's cache in a unit of its own; 0 means unknown.
+	CacheUsed, CacheTotal int64
 	// RequestLimit is the request rate that the replica takes from all hosts together.
 	RequestLimit fleet.RequestLimit
 }
--- a/transport/loadshare/fuzz_test.go
+++ b/transport/loadshare/fuzz_test.go
@@ -21,6 +21,7 @@
 	f.Add([]byte(`{"g":18446744073709551615,"k":[{"i":1,"k":"l","a":5,"h":"10.0.0.1","b":2,"u":"llm","p":["aa"],"t":"x"},{"i":2,"k":"e","h":"10.0.0.1"}]}`))
 	f.Add([]byte(`{"k":[{"i":3,"k":"s","u":"llm","p":["aa"],"a":7},{"i":4,"k":"q","u":"llm","p":["aa"],"s":9,"n":5,"r":64,"x":true}]}`))
 	f.Add([]byte(`{"r":{"t":1.7,"f":8,"e":1e308}}`))
+	f.Add([]byte(`{"r":{"c":-1,"o":9223372036854775807}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		received, err := decodeMessage(data)
 		if err != nil {
@@ -46,6 +47,7 @@
 		require.GreaterOrEqual(t, report.Slots, 0)
 		require.GreaterOrEqual(t, report.Senders, 0)
 		require.GreaterOrEqual(t, report.Pace, 0.0)
+		require.True(t, report.CacheUsed >= 0 && report.CacheTotal >= 0)
 		require.True(t, report.Share >= 0 && report.Share <= 1, "share %f", report.Share)
 		for _, model := range report.Models {
 			require.GreaterOrEqual(t, model.Layers, -1)
--- a/transport/loadshare/loadshare_test.go
+++ b/transport/loadshare/loadshare_test.go
@@ -98,7 +98,7 @@
 	}, log)
 	require.NoError(t, err)
 	limit := fleet.RequestLimit{Stated: true, PerSecond: 1.7}
-	reporter.SetReport(2, dispatch.Report{Running: 3, Waiting: 1, Leaving: true, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}}, RequestLimit: limit})
+	reporter.SetReport(2, dispatch.Report{Running: 3, Waiting: 1, Leaving: true, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}}, RequestLimit: limit, CacheUsed: 5, CacheTotal: 9})
 
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -119,6 +119,6 @@
 	require.Equal(t, entryRelay, agentRelay)
 	require.Equal(t, [2]int{1, 1}, hostCounts, "one entry host requests reports, and the store does not answer it")
 	require.Equal(t, map[fleet.ReplicaID]dispatch.Report{"now": {
-		Running: 3, Waiting: 1, Leaving: true, Senders: 1, Share: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}}, RequestLimit: limit,
+		Running: 3, Waiting: 1, Leaving: true, Senders: 1, Share: 1, Models: []fleet.LoadedModel{{Model: "m", Version: 4, Layers: 16}}, RequestLimit: limit, CacheUsed: 5, CacheTotal: 9,
 	}}, got)
 }
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -76,9 +76,12 @@
 	Models       []model  `json:"m"`
 	Senders      int      `json:"f"`
 	// Demand is the total demand of the Senders in requests per second, 0 if one of them is unknown.
-	Demand float64         `json:"e,omitempty"`
-	Pace   float64         `json:"p,omitempty"`
-	Wanted []wantedVersion `json:"v,omitempty"`
+	Demand float64 `json:"e,omitempty"`
+	Pace   float64 `json:"p,omitempty"`
+	// CacheUsed and CacheTotal are the sizes of the engine's cache, 0 if unknown.
+	CacheUsed  int64           `json:"c,omitempty"`
+	CacheTotal int64           `json:"o,omitempty"`
+	Wanted     []wantedVersion `json:"v,omitempty"`
 	// StoreUnresponsiveCount is the number of Senders that the store does not answer.
 	StoreUnresponsiveCount int `json:"x,omitempty"`
 }
@@ -142,7 +145,7 @@
 func encodeReport(born int64, r dispatch.Report, demand float64, unresponsive int, versions []wantedVersion) ([]byte, error) {
 	wire := &report{
 		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace, Demand: demand,
-		Wanted: versions, StoreUnresponsiveCount: unresponsive,
+		CacheUsed: max(r.CacheUsed, 0), CacheTotal: max(r.CacheTotal, 0), Wanted: versions, StoreUnresponsiveCount: unresponsive,
 	}
 	if r.RequestLimit.Stated {
 		wire.RequestLimit = &r.RequestLimit.PerSecond
@@ -157,7 +160,7 @@
 func (r *report) decode(ownDemand float64) dispatch.Report {
 	decoded := dispatch.Report{
 		Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace,
-		Models: []fleet.LoadedModel{},
+		CacheUsed: r.CacheUsed, CacheTotal: r.CacheTotal, Models: []fleet.LoadedModel{},
 	}
 	if r.RequestLimit != nil {
 		decoded.RequestLimit = fleet.RequestLimit{Stated: true, PerSecond: *r.RequestLimit}
--- a/transport/loadshare/receive.go
+++ b/transport/loadshare/receive.go
@@ -76,6 +76,9 @@
 	if r.Demand < 0 || r.Pace < 0 {
 		return eris.Errorf("demand %f or pace %f is negative", r.Demand, r.Pace)
 	}
+	if r.CacheUsed < 0 || r.CacheTotal < 0 {
+		return eris.Errorf("cache size %d or %d is negative", r.CacheUsed, r.CacheTotal)
+	}
 	if r.RequestLimit != nil && *r.RequestLimit < 0 {
 		return eris.Errorf("request limit %f is negative", *r.RequestLimit)
 	}
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -133,6 +133,9 @@
 		Models:  a.report.Models,
 		Pace:    a.report.Pace,
 
+		CacheUsed:  a.report.CacheUsed,
+		CacheTotal: a.report.CacheTotal,
+
 		RequestLimit: a.report.RequestLimit,
 	}, urgent)
 }
