Place requests on engines by expected start

Slow replicas and requests that do not fit into a cache were not seen.

Change: engines that publish their figures are rated by expected load times pace, the chance to miss the objective or the deadline and room in the cache. A replica is drawn in proportion to what it lacks to the level that the requests of all hosts on the same reports will reach; with one host that is the best one. Another region is used if its chance to miss is lower by 0.35, in place of the constant penalty. Such an engine may have 2 more requests beyond its slots if they are expected to start in time. The measured error per replica corrects the forecast. Other engines are placed as before.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -2,12 +2,12 @@
 
 import (
 	"hash/fnv"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/guavatrestle/guavatrestle/coordination/enginemodel"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
@@ -22,6 +22,13 @@
 	notices  map[fleet.ReplicaID]*notice
 	// services holds what is known of the upstreams that are no engines.
 	services map[core.Upstream]*service
+	// models holds the models of the upstreams whose engines publish their figures.
+	models map[core.Upstream]*enginemodel.Model
+	// forecastError is the error of the last forecast that was compared with a response.
+	forecastError    float64
+	hasForecastError bool
+	// field is the memory for the candidates of one Pick.
+	field field
 	// senders is the number of hosts that send to a replica in the last report that has one, 0 if there is none.
 	senders int
 }
@@ -40,12 +47,15 @@
 	b.groups = make(map[core.Upstream][]*replica)
 	b.specs = view.Configuration.Upstreams
 	b.setServices()
+	b.setModels()
 	for _, member := range view.Members {
 		current := b.replicas[member.ID]
 		if current == nil || current.member.Born != member.Born || current.member.Address != member.Address {
 			current = &replica{}
 		}
-		current.member, current.service = member, b.services[member.Upstream]
+		current.member, current.service, current.model = member, b.services[member.Upstream], b.models[member.Upstream]
+		spec := b.specs[member.Upstream]
+		current.engine, current.coldRate = spec.Engine != nil, spec.ColdPerSecond
 		next[member.ID] = current
 		b.groups[member.Upstream] = append(b.groups[member.Upstream], current)
 	}
@@ -82,7 +92,7 @@
 		r.drawHeadroom(&b.cfg, b.random.Float64())
 	}
 	reportMadeAt := now.Add(-r.reportLag(&b.cfg))
-	r.recentSends = slices.DeleteFunc(r.recentSends, func(at time.Time) bool { return !at.After(reportMadeAt) })
+	r.recentSends = slices.DeleteFunc(r.recentSends, func(s send) bool { return !s.at.After(reportMadeAt) })
 	if !fromAgent {
 		return nil
 	}
@@ -95,8 +105,8 @@
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, Verdict) {
 	group := b.groups[request.Upstream]
 	baseline := baselineLatency(group)
-	var best *replica
-	bestScore := 0.0
+	b.field.reset()
+	var best candidate
 	verdict := VerdictNoCandidate
 	var waiting waitSummary
 	avoidSilent := b.avoidsSilent(now, request.Upstream)
@@ -118,14 +128,21 @@
 			waiting.add(b.permitVerdict(candidate), candidate.permits.next(now))
 			continue
 		}
+		if candidate.model != nil {
+			b.addModelled(now, &request, candidate, &waiting)
+			continue
+		}
 		score := b.score(now, candidate, baseline) + candidate.latePenalty(now, &request)
-		if best == nil || score < bestScore {
-			best, bestScore = candidate, score
+		if best.replica == nil || score < best.score {
+			best.replica, best.score = candidate, score
 		}
 	}
+	if chosen := b.chooseModelled(now, &request, &waiting); chosen != nil {
+		best = *chosen
+	}
 	switch {
-	case best != nil:
-		return b.assign(now, &request, best), VerdictChosen
+	case best.replica != nil:
+		return b.assign(now, &request, &best), VerdictChosen
 	case verdict == VerdictNoCandidate:
 		return Choice{}, verdict
 	}
@@ -171,7 +188,8 @@
 	}
 }
 
-func (b *Balancer) assign(now time.Time, request *Request, chosen *replica) Choice {
+func (b *Balancer) assign(now time.Time, request *Request, best *candidate) Choice {
+	chosen := best.replica
 	version, _ := chosen.loadedVersion(&b.cfg, now, request)
 	choice := Choice{
 		ID:      chosen.member.ID,
@@ -179,6 +197,8 @@
 		Version: version,
 		Load:    chosen.load(&b.cfg, now),
 		born:    chosen.member.Born,
+
+		modelled: best.modelled, forecast: best.forecast,
 	}
 	if chosen.permits != nil {
 		chosen.permits.take(now)
@@ -187,7 +207,7 @@
 	if limit := b.statedLimit(chosen.member.ID, chosen.member.Born); limit != nil {
 		limit.chosen++
 	}
-	chosen.recordSend(now)
+	chosen.recordSend(now, request)
 	return choice
 }
 
@@ -199,6 +219,9 @@
 		return
 	}
 	r.recordOutcome(&b.cfg, now, outcome, latency)
+	if outcome == OutcomeServed && latency > 0 && choice.modelled > 0 {
+		b.recordForecast(r, choice, latency)
+	}
 }
 
 // MarkCold records that a replica reported itself cold for the time remaining.
@@ -252,7 +275,7 @@
 }
 
 func (b *Balancer) hasCapacity(now time.Time, request *Request, r *replica) bool {
-	limit := r.slots() + b.cfg.Overcommit
+	limit := r.slots() + r.overcommit(&b.cfg)
 	switch {
 	case r.refusesWhenFull():
 		// The check below counts what may have ended since; knownFull is exact.
@@ -329,50 +352,3 @@
 	}
 	return (sum - slowest) / float64(count-1)
 }
-
-// State is the state of one replica for debug dumps.
-type State struct {
-	ID       fleet.ReplicaID
-	Upstream core.Upstream
-	InFlight int
-	Load     int
-	// Failing is the moving average of the share of failed requests.
-	Failing float64
-	// Latency is the moving average of the time to the response or its first event, in seconds.
-	Latency float64
-	// OutUntil is the end of the current ejection or shed backoff.
-	OutUntil time.Time
-	// Moved is true if another replica responded at the address.
-	Moved    bool
-	Report   Report
-	Reported time.Time
-	// RequestLimit is the replica's request limit, LimitedSince the time since which this host knows it.
-	RequestLimit fleet.RequestLimit
-	LimitedSince time.Time
-}
-
-// States returns the state of every replica, sorted by ID.
-func (b *Balancer) States(now time.Time) []State {
-	var states []State
-	for _, id := range slices.Sorted(maps.Keys(b.replicas)) {
-		r := b.replicas[id]
-		state := State{
-			ID:       id,
-			Upstream: r.member.Upstream,
-			InFlight: r.inFlight,
-			Load:     r.load(&b.cfg, now),
-			Failing:  r.failureRate,
-			Latency:  r.avgLatency,
-			OutUntil: r.excludedUntil,
-			Moved:    r.addressMoved,
-			Report:   r.report,
-			Reported: r.reportedAt,
-		}
-		if limit := b.statedLimit(id, r.member.Born); limit != nil {
-			state.RequestLimit = fleet.RequestLimit{Stated: true, PerSecond: limit.perSecond}
-			state.LimitedSince = limit.since
-		}
-		states = append(states, state)
-	}
-	return states
-}
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -25,6 +25,9 @@
 	Overcommit int
 	// MovedOvercommit is added to Overcommit for a request that is moved away from another replica.
 	MovedOvercommit int
+	// StartOvercommit is added to Overcommit for a request that an engine with published figures is expected to start within its latency
+	// objective.
+	StartOvercommit int
 	// LateReserve is the share of a replica's slots that a late request leaves free. Higher values answer more requests in time and
 	// fewer of those that were refused before.
 	LateReserve float64
@@ -83,6 +86,7 @@
 		Jitter:                0.12,
 		Overcommit:            1,
 		MovedOvercommit:       2,
+		StartOvercommit:       2,
 		LateReserve:           0.3,
 		HeadroomFactor:        0.7,
 		CrowdedHeadroomFactor: 1.2,
@@ -175,6 +179,8 @@
 	HeldUntil time.Time
 	// sendBefore is the time before which the request must be sent if the replica takes only a limited rate.
 	sendBefore time.Time
+	// modelled and forecast are the expected times to the first event before and after the correction, 0 without a model.
+	modelled, forecast time.Duration
 	// born distinguishes successive processes of a replica with the same ID.
 	born int64
 }
--- a/coordination/dispatch/permits.go
+++ b/coordination/dispatch/permits.go
@@ -95,7 +95,7 @@
 // allowance returns this host's part of what a replica takes from all hosts together. It returns false if the replica is neither cold
 // nor has a request limit.
 func (b *Balancer) allowance(now time.Time, r *replica) (allowance, bool) {
-	coldRate := b.specs[r.member.Upstream].ColdPerSecond
+	coldRate := r.coldRate
 	cold := coldRate > 0 && now.Before(r.member.ColdUntil)
 	limit := b.statedLimit(r.member.ID, r.member.Born)
 	switch {
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/guavatrestle/guavatrestle/coordination/enginemodel"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
@@ -21,7 +22,13 @@
 type replica struct {
 	member fleet.Member
 	// service is the state of the upstream if it is a plain service, nil if it is an engine.
-	service  *service
+	service *service
+	// engine is true for a replica of a model engine, coldRate the rate of requests that a cold replica takes from all hosts together.
+	engine   bool
+	coldRate float64
+	// model forecasts the replica's responses if it is an engine that publishes its figures, nil otherwise. errors is its error.
+	model    *enginemodel.Model
+	errors   enginemodel.Errors
 	inFlight int
 	// report is the last load report. reportedAt is the time of its arrival; zero means that there is none.
 	report     Report
@@ -29,7 +36,7 @@
 	// headroom is the number of requests that this host may send between two reports.
 	headroom int
 	// recentSends holds the send times of requests that the last report may not include yet.
-	recentSends []time.Time
+	recentSends []send
 
 	consecutiveBroken int
 	// failureRate and avgLatency are exponential moving averages; avgLatency is in seconds, 0 until measured.
@@ -45,6 +52,12 @@
 	permits *permits
 }
 
+// send is a request sent to a replica, with its size in tokens, 0 if unknown.
+type send struct {
+	at             time.Time
+	prompt, output int
+}
+
 // hasFreshReport reports whether the last report is recent enough to use.
 func (r *replica) hasFreshReport(cfg *Config, now time.Time) bool {
 	return !r.reportedAt.IsZero() && now.Sub(r.reportedAt) <= cfg.MaxReportAge
@@ -62,7 +75,7 @@
 // one. All hosts see the same report; if each rounded its share up, all would send to a replica with one free slot. So a share is
 // rounded up only while there are few hosts for each free slot, and otherwise up or down at random, in proportion to the remainder.
 func (r *replica) drawHeadroom(cfg *Config, random float64) {
-	freeSlots := float64(max(r.slots()+cfg.Overcommit-r.report.Running-r.report.Waiting, 0))
+	freeSlots := float64(max(r.slots()+r.overcommit(cfg)-r.report.Running-r.report.Waiting, 0))
 	share := freeSlots * r.report.share()
 	if float64(r.report.Senders) <= cfg.MaxSendersPerSlot*freeSlots {
 		r.headroom = int(math.Ceil(cfg.HeadroomFactor * share))
@@ -83,8 +96,8 @@
 func (r *replica) unreportedSends(cfg *Config) int {
 	reportMadeAt := r.reportedAt.Add(-r.reportLag(cfg))
 	count := 0
-	for _, at := range r.recentSends {
-		if at.After(reportMadeAt) {
+	for i := range r.recentSends {
+		if r.recentSends[i].at.After(reportMadeAt) {
 			count++
 		}
 	}
@@ -92,12 +105,12 @@
 }
 
 // recordSend counts a request sent to the replica at now.
-func (r *replica) recordSend(now time.Time) {
+func (r *replica) recordSend(now time.Time, request *Request) {
 	r.inFlight++
 	if len(r.recentSends) == maxRecentSends {
 		r.recentSends = append(r.recentSends[:0], r.recentSends[1:]...)
 	}
-	r.recentSends = append(r.recentSends, now)
+	r.recentSends = append(r.recentSends, send{at: now, prompt: request.PromptTokens, output: request.OutputTokens})
 }
 
 // slots returns the number of requests that the replica processes concurrently.
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -15,7 +15,7 @@
 }
 
 func (b *Balancer) silent(now time.Time, r *replica) bool {
-	return b.specs[r.member.Upstream].Engine != nil && !r.reportedAt.IsZero() && now.Sub(r.reportedAt) > b.cfg.SilentAfter
+	return r.engine && !r.reportedAt.IsZero() && now.Sub(r.reportedAt) > b.cfg.SilentAfter
 }
 
 // avoidsSilent reports whether silent replicas of an upstream get no requests: at most MaxSilentShare of those that have ever
--- /dev/null
+++ b/coordination/dispatch/spread.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// maxLevelRounds bounds the rounds in which the level is found; each leaves out at least one candidate.
+const maxLevelRounds = 8
+
+// field holds the engines that can take a request, of which one is drawn. All hosts act on the same reports, some hundred ms old: if each
+// chose the best replica, all would choose the same one.
+type field struct {
+	home, distant []candidate
+	// unrated holds the replicas in other regions. They are rated only if a request may leave its region.
+	unrated []*replica
+}
+
+func (f *field) reset() { f.home, f.distant, f.unrated = f.home[:0], f.distant[:0], f.unrated[:0] }
+
+// addModelled adds an engine with published figures that has capacity.
+func (b *Balancer) addModelled(now time.Time, request *Request, r *replica, waiting *waitSummary) {
+	if b.cfg.Regions[r.member.FailureDomain] != b.cfg.Region {
+		b.field.unrated = append(b.field.unrated, r)
+		return
+	}
+	b.field.home = b.rate(b.field.home, now, request, r, waiting)
+}
+
+// rate appends an engine to list unless the request would only lengthen its queue.
+func (b *Balancer) rate(list []candidate, now time.Time, request *Request, r *replica, waiting *waitSummary) []candidate {
+	c := b.modelledCandidate(now, request, r)
+	if c.queues {
+		waiting.add(VerdictFull, time.Time{})
+		return list
+	}
+	return append(list, c)
+}
+
+// chooseModelled returns an engine of this region, unless one in another region is less likely to miss the objective by regionMargin. It
+// returns nil if there is none.
+func (b *Balancer) chooseModelled(now time.Time, request *Request, waiting *waitSummary) *candidate {
+	f := &b.field
+	home := draw(f.home, b.random)
+	if home != nil && home.miss < regionMargin {
+		return home
+	}
+	for _, r := range f.unrated {
+		f.distant = b.rate(f.distant, now, request, r, waiting)
+	}
+	distant := draw(f.distant, b.random)
+	if home == nil || distant != nil && home.miss-distant.miss >= regionMargin {
+		return distant
+	}
+	return home
+}
+
+// draw draws a candidate so that the requests which all hosts have sent since the reports, and this one, even out the scores: each
+// replica gets requests in proportion to what it lacks to the common level that they would reach. With a single host, which knows all
+// that it has sent, that is the best replica.
+func draw(list []candidate, random *rand.Rand) *candidate {
+	if len(list) == 0 {
+		return nil
+	}
+	level := commonLevel(list)
+	total := 0.0
+	best := 0
+	for i := range list {
+		total += list[i].lack(level)
+		if list[i].score < list[best].score {
+			best = i
+		}
+	}
+	drawn := random.Float64() * total
+	for i := range list {
+		if drawn -= list[i].lack(level); drawn < 0 {
+			return &list[i]
+		}
+	}
+	return &list[best]
+}
+
+// lack returns the number of requests that raise the replica's score to a level.
+func (c *candidate) lack(level float64) float64 { return max(level-c.score, 0) * c.capacity() }
+
+// capacity returns the number of requests by which the replica's score rises by one.
+func (c *candidate) capacity() float64 { return float64(c.replica.slots()) / c.pace }
+
+// commonLevel returns the score that all candidates below it reach if the requests of other hosts, and one more, are spread over them.
+func commonLevel(list []candidate) float64 {
+	requests := 0.0
+	for i := range list {
+		requests += list[i].arrivals
+	}
+	requests = max(requests, 0) + 1
+	level := 0.0
+	for round := range maxLevelRounds {
+		room, filled := requests, 0.0
+		for i := range list {
+			c := &list[i]
+			if round > 0 && c.score >= level {
+				continue
+			}
+			room += c.score * c.capacity()
+			filled += c.capacity()
+		}
+		next := room / filled
+		if round > 0 && next >= level {
+			break
+		}
+		level = next
+	}
+	return level
+}
--- /dev/null
+++ b/coordination/dispatch/start.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/coordination/enginemodel"
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+const (
+	// defaultObjective scales the expected start of a request without a latency objective.
+	defaultObjective = time.Second
+	// lateStart is the expected start, as a share of the time left until the objective, from which a request may miss it;
+	// surelyLateStart is the one from which it most likely does. The median error of the forecast is a fifth.
+	lateStart, surelyLateStart = 0.8, 1.2
+	// missWeight is added to the score if a request would miss its objective, and deadlineWeight if it would miss its deadline. With a
+	// weight of 1 all hosts leave the same replicas at the same time; without one more requests leave their region.
+	missWeight     = 0.4
+	deadlineWeight = 1.0
+	// noRoomPenalty is added to the score of a replica whose cache has no room for the request. It exceeds all other parts.
+	noRoomPenalty = 10.0
+	// unseenFactor is the number of requests that act on the same reports as a multiple of those sent since they were made: about as many
+	// follow until reports show the first ones. With 1 all hosts still favored the same replicas; 3 is no better.
+	unseenFactor = 2.0
+	// regionMargin is the difference of the probability to miss the objective from which a request leaves its region.
+	regionMargin = 0.35
+)
+
+// candidate is a replica that can take a request.
+type candidate struct {
+	replica *replica
+	// score is lower for a better replica.
+	score float64
+	// modelled and forecast are the expected times to the first event before and after the correction, 0 without a model.
+	modelled, forecast time.Duration
+	// miss is the probability to miss the objective.
+	miss float64
+	// arrivals is the number of requests of other hosts that act on the same report of the replica, and pace its pace.
+	arrivals, pace float64
+	// queues is true if the request would exceed Overcommit and is not expected to start in time.
+	queues bool
+}
+
+// setModels creates the models of the engines that publish their figures.
+func (b *Balancer) setModels() {
+	b.models = make(map[core.Upstream]*enginemodel.Model)
+	for name, spec := range b.specs {
+		if spec.Engine == nil {
+			continue
+		}
+		if model := enginemodel.New(spec.Engine.Performance, spec.Engine.Slots); model != nil {
+			b.models[name] = model
+		}
+	}
+}
+
+// modelledCandidate returns an engine with a score from its expected load, start and end. The load keeps its part in the score, so that
+// requests spread over the replicas that would all start them in time.
+func (b *Balancer) modelledCandidate(now time.Time, request *Request, r *replica) candidate {
+	load := r.engineLoad(&b.cfg, now)
+	work := enginemodel.Work{Prompt: request.PromptTokens, Output: request.OutputTokens}
+	expected := r.model.Forecast(&load, work)
+	factor := r.errors.Factor()
+	c := candidate{
+		replica: r, modelled: expected.FirstEvent, forecast: time.Duration(float64(expected.FirstEvent) * factor),
+		pace: max(load.Pace, 1) * max(factor, 1),
+	}
+	objective := request.ObjectiveLeft
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	start := float64(c.forecast) / float64(objective)
+	c.miss = min(max((start-lateStart)/(surelyLateStart-lateStart), 0), 1)
+	c.queues = !request.Moved && start > 1 && r.load(&b.cfg, now) >= r.slots()+b.cfg.Overcommit
+	replaced := min(float64(load.Age)/float64(expected.Service), 1)
+	reported := float64(load.Running + load.Waiting)
+	c.arrivals = unseenFactor*reported*replaced - float64(load.Sent.Count)
+	present := max(float64(r.inFlight), reported*(1-replaced)+float64(load.Sent.Count))
+	c.score = c.pace*(present+1)/float64(r.slots()) + missWeight*c.miss
+	if end := time.Duration(float64(expected.End) * factor); request.DeadlineLeft > 0 && end > request.DeadlineLeft {
+		c.score += deadlineWeight
+	}
+	if !r.model.Fits(expected, work) {
+		c.score += noRoomPenalty
+		c.miss = 1
+	}
+	if r.member.FailureDomain != b.cfg.FailureDomain && b.cfg.Regions[r.member.FailureDomain] == b.cfg.Region {
+		c.score += b.cfg.DomainPenalty
+	}
+	c.score += b.cfg.FailureWeight * r.failureRate
+	return c
+}
+
+// engineLoad returns what this host knows of an engine. Without a fresh report only its own requests count.
+func (r *replica) engineLoad(cfg *Config, now time.Time) enginemodel.Load {
+	if !r.hasFreshReport(cfg, now) {
+		return enginemodel.Load{Running: r.inFlight, Share: 1}
+	}
+	madeAt := r.reportedAt.Add(-cfg.ReportLag)
+	load := enginemodel.Load{
+		Running: r.report.Running, Waiting: r.report.Waiting, CacheUsed: r.report.CacheUsed, CacheTotal: r.report.CacheTotal,
+		Pace: r.expectedPace(now), Age: now.Sub(madeAt), Share: r.report.share(),
+	}
+	for i := range r.recentSends {
+		s := &r.recentSends[i]
+		if !s.at.After(madeAt) {
+			continue
+		}
+		load.Sent.Count++
+		load.Sent.Prompt += s.prompt
+		load.Sent.Output += s.output
+		load.Sent.Since = max(load.Sent.Since, now.Sub(s.at))
+	}
+	return load
+}
+
+// expectedPace returns the pace of an engine, 0 if unknown. One that a response has stated is newer than that of a report.
+func (r *replica) expectedPace(now time.Time) float64 {
+	if moment := r.expectedMomentPace(now); moment != 1 {
+		return moment
+	}
+	return r.report.Pace
+}
+
+// recordForecast records the error of the forecast for a request that was served.
+func (b *Balancer) recordForecast(r *replica, choice Choice, latency time.Duration) {
+	b.forecastError, b.hasForecastError = r.errors.Record(choice.modelled, choice.forecast, latency), true
+}
+
+// TakeForecastError returns the relative error of the forecast for the request whose end was recorded last. It returns false if there
+// was no forecast, or the error was taken already.
+func (b *Balancer) TakeForecastError() (float64, bool) {
+	has := b.hasForecastError
+	b.hasForecastError = false
+	return b.forecastError, has
+}
+
+// overcommit returns the number of requests that a replica may have beyond its slots.
+func (r *replica) overcommit(cfg *Config) int {
+	if r.model != nil {
+		return cfg.Overcommit + cfg.StartOvercommit
+	}
+	return cfg.Overcommit
+}
--- a/coordination/enginemodel/model.go
+++ b/coordination/enginemodel/model.go
@@ -86,6 +86,8 @@
 	FirstEvent, End time.Duration
 	// Pause is the time between two events.
 	Pause time.Duration
+	// Service is the time for which a usual request occupies a slot.
+	Service time.Duration
 	// SlotFree is the time until the engine has a slot for the request.
 	SlotFree time.Duration
 	// FreeTokens is the number of tokens for which the engine's cache has room; it is negative if its requests need more.
@@ -110,7 +112,7 @@
 	first := slot + m.backlog(load, &s) + m.firstEvent(&s, prompt, pass)
 	events := max(output/m.stride-1, 0)
 	return Forecast{
-		FirstEvent: seconds(first), End: seconds(first + events*pass), Pause: seconds(pass), SlotFree: seconds(slot),
+		FirstEvent: seconds(first), End: seconds(first + events*pass), Pause: seconds(pass), Service: seconds(s.service), SlotFree: seconds(slot),
 		FreeTokens: int(s.free),
 	}
 }
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -30,6 +30,8 @@
 	Prompt, Output, Priority int
 	// FirstEvent and End are called at the first event and at the end.
 	FirstEvent, End func()
+	// Canceled removes the request before the next pass.
+	Canceled bool
 
 	read, written int
 }
@@ -80,6 +82,8 @@
 
 // pass executes a pass and starts the next one at its end.
 func (e *Engine) pass() {
+	canceled := func(job *Job) bool { return job.Canceled }
+	e.running, e.waiting = slices.DeleteFunc(e.running, canceled), slices.DeleteFunc(e.waiting, canceled)
 	e.admit()
 	if e.passing = len(e.running) > 0; !e.passing {
 		return
@@ -120,6 +124,9 @@
 
 func (e *Engine) endPass(writers []*Job) {
 	for _, job := range writers {
+		if job.Canceled {
+			continue
+		}
 		if job.written == 0 {
 			job.FirstEvent()
 		}
