Publish the error of forecasts

Cause: whether the model of an engine is right can be seen only from the responses that it forecast.

--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -161,6 +161,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.Done(r.now(), choice, outcome, latency)
+	if relative, ok := r.balancer.TakeForecastError(); ok {
+		forecastErrors.record(relative)
+	}
 }
 
 // pickUpstream chooses the upstream of a request at random, by the weights of the route's targets.
