Report a host not ready while its processor falls behind

Cause: entry hosts have 0.2 to 0.8 cores; one that does not keep up delays its callers while others are idle.

It is on only if the settings state a memory limit. Refusing the least urgent instead would break the rule that nothing is refused while half of the slots are free.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -108,6 +108,7 @@
 		Headers:      platform.Headers(),
 		RetryAfter:   platform.FormatRetryAfter,
 		Ingress:      cfg,
+		WatchDelay:   settings.MemoryBytes > 0, // other settings say nothing about the size of the host
 		Random:       newRandom(),
 		Log:          log,
 	}
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -95,8 +95,10 @@
 	Headers      headers.Names
 	RetryAfter   func(time.Duration) string
 	Ingress      ingress.Config
-	Random       *rand.Rand
-	Log          *logrus.Entry
+	// WatchDelay makes the host report itself not ready for a moment when it falls behind because of its processor.
+	WatchDelay bool
+	Random     *rand.Rand
+	Log        *logrus.Entry
 }
 
 // entry is a running entry process.
@@ -110,6 +112,7 @@
 	pool     *backend.Pool
 	// quarantine keeps prompts on which replicas crash from them.
 	quarantine *ingress.Quarantine
+	delay      *delayWatch
 	leaving    atomic.Bool
 	// stopsAt is the time at which requests are cut off, in nanoseconds of the boot clock; 0 while new connections are taken.
 	stopsAt atomic.Int64
@@ -146,6 +149,9 @@
 	loops.Go(func() { listener.Run(loopCtx) })
 	loops.Go(func() { e.follower.Run(loopCtx) })
 	loops.Go(func() { e.prune(loopCtx) })
+	if deps.WatchDelay {
+		loops.Go(func() { e.delay.run(loopCtx) })
+	}
 	servers, err := e.listen()
 	if err != nil {
 		return err
@@ -165,10 +171,12 @@
 	e.router = ingress.NewRouter(deps.Ingress, newRandom(deps.Random), bootclock.Time)
 	e.follower.OnChange(e.router.SetView)
 	e.quarantine = ingress.NewQuarantine(deps.Ingress.Quarantine, newRandom(deps.Random), bootclock.Time, deps.Log)
+	e.delay = newDelayWatch(newRandom(deps.Random), deps.Log)
 	e.handler = ingress.NewHandler(ingress.Dependencies{
 		Config:     deps.Ingress,
 		Headers:    deps.Headers,
 		Current:    e.follower.Current,
+		Behind:     e.delay.behind.Load,
 		Leaving:    e.leaving.Load,
 		StopsAt:    e.stopTime,
 		Closing:    e.closing,
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -105,6 +105,8 @@
 	// Current returns the current view of the fleet, or nil before there is one, and the time since the store last confirmed its
 	// configuration. The age of one view says nothing about the API keys of another.
 	Current func() (*fleet.View, time.Duration)
+	// Behind, if set, reports whether the host falls behind because of its processor, so that it should get no new callers for a moment.
+	Behind func() bool
 	// Leaving reports whether the process is shutting down.
 	Leaving func() bool
 	// StopsAt, if set, returns the time at which requests that have not ended are cut off, once the process takes no new connections;
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -73,6 +73,8 @@
 		return false, "configuration not confirmed by the store"
 	case h.Quarantine != nil && !h.Quarantine.known():
 		return false, "prompt parts in quarantine not known yet"
+	case h.Behind != nil && h.Behind():
+		return false, "processor falls behind"
 	}
 	return true, ""
 }
