Keep events of simulations as pointers

Cause: most of the time of the simulations was spent swapping events in the heap.

Change: the heap of internal/virtualtime holds pointers and durations.

--- a/internal/virtualtime/queue.go
+++ b/internal/virtualtime/queue.go
@@ -8,46 +8,49 @@
 
 // Queue holds the events that have not run yet.
 type Queue struct {
-	now    time.Time
+	start time.Time
+	// now is the time since start.
+	now    time.Duration
 	events events
 	number int
 }
 
 // NewQueue returns a Queue whose time is start.
-func NewQueue(start time.Time) *Queue { return &Queue{now: start} }
+func NewQueue(start time.Time) *Queue { return &Queue{start: start} }
 
 // Now returns the time of the event that runs.
-func (q *Queue) Now() time.Time { return q.now }
+func (q *Queue) Now() time.Time { return q.start.Add(q.now) }
 
 // After runs do after a time. Events of the same time run in the order of their creation.
 func (q *Queue) After(d time.Duration, do func()) {
 	q.number++
-	heap.Push(&q.events, event{at: q.now.Add(max(d, 0)), number: q.number, do: do})
+	heap.Push(&q.events, &event{at: q.now + max(d, 0), number: q.number, do: do})
 }
 
 // Run runs the events before end.
 func (q *Queue) Run(end time.Time) {
-	for len(q.events) > 0 && q.events[0].at.Before(end) {
-		next := heap.Pop(&q.events).(event)
+	last := end.Sub(q.start)
+	for len(q.events) > 0 && q.events[0].at < last {
+		next := heap.Pop(&q.events).(*event)
 		q.now = next.at
 		next.do()
 	}
 }
 
 type event struct {
-	at     time.Time
+	at     time.Duration
 	number int
 	do     func()
 }
 
-type events []event
+type events []*event
 
 func (e events) Len() int      { return len(e) }
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
 
 func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].number < e[j].number
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
 }
 
 func (e *events) Pop() any {
