Use the published age of engine reports

Cause: engines publish that the figures in their reports are 200 ms old, and reports take 0 to 250 ms more. Requests sent 250 to 325 ms before a report arrived counted neither in it nor on top of it.

Change: the model counts requests sent since the published age plus 125 ms. The headroom keeps the constant ReportLag.

TestRequestSentBeforeTheFiguresCountsOnce fails without reportTransit. go test -race ./coordination/dispatch passes in 99 s.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -55,6 +55,7 @@
 		}
 		current.member, current.service, current.model = member, b.services[member.Upstream], b.models[member.Upstream]
 		spec := b.specs[member.Upstream]
+		current.figuresAge = b.figuresAge(spec.Engine)
 		current.engine, current.coldRate = spec.Engine != nil, spec.ColdPerSecond
 		next[member.ID] = current
 		b.groups[member.Upstream] = append(b.groups[member.Upstream], current)
@@ -91,7 +92,7 @@
 	if fromAgent {
 		r.drawHeadroom(&b.cfg, b.random.Float64())
 	}
-	reportMadeAt := now.Add(-r.reportLag(&b.cfg))
+	reportMadeAt := now.Add(-max(r.reportLag(&b.cfg), r.figuresAge))
 	r.recentSends = slices.DeleteFunc(r.recentSends, func(s send) bool { return !s.at.After(reportMadeAt) })
 	if !fromAgent {
 		return nil
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -23,6 +23,8 @@
 	member fleet.Member
 	// service is the state of the upstream if it is a plain service, nil if it is an engine.
 	service *service
+	// figuresAge is the assumed age of the figures in a modelled engine's report on arrival.
+	figuresAge time.Duration
 	// engine is true for a replica of a model engine, coldRate the rate of requests that a cold replica takes from all hosts together.
 	engine   bool
 	coldRate float64
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -5,6 +5,7 @@
 
 	"github.com/guavatrestle/guavatrestle/coordination/enginemodel"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
 const (
@@ -22,6 +23,9 @@
 	// unseenFactor is the number of requests that act on the same reports as a multiple of those sent since they were made: about as many
 	// follow until reports show the first ones. With 1 all hosts still favored the same replicas; 3 is no better.
 	unseenFactor = 2.0
+	// reportTransit is the mean time from the reading of an engine's figures to the arrival of the report that has them. Reports arrive
+	// 0 to 250 ms after the time that engines publish.
+	reportTransit = 125 * time.Millisecond
 	// regionMargin is the difference of the probability to miss the objective from which a request leaves its region.
 	regionMargin = 0.35
 )
@@ -54,6 +58,17 @@
 	}
 }
 
+// figuresAge returns the assumed age of the figures in a report on arrival, 0 for engines that publish no figures.
+func (b *Balancer) figuresAge(spec *fleet.EngineSpec) time.Duration {
+	switch {
+	case spec == nil || spec.Performance == nil:
+		return 0
+	case spec.Performance.ReportLag <= 0:
+		return b.cfg.ReportLag
+	}
+	return min(spec.Performance.ReportLag+reportTransit, b.cfg.MaxReportAge)
+}
+
 // modelledCandidate returns an engine with a score from its expected load, start and end. The load keeps its part in the score, so that
 // requests spread over the replicas that would all start them in time.
 func (b *Balancer) modelledCandidate(now time.Time, request *Request, r *replica) candidate {
@@ -96,7 +111,7 @@
 	if !r.hasFreshReport(cfg, now) {
 		return enginemodel.Load{Running: r.inFlight, Share: 1}
 	}
-	madeAt := r.reportedAt.Add(-cfg.ReportLag)
+	madeAt := r.reportedAt.Add(-r.figuresAge)
 	load := enginemodel.Load{
 		Running: r.report.Running, Waiting: r.report.Waiting, CacheUsed: r.report.CacheUsed, CacheTotal: r.report.CacheTotal,
 		Pace: r.expectedPace(now), Age: now.Sub(madeAt), Share: r.report.share(),
--- a/coordination/dispatch/start_test.go
+++ b/coordination/dispatch/start_test.go
@@ -197,3 +197,22 @@
 	}
 	require.Less(t, chosen(measured, start, patient)["r1"], few)
 }
+
+// TestRequestSentBeforeTheFiguresCountsOnce guards against a replica that looks free because a report arrived whose figures are older than
+// the last request to it.
+func TestRequestSentBeforeTheFiguresCountsOnce(t *testing.T) {
+	sent := func(age time.Duration) func(uint64) *dispatch.Balancer {
+		return func(seed uint64) *dispatch.Balancer {
+			b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "a"))
+			only := streamRequest()
+			only.Only = "r1"
+			choice, _ := b.Pick(start.Add(-age), only)
+			b.Done(start, choice, dispatch.OutcomeAbandoned, 0)
+			b.RecordReport(start, "r1", engineReport(0, 1, 0))
+			b.RecordReport(start, "r2", engineReport(0, 1, 0))
+			return b
+		}
+	}
+	require.Equal(t, map[fleet.ReplicaID]int{"r2": 50}, chosen(sent(300*time.Millisecond), start, streamRequest()))
+	require.Positive(t, chosen(sent(400*time.Millisecond), start, streamRequest())["r1"], "the figures include it")
+}
