--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -2,12 +2,12 @@
 
 import (
 	"hash/fnv"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/guavatrestle/guavatrestle/coordination/enginemodel"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
@@ -22,6 +22,15 @@
 	// ranked has the upstreams whose routes have different priorities, with these.
 	ranked  map[core.Upstream][]int
 	notices map[fleet.ReplicaID]*notice
+	// services holds what is known of the upstreams that are no engines.
+	services map[core.Upstream]*service
+	// models holds the models of the upstreams whose engines publish their figures.
+	models map[core.Upstream]*enginemodel.Model
+	// forecastError is the error of the last forecast that was compared with a response.
+	forecastError    float64
+	hasForecastError bool
+	// field is the memory for the candidates of one Pick.
+	field field
 	// senders is the number of hosts that send to a replica in the last report that has one, 0 if there is none.
 	senders int
 }
@@ -40,12 +49,17 @@
 	b.groups = make(map[core.Upstream][]*replica)
 	b.specs = view.Configuration.Upstreams
 	b.ranked = view.Configuration.RankedUpstreams()
+	b.setServices()
+	b.setModels()
 	for _, member := range view.Members {
 		current := b.replicas[member.ID]
 		if current == nil || current.member.Born != member.Born || current.member.Address != member.Address {
 			current = &replica{}
 		}
-		current.member = member
+		current.member, current.service, current.model = member, b.services[member.Upstream], b.models[member.Upstream]
+		spec := b.specs[member.Upstream]
+		current.figuresAge = b.figuresAge(spec.Engine)
+		current.engine, current.coldRate = spec.Engine != nil, spec.ColdPerSecond
 		next[member.ID] = current
 		b.groups[member.Upstream] = append(b.groups[member.Upstream], current)
 	}
@@ -64,20 +78,25 @@
 		report.Models, report.Loading = r.report.Models, r.report.Loading
 		report.Senders, report.Share, report.Demand = r.report.Senders, r.report.Share, r.report.Demand
 		report.Pace, report.RequestLimit = r.report.Pace, r.report.RequestLimit
+		report.CacheUsed, report.CacheTotal = r.report.CacheUsed, r.report.CacheTotal
 	}
 	if report.Senders > 0 {
 		b.senders = report.Senders
 	}
+	if !fromAgent && r.service != nil {
+		r.service.recordHeader(&report)
+	}
 	if report.Leaving {
 		b.markLeaving(now, id, r.member.Born)
 	}
+	r.recordMomentPace(now, report.MomentPace)
 	r.report = report
 	r.reportedAt = now
 	if fromAgent {
 		r.headroomDraw = b.random.Float64()
 	}
-	reportMadeAt := now.Add(-b.cfg.ReportLag)
-	r.recentSends = slices.DeleteFunc(r.recentSends, func(at time.Time) bool { return !at.After(reportMadeAt) })
+	reportMadeAt := now.Add(-max(r.reportLag(&b.cfg), r.figuresAge))
+	r.recentSends = slices.DeleteFunc(r.recentSends, func(s send) bool { return !s.at.After(reportMadeAt) })
 	if !fromAgent {
 		return nil
 	}
@@ -90,8 +109,8 @@
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, Verdict) {
 	group := b.groups[request.Upstream]
 	baseline := baselineLatency(group)
-	var best *replica
-	bestScore := 0.0
+	b.field.reset()
+	var best candidate
 	verdict := VerdictNoCandidate
 	var waiting waitSummary
 	avoidSilent := b.avoidsSilent(now, request.Upstream)
@@ -113,14 +132,21 @@
 			waiting.add(b.permitVerdict(candidate), candidate.permits.next(now))
 			continue
 		}
-		score := b.score(now, candidate, baseline)
-		if best == nil || score < bestScore {
-			best, bestScore = candidate, score
+		if candidate.model != nil {
+			b.addModelled(now, &request, candidate, &waiting)
+			continue
+		}
+		score := b.score(now, candidate, baseline) + candidate.latePenalty(now, &request)
+		if best.replica == nil || score < best.score {
+			best.replica, best.score = candidate, score
 		}
 	}
+	if chosen := b.chooseModelled(now, &request, &waiting); chosen != nil {
+		best = *chosen
+	}
 	switch {
-	case best != nil:
-		return b.assign(now, &request, best), VerdictChosen
+	case best.replica != nil:
+		return b.assign(now, &request, &best), VerdictChosen
 	case verdict == VerdictNoCandidate:
 		return Choice{}, verdict
 	}
@@ -166,7 +192,8 @@
 	}
 }
 
-func (b *Balancer) assign(now time.Time, request *Request, chosen *replica) Choice {
+func (b *Balancer) assign(now time.Time, request *Request, best *candidate) Choice {
+	chosen := best.replica
 	version, _ := chosen.loadedVersion(&b.cfg, now, request)
 	choice := Choice{
 		ID:      chosen.member.ID,
@@ -174,6 +201,8 @@
 		Version: version,
 		Load:    chosen.load(&b.cfg, now),
 		born:    chosen.member.Born,
+
+		modelled: best.modelled, forecast: best.forecast,
 	}
 	if chosen.permits != nil {
 		chosen.permits.take(now)
@@ -182,7 +211,7 @@
 	if limit := b.statedLimit(chosen.member.ID, chosen.member.Born); limit != nil {
 		limit.chosen++
 	}
-	chosen.recordSend(now)
+	chosen.recordSend(now, request)
 	return choice
 }
 
@@ -194,6 +223,9 @@
 		return
 	}
 	r.recordOutcome(&b.cfg, now, outcome, latency)
+	if outcome == OutcomeServed && latency > 0 && choice.modelled > 0 {
+		b.recordForecast(r, choice, latency)
+	}
 }
 
 // MarkCold records that a replica reported itself cold for the time remaining.
@@ -247,11 +279,14 @@
 }
 
 func (b *Balancer) hasCapacity(now time.Time, request *Request, r *replica) bool {
-	limit := r.slots() + b.cfg.Overcommit
+	limit := r.slots() + r.overcommit(&b.cfg)
 	reserved, ranked := b.reservedSlots(now, request, r)
 	switch {
+	case r.refusesWhenFull():
+		// The check below counts what may have ended since; knownFull is exact.
+		limit = math.MaxInt
 	case ranked:
-		limit = r.slots() + b.cfg.RankedOvercommit - reserved
+		limit = r.slots() + max(r.overcommit(&b.cfg), b.cfg.RankedOvercommit) - reserved
 	case request.Moved:
 		limit += b.cfg.MovedOvercommit
 	case request.Late && b.specs[r.member.Upstream].Engine != nil:
@@ -262,7 +297,7 @@
 		return false
 	case r.report.Loading && r.hasFreshReport(&b.cfg, now):
 		return false
-	case r.load(&b.cfg, now) >= limit:
+	case r.load(&b.cfg, now) >= limit, r.knownFull(&b.cfg, now), !r.endsInTime(now, request):
 		return false
 	case !request.Moved && r.headroomUsed(&b.cfg, now, reserved, ranked):
 		return false
@@ -282,9 +317,9 @@
 // score returns the load of a replica as a share of its slots, plus penalties for distance, failures and slowness and a
 // random jitter. Lower is better.
 func (b *Balancer) score(now time.Time, r *replica, baseline float64) float64 {
-	score := float64(r.load(&b.cfg, now)+1) / float64(r.slots())
+	score := (r.expectedLoad(&b.cfg, now) + 1) / float64(r.slots())
 	score += b.distancePenalty(r) + b.cfg.FailureWeight*r.failureRate
-	score += b.slownessPenalty(r, baseline)
+	score += b.slownessPenalty(r, baseline) + b.cfg.MomentWeight*(r.expectedMomentPace(now)-1)
 	return score + b.cfg.Jitter*b.random.Float64()
 }
 
@@ -324,50 +359,3 @@
 	}
 	return (sum - slowest) / float64(count-1)
 }
-
-// State is the state of one replica for debug dumps.
-type State struct {
-	ID       fleet.ReplicaID
-	Upstream core.Upstream
-	InFlight int
-	Load     int
-	// Failing is the moving average of the share of failed requests.
-	Failing float64
-	// Latency is the moving average of the time to the response or its first event, in seconds.
-	Latency float64
-	// OutUntil is the end of the current ejection or shed backoff.
-	OutUntil time.Time
-	// Moved is true if another replica responded at the address.
-	Moved    bool
-	Report   Report
-	Reported time.Time
-	// RequestLimit is the replica's request limit, LimitedSince the time since which this host knows it.
-	RequestLimit fleet.RequestLimit
-	LimitedSince time.Time
-}
-
-// States returns the state of every replica, sorted by ID.
-func (b *Balancer) States(now time.Time) []State {
-	var states []State
-	for _, id := range slices.Sorted(maps.Keys(b.replicas)) {
-		r := b.replicas[id]
-		state := State{
-			ID:       id,
-			Upstream: r.member.Upstream,
-			InFlight: r.inFlight,
-			Load:     r.load(&b.cfg, now),
-			Failing:  r.failureRate,
-			Latency:  r.avgLatency,
-			OutUntil: r.excludedUntil,
-			Moved:    r.addressMoved,
-			Report:   r.report,
-			Reported: r.reportedAt,
-		}
-		if limit := b.statedLimit(id, r.member.Born); limit != nil {
-			state.RequestLimit = fleet.RequestLimit{Stated: true, PerSecond: limit.perSecond}
-			state.LimitedSince = limit.since
-		}
-		states = append(states, state)
-	}
-	return states
-}
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -25,6 +25,9 @@
 	Overcommit int
 	// MovedOvercommit is added to Overcommit for a request that is moved away from another replica.
 	MovedOvercommit int
+	// StartOvercommit is added to Overcommit for a request that an engine with published figures is expected to start within its latency
+	// objective.
+	StartOvercommit int
 	// LateReserve is the share of a replica's slots that a late request leaves free. Higher values answer more requests in time and
 	// fewer of those that were refused before.
 	LateReserve float64
@@ -76,6 +79,8 @@
 	SlowWeight    float64
 	SlowThreshold float64
 	SlowCap       float64
+	// MomentWeight is added to the score for each multiple of the usual service time by which the stated one of this moment exceeds it.
+	MomentWeight float64
 	// DefaultSenders is the number of hosts assumed to send to a replica that is cold or has a request limit, while no report has given
 	// the number.
 	DefaultSenders int
@@ -94,6 +99,7 @@
 		Jitter:                0.12,
 		Overcommit:            1,
 		MovedOvercommit:       2,
+		StartOvercommit:       2,
 		LateReserve:           0.3,
 		PriorityReserve:       0.25,
 		ReserveTime:           150 * time.Millisecond,
@@ -116,6 +122,7 @@
 		SlowWeight:            0.25,
 		SlowThreshold:         1.8,
 		SlowCap:               1.5,
+		MomentWeight:          0.5,
 		DefaultSenders:        24,
 		ColdShare:             0.8,
 		LimitShare:            0.8,
@@ -147,6 +154,12 @@
 	// Guaranteed is true for a request of a priority of which fewer requests are started than its minimum share. It leaves no slots to
 	// more urgent ones.
 	Guaranteed bool
+	// Once is true for a request that must not run twice.
+	Once bool
+	// ObjectiveLeft and DeadlineLeft are the times until the request misses its latency objective and until its deadline; 0 means
+	// unknown, or for the objective that it is missed already.
+	ObjectiveLeft time.Duration
+	DeadlineLeft  time.Duration
 	// Exclude lists the replicas that earlier attempts were sent to.
 	Exclude []fleet.ReplicaID
 	// Only, if set, is the only replica that may serve the request.
@@ -187,6 +200,8 @@
 	HeldUntil time.Time
 	// sendBefore is the time before which the request must be sent if the replica takes only a limited rate.
 	sendBefore time.Time
+	// modelled and forecast are the expected times to the first event before and after the correction, 0 without a model.
+	modelled, forecast time.Duration
 	// born distinguishes successive processes of a replica with the same ID.
 	born int64
 }
@@ -232,6 +247,10 @@
 	Demand []float64
 	// Pace is the current service time as a multiple of the usual one; 0 means unknown.
 	Pace float64
+	// MomentPace is the service time of this moment as a multiple of the usual one, as a response states it; 0 means unknown.
+	MomentPace float64
+	// CacheUsed and CacheTotal are the sizes of an engine's cache in a unit of its own; 0 means unknown.
+	CacheUsed, CacheTotal int64
 	// RequestLimit is the request rate that the replica takes from all hosts together.
 	RequestLimit fleet.RequestLimit
 }
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/guavatrestle/guavatrestle/coordination/enginemodel"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
@@ -19,7 +20,17 @@
 
 // replica is the state that a Balancer keeps for one replica.
 type replica struct {
-	member   fleet.Member
+	member fleet.Member
+	// service is the state of the upstream if it is a plain service, nil if it is an engine.
+	service *service
+	// figuresAge is the assumed age of the figures in a modelled engine's report on arrival.
+	figuresAge time.Duration
+	// engine is true for a replica of a model engine, coldRate the rate of requests that a cold replica takes from all hosts together.
+	engine   bool
+	coldRate float64
+	// model forecasts the replica's responses if it is an engine that publishes its figures, nil otherwise. errors is its error.
+	model    *enginemodel.Model
+	errors   enginemodel.Errors
 	inFlight int
 	// report is the last load report. reportedAt is the time of its arrival; zero means that there is none.
 	report     Report
@@ -27,7 +38,7 @@
 	// headroomDraw is the random number, in [0, 1), by which this host's share of the free slots in the last report is rounded.
 	headroomDraw float64
 	// recentSends holds the send times of requests that the last report may not include yet.
-	recentSends []time.Time
+	recentSends []send
 
 	consecutiveBroken int
 	// failureRate and avgLatency are exponential moving averages; avgLatency is in seconds, 0 until measured.
@@ -36,10 +47,19 @@
 	// excludedUntil is the end of the current ejection or shed backoff.
 	excludedUntil time.Time
 	addressMoved  bool
+	// momentPace is the last stated MomentPace, which arrived at momentPaceAt.
+	momentPace   float64
+	momentPaceAt time.Time
 	// permits holds the permits to send to the replica while it is cold or has a request limit, nil otherwise.
 	permits *permits
 }
 
+// send is a request sent to a replica, with its size in tokens, 0 if unknown.
+type send struct {
+	at             time.Time
+	prompt, output int
+}
+
 // hasFreshReport reports whether the last report is recent enough to use.
 func (r *replica) hasFreshReport(cfg *Config, now time.Time) bool {
 	return !r.reportedAt.IsZero() && now.Sub(r.reportedAt) <= cfg.MaxReportAge
@@ -57,9 +77,9 @@
 // less those that are reserved for more urgent requests. All hosts see the same report; if each rounded its share up, all would send to a replica with one free slot. So a share is
 // rounded up only while there are few hosts for each free slot, and otherwise up or down at random, in proportion to the remainder.
 func (r *replica) headroom(cfg *Config, reserved int, ranked bool) int {
-	overcommit := cfg.Overcommit
+	overcommit := r.overcommit(cfg)
 	if ranked {
-		overcommit = cfg.RankedOvercommit
+		overcommit = max(overcommit, cfg.RankedOvercommit)
 	}
 	freeSlots := float64(max(r.slots()+overcommit-reserved-r.report.Running-r.report.Waiting, 0))
 	share := freeSlots * r.report.share()
@@ -82,10 +102,10 @@
 
 // unreportedSends returns the number of requests sent after the time at which the last report was made.
 func (r *replica) unreportedSends(cfg *Config) int {
-	reportMadeAt := r.reportedAt.Add(-cfg.ReportLag)
+	reportMadeAt := r.reportedAt.Add(-r.reportLag(cfg))
 	count := 0
-	for _, at := range r.recentSends {
-		if at.After(reportMadeAt) {
+	for i := range r.recentSends {
+		if r.recentSends[i].at.After(reportMadeAt) {
 			count++
 		}
 	}
@@ -93,12 +113,12 @@
 }
 
 // recordSend counts a request sent to the replica at now.
-func (r *replica) recordSend(now time.Time) {
+func (r *replica) recordSend(now time.Time, request *Request) {
 	r.inFlight++
 	if len(r.recentSends) == maxRecentSends {
 		r.recentSends = append(r.recentSends[:0], r.recentSends[1:]...)
 	}
-	r.recentSends = append(r.recentSends, now)
+	r.recentSends = append(r.recentSends, send{at: now, prompt: request.PromptTokens, output: request.OutputTokens})
 }
 
 // slots returns the number of requests that the replica processes concurrently.
@@ -120,12 +140,16 @@
 // recordOutcome updates the failure and latency statistics with the outcome of a request.
 func (r *replica) recordOutcome(cfg *Config, now time.Time, outcome Outcome, latency time.Duration) {
 	r.inFlight = max(r.inFlight-1, 0)
+	if r.service != nil {
+		r.service.recordOutcome(cfg, now, r, outcome, latency)
+	}
 	switch outcome {
 	case OutcomeServed:
 		r.consecutiveBroken = 0
 		r.failureRate *= 1 - failureGain
 		if latency > 0 {
-			r.avgLatency = movingAverage(r.avgLatency, latency.Seconds())
+			// What a stated pace explains counts in the score while it lasts.
+			r.avgLatency = movingAverage(r.avgLatency, latency.Seconds()/r.expectedMomentPace(now))
 		}
 	case OutcomeFailed:
 		r.consecutiveBroken = 0
@@ -134,6 +158,10 @@
 		r.failureRate += failureGain * (1 - r.failureRate)
 		r.recordBroken(cfg, now)
 	case OutcomeShed:
+		if r.refusesWhenFull() && r.hasFreshReport(cfg, now) {
+			// The header of the refusal says until when the replica is full.
+			return
+		}
 		r.excludedUntil = later(r.excludedUntil, now.Add(cfg.ShedBackoff))
 	case OutcomeMoved:
 		r.addressMoved = true
--- a/transport/ingress/line.go
+++ b/transport/ingress/line.go
@@ -42,6 +42,16 @@
 	// queuedAt is the time since which the request waits, forecast the wait that was forecast then.
 	queuedAt time.Time
 	forecast time.Duration
+	// timedAt is the time for which the request states the times left until its objective and its deadline.
+	timedAt time.Time
+}
+
+// updateTimeLeft takes the time that has passed from the times left until the objective and the deadline.
+func (w *waiter) updateTimeLeft(now time.Time) {
+	passed := now.Sub(w.timedAt)
+	w.timedAt = now
+	w.request.ObjectiveLeft = max(w.request.ObjectiveLeft-passed, 0)
+	w.request.DeadlineLeft = max(w.request.DeadlineLeft-passed, 0)
 }
 
 // waitResult is the end of a wait. recheck is set if the configuration has changed, so that the request must be checked and queued again.
@@ -117,7 +127,7 @@
 		l.queue.Arrived(now, workload.RankAt(now, w.item.Request))
 	}
 	l.waiters[w.id] = w
-	w.queuedAt = now
+	w.queuedAt, w.timedAt = now, now
 	l.queue.Add(now, w.item)
 	r.advance(l)
 	r.review(l, w)
@@ -188,6 +198,7 @@
 			w.verdict, w.heldUntil = full[i].verdict, full[i].heldUntil
 			continue
 		}
+		w.updateTimeLeft(now)
 		choice, verdict := r.balancer.Pick(now, w.request)
 		if verdict != dispatch.VerdictChosen {
 			w.verdict, w.heldUntil = verdict, choice.HeldUntil
--- a/transport/ingress/wait_metrics.go
+++ b/transport/ingress/wait_metrics.go
@@ -18,11 +18,11 @@
 // levelNames are the keys of the levels of priority.
 var levelNames = [...]string{"0", "1", "2", "3", "4", "5", "6", "7", "8", "9"}
 
-// waits has the time that requests have waited, by level; forecastErrors has the difference to what was forecast for those that a replica
+// waits has the time that requests have waited, by level; waitForecastErrors has the difference to what was forecast for those that a replica
 // was found for.
 var (
-	waits          [workload.Levels]*latency
-	forecastErrors = newLatency()
+	waits              [workload.Levels]*latency
+	waitForecastErrors = newLatency()
 )
 
 func init() {
@@ -30,7 +30,7 @@
 		waits[level] = newLatency()
 		varWaitMS.Set(name, expvar.Func(waits[level].quantiles))
 	}
-	expvar.Publish("ingress_forecast_error_ms", expvar.Func(forecastErrors.quantiles))
+	expvar.Publish("ingress_wait_forecast_error_ms", expvar.Func(waitForecastErrors.quantiles))
 }
 
 // countWaiting counts a request that waits until the returned function is called.
@@ -46,7 +46,7 @@
 // recordForecast records the error of the forecast for a request that a replica was found for at now.
 func recordForecast(w *waiter, now time.Time) {
 	difference := now.Sub(w.queuedAt) - w.forecast
-	forecastErrors.record(max(difference, -difference))
+	waitForecastErrors.record(max(difference, -difference))
 }
 
 func countWaitRefusal(refusal waiting.Refusal) {
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -82,9 +82,12 @@
 	// Demand is the total demand of the Senders in requests per second, 0 if one of them is unknown.
 	Demand float64 `json:"e,omitempty"`
 	// PriorityDemand is the total by the level of the requests' priority of those Senders that have told it.
-	PriorityDemand []float64       `json:"i,omitempty"`
-	Pace           float64         `json:"p,omitempty"`
-	Wanted         []wantedVersion `json:"v,omitempty"`
+	PriorityDemand []float64 `json:"i,omitempty"`
+	Pace           float64   `json:"p,omitempty"`
+	// CacheUsed and CacheTotal are the sizes of the engine's cache, 0 if unknown.
+	CacheUsed  int64           `json:"c,omitempty"`
+	CacheTotal int64           `json:"o,omitempty"`
+	Wanted     []wantedVersion `json:"v,omitempty"`
 	// StoreUnresponsiveCount is the number of Senders that the store does not answer.
 	StoreUnresponsiveCount int `json:"x,omitempty"`
 }
@@ -149,7 +152,8 @@
 func encodeReport(born int64, r dispatch.Report, demand float64, unresponsive int, versions []wantedVersion) ([]byte, error) {
 	wire := &report{
 		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace, Demand: demand,
-		PriorityDemand: r.Demand, Wanted: versions, StoreUnresponsiveCount: unresponsive,
+		PriorityDemand: r.Demand, CacheUsed: max(r.CacheUsed, 0), CacheTotal: max(r.CacheTotal, 0), Wanted: versions,
+		StoreUnresponsiveCount: unresponsive,
 	}
 	if r.RequestLimit.Stated {
 		wire.RequestLimit = &r.RequestLimit.PerSecond
@@ -164,7 +168,7 @@
 func (r *report) decode(ownDemand float64) dispatch.Report {
 	decoded := dispatch.Report{
 		Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace,
-		Models: []fleet.LoadedModel{}, Demand: r.PriorityDemand,
+		CacheUsed: r.CacheUsed, CacheTotal: r.CacheTotal, Models: []fleet.LoadedModel{}, Demand: r.PriorityDemand,
 	}
 	if r.RequestLimit != nil {
 		decoded.RequestLimit = fleet.RequestLimit{Stated: true, PerSecond: *r.RequestLimit}
