Account for the bytes that a process holds for others

Request bodies had no shared bound, and responses only one of 32 MB, whatever memory a host has.

coordination/holding is a pure account with limits by kind and by caller, derived from the memory limit. While memory is short it names the requests to be ended: those whose callers read nothing or send their body too slowly, the largest first.

--- /dev/null
+++ b/coordination/holding/slow.go
@@ -0,0 +1,65 @@
+package holding
+
+import "time"
+
+// BeginBody records that the body of a request arrives from now on.
+func (a *Account) BeginBody(now time.Time, r *Request) { r.receivingSince, r.received = now, 0 }
+
+// ReceiveBody records that a part of the body has arrived.
+func (a *Account) ReceiveBody(r *Request, bytes int64) { r.received += bytes }
+
+// EndBody records that the body has arrived.
+func (a *Account) EndBody(r *Request) { r.receivingSince = time.Time{} }
+
+// BeginWrite records that something is written to the caller from now on, or that the caller has taken a part of it.
+func (a *Account) BeginWrite(now time.Time, r *Request) { r.writingSince = now }
+
+// EndWrite records that the caller's connection has taken what was written.
+func (a *Account) EndWrite(r *Request) {
+	r.writingSince = time.Time{}
+	if r.unread {
+		r.unread = false
+		a.add(r, KindSocket, -UnreadBytes)
+	}
+}
+
+// countUnread counts the socket buffers of the callers that take nothing of a write.
+func (a *Account) countUnread(now time.Time) {
+	for r := range a.requests {
+		if !r.unread && !r.writingSince.IsZero() && now.Sub(r.writingSince) >= unreadAfter {
+			r.unread = true
+			a.add(r, KindSocket, UnreadBytes)
+			a.paused++
+		}
+	}
+}
+
+// TakePaused returns how many times a write to a caller has made no progress for a while, since the last call.
+func (a *Account) TakePaused() int {
+	paused := a.paused
+	a.paused = 0
+	return paused
+}
+
+// Ended reports whether a request was ended because others need its memory.
+func (r *Request) Ended() bool { return r.ended }
+
+// isSlow reports whether a request holds memory because of a slow caller.
+func (a *Account) isSlow(now time.Time, r *Request) bool {
+	if !r.writingSince.IsZero() {
+		return now.Sub(r.writingSince) >= a.cfg.ReaderTimeout
+	}
+	if r.receivingSince.IsZero() {
+		return false
+	}
+	elapsed := now.Sub(r.receivingSince)
+	return elapsed >= a.cfg.SlowBodyAfter && float64(r.received) < float64(a.cfg.MinBodyRate)*elapsed.Seconds()
+}
+
+// slowSince returns the time at which the caller's delay began.
+func (r *Request) slowSince() time.Time {
+	if !r.writingSince.IsZero() {
+		return r.writingSince
+	}
+	return r.receivingSince
+}
