Send a body to a replica without a copy of it

encode copied each body behind its head, so a large one took twice its memory while it was sent. Head and body are now written with one writev. NewPoolWithBuffers limits the socket buffers of the connections.

--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -93,8 +93,16 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{idleConns: make(map[string][]*conn), dial: netdial.Dial, now: bootclock.Time}
+func NewPool() *Pool { return NewPoolWithBuffers(0) }
+
+// NewPoolWithBuffers is NewPool with a limit in bytes of each socket buffer of a connection; 0 means that of the system.
+func NewPoolWithBuffers(bytes int) *Pool {
+	dialer := netdial.Dialer()
+	dialer.Control = netdial.LimitBuffers(bytes, dialer.Control)
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	return &Pool{idleConns: make(map[string][]*conn), dial: dial, now: bootclock.Time}
 }
 
 // get returns an idle connection that was last used within maxIdle and may carry a request with the ID, or a new one.
--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -74,7 +75,7 @@
 		return nil, &Error{err: eris.Wrap(err, "connect to back end")}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	content := encode(request)
+	head := encodeHead(request)
 	if request.MaySend != nil {
 		if err := request.MaySend(); err != nil {
 			stop()
@@ -82,7 +83,7 @@
 			return nil, &Error{Reused: c.reused, err: err}
 		}
 	}
-	response, err := c.exchange(request, content)
+	response, err := c.exchange(request, head)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -97,11 +98,13 @@
 	}, nil
 }
 
-// exchange writes the encoded request and reads the head of its response, skipping late responses to earlier requests.
-func (c *conn) exchange(request *Request, content []byte) (*http.Response, error) {
+// exchange writes the request with its encoded head and reads the head of its response, skipping late responses to earlier requests.
+func (c *conn) exchange(request *Request, head []byte) (*http.Response, error) {
 	want := request.id()
 	c.begin(want)
-	if _, err := c.Write(content); err != nil {
+	// The body is not copied: large ones would take twice their memory.
+	content := net.Buffers{head, request.Body}
+	if _, err := content.WriteTo(c.Conn); err != nil {
 		return nil, err
 	}
 	httpRequest := &http.Request{Method: request.Method}
@@ -151,16 +154,15 @@
 	}
 }
 
-func encode(request *Request) []byte {
+func encodeHead(request *Request) []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(1024 + len(request.Body))
+	buffer.Grow(1024)
 	buffer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(&buffer)
 	if request.HasBody {
 		buffer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(request.Body)
 	return buffer.Bytes()
 }
 
--- a/transport/netdial/netdial.go
+++ b/transport/netdial/netdial.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"syscall"
@@ -50,6 +51,24 @@
 	}
 }
 
+// LimitBuffers returns a control function that also limits both socket buffers, or control if bytes is 0. It must run before the connection
+// is opened, or at the listener, because the scale of the receive window is agreed on then.
+func LimitBuffers(bytes int, control func(network, address string, raw syscall.RawConn) error) func(network, address string, raw syscall.RawConn) error {
+	if bytes <= 0 {
+		return control
+	}
+	return func(network, address string, raw syscall.RawConn) error {
+		var sockErr error
+		err := raw.Control(func(fd uintptr) {
+			sockErr = errors.Join(
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes),
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes),
+			)
+		})
+		return errors.Join(err, sockErr, control(network, address, raw))
+	}
+}
+
 // Dial opens a TCP connection to address.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	return Dialer().DialContext(ctx, "tcp", address)
