Admit bodies and end slow readers by the account of held bytes

A caller that did not read held its goroutine and the replica's connection, and the guard took the pause for one of the replica and moved the stream.

A body is admitted by its announced length, or as it grows, and refused with 503, no_memory and not_run otherwise; one that arrives below 8 KiB/s is refused while memory is short. A write to a caller that makes no progress is ended after 1.5 s while others need the memory and after 8 s in any case. The guard counts no time while a write waits, and a connection that the replica closes after a write of 1 s isn't counted as its fault. Buffered responses share the account; their limit of 32 MB and the tests' bounds are unchanged.

--- a/coordination/holding/holding.go
+++ b/coordination/holding/holding.go
@@ -32,10 +32,11 @@
 	return [...]Kind{KindBody, KindResponse, KindEvents, KindSocket, KindRecords}
 }
 
+// kindNames are the names of the kinds in metrics.
+var kindNames = [...]string{"body", "response", "events", "socket", "records"}
+
 // String returns the name of the kind in metrics.
-func (k Kind) String() string {
-	return [...]string{"body", "response", "events", "socket", "records"}[k]
-}
+func (k Kind) String() string { return kindNames[k] }
 
 // Caller identifies for whom bytes are held.
 type Caller struct {
--- a/coordination/holding/slow.go
+++ b/coordination/holding/slow.go
@@ -26,7 +26,7 @@
 // countUnread counts the socket buffers of the callers that take nothing of a write.
 func (a *Account) countUnread(now time.Time) {
 	for r := range a.requests {
-		if !r.unread && !r.writingSince.IsZero() && now.Sub(r.writingSince) >= unreadAfter {
+		if !r.unread && r.Writing() && now.Sub(r.writingSince) >= unreadAfter {
 			r.unread = true
 			a.add(r, KindSocket, UnreadBytes)
 			a.paused++
@@ -44,9 +44,12 @@
 // Ended reports whether a request was ended because others need its memory.
 func (r *Request) Ended() bool { return r.ended }
 
+// Writing reports whether something is written to the caller.
+func (r *Request) Writing() bool { return !r.writingSince.IsZero() }
+
 // isSlow reports whether a request holds memory because of a slow caller.
 func (a *Account) isSlow(now time.Time, r *Request) bool {
-	if !r.writingSince.IsZero() {
+	if r.Writing() {
 		return now.Sub(r.writingSince) >= a.cfg.ReaderTimeout
 	}
 	if r.receivingSince.IsZero() {
@@ -58,7 +61,7 @@
 
 // slowSince returns the time at which the caller's delay began.
 func (r *Request) slowSince() time.Time {
-	if !r.writingSince.IsZero() {
+	if r.Writing() {
 		return r.writingSince
 	}
 	return r.receivingSince
--- a/internal/metricsdoc/metricsdoc_test.go
+++ b/internal/metricsdoc/metricsdoc_test.go
@@ -33,6 +33,8 @@
 		"ingress_upstream_requests":   {upstreams, outcomes},
 		"ingress_upstream_latency_ms": {upstreams, outcomes},
 		"ingress_oversized_responses": {constants(constantsOfType(t, "transport/ingress", "sizeLimit"))},
+		"held_bytes":                  {constants(valuesOfArray(t, "coordination/holding", "kindNames"))},
+		"held_refused":                {constants(valuesOfArray(t, "coordination/holding", "kindNames"))},
 		"staging_pieces":              {constants(constantsOfType(t, "coordination/transfer", "Outcome"))},
 		"object_api_calls":            objectAPI,
 		"object_api_failures":         objectAPI,
--- a/protocol/api/api.go
+++ b/protocol/api/api.go
@@ -53,6 +53,7 @@
 	CodeUnknownUpstream    = "unknown_upstream"
 	CodeTeamLimit          = "team_limit"
 	CodeNoCapacity         = "no_capacity"
+	CodeNoMemory           = "no_memory"
 	CodePromptQuarantined  = "prompt_quarantined"
 	CodeLeaving            = "leaving"
 	CodeFailureDomainOut   = "failure_domain_out"
--- a/transport/ingress/buffer.go
+++ b/transport/ingress/buffer.go
@@ -2,39 +2,22 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/coordination/holding"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 )
 
 // grantedBytes is the capacity up to which a buffer is granted even if the shared limit is used up: requests that have run at sound
 // replicas get their responses, which are mostly smaller, whatever others take.
 const grantedBytes = 64 << 10
 
-// bufferLimit bounds the memory of all responses, and unfinished events of streams, that are buffered at a time. Without it a few
-// replicas that send bytes without end would exhaust the memory of the process.
-type bufferLimit struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve counts more bytes of a request that has reserved held, and reports whether it may have them: a request may use half of what the
-// others leave, so that those that need most fail first.
-func (l *bufferLimit) reserve(held, more int64) bool {
-	for {
-		used := l.used.Load()
-		if 2*(held+more) > l.limit-(used-held) {
-			return false
-		}
-		if l.used.CompareAndSwap(used, used+more) {
-			return true
-		}
-	}
-}
-
-// responseBuffer counts the buffered responses of one request.
+// responseBuffer counts the buffered responses, or the unfinished events, of one request.
 type responseBuffer struct {
-	shared   *bufferLimit
+	held *held.Request
+	kind holding.Kind
+	// reserved is what the buffers of the request count.
 	reserved int64
 }
 
@@ -45,8 +28,8 @@
 func (b *responseBuffer) resize(from, to int) error {
 	more := countedBytes(to) - countedBytes(from)
 	if more <= 0 || to <= grantedBytes {
-		b.shared.used.Add(more)
-	} else if !b.shared.reserve(b.reserved, more) {
+		b.held.Force(b.kind, more)
+	} else if !b.held.Grow(b.kind, more) {
 		countOversized(limitOfBuffers)
 		return errBuffersFull
 	}
@@ -105,6 +88,6 @@
 
 // release gives back what the request has reserved.
 func (b *responseBuffer) release() {
-	b.shared.used.Add(-b.reserved)
+	b.held.Force(b.kind, -b.reserved)
 	b.reserved = 0
 }
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -15,6 +15,7 @@
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 )
 
 const (
@@ -68,8 +69,14 @@
 	stage responseStage
 	// responding is set once a part of the response may have been sent to the caller.
 	responding bool
-	// buffer counts the memory of buffered responses.
-	buffer responseBuffer
+	// held counts the memory of the request, buffer that of buffered responses and events that of unfinished events.
+	held           *held.Request
+	buffer, events responseBuffer
+	// sendUntil is the write deadline of the caller's connection, longestSend the longest write of the current attempt, and sendErr the error
+	// of the last write that failed.
+	sendUntil   time.Time
+	longestSend time.Duration
+	sendErr     error
 	// heldUntil is the time at which a replica takes requests again, set if the request is refused because none does now.
 	heldUntil time.Time
 	// outcome is set once the request has ended, refusalCode together with outcomeRefused.
@@ -133,6 +140,7 @@
 		}
 		result := c.attemptAndRelease(ctx, choice)
 		if result.responded {
+			c.logUnread()
 			c.outcome = outcomeServed
 			c.releaseNextChoice()
 			return
@@ -141,7 +149,7 @@
 		if result.errorResponse != nil {
 			c.errorResponse = result.errorResponse
 		}
-		if c.r.Context().Err() != nil {
+		if c.r.Context().Err() != nil || c.sendErr != nil {
 			c.releaseNextChoice()
 			c.abandon()
 		}
@@ -376,7 +384,11 @@
 // abandon aborts a request whose caller has disconnected, and panics to do so. A return would send an empty response with status
 // 200, which a caller that has closed only its own side of the connection would take for the complete one.
 func (c *call) abandon() {
+	c.logUnread()
 	c.outcome = outcomeAbandoned
+	if c.held.Ended() {
+		c.outcome = outcomeCut
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/backend"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 )
 
 // Config holds the settings of a Handler.
@@ -65,6 +66,8 @@
 	MaxResponseBytes int64
 	// MaxBufferedBytes bounds the memory of all responses that are buffered at a time.
 	MaxBufferedBytes int64
+	// SendTimeout is the time after which a write to a caller that makes no progress is given up, also if no other request needs the memory.
+	SendTimeout time.Duration
 	// RetryAfterMin and RetryAfterMax bound the Retry-After of a rejected request.
 	RetryAfterMin time.Duration
 	RetryAfterMax time.Duration
@@ -92,9 +95,11 @@
 		UnsafeMaxIdle:        time.Second,
 		MaxResponseBytes:     8 << 20,
 		MaxBufferedBytes:     32 << 20,
-		RetryAfterMin:        50 * time.Millisecond,
-		RetryAfterMax:        time.Second,
-		RetryAfterShare:      0.25,
+		// An interruption of a sound caller's link is shorter.
+		SendTimeout:     8 * time.Second,
+		RetryAfterMin:   50 * time.Millisecond,
+		RetryAfterMax:   time.Second,
+		RetryAfterShare: 0.25,
 	}
 }
 
@@ -115,6 +120,8 @@
 	// RetryAfter formats a duration as the value of the Retry-After header.
 	RetryAfter func(time.Duration) string
 	Pool       *backend.Pool
+	// Held is the account of held bytes; nil means one that limits only buffered responses.
+	Held *held.Account
 	// Quarantine keeps prompts on which replicas crash from them; nil means that all prompts are sent.
 	Quarantine *Quarantine
 	Now        func() time.Time
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -2,24 +2,23 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/guavatrestle/guavatrestle/coordination/holding"
 	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 )
 
 const (
 	bearerPrefix = "Bearer "
-	// defaultBodyBytes bounds a request body if the configuration sets no limit.
-	defaultBodyBytes = 4 << 20
 	// maxPriority is the highest priority value that back ends accept.
 	maxPriority = 9
 	// maxDeadline bounds the deadline of a caller.
@@ -36,7 +35,6 @@
 	// brokenLog has the attempts that broke after they were sent. Their limit is their own, so that they are not left out when many
 	// requests are refused at the same time.
 	brokenLog *requestLog
-	buffers   bufferLimit
 }
 
 // NewHandler returns a Handler that chooses replicas with router.
@@ -44,9 +42,11 @@
 	if deps.Closing == nil {
 		deps.Closing = context.Background()
 	}
+	if deps.Held == nil {
+		deps.Held = held.New(holding.Config{Buffered: deps.Config.MaxBufferedBytes}, time.Now)
+	}
 	return &Handler{
 		Dependencies: deps, router: router, log: newRequestLog(deps.Log, deps.Now), brokenLog: newRequestLog(deps.Log, deps.Now),
-		buffers: bufferLimit{limit: deps.Config.MaxBufferedBytes},
 	}
 }
 
@@ -91,9 +91,10 @@
 		viewAge: viewAge,
 
 		promptParts: h.Headers.PromptParts(r.Header),
-
-		buffer: responseBuffer{shared: &h.buffers},
 	}
+	c.held = h.Held.Open(holding.Caller{Connection: r.RemoteAddr}, c.endForMemory)
+	c.buffer = responseBuffer{held: c.held, kind: holding.KindResponse}
+	c.events = responseBuffer{held: c.held, kind: holding.KindEvents}
 	if h.Quarantine != nil {
 		c.sharedParts = sharedParts(c.promptParts)
 	}
@@ -112,7 +113,7 @@
 
 // finish counts a request that has ended and releases what it holds.
 func (c *call) finish() {
-	c.buffer.release()
+	c.held.Close()
 	c.countOutcome()
 }
 
@@ -122,6 +123,9 @@
 		return transport.Errorf(http.StatusServiceUnavailable, api.CodeStoreUnavailable, api.RunNotRun,
 			"no configuration has been loaded yet")
 	}
+	if !c.held.Grow(holding.KindSocket, holding.SocketBytes) {
+		return noMemoryError("another request")
+	}
 	target := requestTarget(c.r)
 	path, _, _ := strings.Cut(target, "?")
 	c.target = target
@@ -135,6 +139,9 @@
 	if err := c.setDeadline(); err != nil {
 		return err
 	}
+	if c.team != nil {
+		c.held.SetTeam(string(c.team.Name))
+	}
 	if c.outlastsStop() {
 		return leavingError()
 	}
@@ -180,45 +187,6 @@
 	return nil
 }
 
-func (c *call) readBody() *transport.Error {
-	limit := c.view.Configuration.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	c.hasBody = c.r.ContentLength != 0
-	if c.r.ContentLength > limit {
-		return bodyTooLargeError(limit)
-	}
-	if !c.hasBody {
-		return nil
-	}
-	transport.BoundBody(c.w, c.deadline.Sub(c.h.Now()))
-	stop := context.AfterFunc(c.h.Closing, func() { transport.BoundBody(c.w, 0) })
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
-	stop()
-	if transport.BodyTimedOut(err) && c.h.Closing.Err() != nil {
-		return leavingError()
-	}
-	if transport.BodyTimedOut(err) {
-		return transport.Errorf(http.StatusRequestTimeout, api.CodeDeadlineExceeded, api.RunNotRun,
-			"the request body did not arrive before the deadline")
-	}
-	if err != nil {
-		return transport.Errorf(http.StatusBadRequest, api.CodeBadRequest, api.RunNotRun, "read request body: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return bodyTooLargeError(limit)
-	}
-	transport.UnboundBody(c.w)
-	c.body = body
-	return nil
-}
-
-func bodyTooLargeError(limit int64) *transport.Error {
-	return transport.Errorf(http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge, api.RunNotRun,
-		"request body exceeds the limit of %d bytes", limit)
-}
-
 // setDeadline sets the deadline to the earlier of the caller's deadline and the route's timeout.
 func (c *call) setDeadline() *transport.Error {
 	limit := c.route.Timeout
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -16,10 +16,12 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavatrestle/guavatrestle/coordination/holding"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/backend"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 	"github.com/guavatrestle/guavatrestle/transport/ingress"
 )
 
@@ -58,6 +60,7 @@
 	log      *logtest.Hook
 
 	quarantine *ingress.Quarantine
+	held       *held.Account
 
 	mu       sync.Mutex
 	requests []receivedRequest
@@ -71,7 +74,13 @@
 // newHarnessWith is newHarness with changed settings.
 func newHarnessWith(t *testing.T, change func(*ingress.Config), routes ...fleet.Route) *harness {
 	t.Helper()
-	h := &harness{t: t, table: fleet.NewTable()}
+	return newHarnessHolding(t, holding.ConfigFor(0), change, routes...)
+}
+
+// newHarnessHolding is newHarnessWith with limits of held bytes.
+func newHarnessHolding(t *testing.T, limits holding.Config, change func(*ingress.Config), routes ...fleet.Route) *harness {
+	t.Helper()
+	h := &harness{t: t, table: fleet.NewTable(), held: held.New(limits, time.Now)}
 	cfg := ingress.DefaultConfig()
 	cfg.MaxKeyAge, cfg.MaxReadyAge = 4*time.Second, 3*time.Second
 	cfg.FirstEventFactor, cfg.FirstEventMinTimeout = 0, 100*time.Millisecond
@@ -114,6 +123,7 @@
 		RetryAfter: func(d time.Duration) string { return d.String() },
 		Pool:       pool,
 		Quarantine: h.quarantine,
+		Held:       h.held,
 		Now:        time.Now,
 		Log:        logrus.NewEntry(logger),
 	}, h.router)
--- a/transport/ingress/slow.go
+++ b/transport/ingress/slow.go
@@ -34,6 +34,8 @@
 	// responding is true once the first event of a stream has arrived, disarmed once the guard may not cancel any more.
 	responding bool
 	disarmed   bool
+	// pausedAt is the time since which something is sent to the caller, zero for none: what the replica sends is not read then.
+	pausedAt time.Time
 	// lastProgress is the time of the last event, or the start of the attempt.
 	lastProgress time.Time
 	// cause is the reason for which the guard canceled the attempt, replacement the replica chosen instead.
@@ -109,6 +111,10 @@
 	if g.disarmed || g.cause != nil {
 		return
 	}
+	if !g.pausedAt.IsZero() {
+		g.stallTimer.Reset(stallCheckInterval)
+		return
+	}
 	idle := g.call.h.Now().Sub(g.lastProgress)
 	silent, slow := g.stallLimits()
 	switch {
@@ -182,6 +188,20 @@
 	g.lastProgress = g.call.h.Now()
 }
 
+// pause stops the time without progress until resume.
+func (g *attemptGuard) pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pausedAt = g.call.h.Now()
+}
+
+func (g *attemptGuard) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastProgress = g.lastProgress.Add(g.call.h.Now().Sub(g.pausedAt))
+	g.pausedAt = time.Time{}
+}
+
 // disarm stops the guard because the response is complete. If the guard canceled the attempt before, it returns the cause.
 func (g *attemptGuard) disarm() error {
 	for _, timer := range []*time.Timer{g.stallTimer, g.outdatedTimer} {
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -51,7 +50,7 @@
 func (c *call) relayStream(
 	ctx context.Context, response *backend.Response, sent time.Time, guard *attemptGuard,
 ) attemptResult {
-	pending := eventBuffer{counter: &c.buffer}
+	pending := eventBuffer{counter: &c.events}
 	defer pending.release()
 	var latency time.Duration
 	var begun time.Time
@@ -133,10 +132,9 @@
 		return nil
 	}
 	c.startStream(response)
-	if _, err := c.w.Write(ready); err != nil {
-		return err
-	}
-	return http.NewResponseController(c.w).Flush()
+	guard.pause()
+	defer guard.resume()
+	return c.send(ready, true)
 }
 
 // recordEvent records an event to be sent to the caller. It returns false for an event that was sent before, and for a comment of a
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -62,7 +62,7 @@
 		target.Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
 	c.w.WriteHeader(r.status)
-	_, _ = c.w.Write(r.body)
+	_ = c.send(r.body, false)
 }
 
 // attempt sends the request to a replica and forwards the response to the caller if it is a valid one.
@@ -93,7 +93,7 @@
 		return attemptResult{outcome: dispatch.OutcomeBroken, err: err}
 	}
 	if response.Status == http.StatusOK && isEventStream(response.Header) {
-		return c.relayStream(ctx, response, sent, guard)
+		return c.excuseReplica(c.relayStream(ctx, response, sent, guard))
 	}
 	if c.stream.started {
 		return attemptResult{outcome: dispatch.OutcomeFailed, err: eris.Errorf("resumed stream got status %d", response.Status)}
@@ -309,6 +309,7 @@
 	}
 	c.recordEnd(response)
 	c.responseLatency = c.h.Now().Sub(c.arrived)
+	c.releaseBody()
 	buffered.write(c)
 	return attemptResult{
 		outcome: dispatch.OutcomeServed, responded: true, latency: c.h.Now().Sub(sent), connectionLost: !response.Framed,
