Derive the limits of held bytes of an entry from its memory

The entry passes the memory limit of its settings to the account and limits the socket buffers of connections to callers and replicas to 128 KiB, which allows 100 Mbit/s at a round trip of 10 ms.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -83,6 +83,7 @@
 		PeerPort:      settings.PeerPort,
 
 		LinkBytesPerSecond: settings.LinkBytesPerSecond,
+		MemoryBytes:        settings.MemoryBytes,
 
 		ShutdownTimeout: settings.Bounds.ShutdownTimeout,
 	}
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -16,10 +15,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/coordination/holding"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
@@ -28,9 +27,9 @@
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/backend"
 	"github.com/guavatrestle/guavatrestle/transport/follow"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 	"github.com/guavatrestle/guavatrestle/transport/ingress"
 	"github.com/guavatrestle/guavatrestle/transport/loadshare"
-	"github.com/guavatrestle/guavatrestle/transport/netdial"
 	"github.com/guavatrestle/guavatrestle/transport/relay"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
@@ -80,6 +79,8 @@
 	PeerPort int
 	// LinkBytesPerSecond is the bandwidth of the host's link in each direction; 0 means unknown.
 	LinkBytesPerSecond float64
+	// MemoryBytes is the memory above which the process is killed; 0 means unknown.
+	MemoryBytes int64
 	// ShutdownTimeout is the time between the signal to stop and the moment at which the platform kills the process.
 	ShutdownTimeout time.Duration
 }
@@ -108,6 +109,7 @@
 	router   *ingress.Router
 	handler  *ingress.Handler
 	pool     *backend.Pool
+	held     *held.Account
 	// quarantine keeps prompts on which replicas crash from them.
 	quarantine *ingress.Quarantine
 	leaving    atomic.Bool
@@ -157,7 +159,8 @@
 }
 
 func newEntry(deps EntryDependencies) *entry {
-	e := &entry{EntryDependencies: deps, pool: backend.NewPool()}
+	e := &entry{EntryDependencies: deps, pool: backend.NewPoolWithBuffers(socketBufferBytes(deps.Host))}
+	e.held = held.New(holding.ConfigFor(deps.Host.MemoryBytes), time.Now)
 	e.closing, e.abort = context.WithCancel(context.Background())
 	e.cache = relay.NewCache()
 	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Log)
@@ -175,6 +178,7 @@
 		RetryAfter: deps.RetryAfter,
 		Pool:       e.pool,
 		Quarantine: e.quarantine,
+		Held:       e.held,
 		Now:        bootclock.Time,
 		Log:        deps.Log,
 	}, e.router)
@@ -233,7 +237,7 @@
 }
 
 func (e *entry) listenCallers() (*server.Graceful, error) {
-	listener, err := listen(e.CallerListen)
+	listener, err := listen(e.CallerListen, socketBufferBytes(e.Host))
 	if err != nil {
 		return nil, err
 	}
@@ -358,33 +362,6 @@
 	return s.Shutdown(ctx)
 }
 
-// serve listens on address and serves s in a new goroutine. A panic in its handler ends only the request.
-func serve(s *http.Server, address string, log *logrus.Entry) error {
-	s.Handler = server.Recover(s.Handler, log)
-	listener, err := listen(address)
-	if err != nil {
-		return err
-	}
-	go logServe(func() error { return s.Serve(listener) }, address, log)
-	return nil
-}
-
-func listen(address string) (net.Listener, error) {
-	listener, err := netdial.ListenConfig().Listen(context.Background(), "tcp", address)
-	return listener, eris.Wrapf(err, "listen on %s", address)
-}
-
-// logServe runs serve and logs an error unless the server was shut down.
-func logServe(serve func() error, address string, log *logrus.Entry) {
-	if err := serve(); !errors.Is(err, http.ErrServerClosed) {
-		log.WithError(err).WithField("address", address).Error("HTTP server stopped unexpectedly")
-	}
-}
-
-func debugAddress(host Host) string {
-	return net.JoinHostPort(host.Address, strconv.Itoa(host.PeerPort+debugPortOffset))
-}
-
 // newRandom returns a new generator seeded from parent, since a generator must not be used concurrently.
 func newRandom(parent *rand.Rand) *rand.Rand {
 	return rand.New(rand.NewPCG(parent.Uint64(), parent.Uint64()))
