--- a/transport/held/held.go
+++ b/transport/held/held.go
@@ -24,22 +24,22 @@
 	pure *holding.Account
 	ends map[*holding.Request]func(writing bool)
 	// published holds the values of varBytes that this account has contributed, by kind.
-	published []int64
+	published map[holding.Kind]int64
 }
 
 // New returns an empty account.
 func New(cfg holding.Config, now func() time.Time) *Account {
 	return &Account{
-		now: now, pure: holding.New(cfg), ends: make(map[*holding.Request]func(writing bool)), published: make([]int64, len(holding.Kinds())),
+		now: now, pure: holding.New(cfg), ends: make(map[*holding.Request]func(writing bool)), published: make(map[holding.Kind]int64),
 	}
 }
 
 // publish updates the metric of the held bytes; the caller holds the lock.
 func (a *Account) publish() {
-	for i, kind := range holding.Kinds() {
-		if used := a.pure.Used(kind); used != a.published[i] {
-			varBytes.Add(kind.String(), used-a.published[i])
-			a.published[i] = used
+	for _, kind := range holding.Kinds() {
+		if used := a.pure.Used(kind); used != a.published[kind] {
+			varBytes.Add(kind.String(), used-a.published[kind])
+			a.published[kind] = used
 		}
 	}
 }
