Skip version numbers that were never published in the search for orders

An agent that starts between two versions reads the manifest of each number between the loaded and the wanted one. The origin answers 404 for a number that was left out, and the agent fetched nothing until LateOrderTimeout (15 s). No process can have ordered such a version.

TestNumberThatWasLeftOutDelaysNoFetch fails without the new case.

--- a/transport/staging/harness_test.go
+++ b/transport/staging/harness_test.go
@@ -170,6 +170,8 @@
 	shared bool
 	// oldest is the oldest version of which the origin still has the manifest.
 	oldest int64
+	// unnamed is a version that was never published.
+	unnamed int64
 	// corruptManifests is the number of manifests to send with a wrong digest.
 	corruptManifests int
 }
@@ -180,6 +182,9 @@
 	if version < o.oldest {
 		return worker.Manifest{}, protocol.Errorf(protocol.CodeExpired, "version %d is gone", version)
 	}
+	if version == o.unnamed {
+		return worker.Manifest{}, protocol.Errorf(protocol.CodeNotFound, "version %d is not known", version)
+	}
 	manifest := worker.Manifest{Model: model, Version: version}
 	for index := range pieceCount {
 		sum := sha256.Sum256(o.content(version, index))
--- a/transport/staging/inherited.go
+++ b/transport/staging/inherited.go
@@ -157,6 +157,8 @@
 		switch {
 		case protocol.CodeOf(err) == protocol.CodeExpired:
 			gone = true
+		case protocol.CodeOf(err) == protocol.CodeNotFound:
+			// The number was left out, or not published yet, so no process has read its manifest and ordered it.
 		case err != nil:
 			return 0, false, err
 		case countMismatches(m.Digests, staged) <= maxDamagedPieces:
--- a/transport/staging/inherited_test.go
+++ b/transport/staging/inherited_test.go
@@ -28,6 +28,21 @@
 	require.Empty(t, w.wrong())
 }
 
+// TestNumberThatWasLeftOutDelaysNoFetch guards against an agent that fetches nothing for 15 s after its start because the number of a version
+// between the loaded and the wanted one was never used.
+func TestNumberThatWasLeftOutDelaysNoFetch(t *testing.T) {
+	g := newGroup(t)
+	g.origin.unnamed = 2
+	w := newWorker()
+	for index := range pieceCount {
+		w.staged[index] = piece(1+2*int64(index%2), index)
+	}
+	g.setWanted(3)
+	g.startAgentWith("127.0.14.26", w, func(cfg *staging.Config) { cfg.LateOrderTimeout = time.Hour })
+	require.Eventually(t, func() bool { return w.version() == 3 }, 8*time.Second, time.Millisecond)
+	require.Empty(t, w.wrong())
+}
+
 // TestOrderThatMayBeInheritedIsSentAgain guards against a fleet that serves nothing for 15 s after all processes have ended while the
 // version before the wanted one was staged completely. An order for it may be outstanding, so it is loaded before its pieces are
 // replaced.
