Refuse requests that no engine can hold, and drop callers' layer paths

A request whose prompt and largest output exceed the published cache of the engines (CacheTokens) was sent, and could end the engine. It is refused at once with 503, too_many_tokens and not_run; Retry-After ends after its deadline, since no replica will have room before.

--- a/protocol/api/api.go
+++ b/protocol/api/api.go
@@ -54,6 +54,7 @@
 	CodeTeamLimit          = "team_limit"
 	CodeNoCapacity         = "no_capacity"
 	CodeNoMemory           = "no_memory"
+	CodeTooManyTokens      = "too_many_tokens"
 	CodePromptQuarantined  = "prompt_quarantined"
 	CodeLeaving            = "leaving"
 	CodeFailureDomainOut   = "failure_domain_out"
--- a/protocol/headers/headers.go
+++ b/protocol/headers/headers.go
@@ -38,6 +38,8 @@
 	TokenCounts string
 	// LengthHint carries the caller's estimate of the number of output tokens.
 	LengthHint string
+	// LayerPath selects the layers that an engine runs. Only the system may send it.
+	LayerPath string
 }
 
 // LeavingValue is the value of the header Names.Leaving.
@@ -48,7 +50,7 @@
 	for _, name := range []*string{
 		&n.RequestID, &n.Deadline, &n.Stamp, &n.Team, &n.ExpectReplica, &n.ExpectVersion, &n.Load, &n.NotRun, &n.Replica,
 		&n.ColdRemaining, &n.Model, &n.Priority, &n.Leaving,
-		&n.RequestLimit, &n.PromptPrefix, &n.TokenCounts, &n.LengthHint,
+		&n.RequestLimit, &n.PromptPrefix, &n.TokenCounts, &n.LengthHint, &n.LayerPath,
 	} {
 		*name = textproto.CanonicalMIMEHeaderKey(*name)
 	}
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -125,6 +125,10 @@
 func (c *call) serve() {
 	c.upstream = c.h.router.pickUpstream(c.route)
 	c.h.router.countRequest(c.upstream)
+	if err := c.checkTokens(); err != nil {
+		c.refuse(err)
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(c.h.Now()))
 	defer cancel()
 	ctx, abort := context.WithCancelCause(ctx)
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -217,6 +217,10 @@
 	} {
 		delete(header, name)
 	}
+	if c.view.Configuration.Upstreams[c.upstream].Engine != nil {
+		// A caller could otherwise choose which layers run. Services may use a header of that name for something else.
+		delete(header, names.LayerPath)
+	}
 	if c.team != nil {
 		header.Set(names.Team, string(c.team.Name))
 	}
--- a/transport/ingress/harness_test.go
+++ b/transport/ingress/harness_test.go
@@ -29,7 +29,7 @@
 	RequestID: "Req-Id", Deadline: "Req-Deadline", Stamp: "Res-Stamp", Team: "Req-Team", ExpectReplica: "Req-Replica",
 	ExpectVersion: "Req-Version", Load: "Res-Load", NotRun: "Res-Not-Run", Replica: "Res-Replica", ColdRemaining: "Res-Cold",
 	Model: "Req-Model", Priority: "Req-Priority", Leaving: "Res-Leaving", RequestLimit: "Res-Limit",
-	PromptPrefix: "Req-Prompt",
+	PromptPrefix: "Req-Prompt", TokenCounts: "Req-Tokens", LayerPath: "Req-Path",
 }.Canonical()
 
 // receivedRequest is a request as a replica received it.
