--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -16,6 +16,9 @@
 // maxStaleResponses bounds the late responses to earlier requests that exchange skips.
 const maxStaleResponses = 2
 
+// maxCopiedBody is the size up to which a body is copied behind the head, which takes less time than a write of two buffers.
+const maxCopiedBody = 16 << 10
+
 // maxStaleBytes bounds the body of a late response to an earlier request.
 const maxStaleBytes = 1 << 20
 
@@ -102,9 +105,7 @@
 func (c *conn) exchange(request *Request, head []byte) (*http.Response, error) {
 	want := request.id()
 	c.begin(want)
-	// The body is not copied: large ones would take twice their memory.
-	content := net.Buffers{head, request.Body}
-	if _, err := content.WriteTo(c.Conn); err != nil {
+	if err := c.send(head, request.Body); err != nil {
 		return nil, err
 	}
 	httpRequest := &http.Request{Method: request.Method}
@@ -133,6 +134,17 @@
 	return nil, eris.New("back end sent only responses to other requests")
 }
 
+// send writes a request. A large body is not copied, as it would take twice its memory.
+func (c *conn) send(head, body []byte) error {
+	if len(body) <= maxCopiedBody {
+		_, err := c.Write(append(head, body...))
+		return err
+	}
+	content := net.Buffers{head, body}
+	_, err := content.WriteTo(c.Conn)
+	return err
+}
+
 // readHead reads a response head and skips informational responses.
 func (c *conn) readHead(httpRequest *http.Request) (*http.Response, error) {
 	c.input.left = maxHeadBytes
@@ -156,7 +168,7 @@
 
 func encodeHead(request *Request) []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(1024)
+	buffer.Grow(1024 + min(len(request.Body), maxCopiedBody))
 	buffer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(&buffer)
 	if request.HasBody {
