--- a/cmd/guavatrestled/main.go
+++ b/cmd/guavatrestled/main.go
@@ -2,15 +2,13 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"github.com/guavatrestle/guavatrestle/cmd/internal/hostcmd"
 	"github.com/guavatrestle/guavatrestle/state/config"
 	"github.com/guavatrestle/guavatrestle/transport/daemon"
 )
@@ -45,12 +43,12 @@
 	}
 	cmd.Flags().StringVarP(&path, "config", "c", "", "path of the YAML configuration")
 	_ = cmd.MarkFlagRequired("config")
-	cmd.AddCommand(newHostedCommand())
+	cmd.AddCommand(hostcmd.New())
 	return cmd
 }
 
 func run(cfg config.Config) error {
-	ctx, stop := stopContext()
+	ctx, stop := hostcmd.StopContext()
 	defer stop()
 	level, err := logrus.ParseLevel(cfg.LogLevel)
 	if err != nil {
@@ -66,10 +64,3 @@
 	})
 	return daemon.Run(ctx, cfg, log)
 }
-
-// stopContext returns a context that is done at the first signal to stop. Further signals do not interrupt the stop.
-func stopContext() (context.Context, context.CancelFunc) {
-	// Without this SIGHUP would end the process at once. The settings that a process reads from files do not change while it runs.
-	signal.Ignore(syscall.SIGHUP)
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-}
--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/internal/hostcmd/hosted.go
@@ -1,9 +1,9 @@
-package main
+// Package hostcmd provides the command that runs a process on the users' platform.
+package hostcmd
 
 import (
 	"math/rand/v2"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,13 +34,10 @@
 	oldVersionCancelShare = 0.95
 	// retryBurstShare is the share of RetryBurst that the bursts of all hosts together may use.
 	retryBurstShare = 0.75
-	// gcPercent is the heap growth in percent that triggers a garbage collection; 100 takes a third more memory, 25 takes 7 %
-	// more processor time.
-	gcPercent = 25
 )
 
-// newHostedCommand returns the command that runs a process with the settings that the platform gives it.
-func newHostedCommand() *cobra.Command {
+// New returns the command that runs a process with the settings that the platform gives it.
+func New() *cobra.Command {
 	return &cobra.Command{
 		Use:       "hosted {entry|agent}",
 		Short:     "Run a process on the users' platform, with the platform's settings",
@@ -58,9 +55,9 @@
 }
 
 func runHosted(role core.Role, settings platform.Settings) error {
-	ctx, stop := stopContext()
+	ctx, stop := StopContext()
 	defer stop()
-	debug.SetGCPercent(gcPercent)
+	setRuntimeLimits(settings.MemoryBytes)
 	logger := logrus.New()
 	logger.SetOutput(os.Stdout)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
