--- a/coordination/holding/holding.go
+++ b/coordination/holding/holding.go
@@ -53,9 +53,11 @@
 	total  int64
 	// shared is true if the bytes count against the shared part, false if they count against the part for small requests.
 	shared bool
-	// receivingSince is the time from which on the body arrives, received the number of bytes that have arrived.
+	// receivingSince is the time of the last measurement of the body's rate, or from which on it arrives; received is the number of bytes that
+	// have arrived since, and trickles is true if they were too few before it.
 	receivingSince time.Time
 	received       int64
+	trickles       bool
 	// writingSince is the time since which a write to the caller makes no progress.
 	writingSince time.Time
 	// unread is true while UnreadBytes are counted for a write that makes no progress.
@@ -120,7 +122,7 @@
 		return admitted, nil
 	}
 	a.sweptAt = now
-	a.countUnread(now)
+	a.measure(now)
 	ended := a.endSlow(now)
 	return admitted && !r.ended, ended
 }
--- a/coordination/holding/slow.go
+++ b/coordination/holding/slow.go
@@ -3,7 +3,9 @@
 import "time"
 
 // BeginBody records that the body of a request arrives from now on.
-func (a *Account) BeginBody(now time.Time, r *Request) { r.receivingSince, r.received = now, 0 }
+func (a *Account) BeginBody(now time.Time, r *Request) {
+	r.receivingSince, r.received, r.trickles = now, 0, false
+}
 
 // ReceiveBody records that a part of the body has arrived.
 func (a *Account) ReceiveBody(r *Request, bytes int64) { r.received += bytes }
@@ -23,9 +25,10 @@
 	}
 }
 
-// countUnread counts the socket buffers of the callers that take nothing of a write.
-func (a *Account) countUnread(now time.Time) {
+// measure measures the rates of the bodies that arrive, and counts the socket buffers of the callers that take nothing of a write.
+func (a *Account) measure(now time.Time) {
 	for r := range a.requests {
+		a.measureBody(now, r)
 		if !r.unread && r.Writing() && now.Sub(r.writingSince) >= unreadAfter {
 			r.unread = true
 			a.add(r, KindSocket, UnreadBytes)
@@ -52,11 +55,18 @@
 	if r.Writing() {
 		return now.Sub(r.writingSince) >= a.cfg.ReaderTimeout
 	}
-	if r.receivingSince.IsZero() {
-		return false
-	}
+	return r.trickles && !r.receivingSince.IsZero()
+}
+
+// measureBody measures the rate of a body over the time since the last measurement, of at least SlowBodyAfter: a body of which most has
+// arrived at once must arrive with MinBodyRate to its end.
+func (a *Account) measureBody(now time.Time, r *Request) {
 	elapsed := now.Sub(r.receivingSince)
-	return elapsed >= a.cfg.SlowBodyAfter && float64(r.received) < float64(a.cfg.MinBodyRate)*elapsed.Seconds()
+	if r.receivingSince.IsZero() || elapsed < a.cfg.SlowBodyAfter {
+		return
+	}
+	r.trickles = float64(r.received) < float64(a.cfg.MinBodyRate)*elapsed.Seconds()
+	r.receivingSince, r.received = now, 0
 }
 
 // slowSince returns the time at which the caller's delay began.
