Play slow callers in the soak

The soak checks its resident size, that other callers are served, and that no stream that was cut looks complete.

--- a/bench/soak/endless.go
+++ b/bench/soak/endless.go
@@ -126,13 +126,13 @@
 }
 
 // checkMemory checks that no process took more memory than its host has.
-func (c *checker) checkMemory(peaks map[string]int) {
+func (c *checker) checkMemory(peaks map[string]int, entryLimit int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, peak := range peaks {
 		limit := maxAgentMemoryMB
 		if strings.HasPrefix(name, "entry") {
-			limit = maxEntryMemoryMB
+			limit = entryLimit
 		}
 		if peak > limit {
 			c.addViolation("the process of %s took %d MB, its host has %d", name, peak, limit)
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -143,13 +143,13 @@
 	}
 	for i := range cfg.Entries {
 		err = errors.Join(err, f.addProcess(cfg, platformtest.Settings{
-			Host: fmt.Sprint("entry-", i), Role: "entry", Address: f.ip(1, i), FailureDomain: domain(i),
+			Host: fmt.Sprint("entry-", i), MemoryMB: cfg.entryMemoryMB(), Role: "entry", Address: f.ip(1, i), FailureDomain: domain(i),
 			CallerListen: hostPort(f.ip(1, i), callersPort), ReadyListen: hostPort(f.ip(1, i), readyPort),
 		}))
 	}
 	for i := range cfg.Agents {
 		err = errors.Join(err, f.addProcess(cfg, platformtest.Settings{
-			Host: fmt.Sprint("agent-", i), Role: "agent", Address: f.ip(2, i), FailureDomain: domain(i),
+			Host: fmt.Sprint("agent-", i), MemoryMB: maxAgentMemoryMB, Role: "agent", Address: f.ip(2, i), FailureDomain: domain(i),
 			WorkerAddress: hostPort(f.ip(2, i), workerDirectPort), Service: engineName,
 		}))
 	}
@@ -163,8 +163,16 @@
 			Objective: 300 * time.Millisecond, Resumable: k == kindStream,
 		}
 	}
+	slow := func(k requestKind, service string) platformtest.Route {
+		r := route(k, service)
+		r.Prefix, r.Timeout = slowPath(k), slowTimeout
+		return r
+	}
 	return platformtest.Configuration{
-		Routes:        []platformtest.Route{route(kindSafe, plainName), route(kindUnsafe, plainName), route(kindStream, engineName)},
+		Routes: []platformtest.Route{
+			route(kindSafe, plainName), route(kindUnsafe, plainName), route(kindStream, engineName),
+			slow(kindUnsafe, plainName), slow(kindStream, engineName),
+		},
 		Keys:          map[string][]string{teamName: f.keys},
 		EngineService: engineName, PlainService: plainName, OriginService: originName,
 		OriginAddress: hostPort(f.ip(3, 1), storePort), OriginDomain: failureDomains[0],
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -227,7 +227,7 @@
 // Requests with a key that is revoked during the run are not counted; the caller holds the lock.
 func (c *checker) countServed(isCounted func(sentRequest) bool) (served, all int) {
 	for id, s := range c.requests {
-		if _, revoked := c.revoked[s.key]; revoked || !isCounted(s) {
+		if _, revoked := c.revoked[s.key]; revoked || strings.HasPrefix(s.path, slowPrefix) || !isCounted(s) {
 			continue
 		}
 		all++
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -64,6 +64,8 @@
 	EndlessResponses bool
 	// SuspendVerifications suspends agents while they verify staged pieces, of which one becomes corrupt then, beside the faults.
 	SuspendVerifications bool
+	// SlowCallers is the number of callers that send bodies or read responses too slowly, beside the faults.
+	SlowCallers int
 	// LoseAll ends all processes and workers during a rollout, after the faults.
 	LoseAll bool
 }
@@ -75,6 +77,14 @@
 	}
 }
 
+// entryMemoryMB returns the memory in MB of the host of an entry.
+func (c Config) entryMemoryMB() int {
+	if c.SlowCallers > 0 {
+		return slowEntryMemoryMB
+	}
+	return maxEntryMemoryMB
+}
+
 // Result is the outcome of a run.
 type Result struct {
 	Seed     uint64
@@ -130,6 +140,9 @@
 		if cfg.SuspendVerifications {
 			beside.Go(func() { f.suspendVerifications(ctx, rand.New(rand.NewPCG(cfg.Seed, 5))) })
 		}
+		if cfg.SlowCallers > 0 {
+			beside.Go(func() { f.callSlowly(ctx, cfg.SlowCallers) })
+		}
 		f.runFaults(ctx, faults)
 		beside.Wait()
 		if cfg.LoseAll {
@@ -142,7 +155,7 @@
 	callers.Wait()
 	result.Suspensions = int(f.suspensions.Load())
 	result.PeakMemory = f.peakMemory()
-	c.checkMemory(result.PeakMemory)
+	c.checkMemory(result.PeakMemory, cfg.entryMemoryMB())
 	unexpectedExits := f.close()
 	result.Served, result.Requests = c.servedSince(begin)
 	result.Crashes = c.crashCount()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -125,3 +125,15 @@
 	require.Empty(t, result.Broken, "peaks in MB: %v", result.PeakMemory)
 	require.NotZero(t, result.Requests)
 }
+
+// TestSlowCallersTakeNoMemoryFromOthers guards against an entry that takes more memory than its host has because callers send large bodies a
+// byte at a time or read nothing of large responses, and against refusing other callers beside them.
+func TestSlowCallersTakeNoMemoryFromOthers(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Binary, cfg.Dir, cfg.Seed = binary, t.TempDir(), 1
+	cfg.Entries, cfg.SlowCallers, cfg.Faults = 2, 60, 0
+	result, err := Run(context.Background(), cfg)
+	require.NoError(t, err)
+	require.Empty(t, result.Broken)
+	require.NotZero(t, result.Requests)
+}
