Bound the responses of the store and of relays together

Each may have 16 MB, and a host reads four kinds of records from two places at a time, so that they could take 128 MB. They now share a limit of 0.12 of the memory (16 MB on a host with 136 MB, at least 4 MB), apart from what callers hold, so that callers can't keep a host from learning of changes. A response beyond it fails and is read again as after any failed read.

--- a/cmd/internal/hostcmd/hosted.go
+++ b/cmd/internal/hostcmd/hosted.go
@@ -9,9 +9,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"github.com/guavatrestle/guavatrestle/coordination/holding"
 	"github.com/guavatrestle/guavatrestle/coordination/rollout"
 	"github.com/guavatrestle/guavatrestle/platform"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 	"github.com/guavatrestle/guavatrestle/transport/hosted"
 	"github.com/guavatrestle/guavatrestle/transport/ingress"
 	"github.com/guavatrestle/guavatrestle/transport/staging"
@@ -97,12 +99,14 @@
 	cfg.OldVersionGrace = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionGraceShare)
 	cfg.OldVersionIdleOnlyAfter = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionIdleOnlyShare)
 	cfg.OldVersionCancelAfter = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionCancelShare)
+	account := newAccount(settings)
 	return hosted.EntryDependencies{
 		Host:         newHost(settings),
 		CallerListen: settings.CallerListen,
 		ReadyListen:  settings.ReadyListen,
 		ReadyPath:    platform.ReadinessPath,
-		Source:       platform.NewStore(settings.StoreAddress),
+		Source:       platform.NewStore(settings.StoreAddress).CountResponses(account),
+		Held:         account,
 		Headers:      platform.Headers(),
 		RetryAfter:   platform.FormatRetryAfter,
 		Ingress:      cfg,
@@ -114,11 +118,13 @@
 func agentDependencies(settings platform.Settings, log *logrus.Entry) hosted.AgentDependencies {
 	cfg := staging.DefaultConfig()
 	cfg.Rollout = rollout.ConfigFor(scaleDuration(settings.Bounds.ActivationTimeout, oldVersionGraceShare))
+	account := newAccount(settings)
 	return hosted.AgentDependencies{
 		Host:     newHost(settings),
 		Replica:  settings.ReplicaAddress,
 		Upstream: settings.Upstream,
-		Source:   platform.NewStore(settings.StoreAddress),
+		Source:   platform.NewStore(settings.StoreAddress).CountResponses(account),
+		Held:     account,
 		Worker:   platform.NewWorker(settings.ReplicaAddress),
 		Origin:   platform.NewOrigin(),
 		Staging:  cfg,
@@ -127,6 +133,11 @@
 	}
 }
 
+// newAccount returns the account of the bytes that a process holds for others.
+func newAccount(settings platform.Settings) *held.Account {
+	return held.New(holding.ConfigFor(settings.MemoryBytes), time.Now)
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func scaleDuration(d time.Duration, factor float64) time.Duration {
--- a/coordination/holding/config.go
+++ b/coordination/holding/config.go
@@ -6,6 +6,11 @@
 	// heldShare is the part of a process's memory limit that may be held for others. The rest is for the process itself (about 30 MB on an
 	// entry host), the garbage between two collections (a quarter of the heap) and the memory of the kernel beyond the estimates.
 	heldShare = 0.4
+	// recordsShare is the part of the memory limit for responses of the store and of relays: 16 MB on a host with 136 MB. A list holds about
+	// 1 MB, and a host reads four kinds of records.
+	recordsShare = 0.12
+	// recordBytes is admitted on any host.
+	recordBytes = 4 << 20
 	// smallShare is the part of it that only small requests may use: 18 MB on a host with 136 MB, for about 900 requests at a time.
 	smallShare = 1.0 / 3
 	// bodyShare is the part of the shared memory that bodies may use; the rest is left for responses.
@@ -45,6 +50,8 @@
 type Config struct {
 	// Limit bounds all held bytes; 0 means that only Buffered is limited.
 	Limit int64
+	// Records bounds the responses of the store and of relays, beside Limit.
+	Records int64
 	// SmallPart is the part of Limit that only requests of up to SmallRequest bytes may use.
 	SmallPart    int64
 	SmallRequest int64
@@ -70,6 +77,7 @@
 	cfg.SmallPart = part(cfg.Limit, smallShare)
 	cfg.SmallRequest = smallRequestBytes
 	shared := cfg.Limit - cfg.SmallPart
+	cfg.Records = max(part(memoryLimit, recordsShare), recordBytes)
 	cfg.Bodies = part(shared, bodyShare)
 	cfg.Buffered = min(bufferedBytes, cfg.SmallPart+shared)
 	return cfg
--- a/coordination/holding/holding.go
+++ b/coordination/holding/holding.go
@@ -21,7 +21,8 @@
 	KindEvents
 	// KindSocket is an estimate of what a request takes beside its content: socket buffers, read and write buffers, and stacks.
 	KindSocket
-	// KindRecords are responses of the store and of relays.
+	// KindRecords are responses of the store and of relays. They have a limit of their own, so that callers can't keep a host from learning
+	// of changes.
 	KindRecords
 
 	kindCount
@@ -129,9 +130,6 @@
 
 // Force counts more bytes of a request that are held in any case, or fewer if more is negative.
 func (a *Account) Force(r *Request, kind Kind, more int64) {
-	if more > 0 && !r.shared && !a.fitsSmall(r, more) {
-		a.moveToShared(r)
-	}
 	a.add(r, kind, more)
 }
 
@@ -155,6 +153,9 @@
 	if (kind == KindResponse || kind == KindEvents) && !a.fitsBuffered(r, more) {
 		return false
 	}
+	if kind == KindRecords {
+		return a.cfg.Limit <= 0 || a.kinds[kind]+more <= a.cfg.Records
+	}
 	if a.cfg.Limit <= 0 || !r.shared && a.fitsSmall(r, more) {
 		return true
 	}
@@ -207,6 +208,11 @@
 }
 
 func (a *Account) add(r *Request, kind Kind, more int64) {
+	if kind == KindRecords {
+		r.held[kind] += more
+		a.kinds[kind] += more
+		return
+	}
 	if !r.shared && more > 0 && !a.fitsSmall(r, more) {
 		a.moveToShared(r)
 	}
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -19,6 +19,7 @@
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/follow"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 	"github.com/guavatrestle/guavatrestle/transport/loadshare"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 	"github.com/guavatrestle/guavatrestle/transport/staging"
@@ -46,13 +47,15 @@
 	Worker   worker.Worker
 	Origin   worker.Origin
 	Staging  staging.Config
-	Random   *rand.Rand
-	Log      *logrus.Entry
+	// Held counts the responses of relays; nil for none.
+	Held   *held.Account
+	Random *rand.Rand
+	Log    *logrus.Entry
 }
 
 // RunAgent runs an agent process until ctx is done.
 func RunAgent(ctx context.Context, deps AgentDependencies) error {
-	source := newSource(deps.Host, deps.Source, nil, deps.Log)
+	source := newSource(deps.Host, deps.Source, nil, deps.Held, deps.Log)
 	follower := follow.New(source, agentFollowConfig, newRandom(deps.Random), deps.Log)
 	sink := loadshare.RequestSink{
 		EntryHostCounts: follower.RecordPeerReachability, WantedVersion: follower.ApplyPeerTarget,
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -18,7 +18,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
-	"github.com/guavatrestle/guavatrestle/coordination/holding"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
@@ -96,8 +95,10 @@
 	Headers      headers.Names
 	RetryAfter   func(time.Duration) string
 	Ingress      ingress.Config
-	Random       *rand.Rand
-	Log          *logrus.Entry
+	// Held is the account of held bytes; nil means one that limits only buffered responses.
+	Held   *held.Account
+	Random *rand.Rand
+	Log    *logrus.Entry
 }
 
 // entry is a running entry process.
@@ -109,7 +110,6 @@
 	router   *ingress.Router
 	handler  *ingress.Handler
 	pool     *backend.Pool
-	held     *held.Account
 	// quarantine keeps prompts on which replicas crash from them.
 	quarantine *ingress.Quarantine
 	leaving    atomic.Bool
@@ -160,10 +160,9 @@
 
 func newEntry(deps EntryDependencies) *entry {
 	e := &entry{EntryDependencies: deps, pool: backend.NewPoolWithBuffers(socketBufferBytes(deps.Host))}
-	e.held = held.New(holding.ConfigFor(deps.Host.MemoryBytes), time.Now)
 	e.closing, e.abort = context.WithCancel(context.Background())
 	e.cache = relay.NewCache()
-	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Log)
+	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Held, deps.Log)
 	e.follower = follow.New(e.source, entryFollowConfig, newRandom(deps.Random), deps.Log)
 	e.router = ingress.NewRouter(deps.Ingress, newRandom(deps.Random), bootclock.Time)
 	e.follower.OnChange(e.router.SetView)
@@ -178,7 +177,7 @@
 		RetryAfter: deps.RetryAfter,
 		Pool:       e.pool,
 		Quarantine: e.quarantine,
-		Held:       e.held,
+		Held:       deps.Held,
 		Now:        bootclock.Time,
 		Log:        deps.Log,
 	}, e.router)
@@ -186,11 +185,11 @@
 }
 
 // newSource returns the source of a process, which reads the store through a relay if it can. Only an entry host has a cache.
-func newSource(host Host, store feed.Source, cache *relay.Cache, log *logrus.Entry) *relay.Source {
+func newSource(host Host, store feed.Source, cache *relay.Cache, account *held.Account, log *logrus.Entry) *relay.Source {
 	// An address that is not an IP address is never named as relay.
 	self, _ := netip.ParseAddr(host.Address)
 	return relay.NewSource(relay.Config{
-		Store: store, Cache: cache, Self: self, Port: host.PeerPort, Brief: cache == nil, Log: log,
+		Store: store, Cache: cache, Self: self, Port: host.PeerPort, Brief: cache == nil, Held: account, Log: log,
 	})
 }
 
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -19,6 +19,7 @@
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
@@ -74,7 +75,9 @@
 	Port int
 	// Brief leaves the routes and workspaces out of configurations from a relay.
 	Brief bool
-	Log   *logrus.Entry
+	// Held counts the responses of relays; nil for none.
+	Held *held.Account
+	Log  *logrus.Entry
 }
 
 // Source reads the store through the relay of the failure domain while there is one that works, and directly otherwise.
@@ -116,7 +119,8 @@
 
 // NewSource returns a Source that knows no relay yet.
 func NewSource(cfg Config) *Source {
-	client := resty.New().SetTransport(netdial.NewTransportWithTimeout(connectTimeout)).SetResponseBodyLimit(maxResponseBytes)
+	transport := held.CountResponses(netdial.NewTransportWithTimeout(connectTimeout), cfg.Held)
+	client := resty.New().SetTransport(transport).SetResponseBodyLimit(maxResponseBytes)
 	return &Source{
 		cfg: cfg, client: client, startedAt: bootclock.Now(), directory: relay.NewDirectory(cfg.Self),
 		newest: make(map[feed.Kind]position), relayed: make(map[feed.Kind]bool),
