--- a/bench/soak/slow.go
+++ b/bench/soak/slow.go
@@ -127,10 +127,13 @@
 	c.addViolation("%s", message)
 }
 
-// checkSlowPeriod checks that callers were served beside slow ones.
+// checkSlowPeriod checks that callers were served beside slow ones, unless faults were active too.
 func (c *checker) checkSlowPeriod(period interval) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !noneBetween(c.faults, period.from, period.to) {
+		return
+	}
 	served, all := c.countServed(func(s sentRequest) bool {
 		return !s.at.Before(period.from) && s.at.Before(period.to.Add(-callerDeadline))
 	})
