--- a/transport/ingress/held_test.go
+++ b/transport/ingress/held_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -110,6 +111,27 @@
 	}, answerLimit, time.Millisecond)
 }
 
+// TestBodyCountsWhileTheReplicaReadsNothing guards against a body that isn't counted, or not given back at the deadline, while a replica reads
+// nothing of it.
+func TestBodyCountsWhileTheReplicaReadsNothing(t *testing.T) {
+	const size = 3 << 20
+	h := newHarnessHolding(t, limits(), func(*ingress.Config) {}, unsafeRoute())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	h.table.SetReplica(time.Now(), 1, &fleet.Replica{ID: "r1", Upstream: "orders", Address: listener.Addr().String(), Slots: 8, Born: 1})
+	h.publish()
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		response := h.call(http.MethodPost, "/unsafe/", strings.Repeat("x", size), func(header http.Header) { header.Set(names.Deadline, "1000") })
+		require.Equal(t, http.StatusGatewayTimeout, response.status)
+	})
+	time.Sleep(500 * time.Millisecond)
+	require.EqualValues(t, size, h.held.Used(holding.KindBody))
+	caller.Wait()
+	require.Eventually(t, func() bool { return h.held.Used(holding.KindBody) == 0 }, answerLimit, time.Millisecond)
+}
+
 // TestTricklingBodyIsRefusedWhileMemoryIsShort guards against a body that keeps its announced memory until its deadline although others
 // need it.
 func TestTricklingBodyIsRefusedWhileMemoryIsShort(t *testing.T) {
