--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/internal/hostcmd/hosted.go
@@ -1,17 +1,19 @@
-package main
+// Package hostcmd provides the command that runs a process on the users' platform.
+package hostcmd
 
 import (
 	"math/rand/v2"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"github.com/guavatrestle/guavatrestle/coordination/holding"
 	"github.com/guavatrestle/guavatrestle/coordination/rollout"
 	"github.com/guavatrestle/guavatrestle/platform"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 	"github.com/guavatrestle/guavatrestle/transport/hosted"
 	"github.com/guavatrestle/guavatrestle/transport/ingress"
 	"github.com/guavatrestle/guavatrestle/transport/staging"
@@ -34,13 +36,10 @@
 	oldVersionCancelShare = 0.95
 	// retryBurstShare is the share of RetryBurst that the bursts of all hosts together may use.
 	retryBurstShare = 0.75
-	// gcPercent is the heap growth in percent that triggers a garbage collection; 100 takes a third more memory, 25 takes 7 %
-	// more processor time.
-	gcPercent = 25
 )
 
-// newHostedCommand returns the command that runs a process with the settings that the platform gives it.
-func newHostedCommand() *cobra.Command {
+// New returns the command that runs a process with the settings that the platform gives it.
+func New() *cobra.Command {
 	return &cobra.Command{
 		Use:       "hosted {entry|agent}",
 		Short:     "Run a process on the users' platform, with the platform's settings",
@@ -58,9 +57,9 @@
 }
 
 func runHosted(role core.Role, settings platform.Settings) error {
-	ctx, stop := stopContext()
+	ctx, stop := StopContext()
 	defer stop()
-	debug.SetGCPercent(gcPercent)
+	setRuntimeLimits(settings.MemoryBytes)
 	logger := logrus.New()
 	logger.SetOutput(os.Stdout)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
@@ -83,6 +82,7 @@
 		PeerPort:      settings.PeerPort,
 
 		LinkBytesPerSecond: settings.LinkBytesPerSecond,
+		MemoryBytes:        settings.MemoryBytes,
 
 		ShutdownTimeout: settings.Bounds.ShutdownTimeout,
 	}
@@ -99,12 +99,14 @@
 	cfg.OldVersionGrace = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionGraceShare)
 	cfg.OldVersionIdleOnlyAfter = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionIdleOnlyShare)
 	cfg.OldVersionCancelAfter = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionCancelShare)
+	account := newAccount(settings)
 	return hosted.EntryDependencies{
 		Host:         newHost(settings),
 		CallerListen: settings.CallerListen,
 		ReadyListen:  settings.ReadyListen,
 		ReadyPath:    platform.ReadinessPath,
-		Source:       platform.NewStore(settings.StoreAddress),
+		Source:       platform.NewStore(settings.StoreAddress).CountResponses(account),
+		Held:         account,
 		Headers:      platform.Headers(),
 		RetryAfter:   platform.FormatRetryAfter,
 		Ingress:      cfg,
@@ -117,11 +119,13 @@
 func agentDependencies(settings platform.Settings, log *logrus.Entry) hosted.AgentDependencies {
 	cfg := staging.DefaultConfig()
 	cfg.Rollout = rollout.ConfigFor(scaleDuration(settings.Bounds.ActivationTimeout, oldVersionGraceShare))
+	account := newAccount(settings)
 	return hosted.AgentDependencies{
 		Host:     newHost(settings),
 		Replica:  settings.ReplicaAddress,
 		Upstream: settings.Upstream,
-		Source:   platform.NewStore(settings.StoreAddress),
+		Source:   platform.NewStore(settings.StoreAddress).CountResponses(account),
+		Held:     account,
 		Worker:   platform.NewWorker(settings.ReplicaAddress),
 		Origin:   platform.NewOrigin(),
 		Staging:  cfg,
@@ -130,6 +134,11 @@
 	}
 }
 
+// newAccount returns the account of the bytes that a process holds for others.
+func newAccount(settings platform.Settings) *held.Account {
+	return held.New(holding.ConfigFor(settings.MemoryBytes), time.Now)
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func scaleDuration(d time.Duration, factor float64) time.Duration {
--- a/protocol/api/api.go
+++ b/protocol/api/api.go
@@ -53,6 +53,8 @@
 	CodeUnknownUpstream    = "unknown_upstream"
 	CodeTeamLimit          = "team_limit"
 	CodeNoCapacity         = "no_capacity"
+	CodeNoMemory           = "no_memory"
+	CodeTooManyTokens      = "too_many_tokens"
 	CodePromptQuarantined  = "prompt_quarantined"
 	CodeLeaving            = "leaving"
 	CodeFailureDomainOut   = "failure_domain_out"
--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -15,6 +16,9 @@
 // maxStaleResponses bounds the late responses to earlier requests that exchange skips.
 const maxStaleResponses = 2
 
+// maxCopiedBody is the size up to which a body is copied behind the head, which takes less time than a write of two buffers.
+const maxCopiedBody = 16 << 10
+
 // maxStaleBytes bounds the body of a late response to an earlier request.
 const maxStaleBytes = 1 << 20
 
@@ -74,7 +78,7 @@
 		return nil, &Error{err: eris.Wrap(err, "connect to back end")}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	content := encode(request)
+	head := encodeHead(request)
 	if request.MaySend != nil {
 		if err := request.MaySend(); err != nil {
 			stop()
@@ -82,7 +86,7 @@
 			return nil, &Error{Reused: c.reused, err: err}
 		}
 	}
-	response, err := c.exchange(request, content)
+	response, err := c.exchange(request, head)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -97,11 +101,11 @@
 	}, nil
 }
 
-// exchange writes the encoded request and reads the head of its response, skipping late responses to earlier requests.
-func (c *conn) exchange(request *Request, content []byte) (*http.Response, error) {
+// exchange writes the request with its encoded head and reads the head of its response, skipping late responses to earlier requests.
+func (c *conn) exchange(request *Request, head []byte) (*http.Response, error) {
 	want := request.id()
 	c.begin(want)
-	if _, err := c.Write(content); err != nil {
+	if err := c.send(head, request.Body); err != nil {
 		return nil, err
 	}
 	httpRequest := &http.Request{Method: request.Method}
@@ -130,6 +134,17 @@
 	return nil, eris.New("back end sent only responses to other requests")
 }
 
+// send writes a request. A large body is not copied, as it would take twice its memory.
+func (c *conn) send(head, body []byte) error {
+	if len(body) <= maxCopiedBody {
+		_, err := c.Write(append(head, body...))
+		return err
+	}
+	content := net.Buffers{head, body}
+	_, err := content.WriteTo(c.Conn)
+	return err
+}
+
 // readHead reads a response head and skips informational responses.
 func (c *conn) readHead(httpRequest *http.Request) (*http.Response, error) {
 	c.input.left = maxHeadBytes
@@ -151,16 +166,15 @@
 	}
 }
 
-func encode(request *Request) []byte {
+func encodeHead(request *Request) []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(1024 + len(request.Body))
+	buffer.Grow(1024 + min(len(request.Body), maxCopiedBody))
 	buffer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(&buffer)
 	if request.HasBody {
 		buffer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(request.Body)
 	return buffer.Bytes()
 }
 
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -16,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
@@ -28,9 +26,9 @@
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/backend"
 	"github.com/guavatrestle/guavatrestle/transport/follow"
+	"github.com/guavatrestle/guavatrestle/transport/held"
 	"github.com/guavatrestle/guavatrestle/transport/ingress"
 	"github.com/guavatrestle/guavatrestle/transport/loadshare"
-	"github.com/guavatrestle/guavatrestle/transport/netdial"
 	"github.com/guavatrestle/guavatrestle/transport/relay"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
@@ -80,6 +78,8 @@
 	PeerPort int
 	// LinkBytesPerSecond is the bandwidth of the host's link in each direction; 0 means unknown.
 	LinkBytesPerSecond float64
+	// MemoryBytes is the memory above which the process is killed; 0 means unknown.
+	MemoryBytes int64
 	// ShutdownTimeout is the time between the signal to stop and the moment at which the platform kills the process.
 	ShutdownTimeout time.Duration
 }
@@ -97,8 +97,10 @@
 	Ingress      ingress.Config
 	// WatchDelay makes the host report itself not ready for a moment when it falls behind because of its processor.
 	WatchDelay bool
-	Random     *rand.Rand
-	Log        *logrus.Entry
+	// Held is the account of held bytes; nil means one that limits only buffered responses.
+	Held   *held.Account
+	Random *rand.Rand
+	Log    *logrus.Entry
 }
 
 // entry is a running entry process.
@@ -164,10 +166,10 @@
 }
 
 func newEntry(deps EntryDependencies) *entry {
-	e := &entry{EntryDependencies: deps, pool: backend.NewPool()}
+	e := &entry{EntryDependencies: deps, pool: backend.NewPoolWithBuffers(socketBufferBytes(deps.Host))}
 	e.closing, e.abort = context.WithCancel(context.Background())
 	e.cache = relay.NewCache()
-	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Log)
+	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Held, deps.Log)
 	e.follower = follow.New(e.source, entryFollowConfig, newRandom(deps.Random), deps.Log)
 	e.router = ingress.NewRouter(deps.Ingress, newRandom(deps.Random), bootclock.Time)
 	e.follower.OnChange(e.router.SetView)
@@ -184,6 +186,7 @@
 		RetryAfter: deps.RetryAfter,
 		Pool:       e.pool,
 		Quarantine: e.quarantine,
+		Held:       deps.Held,
 		Now:        bootclock.Time,
 		Log:        deps.Log,
 	}, e.router)
@@ -191,11 +194,11 @@
 }
 
 // newSource returns the source of a process, which reads the store through a relay if it can. Only an entry host has a cache.
-func newSource(host Host, store feed.Source, cache *relay.Cache, log *logrus.Entry) *relay.Source {
+func newSource(host Host, store feed.Source, cache *relay.Cache, account *held.Account, log *logrus.Entry) *relay.Source {
 	// An address that is not an IP address is never named as relay.
 	self, _ := netip.ParseAddr(host.Address)
 	return relay.NewSource(relay.Config{
-		Store: store, Cache: cache, Self: self, Port: host.PeerPort, Brief: cache == nil, Log: log,
+		Store: store, Cache: cache, Self: self, Port: host.PeerPort, Brief: cache == nil, Held: account, Log: log,
 	})
 }
 
@@ -242,7 +245,7 @@
 }
 
 func (e *entry) listenCallers() (*server.Graceful, error) {
-	listener, err := listen(e.CallerListen)
+	listener, err := listen(e.CallerListen, socketBufferBytes(e.Host))
 	if err != nil {
 		return nil, err
 	}
@@ -367,33 +370,6 @@
 	return s.Shutdown(ctx)
 }
 
-// serve listens on address and serves s in a new goroutine. A panic in its handler ends only the request.
-func serve(s *http.Server, address string, log *logrus.Entry) error {
-	s.Handler = server.Recover(s.Handler, log)
-	listener, err := listen(address)
-	if err != nil {
-		return err
-	}
-	go logServe(func() error { return s.Serve(listener) }, address, log)
-	return nil
-}
-
-func listen(address string) (net.Listener, error) {
-	listener, err := netdial.ListenConfig().Listen(context.Background(), "tcp", address)
-	return listener, eris.Wrapf(err, "listen on %s", address)
-}
-
-// logServe runs serve and logs an error unless the server was shut down.
-func logServe(serve func() error, address string, log *logrus.Entry) {
-	if err := serve(); !errors.Is(err, http.ErrServerClosed) {
-		log.WithError(err).WithField("address", address).Error("HTTP server stopped unexpectedly")
-	}
-}
-
-func debugAddress(host Host) string {
-	return net.JoinHostPort(host.Address, strconv.Itoa(host.PeerPort+debugPortOffset))
-}
-
 // newRandom returns a new generator seeded from parent, since a generator must not be used concurrently.
 func newRandom(parent *rand.Rand) *rand.Rand {
 	return rand.New(rand.NewPCG(parent.Uint64(), parent.Uint64()))
