--- a/cmd/internal/hostcmd/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -1,5 +1,4 @@
-// Package hostcmd provides the command that runs a process on the users' platform.
-package hostcmd
+package main
 
 import (
 	"math/rand/v2"
@@ -38,8 +37,8 @@
 	retryBurstShare = 0.75
 )
 
-// New returns the command that runs a process with the settings that the platform gives it.
-func New() *cobra.Command {
+// newHostedCommand returns the command that runs a process with the settings that the platform gives it.
+func newHostedCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:       "hosted {entry|agent}",
 		Short:     "Run a process on the users' platform, with the platform's settings",
@@ -57,7 +56,7 @@
 }
 
 func runHosted(role core.Role, settings platform.Settings) error {
-	ctx, stop := StopContext()
+	ctx, stop := stopContext()
 	defer stop()
 	setRuntimeLimits(settings.MemoryBytes)
 	logger := logrus.New()
--- a/cmd/internal/hostcmd/runtime.go
+++ b/cmd/guavatrestled/runtime.go
@@ -1,4 +1,4 @@
-package hostcmd
+package main
 
 import (
 	"context"
@@ -24,8 +24,8 @@
 	}
 }
 
-// StopContext returns a context that is done at the first signal to stop. Further signals do not interrupt the stop.
-func StopContext() (context.Context, context.CancelFunc) {
+// stopContext returns a context that is done at the first signal to stop. Further signals do not interrupt the stop.
+func stopContext() (context.Context, context.CancelFunc) {
 	// Without this SIGHUP would end the process at once. The settings that a process reads from files do not change while it runs.
 	signal.Ignore(syscall.SIGHUP)
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -19,6 +19,7 @@
 for module in . bench; do
 	(cd "$module" && go vet ./... && staticcheck ./...)
 done
+go vet -tags hostedonly ./cmd/... && staticcheck -tags hostedonly ./cmd/...
 if command -v protoc >/dev/null && command -v protoc-gen-go >/dev/null && command -v protoc-gen-twirp >/dev/null; then
 	scripts/generate.sh
 	git diff --exit-code -- protocol/wire
