Test quarantine of requests that wait in line

Cause: the check of a waiting request against the quarantine was tested only for upstreams with one priority.

--- a/transport/ingress/quarantine_test.go
+++ b/transport/ingress/quarantine_test.go
@@ -89,14 +89,20 @@
 // TestPromptThatEntersQuarantineWhileItWaitsIsNotSent guards against a request that waited for capacity, and is sent although its prompt
 // has been put in quarantine meanwhile.
 func TestPromptThatEntersQuarantineWhileItWaitsIsNotSent(t *testing.T) {
-	h := newHarnessWith(t, func(cfg *ingress.Config) { cfg.CapacityWaitShare = 50 }, streamRoute())
-	responses := make(chan callerResponse, 1)
-	go func() { responses <- h.call(http.MethodPost, "/stream/x", "", withPrompt("first:40,bad:800,last:9")) }()
-	time.Sleep(50 * time.Millisecond)
-	h.putInQuarantine("bad")
-	h.startReplica("r1", "llm", serveStream)
-	require.Contains(t, (<-responses).body, api.CodePromptQuarantined)
-	require.Empty(t, h.received())
+	for name, routes := range map[string][]fleet.Route{"one priority": {streamRoute()}, "ranked": {streamRoute(), lessUrgentRoute()}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarnessWith(t, func(cfg *ingress.Config) {
+				cfg.CapacityWaitShare, cfg.Waiting.MaxLateWait, cfg.Waiting.MaxLateShare = 50, 5*time.Second, 1
+			}, routes...)
+			responses := make(chan callerResponse, 1)
+			go func() { responses <- h.call(http.MethodPost, "/stream/x", "", withPrompt("first:40,bad:800,last:9")) }()
+			time.Sleep(50 * time.Millisecond)
+			h.putInQuarantine("bad")
+			h.startReplica("r1", "llm", serveStream)
+			require.Contains(t, (<-responses).body, api.CodePromptQuarantined)
+			require.Empty(t, h.received())
+		})
+	}
 }
 
 // TestReplicasThatEndUnderAPromptPutItInQuarantine guards against requests that end one replica after the other, and against a prompt
--- a/transport/ingress/ranked_test.go
+++ b/transport/ingress/ranked_test.go
@@ -9,15 +9,21 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/ingress"
 )
 
+// lessUrgentRoute is a route of the upstream of streamRoute with another priority.
+func lessUrgentRoute() fleet.Route {
+	route := streamRoute()
+	route.Name, route.PathPrefix, route.Priority = "draft", "/draft/", 2
+	return route
+}
+
 // TestRequestWaitsInLineForASlot guards against a waiting request that misses a slot that becomes free, and against one that is held until
 // its deadline, or refused without a reason in the log, if none does.
 func TestRequestWaitsInLineForASlot(t *testing.T) {
-	lessUrgent := streamRoute()
-	lessUrgent.Name, lessUrgent.PathPrefix, lessUrgent.Priority = "draft", "/draft/", 2
-	h := newHarnessWith(t, func(cfg *ingress.Config) { cfg.Dispatch.Overcommit = 0 }, streamRoute(), lessUrgent)
+	h := newHarnessWith(t, func(cfg *ingress.Config) { cfg.Dispatch.Overcommit = 0 }, streamRoute(), lessUrgentRoute())
 	release := make(chan struct{})
 	h.startReplica("r1", "llm", func(w http.ResponseWriter, r *http.Request) {
 		<-release
