Make the simulated fleets a package

Cause: other parts replay the same load, and the simulators made the test files of dispatch long.

Change: internal/fleetsim has the fleet of engines and the service that refuses when full, with the baselines.

--- a/coordination/dispatch/bench_test.go
+++ b/coordination/dispatch/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/internal/fleetsim"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
@@ -15,12 +16,11 @@
 	for name, performance := range map[string]*fleet.EnginePerformance{"count": nil, "start": &published} {
 		b.Run(name, func(b *testing.B) {
 			f := kineplan(1, 1.4)
-			f.engines = 58
-			run := &placementRun{engineFleet: f}
-			v, regions := run.buildView()
+			f.Engines = 58
+			v, regions := f.View(true)
 			v.Configuration.Upstreams["llm"].Engine.Performance = performance
 			cfg := dispatch.DefaultConfig()
-			cfg.FailureDomain, cfg.Region, cfg.Regions = domain(0), region(0), regions
+			cfg.FailureDomain, cfg.Region, cfg.Regions = fleetsim.Domain(0), fleetsim.Region(0), regions
 			balancer := dispatch.NewBalancer(cfg, rand.New(rand.NewPCG(1, 1)))
 			balancer.SetView(v)
 			request := dispatch.Request{
@@ -31,7 +31,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				if i%100 == 0 {
-					for e := range f.engines {
+					for e := range f.Engines {
 						balancer.RecordReport(now, fleet.ReplicaID(fmt.Sprint(e)), dispatch.Report{
 							Running: e % 10, Senders: 20, Share: 0.05, Pace: 1, CacheUsed: int64(e), CacheTotal: 100,
 							Models: []fleet.LoadedModel{{Model: "m", Version: 1, Layers: 16}},
--- a/coordination/dispatch/placement_test.go
+++ b/coordination/dispatch/placement_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavatrestle/guavatrestle/internal/fleetsim"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
@@ -19,41 +19,33 @@
 }
 
 // kineplan returns a deployment like Kinéplan Armor at a multiple of what its engines can serve, about 5.3 streams a second each.
-func kineplan(load, spread float64) *engineFleet {
+func kineplan(load, spread float64) *fleetsim.Streams {
 	const scale = 34 * 5.3 / 334
-	kind := func(perSecond float64, objective time.Duration, priority int, prompt, output float64) streamKind {
-		return streamKind{
-			perSecond: perSecond * scale * load, objective: objective, deadline: 6 * time.Second, priority: priority,
-			prompt: prompt, output: output, spread: spread,
+	kind := func(perSecond float64, objective time.Duration, priority int, prompt, output float64) fleetsim.StreamKind {
+		return fleetsim.StreamKind{
+			PerSecond: perSecond * scale * load, Objective: objective, Deadline: 6 * time.Second, Priority: priority,
+			Prompt: prompt, Output: output, Spread: spread,
 		}
 	}
-	return &engineFleet{
-		regions: 3, engines: 34, entries: 20, performance: published, slots: 12, queue: 24, delay: time.Millisecond,
-		kinds: []streamKind{
+	return &fleetsim.Streams{
+		Regions: 3, Engines: 34, Entries: 20, Performance: published, Slots: 12, Queue: 24, Delay: time.Millisecond,
+		Kinds: []fleetsim.StreamKind{
 			kind(143, 400*time.Millisecond, 0, 787, 105), kind(79, 400*time.Millisecond, 1, 607, 70), kind(112, time.Second, 2, 1290, 105),
 		},
-		lost: 0.05, duration: 24 * time.Second,
+		Lost: 0.05, Duration: 24 * time.Second,
 	}
 }
 
-// changingPaces makes 15 % of the engines 2.5 times slower, others every 600 ms.
-func changingPaces(engine int, at time.Duration) float64 {
-	if rand.New(rand.NewPCG(uint64(at/speedPeriod), uint64(engine))).Float64() < 0.15 {
-		return 2.5
-	}
-	return 1
-}
-
 // established returns a deployment with one priority, 16 slots and 118 streams a second at load 1, which is about what it can serve.
-func established(load float64) *engineFleet {
+func established(load float64) *fleetsim.Streams {
 	performance := published
 	performance.UsualPromptTokens, performance.UsualOutputTokens = 500, 40
-	return &engineFleet{
-		regions: 3, engines: 9, entries: 12, performance: performance, slots: 16, queue: 32, delay: 10 * time.Millisecond,
-		kinds: []streamKind{{
-			perSecond: 118 * load, objective: 500 * time.Millisecond, deadline: 5 * time.Second, prompt: 500, output: 40, spread: 0.7,
+	return &fleetsim.Streams{
+		Regions: 3, Engines: 9, Entries: 12, Performance: performance, Slots: 16, Queue: 32, Delay: 10 * time.Millisecond,
+		Kinds: []fleetsim.StreamKind{{
+			PerSecond: 118 * load, Objective: 500 * time.Millisecond, Deadline: 5 * time.Second, Prompt: 500, Output: 40, Spread: 0.7,
 		}},
-		lost: 0.02, duration: 25 * time.Second,
+		Lost: 0.02, Duration: 25 * time.Second,
 	}
 }
 
@@ -61,13 +53,13 @@
 const placementSeeds uint64 = 2
 
 // placements runs a deployment with each rule and some seeds.
-func placements(t *testing.T, name string, f *engineFleet) map[placementRule]*placementResult {
+func placements(t *testing.T, name string, f *fleetsim.Streams) map[fleetsim.Rule]*fleetsim.StreamResult {
 	t.Helper()
-	results := map[placementRule]*placementResult{}
-	for _, rule := range []placementRule{byStart, byScore, twoLeast} {
-		total := &placementResult{}
+	results := map[fleetsim.Rule]*fleetsim.StreamResult{}
+	for _, rule := range []fleetsim.Rule{fleetsim.ByStart, fleetsim.ByCount, fleetsim.LeastOfTwo} {
+		total := &fleetsim.StreamResult{}
 		for seed := range placementSeeds {
-			total.add(f.run(rule, seed))
+			total.Add(f.Run(rule, seed))
 		}
 		results[rule] = total
 		t.Logf("%s, %s: %v", name, rule, total)
@@ -78,14 +70,14 @@
 // TestPlacementByStartServesMoreInTime checks the stated target for heavy-tailed lengths, also with speeds that change every 600 ms.
 func TestPlacementByStartServesMoreInTime(t *testing.T) {
 	for _, load := range []float64{0.85, 1} {
-		for name, pace := range map[string]func(int, time.Duration) float64{"even": nil, "changing": changingPaces} {
+		for name, pace := range map[string]func(int, time.Duration) float64{"even": nil, "changing": fleetsim.ChangingPace} {
 			f := kineplan(load, 1.4)
-			f.pace = pace
+			f.Pace = pace
 			results := placements(t, fmt.Sprintf("load %.2f, %s speeds", load, name), f)
-			for _, baseline := range []placementRule{byScore, twoLeast} {
-				require.Greater(t, results[byStart].share(), results[baseline].share(), "%s", baseline)
+			for _, baseline := range []fleetsim.Rule{fleetsim.ByCount, fleetsim.LeastOfTwo} {
+				require.Greater(t, results[fleetsim.ByStart].Share(), results[baseline].Share(), "%s", baseline)
 			}
-			errors := results[byStart].forecastErrors
+			errors := results[fleetsim.ByStart].ForecastErrors
 			slices.Sort(errors)
 			median, p95 := errors[len(errors)/2], errors[len(errors)*95/100]
 			t.Logf("error of the first event: median %.2f, 95th percentile %.2f of %d", median, p95, len(errors))
@@ -101,40 +93,40 @@
 func TestPlacementOfFewAndManyEntries(t *testing.T) {
 	for _, entries := range []int{8, 100} {
 		f := kineplan(0.9, 1.2)
-		f.entries = entries
+		f.Entries = entries
 		results := placements(t, fmt.Sprintf("%d entries", entries), f)
-		require.Greater(t, results[byStart].share(), results[twoLeast].share())
-		require.Greater(t, results[byStart].share(), results[byScore].share()-0.01, "more than the noise of the seeds")
-		require.Less(t, results[byStart].distantShare(), results[byScore].distantShare())
+		require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.LeastOfTwo].Share())
+		require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share()-0.01, "more than the noise of the seeds")
+		require.Less(t, results[fleetsim.ByStart].DistantShare(), results[fleetsim.ByCount].DistantShare())
 	}
 	f := kineplan(1.3, 1.2)
 	results := placements(t, "load 1.3", f)
-	require.Greater(t, results[byStart].share(), results[byScore].share())
+	require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share())
 }
 
 // TestRegionWhoseCallersDoubleUsesOthers guards against a region that misses its objective while others have capacity.
 func TestRegionWhoseCallersDoubleUsesOthers(t *testing.T) {
 	f := kineplan(0.75, 1.6)
-	f.surge = 2
+	f.Surge = 2
 	results := placements(t, "surge", f)
-	require.Greater(t, results[byStart].share(), results[byScore].share())
-	require.Greater(t, results[byStart].homeShare(), results[byScore].homeShare())
-	require.Less(t, results[byStart].distantShare(), 0.1, "bytes between regions are expensive")
+	require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share())
+	require.Greater(t, results[fleetsim.ByStart].FirstRegionShare(), results[fleetsim.ByCount].FirstRegionShare())
+	require.Less(t, results[fleetsim.ByStart].DistantShare(), 0.1, "bytes between regions are expensive")
 }
 
 // TestSlowReplicaWithoutStatedPaceIsFoundOut guards against replicas that are slower than their reports say and get as much as others.
 func TestSlowReplicaWithoutStatedPaceIsFoundOut(t *testing.T) {
 	f := kineplan(0.8, 1.4)
-	f.unstated = true
-	f.pace = func(engine int, _ time.Duration) float64 {
+	f.Unstated = true
+	f.Pace = func(engine int, _ time.Duration) float64 {
 		if engine < 6 {
 			return 2.5
 		}
 		return 1
 	}
 	results := placements(t, "unstated pace", f)
-	for _, baseline := range []placementRule{byScore, twoLeast} {
-		require.Greater(t, results[byStart].share(), results[baseline].share(), "%s", baseline)
+	for _, baseline := range []fleetsim.Rule{fleetsim.ByCount, fleetsim.LeastOfTwo} {
+		require.Greater(t, results[fleetsim.ByStart].Share(), results[baseline].Share(), "%s", baseline)
 	}
 }
 
@@ -143,17 +135,17 @@
 func TestEstablishedDeploymentIsServedNoWorse(t *testing.T) {
 	for _, load := range []float64{0.5, 0.8, 1, 1.3} {
 		results := placements(t, fmt.Sprintf("established deployment at %.1f", load), established(load))
-		now, before := results[byStart], results[byScore]
-		require.GreaterOrEqual(t, now.share(), before.share())
-		require.GreaterOrEqual(t, now.servedShare(), before.servedShare()-0.002, "more than the noise of the seeds")
-		require.LessOrEqual(t, now.distantShare(), before.distantShare())
+		now, before := results[fleetsim.ByStart], results[fleetsim.ByCount]
+		require.GreaterOrEqual(t, now.Share(), before.Share())
+		require.GreaterOrEqual(t, now.ServedShare(), before.ServedShare()-0.002, "more than the noise of the seeds")
+		require.LessOrEqual(t, now.DistantShare(), before.DistantShare())
 	}
 }
 
 // TestLateAndLostReportsDoNotHarm guards against a placement that relies on reports which do not arrive.
 func TestLateAndLostReportsDoNotHarm(t *testing.T) {
 	f := kineplan(0.85, 1.4)
-	f.lost = 0.6
+	f.Lost = 0.6
 	results := placements(t, "60 % of the reports lost", f)
-	require.Greater(t, results[byStart].share(), results[byScore].share())
+	require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share())
 }
