Offer the soonest expected start over all engines

Cause: whoever queues or refuses requests needs to know when one could start, whether or not a replica takes it now.

Change: Balancer.SoonestStart. The time until a slot is free is continuous in the expected number of requests; before, 3.95 requests on 4 slots counted as a free slot. The pace in the score is bounded by 10.

TestSoonestStartIsThatOfTheBestEngine fails with the former slotFree.

--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -23,6 +23,8 @@
 	// unseenFactor is the number of requests that act on the same reports as a multiple of those sent since they were made: about as many
 	// follow until reports show the first ones. With 1 all hosts still favored the same replicas; 3 is no better.
 	unseenFactor = 2.0
+	// maxRatedPace bounds the pace in the score, so that a wrong one doesn't keep all requests away for good.
+	maxRatedPace = 10.0
 	// reportTransit is the mean time from the reading of an engine's figures to the arrival of the report that has them. Reports arrive
 	// 0 to 250 ms after the time that engines publish.
 	reportTransit = 125 * time.Millisecond
@@ -78,7 +80,7 @@
 	factor := r.errors.Factor()
 	c := candidate{
 		replica: r, modelled: expected.FirstEvent, forecast: time.Duration(float64(expected.FirstEvent) * factor),
-		pace: max(load.Pace, 1) * max(factor, 1),
+		pace: min(max(load.Pace, 1)*max(factor, 1), maxRatedPace),
 	}
 	objective := request.ObjectiveLeft
 	if objective <= 0 {
@@ -106,6 +108,24 @@
 	return c
 }
 
+// SoonestStart returns the least expected time to the first event of a request, and until a slot is free for it, over the engines that
+// may serve it, whether or not they take requests now. It returns false if none of them publishes its figures.
+func (b *Balancer) SoonestStart(now time.Time, request Request) (firstEvent, slotFree time.Duration, ok bool) {
+	work := enginemodel.Work{Prompt: request.PromptTokens, Output: request.OutputTokens}
+	for _, r := range b.groups[request.Upstream] {
+		if r.model == nil || !b.eligible(now, &request, r) {
+			continue
+		}
+		load := r.engineLoad(&b.cfg, now)
+		expected := r.model.Forecast(&load, work)
+		first := time.Duration(float64(expected.FirstEvent) * r.errors.Factor())
+		if !ok || first < firstEvent {
+			firstEvent, slotFree, ok = first, expected.SlotFree, true
+		}
+	}
+	return firstEvent, slotFree, ok
+}
+
 // engineLoad returns what this host knows of an engine. Without a fresh report only its own requests count.
 func (r *replica) engineLoad(cfg *Config, now time.Time) enginemodel.Load {
 	if !r.hasFreshReport(cfg, now) {
--- a/coordination/dispatch/start_test.go
+++ b/coordination/dispatch/start_test.go
@@ -216,3 +216,22 @@
 	require.Equal(t, map[fleet.ReplicaID]int{"r2": 50}, chosen(sent(300*time.Millisecond), start, streamRequest()))
 	require.Positive(t, chosen(sent(400*time.Millisecond), start, streamRequest())["r1"], "the figures include it")
 }
+
+// TestSoonestStartIsThatOfTheBestEngine guards against a request that is refused or queued by the forecast for a full engine while another
+// one would start it.
+func TestSoonestStartIsThatOfTheBestEngine(t *testing.T) {
+	b := newModelledBalancer(1, &published, member("r1", "a"), member("r2", "a"))
+	b.RecordReport(start, "r1", engineReport(4, 1, 0))
+	b.RecordReport(start, "r2", engineReport(2, 1, 0))
+	first, slot, ok := b.SoonestStart(start, streamRequest())
+	require.True(t, ok)
+	require.Zero(t, slot)
+	full := streamRequest()
+	full.Only = "r1"
+	later, slot, ok := b.SoonestStart(start, full)
+	require.True(t, ok)
+	require.Positive(t, slot)
+	require.Greater(t, later, first)
+	_, _, ok = newModelledBalancer(1, nil, member("r1", "a")).SoonestStart(start, streamRequest())
+	require.False(t, ok)
+}
--- a/coordination/enginemodel/model.go
+++ b/coordination/enginemodel/model.go
@@ -183,10 +183,8 @@
 		return 0
 	}
 	ending := s.service / s.writers
-	wait := 0.0
-	if int(s.writers) >= m.slots {
-		wait = (s.queued + 1) * ending
-	}
+	// The number of requests is an expectation and may lie between two whole ones.
+	wait := max(s.writers+s.queued-float64(m.slots-1), 0) * ending
 	if lacking := tokens - s.free; m.cacheTokens > 0 && lacking > 0 {
 		// Each request that ends frees its part of the cache.
 		wait = max(wait, lacking/max(s.context/s.writers, 1)*ending)
