Keep more requests in their region

Change: a request leaves its region if its chance to miss the objective is lower elsewhere by 0.5 instead of 0.35.

--- a/coordination/dispatch/placement_test.go
+++ b/coordination/dispatch/placement_test.go
@@ -49,16 +49,17 @@
 	}
 }
 
-// placementSeeds is the number of runs with each rule. The results of different seeds differ by about 0.01.
-const placementSeeds uint64 = 2
+// fewSeeds and moreSeeds are numbers of runs with each rule. The shares of two single runs differ by about 0.01 with 34 engines and by up
+// to 0.05 with 9.
+const fewSeeds, moreSeeds uint64 = 2, 8
 
 // placements runs a deployment with each rule and some seeds.
-func placements(t *testing.T, name string, f *fleetsim.Streams) map[fleetsim.Rule]*fleetsim.StreamResult {
+func placements(t *testing.T, name string, f *fleetsim.Streams, seeds uint64) map[fleetsim.Rule]*fleetsim.StreamResult {
 	t.Helper()
 	results := map[fleetsim.Rule]*fleetsim.StreamResult{}
 	for _, rule := range []fleetsim.Rule{fleetsim.ByStart, fleetsim.ByCount, fleetsim.LeastOfTwo} {
 		total := &fleetsim.StreamResult{}
-		for seed := range placementSeeds {
+		for seed := range seeds {
 			total.Add(f.Run(rule, seed))
 		}
 		results[rule] = total
@@ -73,7 +74,7 @@
 		for name, pace := range map[string]func(int, time.Duration) float64{"even": nil, "changing": fleetsim.ChangingPace} {
 			f := kineplan(load, 1.4)
 			f.Pace = pace
-			results := placements(t, fmt.Sprintf("load %.2f, %s speeds", load, name), f)
+			results := placements(t, fmt.Sprintf("load %.2f, %s speeds", load, name), f, fewSeeds)
 			for _, baseline := range []fleetsim.Rule{fleetsim.ByCount, fleetsim.LeastOfTwo} {
 				require.Greater(t, results[fleetsim.ByStart].Share(), results[baseline].Share(), "%s", baseline)
 			}
@@ -94,13 +95,13 @@
 	for _, entries := range []int{8, 100} {
 		f := kineplan(0.9, 1.2)
 		f.Entries = entries
-		results := placements(t, fmt.Sprintf("%d entries", entries), f)
+		results := placements(t, fmt.Sprintf("%d entries", entries), f, fewSeeds)
 		require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.LeastOfTwo].Share())
 		require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share()-0.01, "more than the noise of the seeds")
 		require.Less(t, results[fleetsim.ByStart].DistantShare(), results[fleetsim.ByCount].DistantShare())
 	}
 	f := kineplan(1.3, 1.2)
-	results := placements(t, "load 1.3", f)
+	results := placements(t, "load 1.3", f, fewSeeds)
 	require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share())
 }
 
@@ -108,7 +109,7 @@
 func TestRegionWhoseCallersDoubleUsesOthers(t *testing.T) {
 	f := kineplan(0.75, 1.6)
 	f.Surge = 2
-	results := placements(t, "surge", f)
+	results := placements(t, "surge", f, fewSeeds)
 	require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share())
 	require.Greater(t, results[fleetsim.ByStart].FirstRegionShare(), results[fleetsim.ByCount].FirstRegionShare())
 	require.Less(t, results[fleetsim.ByStart].DistantShare(), 0.1, "bytes between regions are expensive")
@@ -124,7 +125,7 @@
 		}
 		return 1
 	}
-	results := placements(t, "unstated pace", f)
+	results := placements(t, "unstated pace", f, fewSeeds)
 	for _, baseline := range []fleetsim.Rule{fleetsim.ByCount, fleetsim.LeastOfTwo} {
 		require.Greater(t, results[fleetsim.ByStart].Share(), results[baseline].Share(), "%s", baseline)
 	}
@@ -134,7 +135,7 @@
 // before, or sends more across regions.
 func TestEstablishedDeploymentIsServedNoWorse(t *testing.T) {
 	for _, load := range []float64{0.5, 0.8, 1, 1.3} {
-		results := placements(t, fmt.Sprintf("established deployment at %.1f", load), established(load))
+		results := placements(t, fmt.Sprintf("established deployment at %.1f", load), established(load), moreSeeds)
 		now, before := results[fleetsim.ByStart], results[fleetsim.ByCount]
 		require.GreaterOrEqual(t, now.Share(), before.Share())
 		require.GreaterOrEqual(t, now.ServedShare(), before.ServedShare()-0.002, "more than the noise of the seeds")
@@ -146,6 +147,6 @@
 func TestLateAndLostReportsDoNotHarm(t *testing.T) {
 	f := kineplan(0.85, 1.4)
 	f.Lost = 0.6
-	results := placements(t, "60 % of the reports lost", f)
+	results := placements(t, "60 % of the reports lost", f, fewSeeds)
 	require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share())
 }
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -29,7 +29,7 @@
 	// 0 to 250 ms after the time that engines publish.
 	reportTransit = 125 * time.Millisecond
 	// regionMargin is the difference of the probability to miss the objective from which a request leaves its region.
-	regionMargin = 0.35
+	regionMargin = 0.5
 )
 
 // candidate is a replica that can take a request.
