--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -88,7 +88,7 @@
 	}
 	r.recordMomentPace(now, report.MomentPace)
 	r.report = report
-	r.reportedAt = now
+	r.reportedAt, r.derived = now, derived{}
 	if fromAgent {
 		r.drawHeadroom(&b.cfg, b.random.Float64())
 	}
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -39,6 +39,7 @@
 	headroom int
 	// recentSends holds the send times of requests that the last report may not include yet.
 	recentSends []send
+	derived     derived
 
 	consecutiveBroken int
 	// failureRate and avgLatency are exponential moving averages; avgLatency is in seconds, 0 until measured.
@@ -60,17 +61,39 @@
 	prompt, output int
 }
 
-// hasFreshReport reports whether the last report is recent enough to use.
-func (r *replica) hasFreshReport(cfg *Config, now time.Time) bool {
-	return !r.reportedAt.IsZero() && now.Sub(r.reportedAt) <= cfg.MaxReportAge
+// derived holds what follows from the last report and the sends since at a time. One choice uses it several times for each replica.
+type derived struct {
+	at         time.Time
+	fresh      bool
+	unreported int
+}
+
+// derive returns what follows from the last report and the sends since. The caller resets r.derived when one of them changes.
+func (r *replica) derive(cfg *Config, now time.Time) *derived {
+	if r.derived.at == now && !now.IsZero() {
+		return &r.derived
+	}
+	r.derived = derived{at: now, fresh: !r.reportedAt.IsZero() && now.Sub(r.reportedAt) <= cfg.MaxReportAge}
+	if len(r.recentSends) > 0 {
+		reportMadeAt := r.reportedAt.Add(-r.reportLag(cfg))
+		for i := range r.recentSends {
+			if r.recentSends[i].at.After(reportMadeAt) {
+				r.derived.unreported++
+			}
+		}
+	}
+	return &r.derived
 }
 
+// hasFreshReport reports whether the last report is recent enough to use.
+func (r *replica) hasFreshReport(cfg *Config, now time.Time) bool { return r.derive(cfg, now).fresh }
+
 // load estimates the number of requests at the replica, from all hosts if there is a fresh report.
 func (r *replica) load(cfg *Config, now time.Time) int {
 	if !r.hasFreshReport(cfg, now) {
 		return r.inFlight
 	}
-	return max(r.inFlight, r.report.Running+r.report.Waiting+r.unreportedSends(cfg))
+	return max(r.inFlight, r.report.Running+r.report.Waiting+r.unreportedSends(cfg, now))
 }
 
 // drawHeadroom sets the number of requests that this host may send until the next report: its share of the free slots in the last
@@ -91,24 +114,18 @@
 	if !r.hasFreshReport(cfg, now) || r.report.Senders < 2 {
 		return false
 	}
-	return r.unreportedSends(cfg) >= r.headroom
+	return r.unreportedSends(cfg, now) >= r.headroom
 }
 
 // unreportedSends returns the number of requests sent after the time at which the last report was made.
-func (r *replica) unreportedSends(cfg *Config) int {
-	reportMadeAt := r.reportedAt.Add(-r.reportLag(cfg))
-	count := 0
-	for i := range r.recentSends {
-		if r.recentSends[i].at.After(reportMadeAt) {
-			count++
-		}
-	}
-	return count
+func (r *replica) unreportedSends(cfg *Config, now time.Time) int {
+	return r.derive(cfg, now).unreported
 }
 
 // recordSend counts a request sent to the replica at now.
 func (r *replica) recordSend(now time.Time, request *Request) {
 	r.inFlight++
+	r.derived = derived{}
 	if len(r.recentSends) == maxRecentSends {
 		r.recentSends = append(r.recentSends[:0], r.recentSends[1:]...)
 	}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -78,7 +78,7 @@
 	}
 	old := min(float64(now.Sub(r.reportedAt))/float64(r.service.usualTime), 1)
 	running := float64(r.report.Running) + old*(r.service.usualRunning-float64(r.report.Running))
-	return max(float64(r.inFlight), running+float64(r.unreportedSends(cfg)))
+	return max(float64(r.inFlight), running+float64(r.unreportedSends(cfg, now)))
 }
 
 // reportLag returns the assumed age of the last report on arrival.
@@ -103,7 +103,7 @@
 			age := now.Sub(r.reportedAt)
 			running -= running * float64(age) / (float64(usual) * r.expectedMomentPace(now))
 		}
-		occupied = max(occupied, max(running, 0)+float64(r.unreportedSends(cfg)))
+		occupied = max(occupied, max(running, 0)+float64(r.unreportedSends(cfg, now)))
 	}
 	return occupied > float64(r.slots()-1)
 }
