Test queues, deadlines and new reports in placement

Cause: removing three guards of the placement failed no test.

Change: a test for each.

Measured: they fail without c.queues, without deadlineWeight, and if a report does not reset what was derived from the one before.

--- a/coordination/dispatch/start_test.go
+++ b/coordination/dispatch/start_test.go
@@ -235,3 +235,41 @@
 	_, _, ok = newModelledBalancer(1, nil, member("r1", "a")).SoonestStart(start, streamRequest())
 	require.False(t, ok)
 }
+
+// TestQueueIsUsedOnlyForAStartInTime guards against requests in the queue of an engine that would miss their objective there.
+func TestQueueIsUsedOnlyForAStartInTime(t *testing.T) {
+	b := newModelledBalancer(1, &published, member("r1", "a"))
+	report := engineReport(4, 1, 0)
+	report.Waiting, report.Senders = 1, 0
+	b.RecordReport(start, "r1", report)
+	_, verdict := b.Pick(start, streamRequest())
+	require.Equal(t, dispatch.VerdictFull, verdict)
+	patient := streamRequest()
+	patient.ObjectiveLeft = 5 * time.Second
+	_, verdict = b.Pick(start, patient)
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+}
+
+// TestReportCountsAtTheTimeOfItsArrival guards against what was derived from the earlier report and is still used.
+func TestReportCountsAtTheTimeOfItsArrival(t *testing.T) {
+	b := newModelledBalancer(1, &published, member("r1", "a"))
+	require.Zero(t, b.States(start)[0].Load)
+	b.RecordReport(start, "r1", engineReport(4, 1, 0))
+	require.Equal(t, 4, b.States(start)[0].Load)
+}
+
+// TestLongAnswerGoesWhereItEndsInTime guards against a long answer on a replica that would not complete it before the deadline.
+func TestLongAnswerGoesWhereItEndsInTime(t *testing.T) {
+	setUp := func(seed uint64) *dispatch.Balancer {
+		b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "a"))
+		b.RecordReport(start, "r1", engineReport(0, 1.4, 0))
+		b.RecordReport(start, "r2", engineReport(2, 1, 0))
+		return b
+	}
+	long := streamRequest()
+	long.OutputTokens = 1000
+	long.ObjectiveLeft, long.DeadlineLeft = 5*time.Second, 13*time.Second
+	require.Equal(t, map[fleet.ReplicaID]int{"r2": 50}, chosen(setUp, start, long))
+	long.OutputTokens = 500
+	require.Positive(t, chosen(setUp, start, long)["r1"])
+}
