--- a/coordination/dispatch/bench_test.go
+++ b/coordination/dispatch/bench_test.go
@@ -13,9 +13,9 @@
 
 // BenchmarkPick measures a choice among 58 engines in three regions, with and without published figures.
 func BenchmarkPick(b *testing.B) {
-	for name, performance := range map[string]*fleet.EnginePerformance{"count": nil, "start": &published} {
+	for name, performance := range map[string]*fleet.EnginePerformance{"count": nil, "start": &fleetsim.Published} {
 		b.Run(name, func(b *testing.B) {
-			f := kineplan(1, 1.4)
+			f := fleetsim.Kineplan(1, 1.4)
 			f.Engines = 58
 			v, regions := f.View(true)
 			v.Configuration.Upstreams["llm"].Engine.Performance = performance
--- a/coordination/dispatch/placement_test.go
+++ b/coordination/dispatch/placement_test.go
@@ -9,46 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/guavatrestle/guavatrestle/internal/fleetsim"
-	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
-var published = fleet.EnginePerformance{
-	Step: 9250 * time.Microsecond, PerSequence: 500 * time.Microsecond, ContextPerK: 250 * time.Microsecond,
-	ReadTokensPerSecond: 20_700, PairsPerMillion: 1500 * time.Microsecond, MaxReadTokens: 2048, Stride: 5, CacheTokens: 317_000,
-	UsualPromptTokens: 973, UsualOutputTokens: 97, ReportLag: 200 * time.Millisecond,
-}
-
-// kineplan returns a deployment like Kinéplan Armor at a multiple of what its engines can serve, about 5.3 streams a second each.
-func kineplan(load, spread float64) *fleetsim.Streams {
-	const scale = 34 * 5.3 / 334
-	kind := func(perSecond float64, objective time.Duration, priority int, prompt, output float64) fleetsim.StreamKind {
-		return fleetsim.StreamKind{
-			PerSecond: perSecond * scale * load, Objective: objective, Deadline: 6 * time.Second, Priority: priority,
-			Prompt: prompt, Output: output, Spread: spread,
-		}
-	}
-	return &fleetsim.Streams{
-		Regions: 3, Engines: 34, Entries: 20, Performance: published, Slots: 12, Queue: 24, Delay: time.Millisecond,
-		Kinds: []fleetsim.StreamKind{
-			kind(143, 400*time.Millisecond, 0, 787, 105), kind(79, 400*time.Millisecond, 1, 607, 70), kind(112, time.Second, 2, 1290, 105),
-		},
-		Lost: 0.05, Duration: 24 * time.Second,
-	}
-}
-
-// established returns a deployment with one priority, 16 slots and 118 streams a second at load 1, which is about what it can serve.
-func established(load float64) *fleetsim.Streams {
-	performance := published
-	performance.UsualPromptTokens, performance.UsualOutputTokens = 500, 40
-	return &fleetsim.Streams{
-		Regions: 3, Engines: 9, Entries: 12, Performance: performance, Slots: 16, Queue: 32, Delay: 10 * time.Millisecond,
-		Kinds: []fleetsim.StreamKind{{
-			PerSecond: 118 * load, Objective: 500 * time.Millisecond, Deadline: 5 * time.Second, Prompt: 500, Output: 40, Spread: 0.7,
-		}},
-		Lost: 0.02, Duration: 25 * time.Second,
-	}
-}
-
 // fewSeeds and moreSeeds are numbers of runs with each rule. The shares of two single runs differ by about 0.01 with 34 engines and by up
 // to 0.05 with 9 at their capacity.
 const fewSeeds, moreSeeds uint64 = 2, 8
@@ -72,7 +34,7 @@
 func TestPlacementByStartServesMoreInTime(t *testing.T) {
 	for _, load := range []float64{0.85, 1} {
 		for name, pace := range map[string]func(int, time.Duration) float64{"even": nil, "changing": fleetsim.ChangingPace} {
-			f := kineplan(load, 1.4)
+			f := fleetsim.Kineplan(load, 1.4)
 			f.Pace = pace
 			results := placements(t, fmt.Sprintf("load %.2f, %s speeds", load, name), f, fewSeeds)
 			for _, baseline := range []fleetsim.Rule{fleetsim.ByCount, fleetsim.LeastOfTwo} {
@@ -93,21 +55,21 @@
 // empty, and against overload that it makes worse.
 func TestPlacementOfFewAndManyEntries(t *testing.T) {
 	for _, entries := range []int{8, 100} {
-		f := kineplan(0.9, 1.2)
+		f := fleetsim.Kineplan(0.9, 1.2)
 		f.Entries = entries
 		results := placements(t, fmt.Sprintf("%d entries", entries), f, fewSeeds)
 		require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.LeastOfTwo].Share())
 		require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share()-0.01, "more than the noise of the seeds")
 		require.Less(t, results[fleetsim.ByStart].DistantShare(), results[fleetsim.ByCount].DistantShare())
 	}
-	f := kineplan(1.3, 1.2)
+	f := fleetsim.Kineplan(1.3, 1.2)
 	results := placements(t, "load 1.3", f, fewSeeds)
 	require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share())
 }
 
 // TestRegionWhoseCallersDoubleUsesOthers guards against a region that misses its objective while others have capacity.
 func TestRegionWhoseCallersDoubleUsesOthers(t *testing.T) {
-	f := kineplan(0.75, 1.6)
+	f := fleetsim.Kineplan(0.75, 1.6)
 	f.Surge = 2
 	results := placements(t, "surge", f, fewSeeds)
 	require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share())
@@ -117,7 +79,7 @@
 
 // TestSlowReplicaWithoutStatedPaceIsFoundOut guards against replicas that are slower than their reports say and get as much as others.
 func TestSlowReplicaWithoutStatedPaceIsFoundOut(t *testing.T) {
-	f := kineplan(0.8, 1.4)
+	f := fleetsim.Kineplan(0.8, 1.4)
 	f.Unstated = true
 	f.Pace = func(engine int, _ time.Duration) float64 {
 		if engine < 6 {
@@ -139,7 +101,7 @@
 		if load >= 1 {
 			seeds = moreSeeds
 		}
-		results := placements(t, fmt.Sprintf("established deployment at %.1f", load), established(load), seeds)
+		results := placements(t, fmt.Sprintf("established deployment at %.1f", load), fleetsim.Established(load), seeds)
 		now, before := results[fleetsim.ByStart], results[fleetsim.ByCount]
 		require.GreaterOrEqual(t, now.Share(), before.Share())
 		require.GreaterOrEqual(t, now.ServedShare(), before.ServedShare()-0.002, "more than the noise of the seeds")
@@ -149,7 +111,7 @@
 
 // TestLateAndLostReportsDoNotHarm guards against a placement that relies on reports which do not arrive.
 func TestLateAndLostReportsDoNotHarm(t *testing.T) {
-	f := kineplan(0.85, 1.4)
+	f := fleetsim.Kineplan(0.85, 1.4)
 	f.Lost = 0.6
 	results := placements(t, "60 % of the reports lost", f, fewSeeds)
 	require.Greater(t, results[fleetsim.ByStart].Share(), results[fleetsim.ByCount].Share())
--- a/coordination/dispatch/start_test.go
+++ b/coordination/dispatch/start_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
+	"github.com/guavatrestle/guavatrestle/internal/fleetsim"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
@@ -52,7 +53,7 @@
 	long.ObjectiveLeft = 2 * time.Second
 	both := func(home, away int64) func(uint64) *dispatch.Balancer {
 		return func(seed uint64) *dispatch.Balancer {
-			b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "a"), member("r3", "b"))
+			b := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"), member("r2", "a"), member("r3", "b"))
 			b.RecordReport(start, "r1", engineReport(0, 1, 99))
 			b.RecordReport(start, "r2", engineReport(3, 1, home))
 			b.RecordReport(start, "r3", engineReport(0, 1, away))
@@ -70,7 +71,7 @@
 func TestRegionIsLeftOnlyWhereItMisses(t *testing.T) {
 	atHome := func(running int, pace float64) func(uint64) *dispatch.Balancer {
 		return func(seed uint64) *dispatch.Balancer {
-			b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "b"))
+			b := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"), member("r2", "b"))
 			b.RecordReport(start, "r1", engineReport(running, pace, 10))
 			b.RecordReport(start, "r2", engineReport(0, 1, 0))
 			return b
@@ -86,7 +87,7 @@
 // TestOldReportIsNotModelled guards against a forecast from a report that is too old: then only this host's own requests count.
 func TestOldReportIsNotModelled(t *testing.T) {
 	setUp := func(seed uint64) *dispatch.Balancer {
-		b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "a"))
+		b := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"), member("r2", "a"))
 		b.RecordReport(start, "r1", engineReport(4, 5, 99))
 		b.RecordReport(start, "r2", engineReport(0, 1, 0))
 		return b
@@ -99,7 +100,7 @@
 
 // TestEnginesWithoutUsableFiguresArePlacedByCount guards against a change for engines that publish no figures, or wrong ones.
 func TestEnginesWithoutUsableFiguresArePlacedByCount(t *testing.T) {
-	wrong := published
+	wrong := fleetsim.Published
 	wrong.Step = time.Hour
 	run := func(performance *fleet.EnginePerformance) []fleet.ReplicaID {
 		b := newModelledBalancer(1, performance, member("r1", "a"), member("r2", "a"), member("r3", "b"))
@@ -111,7 +112,7 @@
 		return ids
 	}
 	require.Equal(t, run(nil), run(&wrong))
-	require.NotEqual(t, run(nil), run(&published))
+	require.NotEqual(t, run(nil), run(&fleetsim.Published))
 }
 
 // TestModelDoesNotOverrideGuards guards against a replica that is silent, ejected, loading or leaving and gets requests because its last
@@ -140,7 +141,7 @@
 		},
 	} {
 		setUp := func(seed uint64) *dispatch.Balancer {
-			b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "a"))
+			b := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"), member("r2", "a"))
 			b.RecordReport(start, "r1", engineReport(0, 0.5, 0))
 			spoil(b)
 			b.RecordReport(start.Add(1100*time.Millisecond), "r2", engineReport(3, 1.5, 0))
@@ -152,7 +153,7 @@
 
 // TestForecastErrorIsKeptPerReplica guards against errors that operators can't see, or that are recorded for requests without a forecast.
 func TestForecastErrorIsKeptPerReplica(t *testing.T) {
-	b := newModelledBalancer(1, &published, member("r1", "a"))
+	b := newModelledBalancer(1, &fleetsim.Published, member("r1", "a"))
 	choice, _ := b.Pick(start, streamRequest())
 	b.Done(start, choice, dispatch.OutcomeAbandoned, 0)
 	_, ok := b.TakeForecastError()
@@ -176,14 +177,14 @@
 	patient := streamRequest()
 	patient.ObjectiveLeft = 5 * time.Second
 	stated := func(seed uint64) *dispatch.Balancer {
-		b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "a"))
+		b := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"), member("r2", "a"))
 		b.RecordReport(start, "r1", engineReport(1, 2.5, 0))
 		b.RecordReport(start, "r2", engineReport(1, 1, 0))
 		return b
 	}
 	require.Less(t, chosen(stated, start, patient)["r1"], few)
 	measured := func(seed uint64) *dispatch.Balancer {
-		b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "a"))
+		b := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"), member("r2", "a"))
 		for _, id := range []fleet.ReplicaID{"r1", "r2"} {
 			only := streamRequest()
 			only.Only = id
@@ -203,7 +204,7 @@
 func TestRequestSentBeforeTheFiguresCountsOnce(t *testing.T) {
 	sent := func(age time.Duration) func(uint64) *dispatch.Balancer {
 		return func(seed uint64) *dispatch.Balancer {
-			b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "a"))
+			b := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"), member("r2", "a"))
 			only := streamRequest()
 			only.Only = "r1"
 			choice, _ := b.Pick(start.Add(-age), only)
@@ -220,7 +221,7 @@
 // TestSoonestStartIsThatOfTheBestEngine guards against a request that is refused or queued by the forecast for a full engine while another
 // one would start it.
 func TestSoonestStartIsThatOfTheBestEngine(t *testing.T) {
-	b := newModelledBalancer(1, &published, member("r1", "a"), member("r2", "a"))
+	b := newModelledBalancer(1, &fleetsim.Published, member("r1", "a"), member("r2", "a"))
 	b.RecordReport(start, "r1", engineReport(4, 1, 0))
 	b.RecordReport(start, "r2", engineReport(2, 1, 0))
 	first, slot, ok := b.SoonestStart(start, streamRequest())
@@ -238,7 +239,7 @@
 
 // TestQueueIsUsedOnlyForAStartInTime guards against requests in the queue of an engine that would miss their objective there.
 func TestQueueIsUsedOnlyForAStartInTime(t *testing.T) {
-	b := newModelledBalancer(1, &published, member("r1", "a"))
+	b := newModelledBalancer(1, &fleetsim.Published, member("r1", "a"))
 	report := engineReport(4, 1, 0)
 	report.Waiting, report.Senders = 1, 0
 	b.RecordReport(start, "r1", report)
@@ -252,7 +253,7 @@
 
 // TestReportCountsAtTheTimeOfItsArrival guards against what was derived from the earlier report and is still used.
 func TestReportCountsAtTheTimeOfItsArrival(t *testing.T) {
-	b := newModelledBalancer(1, &published, member("r1", "a"))
+	b := newModelledBalancer(1, &fleetsim.Published, member("r1", "a"))
 	require.Zero(t, b.States(start)[0].Load)
 	b.RecordReport(start, "r1", engineReport(4, 1, 0))
 	require.Equal(t, 4, b.States(start)[0].Load)
@@ -261,7 +262,7 @@
 // TestLongAnswerGoesWhereItEndsInTime guards against a long answer on a replica that would not complete it before the deadline.
 func TestLongAnswerGoesWhereItEndsInTime(t *testing.T) {
 	setUp := func(seed uint64) *dispatch.Balancer {
-		b := newModelledBalancer(seed, &published, member("r1", "a"), member("r2", "a"))
+		b := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"), member("r2", "a"))
 		b.RecordReport(start, "r1", engineReport(0, 1.4, 0))
 		b.RecordReport(start, "r2", engineReport(2, 1, 0))
 		return b
