End slow requests for one that was not admitted

Bodies that trickle in could fill the limit of bodies (half of the shared part) without memory counting as short, and large responses of slow readers that of buffered ones, so that other callers were refused until the slow ones' deadlines. A failed admission now ends slow requests until the next attempt finds room; for the share of a team only its own.

--- a/coordination/holding/config.go
+++ b/coordination/holding/config.go
@@ -33,6 +33,8 @@
 	// SocketBufferBytes is the limit of each socket buffer of a connection to a caller. At a round trip of 10 ms it allows 100 Mbit/s.
 	SocketBufferBytes = 128 << 10
 
+	// neededPerByte is how much must be free for a byte that is admitted, since a connection gets connectionShare of what is left.
+	neededPerByte = 1 / connectionShare
 	// unreadAfter is the time without progress of a write after which UnreadBytes are counted.
 	unreadAfter = 100 * time.Millisecond
 	// sweepInterval is the least time between two searches for slow requests, which look at each request.
--- a/coordination/holding/holding.go
+++ b/coordination/holding/holding.go
@@ -115,7 +115,8 @@
 // Admit counts more bytes of a request if the limits allow them, and reports whether they do. It also returns the requests that are to be
 // ended because others need the memory; their bytes count until they are closed.
 func (a *Account) Admit(now time.Time, r *Request, kind Kind, more int64) (bool, []*Request) {
-	admitted := !r.ended && a.fits(r, kind, more)
+	room := a.findRoom(r, kind, more)
+	admitted := !r.ended && room == roomFound
 	if admitted {
 		a.add(r, kind, more)
 	}
@@ -124,7 +125,13 @@
 	}
 	a.sweptAt = now
 	a.measure(now)
-	ended := a.endSlow(now)
+	needed := int64(0)
+	if !admitted {
+		needed = neededPerByte * more
+	}
+	ended := a.endSlow(now, needed, func(slow *Request) bool {
+		return room != roomNotForTeam || slow.caller.Team == r.caller.Team
+	})
 	return admitted && !r.ended, ended
 }
 
@@ -147,32 +154,61 @@
 // Used returns the held bytes of a kind.
 func (a *Account) Used(kind Kind) int64 { return a.kinds[kind] }
 
-// fits reports whether the limits allow more bytes of a request. A request that is small takes from the part for small requests, and
+// room is whether the limits allow more bytes.
+type room int
+
+const (
+	roomFound room = iota
+	roomNone
+	// roomNotForTeam means that only the share of the request's team is used up.
+	roomNotForTeam
+)
+
+// findRoom finds out whether the limits allow more bytes of a request. A request that is small takes from the part for small requests, and
 // from the shared one if that is full.
-func (a *Account) fits(r *Request, kind Kind, more int64) bool {
+func (a *Account) findRoom(r *Request, kind Kind, more int64) room {
 	if (kind == KindResponse || kind == KindEvents) && !a.fitsBuffered(r, more) {
-		return false
+		return roomNone
 	}
 	if kind == KindRecords {
-		return a.cfg.Limit <= 0 || a.kinds[kind]+more <= a.cfg.Records
+		return roomIf(a.cfg.Limit <= 0 || a.kinds[kind]+more <= a.cfg.Records)
 	}
 	if a.cfg.Limit <= 0 || !r.shared && a.fitsSmall(r, more) {
-		return true
+		return roomFound
 	}
 	moved := more
 	if !r.shared {
 		moved += r.total
 	}
 	sharedLimit := a.cfg.Limit - a.cfg.SmallPart
-	if kind == KindBody && !a.fitsBodies(r, more) {
-		return false
+	if kind == KindBody {
+		if found := a.findRoomForBody(r, more); found != roomFound {
+			return found
+		}
 	}
 	held := r.total + more - moved
 	if a.shared == held && held+moved <= sharedLimit {
-		return true
+		return roomFound
 	}
-	return fitsShare(a.connections[r.caller.Connection], moved, a.shared, sharedLimit, connectionShare) &&
-		(r.caller.Team == "" || fitsShare(a.teams[r.caller.Team], moved, a.shared, sharedLimit, teamShare))
+	if !fitsShare(a.connections[r.caller.Connection], moved, a.shared, sharedLimit, connectionShare) {
+		return roomNone
+	}
+	return a.roomForTeam(r.caller.Team, a.teams, moved, a.shared, sharedLimit)
+}
+
+func roomIf(found bool) room {
+	if found {
+		return roomFound
+	}
+	return roomNone
+}
+
+// roomForTeam finds out whether a team that holds held[team] of used bytes may have more.
+func (a *Account) roomForTeam(team string, held map[string]int64, more, used, limit int64) room {
+	if team == "" || fitsShare(held[team], more, used, limit, teamShare) {
+		return roomFound
+	}
+	return roomNotForTeam
 }
 
 // fitsShare reports whether a caller that holds held of used bytes may have more: at most a share of what the others leave.
@@ -188,19 +224,20 @@
 	return 2*(held+more) <= a.cfg.Buffered-(used-held)
 }
 
-// fitsBodies limits the request bodies, so that the responses have room: a request whose response doesn't fit has run for nothing. A body
+// findRoomForBody limits the request bodies, so that the responses have room: a request whose response doesn't fit has run for nothing. A body
 // that is the only one may take all, so that each that the configuration allows is admitted at some time.
-func (a *Account) fitsBodies(r *Request, more int64) bool {
+func (a *Account) findRoomForBody(r *Request, more int64) room {
 	held := r.held[KindBody]
 	if !r.shared {
 		held, more = 0, more+held
 	}
 	if a.bodies == held && held+more <= a.cfg.Bodies {
-		return true
+		return roomFound
+	}
+	if !fitsShare(held, more, a.bodies, a.cfg.Bodies, connectionShare) {
+		return roomNone
 	}
-	team := r.caller.Team
-	return fitsShare(held, more, a.bodies, a.cfg.Bodies, connectionShare) &&
-		(team == "" || fitsShare(a.teamBodies[team], more, a.bodies, a.cfg.Bodies, teamShare))
+	return a.roomForTeam(r.caller.Team, a.teamBodies, more, a.bodies, a.cfg.Bodies)
 }
 
 func (a *Account) fitsSmall(r *Request, more int64) bool {
@@ -273,10 +310,12 @@
 	return max(shared, 0) + max(small, 0)
 }
 
-// endSlow returns slow requests to be ended, those that hold most first, until enough memory is left without them.
-func (a *Account) endSlow(now time.Time) []*Request {
+// endSlow returns slow requests to be ended, those that hold most first, until enough memory is left without them: needed bytes for a request
+// that was not admitted, for which those are ended that mayEnd allows, and enough that memory isn't short.
+func (a *Account) endSlow(now time.Time, needed int64, mayEnd func(*Request) bool) []*Request {
 	var slow []*Request
-	excess := a.excess()
+	short := a.excess()
+	excess := max(short, needed)
 	if excess == 0 {
 		return nil
 	}
@@ -284,7 +323,7 @@
 		switch {
 		case r.ended:
 			excess -= r.total
-		case a.isSlow(now, r):
+		case a.isSlow(now, r) && (short > 0 || mayEnd(r)):
 			a.moveToShared(r)
 			slow = append(slow, r)
 		}
--- a/coordination/holding/holding_test.go
+++ b/coordination/holding/holding_test.go
@@ -149,6 +149,34 @@
 	require.False(t, admitted(func(c *Config) { c.Bodies = c.Limit }), "baseline")
 }
 
+// TestSlowBodiesMakeRoomForOneThatIsRefused guards against bodies that trickle in and keep others out although the memory isn't short as a
+// whole, and against ending those of other teams for one that has used up its share.
+func TestSlowBodiesMakeRoomForOneThatIsRefused(t *testing.T) {
+	a, now := New(ConfigFor(136*megabyte)), start
+	var trickling []*Request
+	for i := range 3 {
+		r := a.Open(Caller{Connection: fmt.Sprint(i), Team: fmt.Sprint("slow-", i%2)})
+		ok, _ := a.Admit(now, r, KindBody, 4*megabyte)
+		require.True(t, ok)
+		a.BeginBody(now, r)
+		trickling = append(trickling, r)
+	}
+	require.Zero(t, a.excess(), "memory isn't short")
+	now = now.Add(2 * slowBodyAfter)
+	_, ended := a.Admit(now, a.Open(Caller{Connection: "s", Team: "slow-0"}), KindBody, 29*megabyte/10)
+	require.Subset(t, []*Request{trickling[0], trickling[2]}, ended)
+	require.NotEmpty(t, ended, "a team's own requests are ended for its share")
+	now = now.Add(sweepInterval)
+	sound := a.Open(Caller{Connection: "sound", Team: "sound"})
+	ok, more := a.Admit(now, sound, KindBody, 4*megabyte)
+	require.False(t, ok)
+	for _, r := range append(ended, more...) {
+		a.Close(r)
+	}
+	ok, _ = a.Admit(now, sound, KindBody, 4*megabyte)
+	require.True(t, ok, "its next attempt is admitted")
+}
+
 // TestOneTeamLeavesMemoryToOthers guards against a team whose requests take all memory.
 func TestOneTeamLeavesMemoryToOthers(t *testing.T) {
 	a := New(ConfigFor(136 * megabyte))
