List a configuration whose watch returns too many versions

A watch returns every version in full. With changes 60 ms apart the watch after the pause of 700 ms returned 11 versions of 0.4 MB, which a link of 28 Mbit/s doesn't carry before the watch times out; it was sent again from the same revision and returned even more. The pause after a first change is 100 ms now, and a watch that fails soon after a change, or while the store answers other calls, is followed by a list. Only kinds with NewestOnly are affected.

--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -45,6 +45,12 @@
 	emptyRefreshInterval = 500 * time.Millisecond
 	// burstDelays is the number of coalescing delays within which two changes count as a burst.
 	burstDelays = 3
+	// firstChangeDivisor shortens the pause after the first change of a kind with NewestOnly. The watch after it returns all versions
+	// that the pause has collected: with changes 60 ms apart, 11 configurations of 0.4 MB after the whole pause, more than a link of 28
+	// Mbit/s carries before the watch of a relay times out.
+	firstChangeDivisor = 7
+	// burstFailureTime is the time after a change of a kind with NewestOnly within which a failed watch is followed by a list.
+	burstFailureTime = 5 * time.Second
 	// relayedDelayDivisor shortens the pause after a change that a relay has passed on.
 	relayedDelayDivisor = 4
 	// shortListRecords is the number of records up to which a stale list is read at its refresh interval. The interval of a
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -253,7 +253,7 @@
 }
 
 // startInBubble starts a follower whose clock is that of the synctest bubble, and waits for its first view.
-func startInBubble(t *testing.T, s *source, cfg follow.Config) *follow.Follower {
+func startInBubble(t *testing.T, s feed.Source, cfg follow.Config) *follow.Follower {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/transport/follow/loop.go
+++ b/transport/follow/loop.go
@@ -46,6 +46,7 @@
 		}
 		if probe {
 			f.restartWatches(ctx)
+			from = f.afterFailure(kind, from, started)
 			if time.Duration(f.now()-started) < quickFailureLimit {
 				f.backOff(ctx, failures)
 			}
@@ -90,11 +91,30 @@
 	if len(batch.Records) == 0 {
 		return next, nil
 	}
-	sleep(ctx, coalesceDelay(kind, batch))
-	if kind.NewestOnly && !batch.Relayed && f.inBurst(kind) {
-		return position{}, nil
+	if !kind.NewestOnly || batch.Relayed {
+		sleep(ctx, coalesceDelay(kind, batch))
+		return next, nil
+	}
+	if !f.inBurst(kind) {
+		sleep(ctx, kind.CoalesceDelay/firstChangeDivisor)
+		return next, nil
+	}
+	sleep(ctx, kind.CoalesceDelay)
+	return position{}, nil
+}
+
+// afterFailure returns the position from which to continue after a call that failed. A kind of which only the newest record matters is
+// listed soon after a change, and if the store has answered another call meanwhile: a watch that returned more versions than the link
+// carries in time returns even more of them the next time. After an outage most hosts continue with a watch, which costs no copy.
+func (f *Follower) afterFailure(kind Kind, from position, began bootclock.Instant) position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := f.lastChange[kind.Kind]
+	recent := !last.IsZero() && f.time().Sub(last) < burstFailureTime
+	if kind.NewestOnly && (recent || f.lastAnswered.After(time.Unix(0, int64(began)))) {
+		return position{}
 	}
-	return next, nil
+	return from
 }
 
 // readFields returns the fields of log lines about a read that began at a time and ended without an answer.
