Compress the records that a relay sends to many hosts

A relay sent 0.42 MB (1,500 routes, 24 teams) to each of its 21 hosts: 8.8 MB, 2.5 s of a link of 28 Mbit/s, while a host waits at most 1.0 s. The hosts then read the store over the link between regions, which slowed down all of them.

--- a/transport/relay/cache.go
+++ b/transport/relay/cache.go
@@ -16,6 +16,7 @@
 	// configuration is older.
 	maxAge func(feed.Kind) time.Duration
 	lapse  *time.Timer
+	now    func() bootclock.Instant
 }
 
 // kindCache holds the records of one kind.
@@ -28,6 +29,8 @@
 	completeAt bootclock.Instant
 	// changed is closed and replaced with every update.
 	changed chan struct{}
+	// payloads holds the encoded records of lists and watches by the revision that they start from; it is emptied by a change.
+	payloads map[int64]*payload
 }
 
 // cachedRecord is a record, or its removal, with the revision of the batch that it came with. The revision of a removed record is
@@ -58,7 +61,7 @@
 
 // NewCache returns an empty Cache.
 func NewCache() *Cache {
-	return &Cache{kinds: make(map[feed.Kind]*kindCache), maxAge: maxAgeOf}
+	return &Cache{kinds: make(map[feed.Kind]*kindCache), maxAge: maxAgeOf, now: bootclock.Now}
 }
 
 // started reports whether the cache holds the configuration.
@@ -74,7 +77,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, checked := range []feed.Kind{feed.KindConfiguration, kind} {
-		if k := c.kinds[checked]; k == nil || bootclock.Since(k.completeAt) > c.maxAge(checked) {
+		if k := c.kinds[checked]; k == nil || time.Duration(c.now()-k.completeAt) > c.maxAge(checked) {
 			return false
 		}
 	}
@@ -135,6 +138,7 @@
 	next := &kindCache{
 		era: batch.Era, revision: batch.Revision, base: batch.Revision, completeAt: completeAt,
 		records: make(map[string]*cachedRecord, len(batch.Records)), changed: make(chan struct{}),
+		payloads: make(map[int64]*payload),
 	}
 	for _, record := range batch.Records {
 		next.records[record.Name] = &cachedRecord{Record: record, batchRevision: batch.Revision}
@@ -179,6 +183,9 @@
 	for _, record := range batch.Records {
 		k.records[record.Name] = &cachedRecord{Record: record, batchRevision: batch.Revision}
 	}
+	if len(batch.Records) > 0 {
+		clear(k.payloads)
+	}
 	k.revision = batch.Revision
 	k.completeAt = max(k.completeAt, completeAt)
 	c.confirm(kind)
@@ -189,7 +196,7 @@
 // read is the result of a read from the cache.
 type read struct {
 	era, revision int64
-	records       []*cachedRecord
+	payload       *payload
 	completeAt    bootclock.Instant
 	changed       <-chan struct{}
 	// known is false if the cache doesn't hold the kind, expired is true if it doesn't hold the changes since the revision.
@@ -205,11 +212,7 @@
 		return read{}
 	}
 	result := k.result()
-	for _, record := range k.records {
-		if !record.Removed {
-			result.records = append(result.records, record)
-		}
-	}
+	result.payload = k.payload(sinceList, func(record *cachedRecord) bool { return !record.Removed })
 	return result
 }
 
@@ -228,11 +231,7 @@
 	}
 	// A later revision than the cache's is of a host that has read the kind from the store, and knows what the cache holds.
 	result.revision = max(k.revision, since)
-	for _, record := range k.records {
-		if record.batchRevision > since {
-			result.records = append(result.records, record)
-		}
-	}
+	result.payload = k.payload(since, func(record *cachedRecord) bool { return record.batchRevision > since })
 	return result
 }
 
--- a/transport/relay/export_test.go
+++ b/transport/relay/export_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
@@ -26,3 +27,9 @@
 
 // SkipPatience makes the source read the configuration without waiting for a relay, as it does some time after its start.
 func (s *Source) SkipPatience() { s.startedAt -= bootclock.Instant(relayPatience) }
+
+// SetTransport replaces the connections to relays.
+func (s *Source) SetTransport(transport http.RoundTripper) { s.client.SetTransport(transport) }
+
+// SetNow sets the clock of the cache.
+func (c *Cache) SetNow(now func() bootclock.Instant) { c.now = now }
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -38,7 +38,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	received := bootclock.Now()
+	received := s.Cache.now()
 	query := r.URL.Query()
 	var result read
 	if query.Has(paramSince) {
@@ -60,7 +60,7 @@
 	case result.expired:
 		http.Error(w, "the changes since the revision are not known", http.StatusGone)
 	default:
-		s.respond(w, result, received, query.Has(paramBrief))
+		s.respond(w, r, result, received)
 	}
 }
 
@@ -69,10 +69,10 @@
 
 // list returns all records of a kind. It waits a little until this host has read them and the configuration.
 func (s *Server) list(ctx context.Context, kind feed.Kind) read {
-	deadline := bootclock.Time().Add(maxListWait)
+	deadline := s.Cache.now() + bootclock.Instant(maxListWait)
 	for {
 		result := s.Cache.list(kind)
-		if result.known && s.Cache.started() || !bootclock.Time().Before(deadline) || ctx.Err() != nil {
+		if result.known && s.Cache.started() || s.Cache.now() >= deadline || ctx.Err() != nil {
 			return result
 		}
 		sleep(ctx, listCheckInterval)
@@ -87,7 +87,7 @@
 	first := s.Cache.changes(kind, era, since)
 	for result := first; ; result = s.Cache.changes(kind, era, since) {
 		confirmed := kind == feed.KindConfiguration && result.completeAt > first.completeAt
-		if !result.known || result.expired || len(result.records) > 0 || confirmed || !s.available(kind) {
+		if !result.known || result.expired || len(result.payload.records) > 0 || confirmed || !s.available(kind) {
 			return result
 		}
 		select {
@@ -100,31 +100,35 @@
 	}
 }
 
-func (s *Server) respond(w http.ResponseWriter, result read, received bootclock.Instant, brief bool) {
-	records := make([][]byte, 0, len(result.records))
-	for _, record := range result.records {
-		encoded, err := record.encoded(brief)
-		if err != nil {
-			s.fail(w, err)
-			return
-		}
-		records = append(records, encoded)
-	}
-	now := bootclock.Now()
-	body, err := encodeBatch(wireHead{
+func (s *Server) respond(w http.ResponseWriter, r *http.Request, result read, received bootclock.Instant) {
+	now := s.Cache.now()
+	head := wireHead{
 		Revision: result.revision,
 		Era:      result.era,
 		HeldMS:   time.Duration(now - received).Milliseconds(),
 		// One is added because both times are rounded down.
 		AgeMS: time.Duration(now-result.completeAt).Milliseconds() + 1,
-	}, records)
+	}
+	compressed := strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip)
+	parts, packed, err := result.payload.encode(head, r.URL.Query().Has(paramBrief), compressed)
 	if err != nil {
 		s.fail(w, err)
 		return
 	}
 	varServed.Add(1)
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	varServedBytes.Add(int64(size))
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(body)
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	if packed {
+		w.Header().Set("Content-Encoding", encodingGzip)
+	}
+	for _, part := range parts {
+		_, _ = w.Write(part)
+	}
 }
 
 func (s *Server) fail(w http.ResponseWriter, err error) {
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -58,10 +58,11 @@
 
 // Counters of the reads by relays.
 var (
-	varServed    = expvar.NewInt("relay_served")
-	varRelayed   = expvar.NewInt("relay_reads")
-	varFallbacks = expvar.NewInt("relay_fallbacks")
-	varDirect    = expvar.NewInt("relay_store_reads")
+	varServed      = expvar.NewInt("relay_served")
+	varServedBytes = expvar.NewInt("relay_served_bytes")
+	varRelayed     = expvar.NewInt("relay_reads")
+	varFallbacks   = expvar.NewInt("relay_fallbacks")
+	varDirect      = expvar.NewInt("relay_store_reads")
 )
 
 // Config holds the settings and dependencies of a Source.
@@ -74,7 +75,9 @@
 	Port int
 	// Brief leaves the routes and workspaces out of configurations from a relay.
 	Brief bool
-	Log   *logrus.Entry
+	// Now returns the time since the host's boot; nil means bootclock.Now.
+	Now func() bootclock.Instant
+	Log *logrus.Entry
 }
 
 // Source reads the store through the relay of the failure domain while there is one that works, and directly otherwise.
@@ -116,14 +119,19 @@
 
 // NewSource returns a Source that knows no relay yet.
 func NewSource(cfg Config) *Source {
+	if cfg.Now == nil {
+		cfg.Now = bootclock.Now
+	}
 	client := resty.New().SetTransport(netdial.NewTransportWithTimeout(connectTimeout)).SetResponseBodyLimit(maxResponseBytes)
 	return &Source{
-		cfg: cfg, client: client, startedAt: bootclock.Now(), directory: relay.NewDirectory(cfg.Self),
+		cfg: cfg, client: client, startedAt: cfg.Now(), directory: relay.NewDirectory(cfg.Self),
 		newest: make(map[feed.Kind]position), relayed: make(map[feed.Kind]bool),
 		failed: make(chan struct{}), maxAge: maxAgeOf,
 	}
 }
 
+func (s *Source) time() time.Time { return time.Unix(0, int64(s.cfg.Now())) }
+
 // maxAgeOf returns the age of the last confirmation of a kind beyond which a relay is not used.
 func maxAgeOf(kind feed.Kind) time.Duration {
 	if kind == feed.KindConfiguration {
@@ -136,7 +144,7 @@
 func (s *Source) SetRelay(address netip.Addr) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.directory.Mention(bootclock.Time(), address)
+	s.directory.Mention(s.time(), address)
 }
 
 // Direct reports whether this host reads the store itself.
@@ -148,7 +156,7 @@
 func (s *Source) relay() (netip.Addr, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.directory.Choose(bootclock.Time())
+	return s.directory.Choose(s.time())
 }
 
 // List implements feed.Source.
@@ -182,9 +190,9 @@
 
 // awaitRelay waits until a relay is known, up to relayPatience after the start of the process.
 func (s *Source) awaitRelay(ctx context.Context) {
-	for bootclock.Since(s.startedAt) < relayPatience && ctx.Err() == nil {
+	for time.Duration(s.cfg.Now()-s.startedAt) < relayPatience && ctx.Err() == nil {
 		s.mu.Lock()
-		known := s.directory.Known(bootclock.Time())
+		known := s.directory.Known(s.time())
 		s.mu.Unlock()
 		if known {
 			return
@@ -195,7 +203,7 @@
 
 // Watch implements feed.Source.
 func (s *Source) Watch(ctx context.Context, kind feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
-	sent := bootclock.Now()
+	sent := s.cfg.Now()
 	if address, ok := s.relay(); ok {
 		batch, err := s.watchRelay(ctx, address, kind, since, wait)
 		if err == nil || ctx.Err() != nil || protocol.CodeOf(err) == protocol.CodeExpired {
@@ -249,7 +257,8 @@
 		query.Set(paramBrief, "1")
 	}
 	host := net.JoinHostPort(address.String(), strconv.Itoa(s.cfg.Port))
-	response, err := s.client.R().SetContext(ctx).SetQueryParamsFromValues(query).Get("http://" + host + pathPrefix + string(kind))
+	response, err := s.client.R().SetContext(ctx).SetHeader("Accept-Encoding", encodingGzip).
+		SetQueryParamsFromValues(query).Get("http://" + host + pathPrefix + string(kind))
 	if err != nil {
 		return feed.Batch{}, protocol.Wrap(protocol.CodeUnavailable, err, "read "+string(kind)+" from the relay")
 	}
@@ -303,7 +312,7 @@
 	s.cfg.Log.WithError(err).WithField("relay", address).Warn("relay fails, reading the store directly")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.directory.Fail(bootclock.Time(), address)
+	s.directory.Fail(s.time(), address)
 	close(s.failed)
 	s.failed = make(chan struct{})
 }
@@ -322,7 +331,7 @@
 }
 
 func (s *Source) listDirectly(ctx context.Context, kind feed.Kind, stale bool) (feed.Batch, error) {
-	sent := bootclock.Now()
+	sent := s.cfg.Now()
 	batch, err := s.cfg.Store.List(ctx, kind, stale)
 	if err != nil {
 		return batch, err
@@ -348,14 +357,14 @@
 		ctx, cancel = context.WithTimeout(ctx, wait+probeSlack)
 		defer cancel()
 	}
-	sent := bootclock.Now()
+	sent := s.cfg.Now()
 	batch, err := s.cfg.Store.Watch(ctx, kind, since, wait)
 	if err != nil {
 		return feed.Batch{}, 0, err
 	}
 	s.recordDirect(kind, batch)
 	completeAt := sent
-	if len(batch.Records) == 0 && bootclock.Since(sent) >= wait {
+	if len(batch.Records) == 0 && time.Duration(s.cfg.Now()-sent) >= wait {
 		completeAt = sent + bootclock.Instant(wait)
 	}
 	if cached {
@@ -367,7 +376,7 @@
 func (s *Source) elected() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.directory.Elected(bootclock.Time())
+	return s.directory.Elected(s.time())
 }
 
 // recordDirect records the position of a batch from the store.
--- a/transport/relay/wire.go
+++ b/transport/relay/wire.go
@@ -4,7 +4,6 @@
 package relay
 
 import (
-	"bytes"
 	"encoding/json"
 	"time"
 
@@ -75,17 +74,6 @@
 	return body, eris.Wrapf(err, "encode record %q", record.Name)
 }
 
-// encodeBatch encodes a batch of records that are encoded already.
-func encodeBatch(head wireHead, records [][]byte) ([]byte, error) {
-	body, err := json.Marshal(head)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode batch")
-	}
-	body = append(body[:len(body)-1], `,"records":[`...)
-	body = append(body, bytes.Join(records, []byte{','})...)
-	return append(body, "]}"...), nil
-}
-
 func (w wireRecord) decode(kind feed.Kind) feed.Record {
 	record := feed.Record{Name: w.Name, Revision: w.Revision, Removed: w.Removed}
 	if w.Invalid != "" {
