Send to replicas without load reports only what spills over

An entry host that gets reports of a subset of the agents sends to the others only if none of its own can serve a request, or all are full: then it has at most its part of about one request at each of them at a time. They never count as silent. Headroom is divided among the hosts that get the reports, rates among all.

Nothing changes without SetOutside.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -22,6 +22,8 @@
 	notices  map[fleet.ReplicaID]*notice
 	// senders is the number of hosts that send to a replica in the last report that has one, 0 if there is none.
 	senders int
+	// outside holds the replicas from which this host requests no load reports.
+	outside map[fleet.ReplicaID]bool
 }
 
 // NewBalancer returns a Balancer without replicas.
@@ -59,7 +61,7 @@
 	fromAgent := report.Models != nil
 	if !fromAgent {
 		report.Models, report.Loading = r.report.Models, r.report.Loading
-		report.Senders, report.Share = r.report.Senders, r.report.Share
+		report.Senders, report.Share, report.Requesters = r.report.Senders, r.report.Share, r.report.Requesters
 		report.Pace, report.RequestLimit = r.report.Pace, r.report.RequestLimit
 	}
 	if report.Senders > 0 {
@@ -85,6 +87,13 @@
 // serve the request want none for now, the verdict is VerdictHeldOff; if this host has used its part of the request limits of those
 // that do, it is VerdictLimited. The choice then holds only the soonest end of that.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, Verdict) {
+	if len(b.outside) > 0 && !request.inside {
+		inside := request
+		inside.inside = true
+		if choice, verdict := b.Pick(now, inside); verdict != VerdictNoCandidate && !(verdict == VerdictFull && b.spills(now, &inside)) {
+			return choice, verdict
+		}
+	}
 	group := b.groups[request.Upstream]
 	baseline := baselineLatency(group)
 	var best *replica
@@ -226,7 +235,7 @@
 // eligible reports whether a replica may serve a request, regardless of its current capacity.
 func (b *Balancer) eligible(now time.Time, request *Request, r *replica) bool {
 	switch {
-	case !r.member.Usable(), r.addressMoved, b.isLeaving(r):
+	case !r.member.Usable(), r.addressMoved, b.isLeaving(r), request.inside && b.outside[r.member.ID]:
 		return false
 	case slices.Contains(request.Exclude, r.member.ID), request.Only != "" && request.Only != r.member.ID:
 		return false
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -130,6 +130,8 @@
 	Exclude []fleet.ReplicaID
 	// Only, if set, is the only replica that may serve the request.
 	Only fleet.ReplicaID
+	// inside excludes the replicas of Balancer.SetOutside.
+	inside bool
 	// Priority is the urgency of the request; 0 is the most urgent.
 	Priority int
 	// PromptTokens and OutputTokens are the sizes of a generation request, 0 if unknown. OutputTokens is an estimate.
@@ -204,6 +206,9 @@
 	Models []fleet.LoadedModel
 	// Senders is the number of hosts that send to the replica; 0 means unknown.
 	Senders int
+	// Requesters is the number of hosts that get the replica's reports; 0 means that all Senders do. The others send to it only if
+	// the replicas that they get reports from are full.
+	Requesters int
 	// Share is this host's share of the requests that all hosts have for the replica's upstream; 0 means unknown.
 	Share float64
 	// Pace is the current service time as a multiple of the usual one; 0 means unknown.
@@ -220,3 +225,19 @@
 	}
 	return 1 / float64(max(r.Senders, 1))
 }
+
+// requesters returns the number of hosts that get the replica's reports.
+func (r *Report) requesters() int {
+	if r.Requesters > 0 {
+		return r.Requesters
+	}
+	return r.Senders
+}
+
+// reportedShare is share among the hosts that get the replica's reports.
+func (r *Report) reportedShare() float64 {
+	if r.requesters() == r.Senders {
+		return r.share()
+	}
+	return min(r.share()*float64(max(r.Senders, 1))/float64(max(r.requesters(), 1)), 1)
+}
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -58,7 +58,7 @@
 // rounded up only while there are few hosts for each free slot, and otherwise up or down at random, in proportion to the remainder.
 func (r *replica) drawHeadroom(cfg *Config, random float64) {
 	freeSlots := float64(max(r.slots()+cfg.Overcommit-r.report.Running-r.report.Waiting, 0))
-	share := freeSlots * r.report.share()
+	share := freeSlots * r.report.reportedShare()
 	if float64(r.report.Senders) <= cfg.MaxSendersPerSlot*freeSlots {
 		r.headroom = int(math.Ceil(cfg.HeadroomFactor * share))
 		return
@@ -68,7 +68,7 @@
 
 // headroomUsed reports whether this host has sent all requests that it may send until the next report.
 func (r *replica) headroomUsed(cfg *Config, now time.Time) bool {
-	if !r.hasFreshReport(cfg, now) || r.report.Senders < 2 {
+	if !r.hasFreshReport(cfg, now) || r.report.requesters() < 2 {
 		return false
 	}
 	return r.unreportedSends(cfg) >= r.headroom
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -15,7 +15,7 @@
 }
 
 func (b *Balancer) silent(now time.Time, r *replica) bool {
-	return b.specs[r.member.Upstream].Engine != nil && !r.reportedAt.IsZero() && now.Sub(r.reportedAt) > b.cfg.SilentAfter
+	return b.specs[r.member.Upstream].Engine != nil && !b.outside[r.member.ID] && !r.reportedAt.IsZero() && now.Sub(r.reportedAt) > b.cfg.SilentAfter
 }
 
 // avoidsSilent reports whether silent replicas of an upstream get no requests: at most MaxSilentShare of those that have ever
@@ -23,7 +23,7 @@
 func (b *Balancer) avoidsSilent(now time.Time, upstream core.Upstream) bool {
 	reported, silent := 0, 0
 	for _, r := range b.groups[upstream] {
-		if !r.member.Usable() || r.reportedAt.IsZero() {
+		if !r.member.Usable() || r.reportedAt.IsZero() || b.outside[r.member.ID] {
 			continue
 		}
 		reported++
