Request load reports from a subset of the agents in large fleets

Entry hosts tell three agents of each failure domain, chosen by hash, that they are there. These registrars name the relay, list the entry hosts and exchange counts, so that Senders still counts all hosts, demand is scaled to all of them, and notices are sent to registrars of every failure domain. Reports carry their order, so that one that was overtaken is dropped. Messages of small fleets are the same as before; earlier versions ignore the new fields.

Each test fails without its guard: presence at registrars, exchange of counts, scaled demand, number of senders, notices to registrars, relays that are told, and the order of reports.

--- a/internal/metricsdoc/source_test.go
+++ b/internal/metricsdoc/source_test.go
@@ -19,6 +19,7 @@
 	kindCounter   = "counter"
 	kindMap       = "map"
 	kindHistogram = "histogram"
+	kindGauge     = "gauge"
 )
 
 // constructors gives the type of metric that each function of expvar publishes.
@@ -26,6 +27,8 @@
 	"NewInt":  kindCounter,
 	"NewMap":  kindMap,
 	"Publish": kindHistogram,
+	// Counters are whole numbers; a Float is only used for a value that rises and falls.
+	"NewFloat": kindGauge,
 }
 
 // plainFunctions publish nothing by themselves.
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return err
 	}
+	reporter.SetRegions(deps.Host.Regions)
 	agent := staging.New(staging.Dependencies{
 		Config:         deps.Staging,
 		HostIP:         deps.Host.Address,
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -128,6 +128,7 @@
 	defer stop()
 	listener, err := loadshare.Listen(deps.Host.Address, deps.Host.PeerPort, loadshare.ListenerDependencies{
 		FailureDomain:     deps.Host.FailureDomain,
+		Regions:           deps.Host.Regions,
 		View:              e.follower.View,
 		Replicas:          e.follower.Replicas,
 		StoreUnresponsive: e.follower.StoreUnresponsive,
@@ -137,6 +138,7 @@
 		Sink: loadshare.Sink{
 			Report: e.recordLoad, WantedVersion: e.follower.LearnTargetTime,
 			EntryHostCounts: e.follower.RecordPeerReachability, Relay: e.source.SetRelay,
+			Outside: e.router.SetOutside,
 		},
 		Log: deps.Log,
 	})
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -53,6 +53,13 @@
 	r.balancer.SetView(view)
 }
 
+// SetOutside sets the replicas from which this host requests no load reports.
+func (r *Router) SetOutside(outside map[fleet.ReplicaID]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.SetOutside(outside)
+}
+
 // RecordLoad records a load report of a replica. It returns the change of the replica's request limit, nil if there is none.
 func (r *Router) RecordLoad(id fleet.ReplicaID, report dispatch.Report) *dispatch.LimitChange {
 	r.mu.Lock()
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -15,6 +14,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/relay"
+	"github.com/guavatrestle/guavatrestle/coordination/reporting"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -29,6 +29,14 @@
 	demand            float64
 	// direct is set when the host reads the store itself and the store answers it.
 	direct bool
+	// presence is set when the host requested no reports. interval is the time between two reports, dueAt that of the next.
+	presence bool
+	interval time.Duration
+	dueAt    time.Time
+	// relay is the relay of its failure domain as the host knows it, which need not request reports from this agent.
+	relay netip.Addr
+	// entryHosts is the number of entry hosts that the host knows, 0 in a small fleet.
+	entryHosts int
 }
 
 // RequestSink receives the contents of requests for reports from entry hosts.
@@ -46,7 +54,10 @@
 
 // Reporter sends load reports to the entry hosts that requested them recently.
 type Reporter struct {
-	conn *net.UDPConn
+	conn packetConn
+	port uint16
+	// now reads the clock since boot.
+	now  func() time.Time
 	view func() *fleet.View
 	sink RequestSink
 	log  *logrus.Entry
@@ -61,6 +72,9 @@
 	unsent []quarantine.Notice
 	push   chan struct{}
 	host   netip.Addr
+	// census counts the entry hosts of all failure domains, for those that ask this agent.
+	census  *reporting.Census
+	regions map[core.FailureDomain]core.Region
 }
 
 // NewReporter opens the UDP socket of an agent at ip.
@@ -72,11 +86,15 @@
 	// An address that is not an IP address has no notices.
 	host, _ := netip.ParseAddr(ip)
 	return &Reporter{
-		conn: conn, view: view, sink: sink, log: log, requesters: make(map[netip.AddrPort]requester),
+		conn: conn, port: uint16(port), now: bootclock.Time, view: view, sink: sink, log: log, requesters: make(map[netip.AddrPort]requester),
 		ledger: quarantine.NewLedger(quarantine.DefaultConfig()), push: make(chan struct{}, 1), host: host,
+		census: reporting.NewCensus(),
 	}, nil
 }
 
+// SetRegions sets the regions of the failure domains; it must be called before Run.
+func (r *Reporter) SetRegions(regions map[core.FailureDomain]core.Region) { r.regions = regions }
+
 // Run receives requests and sends reports until ctx is done.
 func (r *Reporter) Run(ctx context.Context) {
 	var loops sync.WaitGroup
@@ -114,7 +132,7 @@
 func (r *Reporter) Send() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := bootclock.Time()
+	now := r.now()
 	unresponsive := 0
 	for address, host := range r.requesters {
 		if now.Sub(host.lastRequest) > requestLifetime {
@@ -124,26 +142,30 @@
 		}
 	}
 	r.sink.EntryHostCounts(len(r.requesters), unresponsive)
-	r.sink.Relays(r.relays())
-	if !r.hasReport || len(r.requesters) == 0 {
+	r.sink.Relays(r.relays(true))
+	due := r.dueRequesters(now)
+	if !r.hasReport || len(due) == 0 {
 		return
 	}
-	r.current.Senders = len(r.requesters)
-	body, err := encodeReport(r.born, r.current, r.totalDemand(), unresponsive, recentWanted(now, r.view()))
+	body, err := r.encodeReport(now, unresponsive)
 	if err != nil {
 		r.log.WithError(err).Error("encode load report")
 		return
 	}
-	for address := range r.requesters {
+	for _, address := range due {
 		// Errors are ignored: a lost report is replaced by the next one.
 		_, _ = r.conn.WriteToUDPAddrPort(body, address)
 	}
+	varReportsSent.Add(int64(len(due)))
 }
 
 // totalDemand returns the demand of all requesters, 0 if one of them has not told its own; the caller holds the lock.
 func (r *Reporter) totalDemand() float64 {
 	total := 0.0
 	for _, host := range r.requesters {
+		if host.presence {
+			continue
+		}
 		if host.demand <= 0 {
 			return 0
 		}
@@ -152,10 +174,15 @@
 	return total
 }
 
-// relays returns the relay of each failure domain; the caller holds the lock.
-func (r *Reporter) relays() map[core.FailureDomain]netip.Addr {
+// relays returns the relay of each failure domain, elected from the requesters and, if told is set, from the relays that they have told.
+// What entry hosts are answered must not depend on the latter, or they would confirm each other a relay that is gone. The caller holds
+// the lock.
+func (r *Reporter) relays(told bool) map[core.FailureDomain]netip.Addr {
 	var candidates []relay.Candidate
 	for address, host := range r.requesters {
+		if told && host.relay.IsValid() {
+			candidates = append(candidates, relay.Candidate{Address: host.relay, FailureDomain: host.failureDomain, Direct: true})
+		}
 		candidates = append(candidates, relay.Candidate{
 			Address: address.Addr().Unmap(), FailureDomain: host.failureDomain, Direct: host.direct,
 		})
@@ -167,21 +194,24 @@
 func (r *Reporter) recordRequest(from netip.AddrPort, request message) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, registered := r.requesters[from]
+	earlier, registered := r.requesters[from]
 	if len(request.Notices) == 0 && (registered || len(r.requesters) < maxRequesters) {
 		r.requesters[from] = requester{
-			lastRequest: bootclock.Time(), storeUnresponsive: request.StoreUnresponsive,
+			lastRequest: r.now(), storeUnresponsive: request.StoreUnresponsive,
 			failureDomain: request.FailureDomain, direct: request.Direct, demand: request.Demand,
+			presence: request.Presence, interval: time.Duration(request.IntervalMS) * time.Millisecond, dueAt: earlier.dueAt,
+			relay: request.Relays[request.FailureDomain], entryHosts: request.EntryHosts,
 		}
 	}
-	r.addNotices(decodeNotices(bootclock.Time(), request.Notices))
+	learnCounts(r.census, r.now(), request.Counts)
+	r.addNotices(decodeNotices(r.now(), request.Notices))
 	if request.Digest != nil {
 		r.answerComparison(from, *request.Digest)
 	}
-	if !request.AskRelays {
+	if !request.AskRelays && !request.AskEntries && !request.AskCounts {
 		return
 	}
-	body, err := json.Marshal(message{Relays: r.relays()})
+	body, err := json.Marshal(r.answer(&request))
 	if err != nil {
 		r.log.WithError(err).Error("encode relays")
 		return
@@ -197,15 +227,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.addNotices([]quarantine.Notice{
-		quarantine.EndedNotice(bootclock.Time(), quarantine.Process{Host: r.host, Born: born}),
-	})
+	ended := []quarantine.Notice{quarantine.EndedNotice(r.now(), quarantine.Process{Host: r.host, Born: born})}
+	r.addNotices(ended)
+	r.sendNotices(ended, nil, r.otherRegistrars()...)
 }
 
 // addNotices adds notices, which are passed on to all entry hosts if they are new; the caller holds the lock.
 func (r *Reporter) addNotices(notices []quarantine.Notice) {
 	for _, n := range notices {
-		if r.ledger.Add(bootclock.Time(), n) {
+		if r.ledger.Add(r.now(), n) {
 			r.unsent = append(r.unsent, n)
 		}
 	}
@@ -220,7 +250,7 @@
 
 // answerComparison tells an entry host the digest of the notices, and the notices if its own are others; the caller holds the lock.
 func (r *Reporter) answerComparison(to netip.AddrPort, digest uint64) {
-	r.ledger.Expire(bootclock.Time())
+	r.ledger.Expire(r.now())
 	own := r.ledger.Digest()
 	var notices []quarantine.Notice
 	if own != digest {
@@ -242,16 +272,21 @@
 			return
 		case <-time.After(noticePushDelay):
 		}
-		r.mu.Lock()
-		unsent := r.unsent
-		r.unsent = nil
-		r.sendNotices(unsent, nil, slices.Collect(maps.Keys(r.requesters))...)
-		r.mu.Unlock()
+		r.sendUnsent()
 	}
 }
 
+// sendUnsent passes new notices on to the entry hosts that this agent knows.
+func (r *Reporter) sendUnsent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	unsent := r.unsent
+	r.unsent = nil
+	r.sendNotices(unsent, nil, slices.Collect(maps.Keys(r.requesters))...)
+}
+
 func (r *Reporter) sendNotices(notices []quarantine.Notice, digest *uint64, to ...netip.AddrPort) {
-	datagrams, err := encodeDatagrams(bootclock.Time(), notices, digest)
+	datagrams, err := encodeDatagrams(r.now(), notices, digest)
 	if err != nil {
 		r.log.WithError(err).Error("encode notices")
 		return
@@ -271,14 +306,20 @@
 		if err != nil {
 			return
 		}
-		handleDatagram(r.log, from, buffer[:n], func(request message) {
-			if request.Report == nil {
-				r.recordRequest(from, request)
-				deliverWanted(request.Wanted, r.sink.WantedVersion)
-				for _, newest := range request.Newest {
-					r.sink.NewestVersion(core.Model(newest.Model), newest.Version)
-				}
-			}
-		})
+		handleDatagram(r.log, from, buffer[:n], r.take(from))
+	}
+}
+
+// take returns a function that handles the message of a datagram from an address.
+func (r *Reporter) take(from netip.AddrPort) func(message) {
+	return func(request message) {
+		if request.Report != nil {
+			return
+		}
+		r.recordRequest(from, request)
+		deliverWanted(request.Wanted, r.sink.WantedVersion)
+		for _, newest := range request.Newest {
+			r.sink.NewestVersion(core.Model(newest.Model), newest.Version)
+		}
 	}
 }
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -29,6 +29,8 @@
 	EntryHostCounts func(hosts, unresponsive int)
 	// Relay receives the address of the relay of this host's failure domain.
 	Relay func(netip.Addr)
+	// Outside, if set, receives the replicas from which this host requests no reports.
+	Outside func(map[fleet.ReplicaID]bool)
 }
 
 // Notices holds what a host knows about prompts on which replicas crash.
@@ -47,7 +49,9 @@
 // ListenerDependencies holds what a Listener tells agents about this host, and what it needs to know which agents there are.
 type ListenerDependencies struct {
 	FailureDomain core.FailureDomain
-	View          func() *fleet.View
+	// Regions maps all failure domains to their regions.
+	Regions map[core.FailureDomain]core.Region
+	View    func() *fleet.View
 	// Replicas returns the replicas known so far, also before there is a view.
 	Replicas func() []fleet.Member
 	// StoreUnresponsive reports whether the store does not answer this host, Direct whether this host reads the store itself and
@@ -65,14 +69,17 @@
 // Listener requests load reports from agents and passes them to a Sink.
 type Listener struct {
 	ListenerDependencies
-	conn *net.UDPConn
+	conn packetConn
 	port uint16
+	// now reads the clock since boot.
+	now func() time.Time
 	// byHost holds the replicas that have an agent by the IP address of their host.
 	byHost atomic.Pointer[map[netip.Addr][]fleet.Member]
 	// demand holds the demand by upstream that agents have been told last.
 	demand atomic.Pointer[map[core.Upstream]float64]
 	// compared is set once an agent has compared its notices with those of this host.
 	compared atomic.Bool
+	peers    peers
 }
 
 // Listen opens the UDP socket of an entry host at ip.
@@ -81,7 +88,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{ListenerDependencies: deps, conn: conn, port: uint16(port)}, nil
+	self, _ := netip.ParseAddr(ip)
+	return &Listener{ListenerDependencies: deps, conn: conn, port: uint16(port), now: bootclock.Time, peers: newPeers(self, deps.FailureDomain, deps.Regions)}, nil
 }
 
 // Run requests and receives reports until ctx is done.
@@ -122,18 +130,25 @@
 		byHost[address.Addr()] = append(byHost[address.Addr()], member)
 	}
 	l.byHost.Store(&byHost)
+	round := l.peers.startRound(l.now(), byHost, view.Ready())
+	if l.Sink.Outside != nil {
+		l.Sink.Outside(round.outside)
+	}
 	demand := make(map[core.Upstream]float64)
 	asked := 0
-	// The order of a map differs each time, so all agents are asked for the relays in turn.
-	for host, members := range byHost {
-		upstream := members[0].Upstream
+	for _, host := range round.order {
+		if !round.asks(host) {
+			continue
+		}
+		upstream := byHost[host][0].Upstream
 		if _, measured := demand[upstream]; !measured {
 			demand[upstream] = l.Demand(upstream)
 		}
 		request := message{
-			StoreUnresponsive: l.StoreUnresponsive(), Wanted: recentWanted(bootclock.Time(), view),
+			StoreUnresponsive: l.StoreUnresponsive(), Wanted: recentWanted(l.now(), view),
 			FailureDomain: l.FailureDomain, Direct: l.Direct(), AskRelays: asked < relayQuestions, Demand: demand[upstream],
 		}
+		round.complete(&request, host)
 		if engine := engineOf(view, upstream); engine != nil {
 			request.Newest = newestWithoutTime(view, engine.Models)
 		}
@@ -194,8 +209,9 @@
 	if l.Notices != nil {
 		l.exchangeNotices(from, received)
 	}
+	l.peers.learn(l.now(), &received)
 	byHost := l.byHost.Load()
-	if received.Report == nil || byHost == nil {
+	if received.Report == nil || byHost == nil || !l.peers.isNewest(from.Addr().Unmap(), received.Report) {
 		return
 	}
 	for _, member := range (*byHost)[from.Addr().Unmap()] {
@@ -210,7 +226,7 @@
 // exchangeNotices adds the notices of an agent, and sends it those that it lacks if it has compared.
 func (l *Listener) exchangeNotices(from netip.AddrPort, received message) {
 	if len(received.Notices) > 0 {
-		l.Notices.Merge(decodeNotices(bootclock.Time(), received.Notices))
+		l.Notices.Merge(decodeNotices(l.now(), received.Notices))
 	}
 	if received.Digest == nil {
 		return
@@ -240,19 +256,14 @@
 		if len(outgoing) == 0 || byHost == nil {
 			continue
 		}
-		sent := 0
-		// The order of a map differs each time.
-		for host := range *byHost {
-			if sent++; sent > noticePushAgents {
-				break
-			}
+		for _, host := range l.peers.noticeTargets(l.now(), *byHost) {
 			l.sendNotices(netip.AddrPortFrom(host, l.port), outgoing)
 		}
 	}
 }
 
 func (l *Listener) sendNotices(to netip.AddrPort, notices []quarantine.Notice) {
-	datagrams, err := encodeDatagrams(bootclock.Time(), notices, nil)
+	datagrams, err := encodeDatagrams(l.now(), notices, nil)
 	if err != nil {
 		l.Log.WithError(err).Error("encode notices")
 		return
@@ -271,6 +282,13 @@
 	return 0
 }
 
+// packetConn is a UDP socket, or a stand-in for one.
+type packetConn interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 func listenUDP(ip string, port int) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: port})
 	return conn, eris.Wrapf(err, "listen on UDP port %d", port)
--- a/transport/loadshare/fuzz_test.go
+++ b/transport/loadshare/fuzz_test.go
@@ -21,6 +21,8 @@
 	f.Add([]byte(`{"g":18446744073709551615,"k":[{"i":1,"k":"l","a":5,"h":"10.0.0.1","b":2,"u":"llm","p":["aa"],"t":"x"},{"i":2,"k":"e","h":"10.0.0.1"}]}`))
 	f.Add([]byte(`{"k":[{"i":3,"k":"s","u":"llm","p":["aa"],"a":7},{"i":4,"k":"q","u":"llm","p":["aa"],"s":9,"n":5,"r":64,"x":true}]}`))
 	f.Add([]byte(`{"r":{"t":1.7,"f":8,"e":1e308}}`))
+	f.Add([]byte(`{"c":true,"i":334,"h":true,"o":7,"b":true,"t":111,"n":[{"d":"a","n":22,"a":900}],"z":{"a":"10.0.0.1"},"d":"a"}`))
+	f.Add([]byte(`{"l":"CgAAAQ==","w":true,"n":[{"d":"a","n":-1,"a":-5}],"t":-1,"r":{"h":-1,"c":-9}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		received, err := decodeMessage(data)
 		if err != nil {
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -58,6 +58,20 @@
 	// Newest lists, in a request, the newest wanted versions of which the sender doesn't know since when they are wanted, as after its
 	// start. Agents read the wanted versions by lists that may be seconds old.
 	Newest []newestVersion `json:"u,omitempty"`
+	// Presence is set in a request that only says that the sender is there, and requests no reports. IntervalMS is the time between two
+	// reports that the sender requests, 0 for ReportInterval.
+	Presence   bool  `json:"c,omitempty"`
+	IntervalMS int64 `json:"i,omitempty"`
+	// AskEntries asks for the IPv4 addresses of the entry hosts of the sender's failure domain, which a response holds in Entries.
+	// EntriesHash is the hash of those that the sender knows; SameEntries is set in place of Entries if they are the same.
+	AskEntries  bool   `json:"h,omitempty"`
+	EntriesHash uint32 `json:"o,omitempty"`
+	Entries     []byte `json:"l,omitempty"`
+	SameEntries bool   `json:"w,omitempty"`
+	// AskCounts asks for the Counts: the numbers of entry hosts that the sender knows, by failure domain. EntryHosts is, in a request, their sum.
+	AskCounts  bool        `json:"b,omitempty"`
+	Counts     []hostCount `json:"n,omitempty"`
+	EntryHosts int         `json:"t,omitempty"`
 	// Notices lists what the sender knows about prompts on which replicas crash. Digest is the digest of all that it knows: in a
 	// request it asks for the notices that the sender lacks, and in a response for those that the agent lacks.
 	Notices []notice `json:"k,omitempty"`
@@ -81,6 +95,16 @@
 	Wanted []wantedVersion `json:"v,omitempty"`
 	// StoreUnresponsiveCount is the number of Senders that the store does not answer.
 	StoreUnresponsiveCount int `json:"x,omitempty"`
+	// Requesters is the number of Senders that get the report, and Order rises with the agent's time; both are 0 in small fleets.
+	Requesters int   `json:"h,omitempty"`
+	Order      int64 `json:"c,omitempty"`
+}
+
+// hostCount is the number of entry hosts of a failure domain and the age of that count.
+type hostCount struct {
+	FailureDomain core.FailureDomain `json:"d"`
+	Hosts         int                `json:"n"`
+	AgeMS         int64              `json:"a"`
 }
 
 // wantedVersion is a version and the time since it became wanted.
@@ -139,10 +163,12 @@
 	}
 }
 
-func encodeReport(born int64, r dispatch.Report, demand float64, unresponsive int, versions []wantedVersion) ([]byte, error) {
+func encodeReport(
+	born int64, r dispatch.Report, demand float64, unresponsive int, order int64, versions []wantedVersion,
+) ([]byte, error) {
 	wire := &report{
 		Born: born, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace, Demand: demand,
-		Wanted: versions, StoreUnresponsiveCount: unresponsive,
+		Wanted: versions, StoreUnresponsiveCount: unresponsive, Requesters: r.Requesters, Order: order,
 	}
 	if r.RequestLimit.Stated {
 		wire.RequestLimit = &r.RequestLimit.PerSecond
@@ -157,7 +183,7 @@
 func (r *report) decode(ownDemand float64) dispatch.Report {
 	decoded := dispatch.Report{
 		Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Loading: r.Loading, Leaving: r.Leaving, Senders: r.Senders, Pace: r.Pace,
-		Models: []fleet.LoadedModel{},
+		Requesters: r.Requesters, Models: []fleet.LoadedModel{},
 	}
 	if r.RequestLimit != nil {
 		decoded.RequestLimit = fleet.RequestLimit{Stated: true, PerSecond: *r.RequestLimit}
--- a/transport/loadshare/receive.go
+++ b/transport/loadshare/receive.go
@@ -49,6 +49,17 @@
 	if received.Demand < 0 {
 		return received, eris.Errorf("demand is %f", received.Demand)
 	}
+	if received.IntervalMS < 0 || received.IntervalMS > requestLifetime.Milliseconds() || len(received.Entries)%addressBytes != 0 {
+		return received, eris.Errorf("interval of %d ms or %d bytes of addresses are out of range", received.IntervalMS, len(received.Entries))
+	}
+	if received.EntryHosts < 0 || received.EntryHosts > maxCount {
+		return received, eris.Errorf("number of entry hosts %d is out of range", received.EntryHosts)
+	}
+	for _, count := range received.Counts {
+		if count.Hosts < 0 || count.Hosts > maxCount || count.AgeMS < 0 || count.AgeMS > maxWantedAge.Milliseconds() {
+			return received, eris.Errorf("count of %d hosts, %d ms old, is out of range", count.Hosts, count.AgeMS)
+		}
+	}
 	for i := range received.Notices {
 		if err := received.Notices[i].check(); err != nil {
 			return received, err
@@ -62,7 +73,7 @@
 	if r == nil {
 		return nil
 	}
-	for _, n := range []int{r.Running, r.Waiting, r.Slots, r.Senders, r.StoreUnresponsiveCount} {
+	for _, n := range []int{r.Running, r.Waiting, r.Slots, r.Senders, r.StoreUnresponsiveCount, r.Requesters} {
 		if n < 0 || n > maxCount {
 			return eris.Errorf("count %d of a report is out of range", n)
 		}
