Send urgent load reports to all requesters at once

A report that a worker is leaving or loading waited up to 0.33 s for requesters in other regions. A change between all agents and a subset is logged.

--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -109,7 +109,7 @@
 			loops.Wait()
 			return
 		case <-ticker.C:
-			r.Send()
+			r.send(false)
 		}
 	}
 }
@@ -128,8 +128,11 @@
 	r.hasReport = false
 }
 
-// Send removes expired requesters and sends the report immediately.
-func (r *Reporter) Send() {
+// Send removes expired requesters and sends the report immediately to all that requested reports.
+func (r *Reporter) Send() { r.send(true) }
+
+// send is Send, or sends the report only to the requesters whose interval is over.
+func (r *Reporter) send(urgent bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -143,7 +146,7 @@
 	}
 	r.sink.EntryHostCounts(len(r.requesters), unresponsive)
 	r.sink.Relays(r.relays(true))
-	due := r.dueRequesters(now)
+	due := r.dueRequesters(now, urgent)
 	if !r.hasReport || len(due) == 0 {
 		return
 	}
--- a/transport/loadshare/census.go
+++ b/transport/loadshare/census.go
@@ -112,11 +112,11 @@
 	return highest
 }
 
-// dueRequesters returns the hosts to which a report is due; the caller holds the lock.
-func (r *Reporter) dueRequesters(now time.Time) []netip.AddrPort {
+// dueRequesters returns the hosts to which a report is due, all that requested reports if it is urgent; the caller holds the lock.
+func (r *Reporter) dueRequesters(now time.Time, urgent bool) []netip.AddrPort {
 	var due []netip.AddrPort
 	for address, host := range r.requesters {
-		if host.presence || host.interval > 0 && now.Before(host.dueAt) {
+		if host.presence || !urgent && host.interval > 0 && now.Before(host.dueAt) {
 			continue
 		}
 		due = append(due, address)
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -79,7 +79,9 @@
 	demand atomic.Pointer[map[core.Upstream]float64]
 	// compared is set once an agent has compared its notices with those of this host.
 	compared atomic.Bool
-	peers    peers
+	// divided is set while reports are requested from a subset of the agents.
+	divided bool
+	peers   peers
 }
 
 // Listen opens the UDP socket of an entry host at ip.
@@ -131,9 +133,7 @@
 	}
 	l.byHost.Store(&byHost)
 	round := l.peers.startRound(l.now(), byHost, view.Ready())
-	if l.Sink.Outside != nil {
-		l.Sink.Outside(round.outside)
-	}
+	l.announce(&round, len(byHost))
 	demand := make(map[core.Upstream]float64)
 	asked := 0
 	for _, host := range round.order {
@@ -168,6 +168,18 @@
 	l.demand.Store(&demand)
 }
 
+// announce passes on and logs from which replicas no reports are requested.
+func (l *Listener) announce(r *round, agents int) {
+	if l.Sink.Outside != nil {
+		l.Sink.Outside(r.outside)
+	}
+	if divided := len(r.outside) > 0; divided != l.divided {
+		l.divided = divided
+		l.Log.WithFields(logrus.Fields{"agents": agents, "replicas_outside": len(r.outside), "entry_hosts": r.entryHosts}).
+			Info("agents that are asked for load reports change between all and a subset")
+	}
+}
+
 // engineOf returns the engine settings of an upstream, or nil if it is no engine or there is no view yet.
 func engineOf(view *fleet.View, upstream core.Upstream) *fleet.EngineSpec {
 	if !view.Ready() {
--- a/transport/loadshare/fleet_news_test.go
+++ b/transport/loadshare/fleet_news_test.go
@@ -111,6 +111,10 @@
 	}
 	s.run(1)
 	require.Len(t, s.learned, len(s.reporters))
+	s.now = s.now.Add(ReportInterval / 2)
+	clear(s.reports)
+	s.reporters[7].Send()
+	require.Len(t, s.reports, len(s.reporters[7].dueRequesters(s.now, true)), "an urgent report goes to all before it is due")
 	s.reporters[7].WorkerEnded(1)
 	for range 2 {
 		for _, r := range s.reporters {
