Keep pieces of two versions and take manifests from peers

Cause: each of 58 hosts read the manifest from the origin (0.4 s of its link), and the pieces of a version were dropped when another was chosen.

Change: a host asks the peers of the manifest tree, whose parent holds the response until it has the manifest. Two hosts read it from the origin at first, 4 after take_over and 8 after another 4 s, each twice, so that a corrupt one isn't passed on. The piece cache holds two versions per model; cached pieces are staged when their version is chosen again. A step that has staged a version loads it in the next step, without a pause and before another model is staged; a version that is loaded and cached isn't staged again, which alternated between two models for ever.

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -118,8 +118,9 @@
 	StopReports func()
 	// WorkerEnded, if set, is called when a process of the worker has ended. born is its start.
 	WorkerEnded func(born int64)
-	Random      *rand.Rand
-	Now         func() time.Time
+	// Random is not used concurrently with itself.
+	Random *rand.Rand
+	Now    func() time.Time
 	// WallClock returns the time of day, as workers state their start; nil means time.Now.
 	WallClock func() time.Time
 	Log       *logrus.Entry
@@ -163,7 +164,34 @@
 	inherited       inheritedOrder
 	// adopted is the unanswered order while only an earlier process may have sent it.
 	adopted loadOrder
-	wake    chan struct{}
+	// stagedPieces holds the pieces of each model that the worker's present process has accepted.
+	stagedPieces map[core.Model]stagedPieces
+	// fetching is the version whose pieces are being staged.
+	fetching target
+	wake     chan struct{}
+
+	randomMu sync.Mutex
+}
+
+// randomBelow returns a random number in [0, n].
+func (a *Agent) randomBelow(n int64) int64 {
+	a.randomMu.Lock()
+	defer a.randomMu.Unlock()
+	return a.Random.Int64N(n + 1)
+}
+
+// forkRandom returns a source of random numbers for a concurrent user.
+func (a *Agent) forkRandom() *rand.Rand {
+	a.randomMu.Lock()
+	defer a.randomMu.Unlock()
+	return rand.New(rand.NewPCG(a.Random.Uint64(), a.Random.Uint64()))
+}
+
+// inUse reports whether the pieces of a version must be kept: it is being staged, or is staged and may be verified again.
+func (a *Agent) inUse(t target) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.staged == t || a.unanswered.target == t || a.fetching == t
 }
 
 // New returns an Agent.
@@ -173,7 +201,7 @@
 	}
 	return &Agent{
 		Dependencies: deps,
-		pieces:       &pieceCache{},
+		pieces:       newPieceCache(),
 		peers:        newPeerClient(),
 		throttle:     newThrottle(deps.Config.Transfer.DownloadSlots),
 		inherited: inheritedOrder{
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -46,6 +46,8 @@
 	pool       pond.Pool
 	events     chan func(now time.Time)
 	mismatched int
+	// memoryOnly is set while the worker's staging area is in use by another version: pieces are only put into the cache.
+	memoryOnly bool
 	// firstWrite logs the moment from which the staging area no longer holds only an earlier version.
 	firstWrite sync.Once
 }
@@ -53,24 +55,25 @@
 // fetch fetches all pieces of a version and stages them at the worker. It returns early when the version is no longer
 // wanted.
 func (a *Agent) fetch(ctx context.Context, t target) error {
-	manifest, err := a.readManifest(ctx, t)
+	manifest, err := a.obtainManifest(ctx, t, func() bool { return a.wants(t) })
 	if err != nil {
 		return err
 	}
-	a.pieces.reset(t, manifest)
+	a.setFetching(t)
+	a.pieces.open(t, manifest, a.inUse)
 	ctx, cancel := context.WithCancel(ctx)
 	cfg := a.Config.Transfer
 	r := &versionFetch{
 		Agent:  a,
 		target: t,
 		plan: transfer.New(a.transferConfig(), a.self(), transfer.Target{Digest: versionKey(t), Chunks: len(manifest.Digests)},
-			a.Random, a.Now()),
+			a.forkRandom(), a.Now()),
 		pool:   pond.NewPool(cfg.DownloadSlots + cfg.Neighbors),
 		events: make(chan func(time.Time), eventQueueLength),
 	}
 	defer r.pool.StopAndWait()
 	defer cancel()
-	if err := r.adoptStaged(ctx, manifest); err != nil {
+	if err := r.adoptPieces(ctx, manifest); err != nil {
 		return err
 	}
 	r.logTarget().WithField("missing", r.plan.Missing()).WithField("pieces", len(manifest.Digests)).Info("fetch started")
@@ -81,6 +84,13 @@
 	return r.Log.WithField("model", r.target.model).WithField("version", r.target.version)
 }
 
+// setFetching notes the version whose pieces are being staged.
+func (a *Agent) setFetching(t target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fetching = t
+}
+
 // readManifest returns the manifest of a version, from the piece cache if it is held there and otherwise from the origin.
 func (a *Agent) readManifest(ctx context.Context, t target) (worker.Manifest, error) {
 	if digests, ok := a.pieces.digests(t); ok {
@@ -103,38 +113,6 @@
 	return manifest, nil
 }
 
-// adoptStaged marks the pieces that are in the cache or staged at the worker as held, so that they are not fetched again.
-func (r *versionFetch) adoptStaged(ctx context.Context, manifest worker.Manifest) error {
-	for index := range manifest.Digests {
-		if _, held := r.pieces.get(r.target, index); held {
-			r.plan.MarkHeld(index)
-			continue
-		}
-		data, err := r.readStaged(ctx, r.target.model, index)
-		if protocol.CodeOf(err) == protocol.CodeNotFound {
-			// Pieces are staged in any order, but a worker without the first piece most likely has none.
-			if index == 0 {
-				return nil
-			}
-			continue
-		}
-		if err != nil && !isWrongPiece(err) {
-			return err
-		}
-		if err != nil || !manifest.Digests[index].Matches(data) {
-			// The worker has staged another version.
-			if index == 0 {
-				return nil
-			}
-			continue
-		}
-		if r.pieces.put(r.target, index, data) {
-			r.plan.MarkHeld(index)
-		}
-	}
-	return nil
-}
-
 func (r *versionFetch) loop(ctx context.Context) error {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
@@ -144,7 +122,7 @@
 			return nil
 		}
 		if r.mismatched >= maxMismatchedPieces {
-			r.pieces.reset(target{}, worker.Manifest{})
+			r.pieces.reject(r.target)
 			return protocol.Errorf(protocol.CodeMalformed, "%d pieces do not match the manifest", r.mismatched)
 		}
 		r.plan.SetHosts(r.hosts())
@@ -240,18 +218,14 @@
 	if !digests[index].Matches(data) {
 		return protocol.Errorf(protocol.CodeMalformed, "piece %d does not match its digest", index)
 	}
-	r.firstWrite.Do(func() { r.logTarget().WithField("piece", index).Info("first piece staged") })
-	var err error
-	for range maxStageAttempts {
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if err = r.stage(ctx, r.target, index, data); err == nil {
-			r.pieces.put(r.target, index, data)
-			return nil
-		}
+	if r.memoryOnly {
+		r.pieces.put(r.target, index, data)
+		return nil
 	}
-	return err
+	r.firstWrite.Do(func() { r.logTarget().WithField("piece", index).Info("first piece staged") })
+	// A piece that can't be staged now is still useful to peers.
+	r.pieces.put(r.target, index, data)
+	return r.stageAndRetry(ctx, index, data)
 }
 
 // stage stages a piece. The call goes on when ctx ends, because a canceled one could take effect after pieces of the next
@@ -259,7 +233,11 @@
 func (a *Agent) stage(ctx context.Context, t target, index int, data []byte) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stageTimeout)
 	defer cancel()
+	a.noteStaged(t, index, false)
 	err := a.Worker.Stage(ctx, t.model, index, data)
+	if err == nil {
+		a.noteStaged(t, index, true)
+	}
 	if ctx.Err() != nil {
 		varWritesUnanswered.Add(1)
 		a.Log.WithFields(logrus.Fields{"model": t.model, "version": t.version, "piece": index}).
--- a/transport/staging/harness_test.go
+++ b/transport/staging/harness_test.go
@@ -172,6 +172,8 @@
 	oldest int64
 	// corruptManifests is the number of manifests to send with a wrong digest.
 	corruptManifests int
+	// manifests is the number of manifests sent.
+	manifests int
 }
 
 func (o *fakeOrigin) Manifest(_ context.Context, _ string, model core.Model, version int64) (worker.Manifest, error) {
@@ -180,6 +182,7 @@
 	if version < o.oldest {
 		return worker.Manifest{}, protocol.Errorf(protocol.CodeExpired, "version %d is gone", version)
 	}
+	o.manifests++
 	manifest := worker.Manifest{Model: model, Version: version}
 	for index := range pieceCount {
 		sum := sha256.Sum256(o.content(version, index))
@@ -263,14 +266,19 @@
 	return published
 }
 
-// runAgent starts an agent and returns its load reports and a function that stops it.
-func (g *group) runAgent(ip string, w worker.Worker, change func(*staging.Config)) (*reports, func()) {
-	g.t.Helper()
+// register adds the replica of a host to the view.
+func (g *group) register(ip string) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.table.SetReplica(time.Now(), 1, &fleet.Replica{
 		ID: fleet.ReplicaID(ip), Upstream: "llm", Address: ip + ":80", FailureDomain: "a", Born: 1,
 	})
-	g.mu.Unlock()
+}
+
+// runAgent starts an agent and returns its load reports and a function that stops it.
+func (g *group) runAgent(ip string, w worker.Worker, change func(*staging.Config)) (*reports, func()) {
+	g.t.Helper()
+	g.register(ip)
 	published := &reports{}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- /dev/null
+++ b/transport/staging/manifest.go
@@ -0,0 +1,173 @@
+package staging
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/guavatrestle/guavatrestle/coordination/transfer"
+	"github.com/guavatrestle/guavatrestle/protocol"
+	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/core"
+)
+
+const (
+	// headerWait asks a peer to hold its response until it has the manifest, for at most manifestWait.
+	headerWait = "Gt-Wait"
+	// manifestWait is the longest time for which a peer holds the response to a request for a manifest. A manifest then travels down
+	// the tree without polling; a shorter time causes more requests while the origin is unavailable.
+	manifestWait = 500 * time.Millisecond
+	// peerManifestTimeout bounds a request to a peer for a manifest, beyond the wait.
+	peerManifestTimeout = 300 * time.Millisecond
+	// maxManifestBytes bounds the manifest that a peer sends.
+	maxManifestBytes = 4 << 20
+	// manifestRetryBase and manifestRetryCap bound the backoff between two requests to the origin. The cap lets a host reach an origin
+	// that has returned within 0.3 s.
+	manifestRetryBase = 40 * time.Millisecond
+	manifestRetryCap  = 250 * time.Millisecond
+	// maxBackoffShift keeps the backoff shift within the range of a duration.
+	maxBackoffShift = 8
+	// laterManifestTurns divides the waiting time after the first take-over. The number of hosts that read a manifest from the origin
+	// then stays at 4 for 5 s and at 8 for 9 s, so that an outage doesn't end with a request from every host.
+	laterManifestTurns = 4
+)
+
+// errSuperseded is the error of a fetch whose version is no longer wanted.
+var errSuperseded = protocol.Errorf(protocol.CodeChanged, "the version is no longer wanted")
+
+// manifestBody is the body of a response to a request for a manifest.
+type manifestBody struct {
+	Digests []worker.Digest `json:"digests"`
+}
+
+// serveManifest sends the manifest of a version to a peer.
+func (s *peerServer) serveManifest(w http.ResponseWriter, r *http.Request) {
+	t, err := parseTarget(r)
+	if err != nil {
+		http.Error(w, "version is not a number", http.StatusBadRequest)
+		return
+	}
+	digests, ok := s.pieces.digests(t)
+	if !ok && r.Header.Get(headerWait) != "" {
+		ctx, cancel := context.WithTimeout(r.Context(), manifestWait)
+		defer cancel()
+		digests, ok = s.pieces.awaitDigests(ctx, t)
+	}
+	if !ok {
+		http.Error(w, "manifest is not held", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(manifestBody{Digests: digests})
+}
+
+// manifest asks a peer for the manifest of a version, and with wait to hold the response until it has it.
+func (c *peerClient) manifest(ctx context.Context, address string, t target, crossRegion, wait bool) (worker.Manifest, error) {
+	timeout := peerManifestTimeout
+	request := c.client.R().SetResponseBodyLimit(maxManifestBytes)
+	if wait {
+		timeout += manifestWait
+		request.SetHeader(headerWait, "1")
+	}
+	if crossRegion {
+		request.SetHeader(headerCrossRegion, "1")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, err := request.SetContext(ctx).Get(peerURL(address, t) + "/manifest")
+	if err != nil {
+		return worker.Manifest{}, protocol.Wrap(protocol.CodeUnavailable, err, "ask peer for a manifest")
+	}
+	var body manifestBody
+	if status := response.StatusCode(); status != http.StatusOK {
+		return worker.Manifest{}, protocol.Errorf(protocol.CodeUnavailable, "ask peer for a manifest: status %d", status)
+	}
+	if err := json.Unmarshal(response.Body(), &body); err != nil || len(body.Digests) == 0 {
+		return worker.Manifest{}, protocol.Errorf(protocol.CodeMalformed, "peer sent a malformed manifest")
+	}
+	return worker.Manifest{Model: t.model, Version: t.version, Digests: body.Digests}, nil
+}
+
+// obtainManifest returns the manifest of a version from the piece cache, from peers or, on the few hosts whose turn it is, from the
+// origin. It retries until it succeeds, ctx ends or the version is no longer wanted.
+func (a *Agent) obtainManifest(ctx context.Context, t target, wanted func() bool) (worker.Manifest, error) {
+	startedAt := a.Now()
+	for attempt := 0; ; attempt++ {
+		if digests, ok := a.pieces.digests(t); ok {
+			return worker.Manifest{Model: t.model, Version: t.version, Digests: digests}, nil
+		}
+		if !wanted() {
+			return worker.Manifest{}, errSuperseded
+		}
+		manifest, err := a.requestManifest(ctx, t, attempt, a.Now().Sub(startedAt))
+		if err == nil {
+			return manifest, nil
+		}
+		if attempt == 0 {
+			a.Log.WithError(err).WithField("model", t.model).WithField("version", t.version).Info("manifest not yet available")
+		}
+		if err := pause(ctx, a.manifestBackoff(attempt)); err != nil {
+			return worker.Manifest{}, err
+		}
+	}
+}
+
+func (a *Agent) manifestBackoff(attempt int) time.Duration {
+	step := min(manifestRetryBase<<min(attempt, maxBackoffShift), manifestRetryCap)
+	return step/2 + time.Duration(a.randomBelow(int64(step/2)))
+}
+
+// requestManifest asks peers first, then the origin if it is this host's turn, and otherwise waits for the peer that gets the manifest
+// before this host.
+func (a *Agent) requestManifest(ctx context.Context, t target, attempt int, waited time.Duration) (worker.Manifest, error) {
+	cfg, hosts, key := a.transferConfig(), a.hosts(), versionKey(t)
+	peers := transfer.ManifestPeers(cfg, a.self(), hosts, key, attempt)
+	for _, peer := range peers {
+		if manifest, err := a.manifestFromPeer(ctx, peer, t, false); err == nil {
+			return manifest, nil
+		}
+	}
+	if a.pieces.isRejectedVersion(t) || transfer.ManifestFromOrigin(cfg, a.self(), hosts, key, manifestTurnTime(waited, cfg.TakeOver)) {
+		return a.manifestFromOrigin(ctx, t)
+	}
+	if len(peers) == 0 {
+		return worker.Manifest{}, protocol.Errorf(protocol.CodeUnavailable, "no peer to ask for the manifest")
+	}
+	return a.manifestFromPeer(ctx, peers[0], t, true)
+}
+
+// manifestFromOrigin reads a manifest from the origin twice and returns it if both agree. A corrupt one would otherwise reach all peers,
+// and only the few hosts that fetch the pieces concerned from the origin would notice.
+func (a *Agent) manifestFromOrigin(ctx context.Context, t target) (worker.Manifest, error) {
+	manifest, err := a.readManifest(ctx, t)
+	countManifest(manifestOrigin, err)
+	if err != nil {
+		return manifest, err
+	}
+	again, err := a.readManifest(ctx, t)
+	countManifest(manifestOrigin, err)
+	if err == nil && !slices.Equal(manifest.Digests, again.Digests) {
+		err = protocol.Errorf(protocol.CodeMalformed, "two reads of the manifest of version %d differ", t.version)
+	}
+	return again, err
+}
+
+// manifestTurnTime converts the time waited to the one that transfer.ManifestFromOrigin counts: 2 hosts begin, and 4 have their turn
+// after takeOver.
+func manifestTurnTime(waited, takeOver time.Duration) time.Duration {
+	return takeOver + min(waited, takeOver) + max(waited-takeOver, 0)/laterManifestTurns
+}
+
+// manifestFromPeer asks a peer for a manifest. It refuses one that was rejected before.
+func (a *Agent) manifestFromPeer(ctx context.Context, peer core.Host, t target, wait bool) (worker.Manifest, error) {
+	manifest, err := a.peers.manifest(ctx, peer.DataAddr, t, peer.Region != a.Region, wait)
+	if err == nil && a.pieces.isRejected(manifest) {
+		err = protocol.Errorf(protocol.CodeMalformed, "peer sent a manifest that does not match the pieces")
+	}
+	if err == nil {
+		countManifest(manifestPeer, nil)
+	}
+	return manifest, err
+}
--- a/transport/staging/metrics.go
+++ b/transport/staging/metrics.go
@@ -9,6 +9,7 @@
 // Process-wide counters of the weight transfer, published at /debug/vars.
 var (
 	varPieces               = expvar.NewMap("staging_pieces")
+	varManifests            = expvar.NewMap("staging_manifests")
 	varOriginBytes          = expvar.NewInt("staging_origin_bytes")
 	varPeerBytes            = expvar.NewInt("staging_peer_bytes")
 	varCrossRegionBytes     = expvar.NewInt("staging_cross_region_bytes")
@@ -21,6 +22,22 @@
 	varWritesUnanswered     = expvar.NewInt("staging_writes_unanswered")
 )
 
+// manifestSource is where a manifest came from; manifestFailed counts failed reads from the origin.
+type manifestSource string
+
+const (
+	manifestOrigin manifestSource = "origin"
+	manifestPeer   manifestSource = "peer"
+	manifestFailed manifestSource = "failed"
+)
+
+func countManifest(source manifestSource, err error) {
+	if err != nil {
+		source = manifestFailed
+	}
+	varManifests.Add(string(source), 1)
+}
+
 func countPiece(fetch transfer.Fetch, outcome transfer.Outcome, bytes int) {
 	varPieces.Add(string(outcome), 1)
 	switch {
--- a/transport/staging/peers.go
+++ b/transport/staging/peers.go
@@ -49,6 +49,7 @@
 func (s *peerServer) register(mux *http.ServeMux) {
 	mux.HandleFunc("GET /weights/{model}/{version}/held", s.serveHeld)
 	mux.HandleFunc("GET /weights/{model}/{version}/pieces/{index}", s.servePiece)
+	mux.HandleFunc("GET /weights/{model}/{version}/manifest", s.serveManifest)
 }
 
 func parseTarget(r *http.Request) (target, error) {
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -23,13 +23,25 @@
 		return nil
 	}
 	for _, model := range spec.Models {
+		before := a.stagedTarget()
 		if err := a.stepModel(ctx, view, spec, model); err != nil {
 			return err
 		}
+		if after := a.stagedTarget(); after.model == model && after != before {
+			// The next step loads what is staged before another model is staged, and does so without a pause.
+			a.Wake()
+			return nil
+		}
 	}
 	return nil
 }
 
+func (a *Agent) stagedTarget() target {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.staged
+}
+
 func (a *Agent) stepModel(ctx context.Context, view *fleet.View, spec *fleet.EngineSpec, model core.Model) error {
 	wanted, ok := view.Wanted[model]
 	if !ok {
@@ -57,7 +69,7 @@
 // cacheForPeers reads the pieces of a loaded version from the worker's staging area into the cache, so that new hosts
 // nearby fetch them from this host and not from the origin.
 func (a *Agent) cacheForPeers(ctx context.Context, t target, state rollout.State) error {
-	if state.Loaded != t.version || state.Staged || state.Busy {
+	if state.Loaded != t.version || state.Staged || state.Busy || a.pieces.isComplete(t) {
 		return nil
 	}
 	return a.fetchAndStage(ctx, t)
--- a/transport/staging/verify_test.go
+++ b/transport/staging/verify_test.go
@@ -262,12 +262,16 @@
 		w.staged[index] = make([]byte, 2*pieceBytes)
 	}
 	var once sync.Once
-	w.onReport = func() {
+	// The piece is replaced before the answer to the write that completes the version, and so before the verification.
+	w.onStage = func(int) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if string(w.staged[pieceCount-1]) == string(piece(2, pieceCount-1)) {
-			once.Do(func() { w.staged[5] = make([]byte, 2*pieceBytes) })
+		for index := range pieceCount {
+			if string(w.staged[index]) != string(piece(2, index)) {
+				return
+			}
 		}
+		once.Do(func() { w.staged[5] = make([]byte, 2*pieceBytes) })
 	}
 	g.startAgentWith("127.0.16.13", w, func(cfg *staging.Config) { cfg.LateOrderTimeout = 200 * time.Millisecond })
 	eventually(t, func() bool { return w.version() == 2 })
