Choose the version to stage by forecast, and fetch the next one ahead

Cause: version 2 was abandoned 3.5 s after it became wanted, with a third of its pieces missing and the origin about to fail, and no piece of version 3 was fetched while version 2 waited for its load.

Change: NextVersion compares the time without service if the newest version is loaded next with that if a superseded one is loaded before. It uses the pieces missing at the host and among its known peers, the rates of both links, the length of an outage of the origin and the bounds. A superseded version with a head start is completed where this costs no service. It stays staged until the newest one is held in memory. The pieces of the newest are fetched into the cache meanwhile, from the origin only when no piece of the staged one is absent, and are staged once the earlier order was accepted or is no longer due. Each change of the choice is logged once with its inputs.

TestNextVersionIsFetchedWhileAnEarlierOneIsStaged fails (1 of 8 pieces of version 2 still staged) without the case ReasonStaged, and without fetchAhead.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -23,7 +23,7 @@
 	// SupersededSpread caps the time over which loads are spread when a newer version has become wanted meanwhile. A lower value
 	// frees the replicas for the newer version sooner but has more of them load at the same time.
 	SupersededSpread time.Duration
-	// FetchTime is the usual time to fetch all pieces of a version to a host.
+	// FetchTime is the usual time to fetch all pieces of a version to a host where the bandwidths of the links are unknown.
 	FetchTime time.Duration
 	// LoadTime is the usual time for a worker to finish its requests and load a version.
 	LoadTime time.Duration
@@ -58,56 +58,6 @@
 	return cfg
 }
 
-// Progress holds how far a host has got with the versions of a model; 0 means none.
-type Progress struct {
-	// Loaded is the version loaded or being loaded.
-	Loaded int64
-	// Staged is the version whose pieces are all staged.
-	Staged int64
-	// Unanswered is the version of a load order that the worker may still carry out.
-	Unanswered int64
-}
-
-// NextVersion returns the version that a host fetches and loads next, or 0. It is the newest one, with two exceptions for an
-// older version that the worker lacks: it is staged and activates before the newest could be loaded, or its fetch is well
-// advanced, since the origin may fail before it has served the newest. While an order is unanswered it is the version of that
-// order, because the worker loads whatever is staged when it accepts the order.
-func NextVersion(cfg Config, now time.Time, wanted fleet.Wanted, progress Progress) int64 {
-	if progress.Unanswered != 0 {
-		return progress.Unanswered
-	}
-	pending, ok := wanted.Pending(progress.Loaded)
-	if !ok || cfg.ActivationDelay <= 0 || pending.Version == wanted.Newest() {
-		return wanted.Newest()
-	}
-	finishPending := false
-	if pending.Version == progress.Staged {
-		finishPending = stagedLoadsFirst(cfg, now, pending)
-	} else {
-		finishPending = fetchContinues(cfg, now, wanted, pending)
-	}
-	if finishPending {
-		return pending.Version
-	}
-	return wanted.Newest()
-}
-
-// stagedLoadsFirst reports whether a staged version is loaded although a newer one is wanted: it activates before the newest
-// could be fetched and loaded.
-func stagedLoadsFirst(cfg Config, now time.Time, pending fleet.WantedVersion) bool {
-	activatesAt := pending.Since.Add(cfg.ActivationDelay)
-	newestReady := now.Add(cfg.FetchTime + cfg.LoadTime)
-	return activatesAt.After(now) && activatesAt.Before(newestReady)
-}
-
-// fetchContinues reports whether the fetch of a version continues although a newer one is wanted. It does when at least half
-// of FetchTime had passed before the newer one became wanted. It stops after FetchTime to leave enough time for the newer one.
-func fetchContinues(cfg Config, now time.Time, wanted fleet.Wanted, pending fleet.WantedVersion) bool {
-	next, _ := wanted.Pending(pending.Version)
-	headStart := next.Since.Sub(pending.Since)
-	return !pending.Since.IsZero() && headStart >= cfg.FetchTime/2 && now.Before(pending.Since.Add(cfg.FetchTime))
-}
-
 // State is the input of Decide.
 type State struct {
 	Now time.Time
@@ -119,6 +69,8 @@
 	Busy bool
 	// Staged is set when all pieces of the wanted version are staged.
 	Staged bool
+	// Held is set if the version is staged only in case a newer one is late, and not to be loaded now.
+	Held bool
 	// Unanswered is set while the worker may still carry out an order for the wanted version that it has not answered.
 	Unanswered bool
 	// EarliestLoad is the earliest time to load, except for a worker without any version, or to send an unanswered order again.
@@ -147,7 +99,7 @@
 		return ActionNone
 	case !state.Staged:
 		return ActionFetch
-	case state.Busy:
+	case state.Busy, state.Held:
 		return ActionWait
 	case (state.Loaded != 0 || state.Unanswered) && state.Now.Before(state.EarliestLoad):
 		return ActionWait
--- a/coordination/transfer/peers.go
+++ b/coordination/transfer/peers.go
@@ -159,7 +159,7 @@
 	p.setHeld(remote, held)
 	if firstResponse || remote.heldCount > previousCount {
 		remote.lastGrowth = now
-		p.lastProgress = now
+		p.noteGain(now)
 	}
 	if firstResponse {
 		p.responded = append(p.responded, remote)
--- a/coordination/transfer/planner.go
+++ b/coordination/transfer/planner.go
@@ -38,6 +38,8 @@
 	// started is when the Planner was created; lastProgress is when this host or a known peer last gained a chunk.
 	started      time.Time
 	lastProgress time.Time
+	// lastGain is lastProgress without the restarts after failures of the origin.
+	lastGain time.Time
 
 	// pollBudget is the budget for polls in bytes, last refilled at budgetRefilled.
 	pollBudget     float64
@@ -45,6 +47,8 @@
 	// lastProbedChunk is the last chunk that nextUnavailable returned.
 	lastProbedChunk int
 
+	// originBarred is set while the origin is left to another version.
+	originBarred  bool
 	originActive  int
 	originFaults  int
 	originRetryAt time.Time
@@ -72,6 +76,7 @@
 		holderCounts:   make([]int, target.Chunks),
 		started:        now,
 		lastProgress:   now,
+		lastGain:       now,
 		pollBudget:     pollBurstBytes,
 		budgetRefilled: now,
 	}
@@ -91,6 +96,22 @@
 // Missing returns the number of chunks that are not held.
 func (p *Planner) Missing() int { return p.missing }
 
+// Absent returns the number of missing chunks that no known peer holds.
+func (p *Planner) Absent() int {
+	absent := 0
+	for index, held := range p.held {
+		if !held && p.holderCounts[index] == 0 {
+			absent++
+		}
+	}
+	return absent
+}
+
+// IdleFor returns the time since this host or a known peer last gained a chunk.
+func (p *Planner) IdleFor(now time.Time) time.Duration { return now.Sub(p.lastGain) }
+
+func (p *Planner) noteGain(now time.Time) { p.lastProgress, p.lastGain = now, now }
+
 // Step returns the actions to start at now.
 func (p *Planner) Step(now time.Time) Actions {
 	if p.Complete() {
@@ -114,7 +135,7 @@
 	delete(p.inFlight, result.Fetch.Index)
 	if result.Outcome == OutcomeHeld {
 		p.MarkHeld(result.Fetch.Index)
-		p.lastProgress = now
+		p.noteGain(now)
 	}
 	if source.IsOrigin() {
 		p.handleOriginResult(now, result)
@@ -310,15 +331,18 @@
 	return true, ranksFirst
 }
 
+// AllowOrigin sets whether chunks may be fetched from the origin.
+func (p *Planner) AllowOrigin(allowed bool) { p.originBarred = !allowed }
+
 // fetchFromOrigin starts fetches of the chunks that this host may fetch from the origin now.
 func (p *Planner) fetchFromOrigin(now time.Time) []Fetch {
-	if p.originActive >= p.originSlots() || now.Before(p.originRetryAt) || !p.neighborsPolled(now) {
+	if p.originBarred || p.originActive >= p.originSlots() || now.Before(p.originRetryAt) || !p.neighborsPolled(now) {
 		return nil
 	}
 	var fetches []Fetch
 	assigned, takeOvers := p.originCandidates(now)
 	for i, index := range append(assigned, takeOvers...) {
-		if p.originActive >= p.originSlots() || len(p.inFlight) >= p.cfg.DownloadSlots {
+		if p.originBarred || p.originActive >= p.originSlots() || len(p.inFlight) >= p.cfg.DownloadSlots {
 			break
 		}
 		if i >= len(assigned) {
--- a/internal/metricsdoc/metricsdoc_test.go
+++ b/internal/metricsdoc/metricsdoc_test.go
@@ -34,6 +34,7 @@
 		"ingress_upstream_latency_ms": {upstreams, outcomes},
 		"ingress_oversized_responses": {constants(constantsOfType(t, "transport/ingress", "sizeLimit"))},
 		"staging_manifests":           {constants(constantsOfType(t, "transport/staging", "manifestSource"))},
+		"staging_version_choices":     {constants(constantsOfType(t, "coordination/rollout", "Reason"))},
 		"staging_pieces":              {constants(constantsOfType(t, "coordination/transfer", "Outcome"))},
 		"object_api_calls":            objectAPI,
 		"object_api_failures":         objectAPI,
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -164,11 +164,20 @@
 	inherited       inheritedOrder
 	// adopted is the unanswered order while only an earlier process may have sent it.
 	adopted loadOrder
+	// choices holds the last choice of each model, supplies what this host lacks of the versions that it has fetched.
+	choices  map[core.Model]rollout.Choice
+	supplies map[target]rollout.Supply
+	// originFailedAt is the time from which the origin has not answered; zero if it does. originSilent is set if this is only inferred
+	// from the lack of new pieces.
+	originFailedAt time.Time
+	originSilent   bool
 	// stagedPieces holds the pieces of each model that the worker's present process has accepted.
 	stagedPieces map[core.Model]stagedPieces
 	// fetching is the version whose pieces are being staged.
 	fetching target
-	wake     chan struct{}
+	// ahead is the version whose pieces are fetched into memory.
+	ahead target
+	wake  chan struct{}
 
 	randomMu sync.Mutex
 }
@@ -191,7 +200,7 @@
 func (a *Agent) inUse(t target) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.staged == t || a.unanswered.target == t || a.fetching == t
+	return a.staged == t || a.unanswered.target == t || a.fetching == t || a.ahead == t
 }
 
 // New returns an Agent.
@@ -240,6 +249,7 @@
 func (a *Agent) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { a.watchWorker(ctx) })
+	loops.Go(func() { a.fetchAhead(ctx) })
 	for ctx.Err() == nil {
 		pause := a.Config.ReportInterval
 		if err := a.step(ctx); err != nil && ctx.Err() == nil {
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"strconv"
@@ -48,25 +49,33 @@
 	mismatched int
 	// memoryOnly is set while the worker's staging area is in use by another version: pieces are only put into the cache.
 	memoryOnly bool
+	// wanted reports whether the fetch goes on.
+	wanted func(target) bool
 	// firstWrite logs the moment from which the staging area no longer holds only an earlier version.
 	firstWrite sync.Once
 }
 
-// fetch fetches all pieces of a version and stages them at the worker. It returns early when the version is no longer
-// wanted.
-func (a *Agent) fetch(ctx context.Context, t target) error {
-	manifest, err := a.obtainManifest(ctx, t, func() bool { return a.wants(t) })
+// fetch fetches all pieces of a version and stages them at the worker, or only puts them into the cache. It returns early when the
+// version is no longer wanted.
+func (a *Agent) fetch(ctx context.Context, t target, memoryOnly bool) error {
+	wanted := a.wants
+	if memoryOnly {
+		wanted = a.wantsAhead
+	}
+	manifest, err := a.obtainManifest(ctx, t, func() bool { return wanted(t) })
 	if err != nil {
 		return err
 	}
-	a.setFetching(t)
+	a.setFetching(t, memoryOnly)
 	a.pieces.open(t, manifest, a.inUse)
 	ctx, cancel := context.WithCancel(ctx)
 	cfg := a.Config.Transfer
 	r := &versionFetch{
-		Agent:  a,
-		target: t,
-		plan: transfer.New(a.transferConfig(), a.self(), transfer.Target{Digest: versionKey(t), Chunks: len(manifest.Digests)},
+		Agent:      a,
+		target:     t,
+		memoryOnly: memoryOnly,
+		wanted:     wanted,
+		plan: transfer.New(a.fetchConfig(memoryOnly), a.self(), transfer.Target{Digest: versionKey(t), Chunks: len(manifest.Digests)},
 			a.forkRandom(), a.Now()),
 		pool:   pond.NewPool(cfg.DownloadSlots + cfg.Neighbors),
 		events: make(chan func(time.Time), eventQueueLength),
@@ -84,11 +93,24 @@
 	return r.Log.WithField("model", r.target.model).WithField("version", r.target.version)
 }
 
-// setFetching notes the version whose pieces are being staged.
-func (a *Agent) setFetching(t target) {
+// setFetching notes the version whose pieces are being staged, or fetched ahead into memory.
+func (a *Agent) setFetching(t target, ahead bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.fetching = t
+	if ahead {
+		a.ahead = t
+	} else {
+		a.fetching = t
+	}
+}
+
+// fetchConfig returns the settings of a fetch. One into memory leaves download slots to the version that is staged meanwhile.
+func (a *Agent) fetchConfig(memoryOnly bool) transfer.Config {
+	cfg := a.transferConfig()
+	if memoryOnly {
+		cfg.DownloadSlots = max(cfg.DownloadSlots/2, 1)
+	}
+	return cfg
 }
 
 // readManifest returns the manifest of a version, from the piece cache if it is held there and otherwise from the origin.
@@ -103,6 +125,9 @@
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
 	manifest, err := a.Origin.Manifest(ctx, origin.Address, t.model, t.version)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		a.noteOrigin(err)
+	}
 	if err != nil {
 		return manifest, err
 	}
@@ -117,7 +142,8 @@
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for !r.plan.Complete() {
-		if !r.wants(r.target) {
+		r.noteSupply(r.target, r.plan.Missing(), r.plan.Absent(), r.plan.IdleFor(r.Now()))
+		if !r.wanted(r.target) {
 			r.logTarget().WithField("missing", r.plan.Missing()).Info("fetch superseded")
 			return nil
 		}
@@ -126,6 +152,7 @@
 			return protocol.Errorf(protocol.CodeMalformed, "%d pieces do not match the manifest", r.mismatched)
 		}
 		r.plan.SetHosts(r.hosts())
+		r.plan.AllowOrigin(!r.memoryOnly || r.aheadFromOrigin(r.target.model))
 		r.startActions(ctx, r.plan.Step(r.Now()))
 		select {
 		case <-ctx.Done():
@@ -135,6 +162,7 @@
 		case <-ticker.C:
 		}
 	}
+	r.noteSupply(r.target, 0, 0, 0)
 	return nil
 }
 
@@ -206,6 +234,9 @@
 		return nil, nil, protocol.Errorf(protocol.CodeUnavailable, "the configuration names no weight origin")
 	}
 	data, err := r.Origin.Piece(ctx, origin.Address, r.target.model, r.target.version, fetch.Index, r.maxPieceBytes())
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		r.noteOrigin(err)
+	}
 	return data, nil, err
 }
 
--- a/transport/staging/metrics.go
+++ b/transport/staging/metrics.go
@@ -17,6 +17,7 @@
 	varLoadOrdersRefused    = expvar.NewInt("staging_load_orders_refused")
 	varLoadOrdersUnanswered = expvar.NewInt("staging_load_orders_unanswered")
 	varLoadOrdersPutOff     = expvar.NewInt("staging_load_orders_put_off")
+	varVersionChoices       = expvar.NewMap("staging_version_choices")
 	varVerifications        = expvar.NewInt("staging_verifications")
 	varPiecesRestaged       = expvar.NewInt("staging_pieces_restaged")
 	varWritesUnanswered     = expvar.NewInt("staging_writes_unanswered")
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -48,8 +48,11 @@
 		// Versions start at 1; without a wanted version that is the one to load.
 		wanted = fleet.Wanted{{Version: 1}}
 	}
-	t := target{model: model, version: a.targetVersion(wanted, model, spec.Layers)}
+	choice := a.choose(wanted, model, spec)
+	a.noteChoice(model, choice)
+	t := target{model: model, version: choice.Version}
 	state, report := a.rolloutState(view, wanted, t, spec)
+	state.Held = !choice.Load
 	switch rollout.Decide(state) {
 	case rollout.ActionFetch:
 		return a.fetchAndStage(ctx, t)
@@ -108,10 +111,10 @@
 	if replace, err := a.settleInheritedOrder(ctx, t); err != nil || !replace {
 		return eris.Wrapf(err, "look for an order of an earlier process before version %d of %s", t.version, t.model)
 	}
-	if err := a.fetch(ctx, t); err != nil {
+	if err := a.fetch(ctx, t, false); err != nil {
 		return eris.Wrapf(err, "fetch version %d of %s", t.version, t.model)
 	}
-	if !a.wants(t) {
+	if !a.wants(t) || !a.pieces.isComplete(t) {
 		return nil
 	}
 	a.mu.Lock()
@@ -125,27 +128,6 @@
 	return nil
 }
 
-// wants reports whether no newer version has become the target.
-func (a *Agent) wants(t target) bool {
-	view := a.View()
-	wanted, ok := view.Wanted[t.model]
-	spec := view.Configuration.Upstreams[a.Upstream].Engine
-	return !ok || spec == nil || a.targetVersion(wanted, t.model, spec.Layers) <= t.version
-}
-
-func (a *Agent) targetVersion(wanted fleet.Wanted, model core.Model, layers int) int64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.expireAdoptedOrder()
-	stagedVersion := int64(0)
-	if a.staged.model == model {
-		stagedVersion = a.staged.version
-	}
-	return rollout.NextVersion(a.Config.Rollout, a.Now(), wanted, rollout.Progress{
-		Loaded: a.loadedOrLoading(model, layers), Staged: stagedVersion, Unanswered: a.unanswered.version(model),
-	})
-}
-
 // executingOrder reports whether the worker is carrying out an order or may not show a recent one in its report yet;
 // the caller holds the lock. An unanswered order counts as executing only once the worker reports it.
 func (a *Agent) executingOrder() bool {
--- a/transport/staging/succession_test.go
+++ b/transport/staging/succession_test.go
@@ -1,13 +1,19 @@
 package staging_test
 
 import (
+	"encoding/base64"
+	"encoding/binary"
 	"fmt"
+	"math/bits"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/staging"
 )
 
@@ -74,3 +80,53 @@
 		require.Equal(t, http.StatusOK, response.StatusCode, path)
 	}
 }
+
+// TestNextVersionIsFetchedWhileAnEarlierOneIsStaged guards against a link that is idle while a staged version waits for its load, and
+// against pieces of the next version in the worker's staging area before that version is held completely: a failure of the origin would
+// leave the worker with neither.
+func TestNextVersionIsFetchedWhileAnEarlierOneIsStaged(t *testing.T) {
+	g := newGroup(t)
+	var released atomic.Bool
+	g.origin.corrupt = func(_, index int, data []byte) []byte {
+		if index == pieceCount-1 && strings.Contains(string(data), "version 3") && !released.Load() {
+			return data[:1]
+		}
+		return data
+	}
+	g.setWanted(2)
+	w := newWorker()
+	w.loaded = []fleet.LoadedModel{{Model: "m", Version: 1, Layers: layers}}
+	g.startAgentWith("127.0.23.1", w, func(cfg *staging.Config) {
+		cfg.Rollout.ActivationDelay, cfg.LateOrderTimeout = 5*time.Second, 10*time.Millisecond
+		cfg.Rollout.FirstLoadDelay, cfg.Rollout.LastLoadDelay, cfg.Rollout.SupersededSpread = time.Minute, time.Minute, 0
+		cfg.Rollout.FetchTime, cfg.Rollout.LoadTime = 100*time.Millisecond, 50*time.Millisecond
+	})
+	stagedOf := func(version int64) int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		count := 0
+		for index, data := range w.staged {
+			if string(data) == string(piece(version, index)) {
+				count++
+			}
+		}
+		return count
+	}
+	defer http.DefaultClient.CloseIdleConnections()
+	held := func(version int64) int {
+		response, err := http.Get(fmt.Sprintf("http://127.0.23.1:%d/weights/m/%d/held", peerPort, version))
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		bitmap, err := base64.StdEncoding.DecodeString(response.Header.Get("Gt-Held"))
+		require.NoError(t, err)
+		return bits.OnesCount64(binary.LittleEndian.Uint64(append(bitmap, make([]byte, 8)...)))
+	}
+	eventually(t, func() bool { return stagedOf(2) == pieceCount })
+	g.setWanted(3)
+	eventually(t, func() bool { return held(3) == pieceCount-1 })
+	require.Equal(t, pieceCount, stagedOf(2), "version 3 stays in memory")
+	require.Equal(t, pieceCount, held(2))
+	released.Store(true)
+	eventually(t, func() bool { return stagedOf(3) == pieceCount })
+	require.Empty(t, w.wrong())
+}
