Spread pieces as they arrive, and load early or when it is needed

Cause, found with a simulation of 58 hosts in three regions: 20 hosts shared the origin's link, so the first pieces came after 0.3 to 0.5 s and such slow fetches cut the hosts' own limits to one; new pieces were noticed by polls 200 ms apart, also across regions, where the last pieces came 1.5 s late; three upload slots at 0.85 of the link left a fifth of it unused; replicas whose turn had passed loaded at the same time.

Change: 8 hosts per region bring pieces into it. A host that has gained a piece polls two peers and, for one from the origin, the host that brings it into each other region; polls and piece requests tell what their sender holds, and peers heard from are not polled. Pieces that the region lacks come first. A busy peer states when to return. Four upload slots use 0.95 of the link. Failures of the origin restart the stall detection, so that only the readers ask when it returns, within 0.25 s. Loads are spread from the time at which the version is ready to the end of the old weights.

--- a/coordination/rollout/choice.go
+++ b/coordination/rollout/choice.go
@@ -83,6 +83,11 @@
 // completes returns the choice of a superseded version, and false if the newest one is chosen in its place.
 func (f forecast) completes(candidate fleet.WantedVersion) (Choice, bool) {
 	supply := f.progress.supply(candidate.Version)
+	originAway := f.progress.Links.OriginAwayFor > 0
+	if supply.Absent > 0 {
+		// Both versions wait for the origin. What matters is which of them is fetched first when it answers.
+		f.progress.Links.OriginAwayFor = 0
+	}
 	gain, pays := f.pays(candidate.Version)
 	choice := Choice{Version: candidate.Version, Load: pays, Reason: ReasonSooner, Gain: gain}
 	staged := f.progress.Staged == candidate.Version
@@ -97,7 +102,7 @@
 	default:
 		return Choice{}, false
 	}
-	if staged || supply.Absent == 0 || f.progress.Links.OriginAwayFor > 0 {
+	if staged || supply.Absent == 0 || originAway {
 		choice = choice.withAhead(f.wanted.Newest(), staged || supply.Absent == 0)
 	}
 	return choice, true
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -20,9 +20,6 @@
 	// A larger difference means fewer replicas that load at the same time.
 	FirstLoadDelay time.Duration
 	LastLoadDelay  time.Duration
-	// SupersededSpread caps the time over which loads are spread when a newer version has become wanted meanwhile. A lower value
-	// frees the replicas for the newer version sooner but has more of them load at the same time.
-	SupersededSpread time.Duration
 	// FetchTime is the usual time to fetch all pieces of a version to a host where the bandwidths of the links are unknown.
 	FetchTime time.Duration
 	// LoadTime is the usual time for a worker to finish its requests and load a version.
@@ -35,11 +32,10 @@
 // DefaultConfig returns the settings for versions without an activation delay.
 func DefaultConfig() Config {
 	return Config{
-		FirstLoadDelay:   3 * time.Second,
-		LastLoadDelay:    5200 * time.Millisecond,
-		SupersededSpread: 2200 * time.Millisecond,
-		FetchTime:        3500 * time.Millisecond,
-		LoadTime:         time.Second,
+		FirstLoadDelay: 2500 * time.Millisecond,
+		LastLoadDelay:  5200 * time.Millisecond,
+		FetchTime:      3500 * time.Millisecond,
+		LoadTime:       time.Second,
 	}
 }
 
@@ -108,15 +104,42 @@
 	}
 }
 
-// EarliestLoadTime returns the earliest time at which the replica at address loads the oldest wanted version that is newer than
-// loaded. The loads of an upstream are spread evenly, in an order that differs between versions. A replica that is not among
-// the members loads first.
-func EarliestLoadTime(cfg Config, wanted fleet.Wanted, loaded int64, members []fleet.Member, upstream core.Upstream, address string) time.Time {
-	next, _ := wanted.Pending(loaded)
-	spread := cfg.LastLoadDelay - cfg.FirstLoadDelay
-	if next.Version != wanted.Newest() {
-		spread = min(spread, cfg.SupersededSpread)
+// Load is a load of a version that is due at a replica.
+type Load struct {
+	Wanted fleet.Wanted
+	// Loaded is the version that the worker has, Version the one to load.
+	Loaded  int64
+	Version int64
+	// ReadyAt is the time from which the version is staged and to be loaded.
+	ReadyAt  time.Time
+	Members  []fleet.Member
+	Upstream core.Upstream
+	// Address is the address of the replica.
+	Address string
+}
+
+// EarliestLoadTime returns the earliest time of a load. The loads of an upstream are spread evenly from the time at which the version
+// was ready to the time at which the loaded weights no longer get requests, in an order that differs between versions. The first one
+// waits for FirstLoadDelay, so that a version that is replaced soon is not loaded, unless the version is needed because of others that
+// became wanted. A replica that is not among the members loads first.
+func EarliestLoadTime(cfg Config, load Load) time.Time {
+	pending, _ := load.Wanted.Pending(load.Loaded)
+	first, last := load.ReadyAt, pending.Since.Add(cfg.LastLoadDelay)
+	if load.Version == load.Wanted.Newest() && pending.Version == load.Version {
+		if delayed := pending.Since.Add(cfg.FirstLoadDelay); delayed.After(first) {
+			first = delayed
+		}
 	}
+	if !first.Before(last) {
+		return first
+	}
+	rank := RelativeRank(load.Version, load.Members, load.Upstream, load.Address)
+	return first.Add(time.Duration(rank * float64(last.Sub(first))))
+}
+
+// RelativeRank returns the position of a replica in the sequence of loads of its upstream, from 0 for the first to 1 for the last. The
+// sequence alternates between failure domains, so that the replicas of a failure domain don't all load at the same time.
+func RelativeRank(version int64, members []fleet.Member, upstream core.Upstream, address string) float64 {
 	var self *fleet.Member
 	for i := range members {
 		if members[i].Address == address {
@@ -124,15 +147,8 @@
 		}
 	}
 	if self == nil {
-		return next.Since.Add(cfg.FirstLoadDelay)
+		return 0
 	}
-	return next.Since.Add(cfg.FirstLoadDelay + time.Duration(relativeRank(next.Version, members, upstream, self)*float64(spread)))
-}
-
-// relativeRank returns the position of a replica in the sequence of loads of its upstream, from 0 for the first to 1 for the
-// last. The sequence alternates between failure domains, so that the replicas of a failure domain don't all load at the same
-// time.
-func relativeRank(version int64, members []fleet.Member, upstream core.Upstream, self *fleet.Member) float64 {
 	type key struct {
 		rank   int
 		domain core.FailureDomain
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -22,21 +22,38 @@
 	return cfg
 }
 
-// TestSupersededVersionIsLoadedFaster guards against a newest version that waits for loads of the previous version
-// that are spread over the whole window.
-func TestSupersededVersionIsLoadedFaster(t *testing.T) {
+// loadOf returns the load of a version at a replica that was ready at a time.
+func loadOf(wanted fleet.Wanted, loaded, version int64, readyAt time.Time, members []fleet.Member, address string) rollout.Load {
+	return rollout.Load{
+		Wanted: wanted, Loaded: loaded, Version: version, ReadyAt: readyAt, Members: members, Upstream: "llm", Address: address,
+	}
+}
+
+// TestLoadsThatAreReadyLateAreSpread guards against replicas that all load at the same time because their turns had passed when the
+// version was ready, and against loads after the old weights have lost their requests.
+func TestLoadsThatAreReadyLateAreSpread(t *testing.T) {
 	var members []fleet.Member
 	for i := range 20 {
 		members = append(members, fleet.Member{Replica: fleet.Replica{
 			ID: fleet.ReplicaID(fmt.Sprint("r", i)), Upstream: "llm", Address: fmt.Sprint("10.0.0.", i, ":80"), FailureDomain: "a",
 		}})
 	}
-	wanted := fleet.Wanted{{Version: 2, Since: wantedAt}, {Version: 3, Since: wantedAt.Add(3 * time.Second)}}
-	cfg := config()
-	for _, member := range members {
-		loadAt := rollout.EarliestLoadTime(cfg, wanted, 1, members, "llm", member.Address)
-		require.False(t, loadAt.After(wantedAt.Add(cfg.FirstLoadDelay+cfg.SupersededSpread)))
+	wanted := fleet.Wanted{{Version: 2, Since: wantedAt}, {Version: 3, Since: wantedAt.Add(2 * time.Second)}}
+	cfg := rollout.ConfigFor(7500 * time.Millisecond)
+	last := wantedAt.Add(cfg.LastLoadDelay)
+	for _, version := range []int64{2, 3} {
+		readyAt := wantedAt.Add(5 * time.Second)
+		var times []time.Time
+		for _, member := range members {
+			times = append(times, rollout.EarliestLoadTime(cfg, loadOf(wanted, 1, version, readyAt, members, member.Address)))
+		}
+		slices.SortFunc(times, time.Time.Compare)
+		require.Equal(t, readyAt, times[0])
+		require.Equal(t, last, times[len(times)-1])
+		require.Greater(t, times[10].Sub(times[5]), 400*time.Millisecond)
 	}
+	late := last.Add(time.Second)
+	require.Equal(t, late, rollout.EarliestLoadTime(cfg, loadOf(wanted, 1, 3, late, members, members[19].Address)), "a late one loads at once")
 }
 
 // TestReplicasDoNotLoadTogether guards against many replicas of an upstream that load at the same time, and against loads
@@ -58,7 +75,7 @@
 		wanted := fleet.Wanted{{Version: rapid.Int64Range(1, 99).Draw(t, "version"), Since: wantedAt}}
 		var loadTimes []time.Duration
 		for _, member := range members {
-			loadTimes = append(loadTimes, rollout.EarliestLoadTime(cfg, wanted, 0, members, "llm", member.Address).Sub(wantedAt))
+			loadTimes = append(loadTimes, rollout.EarliestLoadTime(cfg, loadOf(wanted, 0, wanted.Newest(), wantedAt, members, member.Address)).Sub(wantedAt))
 		}
 		slices.Sort(loadTimes)
 		step := (cfg.LastLoadDelay - cfg.FirstLoadDelay) / time.Duration(count-1)
@@ -79,7 +96,7 @@
 		require.LessOrEqual(t, cfg.LastLoadDelay, activate)
 	})
 	cfg := rollout.ConfigFor(6800 * time.Millisecond)
-	require.Equal(t, 3*time.Second, cfg.FirstLoadDelay)
+	require.Equal(t, 2500*time.Millisecond, cfg.FirstLoadDelay)
 	require.Equal(t, 6700*time.Millisecond, cfg.LastLoadDelay)
 }
 
--- a/coordination/transfer/config.go
+++ b/coordination/transfer/config.go
@@ -29,6 +29,12 @@
 	Strategy Strategy
 	// OriginRegion is the region nearest to the origin; its hosts come first for fetches from the origin.
 	OriginRegion core.Region
+	// OriginReaders is the number of hosts of OriginRegion that fetch chunks from the origin before all others; 0 means all. Fewer of them
+	// share its link, so that the first chunks arrive earlier.
+	OriginReaders int
+	// GainPolls is the number of peers in its region that a host polls at once when it has gained a chunk. Where polls carry the bitmap
+	// of the host that sends them, chunks spread without waiting for the next poll.
+	GainPolls int
 }
 
 // Target is the version that a Planner fetches.
--- a/coordination/transfer/peers.go
+++ b/coordination/transfer/peers.go
@@ -64,7 +64,7 @@
 	}
 	p.retainFaulty(next)
 	p.peers, p.hosts = next, listed
-	p.neighbors = p.chooseNeighbors()
+	p.neighbors, p.readers = p.chooseNeighbors(), p.chooseReaders()
 	p.rebuildHolderCounts()
 }
 
@@ -205,10 +205,13 @@
 		return nil
 	}
 	var chosen []core.Host
-	for _, id := range p.duePeers(now) {
+	for _, id := range append(p.dueGainPolls(), p.duePeers(now)...) {
 		if p.pollBudget < cost {
 			return chosen
 		}
+		if p.peers[id].pollInFlight {
+			continue
+		}
 		p.pollBudget -= cost
 		remote := p.peers[id]
 		remote.lastPoll, remote.pollInFlight = now, true
@@ -256,10 +259,16 @@
 	case remote.heldCount == p.target.Chunks && !remote.lastResponse.IsZero():
 		return false
 	default:
-		return remote.lastPoll.IsZero() || now.Sub(remote.lastPoll) >= p.cfg.PollInterval
+		return remote.lastPoll.IsZero() || now.Sub(remote.lastPoll) >= p.cfg.PollInterval && !p.heardFrom(now, remote)
 	}
 }
 
+// heardFrom reports whether a peer has told what it holds within PollInterval without being polled, as peers do that exchange chunks
+// or announce new ones.
+func (p *Planner) heardFrom(now time.Time, remote *peer) bool {
+	return p.cfg.GainPolls > 0 && now.Sub(remote.lastResponse) < p.cfg.PollInterval
+}
+
 // owners returns the hosts that are responsible for a few missing chunks that no known peer holds.
 //
 // It includes a stalled host, to notice when it makes progress again, and the next host in rank that is not stalled.
@@ -285,8 +294,9 @@
 // responsible for bringing the chunk into its region, and owner returns the highest ranked matching host of any region, which
 // may already have taken over.
 func (p *Planner) owner(index int, match func(core.Host) bool) (core.HostID, bool) {
+	ownScore := score(p.target.Digest, index, p.self.ID)
 	id, found := p.highestRanked(index, func(h core.Host) bool {
-		return h.Region == p.self.Region && match(h) && ranksBefore(p.target.Digest, index, h.ID, p.self.ID)
+		return h.Region == p.self.Region && match(h) && p.importsBeforeSelf(index, h, ownScore)
 	})
 	if found {
 		return id, true
@@ -305,7 +315,8 @@
 	return 0, false
 }
 
-// highestRanked returns the matching peer that ranks first; peers in the region nearest to the origin rank before others.
+// highestRanked returns the matching peer that ranks first; peers in the region nearest to the origin rank before others, and readers
+// before other hosts.
 func (p *Planner) highestRanked(index int, match func(core.Host) bool) (core.HostID, bool) {
 	var best core.Host
 	var bestScore uint64
@@ -313,12 +324,12 @@
 		if !match(host) {
 			continue
 		}
-		near, bestNear := host.Region == p.cfg.OriginRegion, best.Region == p.cfg.OriginRegion
-		if best.ID != "" && bestNear && !near {
+		tier, bestTier := p.importTier(host), p.importTier(best)
+		if best.ID != "" && bestTier < tier {
 			continue
 		}
 		hostScore := score(p.target.Digest, index, host.ID)
-		preferred := best.ID == "" || near && !bestNear
+		preferred := best.ID == "" || tier < bestTier
 		if preferred || hostScore > bestScore || hostScore == bestScore && host.ID < best.ID {
 			best, bestScore = host, hostScore
 		}
--- a/coordination/transfer/planner.go
+++ b/coordination/transfer/planner.go
@@ -10,8 +10,6 @@
 const (
 	// maxFetchesPerPeer bounds the concurrent fetches from one peer to spread the load over the holders of a chunk.
 	maxFetchesPerPeer = 2
-	// maxRetryShift prevents the exponential backoff from overflowing a time.Duration.
-	maxRetryShift = 16
 )
 
 // Planner plans the fetch of one version by one host. It is not safe for concurrent use.
@@ -29,6 +27,8 @@
 	unlistedFaulty map[core.HostID]*peer
 	hosts          []core.Host
 	neighbors      []core.HostID
+	// readers lists the hosts of each region that bring chunks into it before all others, if their number is limited.
+	readers map[core.HostID]bool
 	// responded lists the peers that have reported their chunks; holderCounts counts the holders of each chunk among them.
 	responded    []*peer
 	holderCounts []int
@@ -41,6 +41,8 @@
 	// lastGain is lastProgress without the restarts after failures of the origin.
 	lastGain time.Time
 
+	// gainPolls lists the peers to poll because this host has gained a chunk.
+	gainPolls []core.HostID
 	// pollBudget is the budget for polls in bytes, last refilled at budgetRefilled.
 	pollBudget     float64
 	budgetRefilled time.Time
@@ -136,6 +138,7 @@
 	if result.Outcome == OutcomeHeld {
 		p.MarkHeld(result.Fetch.Index)
 		p.noteGain(now)
+		p.announceGain(result.Fetch)
 	}
 	if source.IsOrigin() {
 		p.handleOriginResult(now, result)
@@ -146,42 +149,6 @@
 	}
 }
 
-func (p *Planner) handleOriginResult(now time.Time, result Result) {
-	p.originActive--
-	if result.Outcome == OutcomeHeld {
-		if p.originFaults > 0 {
-			p.resetStalls(now)
-		}
-		p.originFaults = 0
-		return
-	}
-	p.originRetryAt = now.Add(max(p.originBackoff(), result.RetryAfter))
-	p.originFaults++
-}
-
-// resetStalls gives every peer a new TakeOver period to make progress: an origin that failed for this host has most likely
-// failed for the others too.
-func (p *Planner) resetStalls(now time.Time) {
-	for _, remote := range p.responded {
-		remote.lastGrowth = now
-	}
-}
-
-// originSlots returns the number of concurrent fetches from the origin; after a failure a single one probes whether the
-// origin has recovered.
-func (p *Planner) originSlots() int {
-	if p.originFaults > 0 {
-		return 1
-	}
-	return p.cfg.OriginSlots
-}
-
-// originBackoff returns a random delay between half and all of the exponential step.
-func (p *Planner) originBackoff() time.Duration {
-	step := min(p.cfg.RetryBase<<min(p.originFaults, maxRetryShift), p.cfg.RetryCap)
-	return step/2 + time.Duration(p.random.Int64N(int64(step/2)+1))
-}
-
 func (p *Planner) handlePeerResult(now time.Time, remote *peer, result Result) {
 	remote.activeFetches = max(remote.activeFetches-1, 0)
 	switch result.Outcome {
@@ -231,8 +198,12 @@
 			indexes = append(indexes, index)
 		}
 	}
-	// Equally rare chunks are ordered differently on each host, so that hosts fetch different chunks first.
+	// Those that the region lacks come first, because all of its hosts wait for them. Equally rare chunks are ordered differently on each host, so that hosts fetch different chunks first.
+	lacking := p.lackedByRegion(indexes)
 	sortBy(indexes, func(a, b int) bool {
+		if lacking[a] != lacking[b] {
+			return lacking[a]
+		}
 		if p.holderCounts[a] != p.holderCounts[b] {
 			return p.holderCounts[a] < p.holderCounts[b]
 		}
@@ -241,6 +212,28 @@
 	return indexes
 }
 
+// lackedByRegion returns which of the chunks no known peer of this host's region holds.
+func (p *Planner) lackedByRegion(indexes []int) map[int]bool {
+	lacking := make(map[int]bool, len(indexes))
+	if p.cfg.OriginReaders == 0 {
+		return lacking
+	}
+	for _, index := range indexes {
+		lacking[index] = true
+	}
+	for _, remote := range p.responded {
+		if remote.host.Region != p.self.Region {
+			continue
+		}
+		for _, index := range indexes {
+			if remote.held.Has(index) {
+				delete(lacking, index)
+			}
+		}
+	}
+	return lacking
+}
+
 // holders returns the known peers that hold a chunk.
 func (p *Planner) holders(index int) []*peer {
 	var holders []*peer
@@ -300,7 +293,7 @@
 		}
 	}
 	mayFetch, _ := p.checkTurn(now, index, func(h core.Host, ownScore uint64) bool {
-		return h.Region == p.self.Region && p.outranksSelf(index, h, ownScore)
+		return h.Region == p.self.Region && p.importsBeforeSelf(index, h, ownScore)
 	})
 	return mayFetch
 }
@@ -331,70 +324,6 @@
 	return true, ranksFirst
 }
 
-// AllowOrigin sets whether chunks may be fetched from the origin.
-func (p *Planner) AllowOrigin(allowed bool) { p.originBarred = !allowed }
-
-// fetchFromOrigin starts fetches of the chunks that this host may fetch from the origin now.
-func (p *Planner) fetchFromOrigin(now time.Time) []Fetch {
-	if p.originBarred || p.originActive >= p.originSlots() || now.Before(p.originRetryAt) || !p.neighborsPolled(now) {
-		return nil
-	}
-	var fetches []Fetch
-	assigned, takeOvers := p.originCandidates(now)
-	for i, index := range append(assigned, takeOvers...) {
-		if p.originBarred || p.originActive >= p.originSlots() || len(p.inFlight) >= p.cfg.DownloadSlots {
-			break
-		}
-		if i >= len(assigned) {
-			p.nextTakeOver = now.Add(p.cfg.PollInterval)
-		}
-		p.originActive++
-		fetches = append(fetches, p.startFetch(index, Source{}, false))
-	}
-	return fetches
-}
-
-// neighborsPolled reports whether every neighbor has been polled or TakeOver has passed, so that a host that starts late does
-// not fetch from the origin what its neighbors hold.
-func (p *Planner) neighborsPolled(now time.Time) bool {
-	if p.cfg.Strategy == StrategyDirect || now.Sub(p.started) >= p.cfg.TakeOver {
-		return true
-	}
-	for _, id := range p.neighbors {
-		if remote := p.peers[id]; remote != nil && !remote.pollCompleted {
-			return false
-		}
-	}
-	return true
-}
-
-// originCandidates returns the missing chunks that this host may fetch from the origin: those for which it ranks first, and at
-// most one that another host is responsible for.
-func (p *Planner) originCandidates(now time.Time) (assigned, takeOvers []int) {
-	for index, held := range p.held {
-		if _, inFlight := p.inFlight[index]; held || inFlight || p.availableFromPeer(now, index) {
-			continue
-		}
-		mayFetch, ranksFirst := p.checkOriginTurn(now, index)
-		switch {
-		case ranksFirst:
-			assigned = append(assigned, index)
-		case mayFetch:
-			takeOvers = append(takeOvers, index)
-		}
-	}
-	return assigned, p.chooseTakeOver(now, takeOvers)
-}
-
-// chooseTakeOver returns at most one of the chunks that other hosts are responsible for, and none before nextTakeOver, so that
-// polls can show first which chunks the other hosts have fetched meanwhile.
-func (p *Planner) chooseTakeOver(now time.Time, chunks []int) []int {
-	if len(chunks) == 0 || now.Before(p.nextTakeOver) {
-		return nil
-	}
-	return []int{chunks[p.random.IntN(len(chunks))]}
-}
-
 // availableFromPeer reports whether a peer that is not avoided holds a chunk. The direct strategy uses no peers.
 func (p *Planner) availableFromPeer(now time.Time, index int) bool {
 	if p.cfg.Strategy == StrategyDirect || p.holderCounts[index] == 0 {
@@ -408,19 +337,6 @@
 	return false
 }
 
-func (p *Planner) checkOriginTurn(now time.Time, index int) (mayFetch, ranksFirst bool) {
-	if p.cfg.Strategy == StrategyDirect {
-		return true, true
-	}
-	near := p.self.Region == p.cfg.OriginRegion
-	return p.checkTurn(now, index, func(h core.Host, ownScore uint64) bool {
-		if hostNear := h.Region == p.cfg.OriginRegion; hostNear != near {
-			return hostNear
-		}
-		return p.outranksSelf(index, h, ownScore)
-	})
-}
-
 // outranksSelf reports whether host ranks before this host, whose score is ownScore.
 func (p *Planner) outranksSelf(index int, host core.Host, ownScore uint64) bool {
 	other := score(p.target.Digest, index, host.ID)
--- a/coordination/transfer/rank.go
+++ b/coordination/transfer/rank.go
@@ -13,6 +13,8 @@
 const (
 	// manifestIndex is the chunk index that stands for the manifest in a ranking.
 	manifestIndex = -1
+	// readerIndex stands for the choice of the hosts that fetch from the origin.
+	readerIndex = -2
 	// manifestFanOut is the number of children of a host in the manifest tree.
 	manifestFanOut = 4
 	// maxTurnShift caps the result of turnLimit at 2^30 hosts.
@@ -73,6 +75,17 @@
 	return ahead < turnLimit(waited, cfg.TakeOver)
 }
 
+// laterManifestTurns divides the time waited after the first TakeOver. The number of hosts that read a manifest from the origin then stays
+// at 4 for 5 TakeOver and at 8 for 9, so that an outage doesn't end with a request from every host.
+const laterManifestTurns = 4
+
+// ManifestReader is ManifestFromOrigin for origins whose outages should not end with requests from all hosts: two hosts begin, and four
+// have their turn after TakeOver.
+func ManifestReader(cfg Config, self core.Host, hosts []core.Host, digest core.Digest, waited time.Duration) bool {
+	turns := cfg.TakeOver + min(waited, cfg.TakeOver) + max(waited-cfg.TakeOver, 0)/laterManifestTurns
+	return ManifestFromOrigin(cfg, self, hosts, digest, turns)
+}
+
 // ManifestPeers returns the peers to ask for the manifest in the given attempt, counted from 0.
 //
 // The hosts of a region form a tree in ranked order. The first asks the host that ranks first of all regions, and each other
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -51,6 +51,10 @@
 	LateOrderTimeout time.Duration
 	// RetryPause is the pause after a failed rollout step.
 	RetryPause time.Duration
+	// OriginReaders and GainPolls are those of transfer.Config. In a simulation of 58 hosts, 4 readers and 20 needed longer than 8, and one
+	// poll per gained piece longer than 2.
+	OriginReaders int
+	GainPolls     int
 	// CrossRegionSlots is the number of concurrent uploads to other regions in addition to the upload slots.
 	CrossRegionSlots int
 	// LinkShare is the share of the host's link that uploads of weights to peers may use; live requests have the
@@ -62,15 +66,16 @@
 func DefaultConfig() Config {
 	settings := config.DefaultTransfer()
 	settings.DownloadSlots = 4
-	settings.UploadSlots = 3
+	settings.UploadSlots = 4
 	settings.OriginSlots = 1
 	settings.TakeOver = time.Second
 	settings.ChunkTimeout = 3 * time.Second
 	settings.Avoid = 700 * time.Millisecond
 	settings.PollInterval = 200 * time.Millisecond
 	settings.ControlBytesPerSecond = 40 << 10
-	settings.RetryBase = 150 * time.Millisecond
-	settings.RetryCap = time.Second
+	// The cap lets the readers reach an origin that has returned within 0.3 s.
+	settings.RetryBase = 100 * time.Millisecond
+	settings.RetryCap = 250 * time.Millisecond
 	return Config{
 		Transfer:         settings,
 		Rollout:          rollout.DefaultConfig(),
@@ -87,7 +92,10 @@
 		VerificationInterval: time.Second,
 
 		RetryPause: 300 * time.Millisecond,
-		LinkShare:  0.85,
+		LinkShare:  0.95,
+
+		OriginReaders: 8,
+		GainPolls:     2,
 
 		CrossRegionSlots: 3,
 	}
@@ -147,6 +155,9 @@
 	loading bool
 	// staged is the version whose pieces have all been staged since the worker's last start.
 	staged target
+	// ready is the staged version that is to be loaded since readyAt.
+	ready   target
+	readyAt time.Time
 	// verifiedAt is the start of the oldest read of the last complete verification of staged pieces.
 	verifiedAt time.Time
 	// announced is the version of the last load notice; orderedAt is the time of the last answer to an order, or of the report
@@ -173,6 +184,8 @@
 	originSilent   bool
 	// stagedPieces holds the pieces of each model that the worker's present process has accepted.
 	stagedPieces map[core.Model]stagedPieces
+	// running holds the fetches that run.
+	running map[target]*versionFetch
 	// fetching is the version whose pieces are being staged.
 	fetching target
 	// ahead is the version whose pieces are fetched into memory.
@@ -224,7 +237,9 @@
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
 	uploads := transfer.NewUploadSlots(a.Config.Transfer.UploadSlots, a.Config.CrossRegionSlots)
-	server := &peerServer{pieces: a.pieces, uploads: uploads, limiter: a.uploadLimiter()}
+	server := &peerServer{
+		pieces: a.pieces, uploads: uploads, limiter: a.uploadLimiter(), uploadRate: a.LinkBytesPerSecond * a.Config.LinkShare, heard: a.recordPeer,
+	}
 	server.register(mux)
 	return mux
 }
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -82,6 +82,7 @@
 	}
 	defer r.pool.StopAndWait()
 	defer cancel()
+	defer a.trackFetch(r)()
 	if err := r.adoptPieces(ctx, manifest); err != nil {
 		return err
 	}
@@ -186,7 +187,7 @@
 func (r *versionFetch) pollPeer(ctx context.Context, peer core.Host) {
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	held, err := r.peers.heldPieces(callCtx, peer.DataAddr, r.target)
+	held, err := r.peers.heldPieces(callCtx, peer.DataAddr, r.target, r.pieces.held(r.target))
 	r.postEvent(ctx, func(now time.Time) {
 		if err != nil {
 			r.plan.HandlePollFailure(now, peer.ID)
@@ -201,11 +202,11 @@
 	if err == nil {
 		err = r.checkAndStage(ctx, fetch.Index, data)
 	}
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && protocol.CodeOf(err) != protocol.CodeRateLimited {
 		r.Log.WithError(err).WithField("piece", fetch.Index).WithField("version", r.target.version).
 			WithField("peer", fetch.Source.Peer).Info("fetch piece")
 	}
-	result := transfer.Result{Fetch: fetch, Outcome: transport.FetchOutcome(err)}
+	result := transfer.Result{Fetch: fetch, Outcome: transport.FetchOutcome(err), RetryAfter: protocol.RetryAfterOf(err)}
 	countPiece(fetch, result.Outcome, len(data))
 	r.postEvent(ctx, func(now time.Time) {
 		if held != nil {
@@ -223,11 +224,12 @@
 		return nil, nil, err
 	}
 	started := r.Now()
-	defer func() { r.throttle.release(r.Now().Sub(started)) }()
+	// The duration of a fetch from the origin depends on how many hosts share its link, not on the link of this host.
+	defer func() { r.throttle.release(r.Now().Sub(started), !fetch.Source.IsOrigin()) }()
 	ctx, cancel := context.WithTimeout(ctx, r.Config.Transfer.ChunkTimeout)
 	defer cancel()
 	if !fetch.Source.IsOrigin() {
-		return r.peers.fetchPiece(ctx, r.peerAddress(string(fetch.Source.Peer)), r.target, fetch, r.maxPieceBytes())
+		return r.peers.fetchPiece(ctx, r.peerAddress(string(fetch.Source.Peer)), r.target, fetch, r.pieces.held(r.target), r.maxPieceBytes())
 	}
 	origin, ok := r.origin()
 	if !ok {
@@ -371,7 +373,9 @@
 }
 
 func (a *Agent) transferConfig() transfer.Config {
-	cfg := transfer.Config{Transfer: a.Config.Transfer, Strategy: transfer.StrategySwarm}
+	cfg := transfer.Config{
+		Transfer: a.Config.Transfer, Strategy: transfer.StrategySwarm, OriginReaders: a.Config.OriginReaders, GainPolls: a.Config.GainPolls,
+	}
 	if origin, ok := a.origin(); ok {
 		cfg.OriginRegion = a.Regions[origin.FailureDomain]
 	}
--- a/transport/staging/manifest.go
+++ b/transport/staging/manifest.go
@@ -29,9 +29,6 @@
 	manifestRetryCap  = 250 * time.Millisecond
 	// maxBackoffShift keeps the backoff shift within the range of a duration.
 	maxBackoffShift = 8
-	// laterManifestTurns divides the waiting time after the first take-over. The number of hosts that read a manifest from the origin
-	// then stays at 4 for 5 s and at 8 for 9 s, so that an outage doesn't end with a request from every host.
-	laterManifestTurns = 4
 )
 
 // errSuperseded is the error of a fetch whose version is no longer wanted.
@@ -129,7 +126,7 @@
 			return manifest, nil
 		}
 	}
-	if a.pieces.isRejectedVersion(t) || transfer.ManifestFromOrigin(cfg, a.self(), hosts, key, manifestTurnTime(waited, cfg.TakeOver)) {
+	if a.pieces.isRejectedVersion(t) || transfer.ManifestReader(cfg, a.self(), hosts, key, waited) {
 		return a.manifestFromOrigin(ctx, t)
 	}
 	if len(peers) == 0 {
@@ -154,12 +151,6 @@
 	return again, err
 }
 
-// manifestTurnTime converts the time waited to the one that transfer.ManifestFromOrigin counts: 2 hosts begin, and 4 have their turn
-// after takeOver.
-func manifestTurnTime(waited, takeOver time.Duration) time.Duration {
-	return takeOver + min(waited, takeOver) + max(waited-takeOver, 0)/laterManifestTurns
-}
-
 // manifestFromPeer asks a peer for a manifest. It refuses one that was rejected before.
 func (a *Agent) manifestFromPeer(ctx context.Context, peer core.Host, t target, wait bool) (worker.Manifest, error) {
 	manifest, err := a.peers.manifest(ctx, peer.DataAddr, t, peer.Region != a.Region, wait)
--- a/transport/staging/peers.go
+++ b/transport/staging/peers.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/go-resty/resty/v2"
 	"golang.org/x/time/rate"
@@ -22,6 +23,9 @@
 // headerHeld carries the base64 bitmap of the pieces that the sender of a response holds.
 const headerHeld = "Gt-Held"
 
+// headerRetryMS carries the time in milliseconds after which a peer without an upload slot expects one.
+const headerRetryMS = "Gt-Retry-Ms"
+
 // headerCrossRegion marks a request that comes from a host in another region.
 const headerCrossRegion = "Gt-Cross-Region"
 
@@ -32,6 +36,8 @@
 const (
 	// largestPieceBytes bounds a piece of any version.
 	largestPieceBytes = 16 << 20
+	// maxBusyPause bounds the pause that a peer without an upload slot may request.
+	maxBusyPause = time.Second
 	// maxPollBytes bounds the body of the response to a poll, which has none unless it is an error.
 	maxPollBytes = 4 << 10
 )
@@ -44,6 +50,10 @@
 	uploads *transfer.UploadSlots
 	// limiter bounds the upload rate and so leaves bandwidth on the host's link for live requests.
 	limiter *rate.Limiter
+	// uploadRate is the rate of limiter in bytes per second, 0 if unlimited.
+	uploadRate float64
+	// heard is called with what a peer at an address holds, if its request states that.
+	heard func(t target, address string, held transfer.Bitmap)
 }
 
 func (s *peerServer) register(mux *http.ServeMux) {
@@ -63,6 +73,7 @@
 		http.Error(w, "version is not a number", http.StatusBadRequest)
 		return
 	}
+	s.hear(r, t)
 	w.Header().Set(headerHeld, base64.StdEncoding.EncodeToString(s.pieces.held(t)))
 	w.WriteHeader(http.StatusOK)
 }
@@ -75,12 +86,14 @@
 		return
 	}
 	w.Header().Set(headerHeld, base64.StdEncoding.EncodeToString(s.pieces.held(t)))
+	s.hear(r, t)
 	data, ok := s.pieces.get(t, index)
 	if !ok {
 		http.Error(w, "piece is not held", http.StatusNotFound)
 		return
 	}
 	if !s.tryAcquireSlot(r.Header.Get(headerCrossRegion) != "") {
+		w.Header().Set(headerRetryMS, strconv.FormatInt(transfer.BusyDelay(len(data), s.uploadRate).Milliseconds(), 10))
 		http.Error(w, "all upload slots are in use", http.StatusTooManyRequests)
 		return
 	}
@@ -126,8 +139,8 @@
 	return &peerClient{client: resty.New().SetTransport(netdial.NewTransport()).SetResponseBodyLimit(maxPollBytes)}
 }
 
-func (c *peerClient) heldPieces(ctx context.Context, address string, t target) (transfer.Bitmap, error) {
-	response, err := c.client.R().SetContext(ctx).Get(peerURL(address, t) + "/held")
+func (c *peerClient) heldPieces(ctx context.Context, address string, t target, own transfer.Bitmap) (transfer.Bitmap, error) {
+	response, err := c.client.R().SetContext(ctx).SetHeader(headerHeld, base64.StdEncoding.EncodeToString(own)).Get(peerURL(address, t) + "/held")
 	if err != nil {
 		return nil, protocol.Wrap(protocol.CodeUnavailable, err, "ask peer for held pieces")
 	}
@@ -138,8 +151,10 @@
 }
 
 // fetchPiece fetches a piece and the bitmap of the pieces that the peer holds.
-func (c *peerClient) fetchPiece(ctx context.Context, address string, t target, fetch transfer.Fetch, maxBytes int) ([]byte, transfer.Bitmap, error) {
-	request := c.client.R().SetContext(ctx).SetResponseBodyLimit(maxBytes)
+func (c *peerClient) fetchPiece(
+	ctx context.Context, address string, t target, fetch transfer.Fetch, own transfer.Bitmap, maxBytes int,
+) ([]byte, transfer.Bitmap, error) {
+	request := c.client.R().SetContext(ctx).SetResponseBodyLimit(maxBytes).SetHeader(headerHeld, base64.StdEncoding.EncodeToString(own))
 	if fetch.CrossRegion {
 		request.SetHeader(headerCrossRegion, "1")
 	}
@@ -154,7 +169,15 @@
 	case http.StatusNotFound:
 		return nil, nil, protocol.Errorf(protocol.CodeNotFound, "peer does not hold piece %d", fetch.Index)
 	case http.StatusTooManyRequests:
-		return nil, nil, protocol.Errorf(protocol.CodeRateLimited, "peer has no upload slot")
+		busy := protocol.Errorf(protocol.CodeRateLimited, "peer has no upload slot")
+		if ms, err := strconv.ParseInt(response.Header().Get(headerRetryMS), 10, 64); err == nil {
+			busy.RetryAfter = min(max(time.Duration(ms)*time.Millisecond, 0), maxBusyPause)
+		}
+		held, err := decodeHeld(response.Header())
+		if err != nil {
+			return nil, nil, err
+		}
+		return nil, held, busy
 	default:
 		return nil, nil, protocol.Errorf(protocol.CodeUnavailable, "get piece from peer: status %d", status)
 	}
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -86,7 +87,10 @@
 	unanswered := a.unanswered.target == t && a.adopted.isZero()
 	earliest := a.repeatAt
 	if !unanswered {
-		earliest = rollout.EarliestLoadTime(a.Config.Rollout, wanted, loaded, view.Members, a.Upstream, a.ReplicaAddress)
+		earliest = rollout.EarliestLoadTime(a.Config.Rollout, rollout.Load{
+			Wanted: wanted, Loaded: loaded, Version: t.version, ReadyAt: a.readySince(t, now), Members: view.Members,
+			Upstream: a.Upstream, Address: a.ReplicaAddress,
+		})
 	}
 	return rollout.State{
 		Now:          now,
@@ -99,6 +103,18 @@
 	}, a.report
 }
 
+// readySince returns the time from which a version is staged and to be loaded; the caller holds the lock.
+func (a *Agent) readySince(t target, now time.Time) time.Time {
+	switch {
+	case a.staged != t || !a.choices[t.model].Load:
+		a.ready, a.readyAt = target{}, time.Time{}
+		return now
+	case a.ready != t:
+		a.ready, a.readyAt = t, now
+	}
+	return a.readyAt
+}
+
 // fetchAndStage fetches a version and stages it at the worker.
 func (a *Agent) fetchAndStage(ctx context.Context, t target) error {
 	a.mu.Lock()
--- a/transport/staging/succession_test.go
+++ b/transport/staging/succession_test.go
@@ -98,7 +98,7 @@
 	w.loaded = []fleet.LoadedModel{{Model: "m", Version: 1, Layers: layers}}
 	g.startAgentWith("127.0.23.1", w, func(cfg *staging.Config) {
 		cfg.Rollout.ActivationDelay, cfg.LateOrderTimeout = 5*time.Second, 10*time.Millisecond
-		cfg.Rollout.FirstLoadDelay, cfg.Rollout.LastLoadDelay, cfg.Rollout.SupersededSpread = time.Minute, time.Minute, 0
+		cfg.Rollout.FirstLoadDelay, cfg.Rollout.LastLoadDelay = time.Minute, time.Minute
 		cfg.Rollout.FetchTime, cfg.Rollout.LoadTime = 100*time.Millisecond, 50*time.Millisecond
 	})
 	stagedOf := func(version int64) int {
@@ -122,6 +122,8 @@
 		return bits.OnesCount64(binary.LittleEndian.Uint64(append(bitmap, make([]byte, 8)...)))
 	}
 	eventually(t, func() bool { return stagedOf(2) == pieceCount })
+	// The agent notes shortly after the last write that the version is staged.
+	time.Sleep(100 * time.Millisecond)
 	g.setWanted(3)
 	eventually(t, func() bool { return held(3) == pieceCount-1 })
 	require.Equal(t, pieceCount, stagedOf(2), "version 3 stays in memory")
--- a/transport/staging/throttle.go
+++ b/transport/staging/throttle.go
@@ -8,46 +8,53 @@
 	"github.com/guavatrestle/guavatrestle/coordination/transfer"
 )
 
-// throttlePollInterval is the time between two checks for a free slot.
-const throttlePollInterval = 20 * time.Millisecond
-
 // throttle bounds the concurrent fetches by a limit that adapts to the bandwidth of the host's link.
 type throttle struct {
 	mu      sync.Mutex
 	limiter *transfer.FetchLimiter
 	active  int
+	// freed is closed and replaced when a slot becomes free.
+	freed chan struct{}
 }
 
 func newThrottle(maxFetches int) *throttle {
-	return &throttle{limiter: transfer.NewFetchLimiter(maxFetches)}
+	return &throttle{limiter: transfer.NewFetchLimiter(maxFetches), freed: make(chan struct{})}
 }
 
 // acquire waits until a slot is free and takes it.
 func (t *throttle) acquire(ctx context.Context) error {
-	for !t.tryAcquire() {
+	for {
+		freed, ok := t.tryAcquire()
+		if ok {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(throttlePollInterval):
+		case <-freed:
 		}
 	}
-	return nil
 }
 
-func (t *throttle) tryAcquire() bool {
+// tryAcquire takes a slot if one is free. Otherwise it returns a channel that is closed when one becomes free.
+func (t *throttle) tryAcquire() (freed <-chan struct{}, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.active >= t.limiter.Limit() {
-		return false
+		return t.freed, false
 	}
 	t.active++
-	return true
+	return nil, true
 }
 
-// release frees a slot and records the duration of its fetch.
-func (t *throttle) release(duration time.Duration) {
+// release frees a slot. It records the duration of the fetch if that depends on the link of this host.
+func (t *throttle) release(duration time.Duration, record bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.active--
-	t.limiter.RecordDuration(duration)
+	if record {
+		t.limiter.RecordDuration(duration)
+	}
+	close(t.freed)
+	t.freed = make(chan struct{})
 }
