End the old weights by margins in seconds

Cause: with a bound of 10 s, replicas with old weights got no requests for its last 1.5 s, which the share 0.85 leaves, although requests start within 0.3 s at a replica with free slots.

Change: no new requests from 0.7 s before the bound, cancellation 0.4 s before, and only requests that start at once from 1.7 s before, each at most a share of short bounds. At 8 s, cancellation stays at 7.6 s and the limit to idle replicas moves from 6.32 to 6.3 s.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -24,14 +24,6 @@
 	// maxReadyAgeShare is the share of RevokedKeyTimeout after which the host reports not ready, so that new callers go
 	// elsewhere.
 	maxReadyAgeShare = 0.7
-	// oldVersionGraceShare is the share of ActivationTimeout after which a wanted version replaces the older ones for all requests.
-	oldVersionGraceShare = 0.85
-	// oldVersionIdleOnlyShare is the share of ActivationTimeout after which older versions get only requests that start at
-	// once; under load a request waits for about a second.
-	oldVersionIdleOnlyShare = 0.79
-	// oldVersionCancelShare is the share of ActivationTimeout after which a request that still waits at a replica with an
-	// older version is canceled; the rest covers the network delay to the replica.
-	oldVersionCancelShare = 0.95
 	// retryBurstShare is the share of RetryBurst that the bursts of all hosts together may use.
 	retryBurstShare = 0.75
 	// gcPercent is the heap growth in percent that triggers a garbage collection; 100 takes a third more memory, 25 takes 7 %
@@ -96,9 +88,8 @@
 	cfg.RetryBurstTotal = retryBurstShare * settings.Bounds.RetryBurst
 	cfg.MaxKeyAge = scaleDuration(settings.Bounds.RevokedKeyTimeout, maxKeyAgeShare)
 	cfg.MaxReadyAge = scaleDuration(settings.Bounds.RevokedKeyTimeout, maxReadyAgeShare)
-	cfg.OldVersionGrace = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionGraceShare)
-	cfg.OldVersionIdleOnlyAfter = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionIdleOnlyShare)
-	cfg.OldVersionCancelAfter = scaleDuration(settings.Bounds.ActivationTimeout, oldVersionCancelShare)
+	end := endOfOldVersion(settings.Bounds.ActivationTimeout)
+	cfg.OldVersionIdleOnlyAfter, cfg.OldVersionGrace, cfg.OldVersionCancelAfter = end.idleOnly, end.grace, end.cancel
 	return hosted.EntryDependencies{
 		Host:         newHost(settings),
 		CallerListen: settings.CallerListen,
@@ -115,7 +106,7 @@
 
 func agentDependencies(settings platform.Settings, log *logrus.Entry) hosted.AgentDependencies {
 	cfg := staging.DefaultConfig()
-	cfg.Rollout = rollout.ConfigFor(scaleDuration(settings.Bounds.ActivationTimeout, oldVersionGraceShare))
+	cfg.Rollout = rollout.ConfigFor(endOfOldVersion(settings.Bounds.ActivationTimeout).grace)
 	return hosted.AgentDependencies{
 		Host:     newHost(settings),
 		Replica:  settings.ReplicaAddress,
