--- a/coordination/transfer/peers.go
+++ b/coordination/transfer/peers.go
@@ -324,7 +324,7 @@
 		if !match(host) {
 			continue
 		}
-		tier, bestTier := p.importTier(host), p.importTier(best)
+		tier, bestTier := p.importTier(index, host), p.importTier(index, best)
 		if best.ID != "" && bestTier < tier {
 			continue
 		}
--- a/coordination/transfer/planner.go
+++ b/coordination/transfer/planner.go
@@ -29,6 +29,8 @@
 	neighbors      []core.HostID
 	// readers lists the hosts of each region that bring chunks into it before all others, if their number is limited.
 	readers map[core.HostID]bool
+	// importers holds, for each region, the reader that brings each chunk into it.
+	importers map[core.Region][]core.HostID
 	// responded lists the peers that have reported their chunks; holderCounts counts the holders of each chunk among them.
 	responded    []*peer
 	holderCounts []int
--- a/coordination/transfer/readers.go
+++ b/coordination/transfer/readers.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -17,34 +18,72 @@
 	for _, host := range p.hosts {
 		byRegion[host.Region] = append(byRegion[host.Region], host.ID)
 	}
-	for _, ids := range byRegion {
+	chosen := map[core.Region][]core.HostID{}
+	for region, ids := range byRegion {
 		sortBy(ids, func(a, b core.HostID) bool { return ranksBefore(p.target.Digest, readerIndex, a, b) })
-		for _, id := range ids[:min(len(ids), p.cfg.OriginReaders)] {
+		chosen[region] = ids[:min(len(ids), p.cfg.OriginReaders)]
+		for _, id := range chosen[region] {
 			readers[id] = true
 		}
 	}
+	if !maps.Equal(readers, p.readers) {
+		p.importers = p.assignImporters(chosen)
+	}
 	return readers
 }
 
+// assignImporters returns, for each region, the reader that brings each chunk into it. All have about the same number of chunks: with the
+// highest ranked reader of each chunk some had half as many again as others, and the origin's link idled while they fetched the last ones.
+func (p *Planner) assignImporters(readers map[core.Region][]core.HostID) map[core.Region][]core.HostID {
+	importers := make(map[core.Region][]core.HostID, len(readers))
+	for region, ids := range readers {
+		limit := (p.target.Chunks + len(ids) - 1) / len(ids)
+		load := make(map[core.HostID]int, len(ids))
+		for index := range p.target.Chunks {
+			best := core.HostID("")
+			for _, id := range ids {
+				if load[id] < limit && (best == "" || ranksBefore(p.target.Digest, index, id, best)) {
+					best = id
+				}
+			}
+			load[best]++
+			importers[region] = append(importers[region], best)
+		}
+	}
+	return importers
+}
+
+// imports reports whether a host is the one that brings a chunk into its region.
+func (p *Planner) imports(index int, host core.Host) bool {
+	importers := p.importers[host.Region]
+	return index >= 0 && index < len(importers) && importers[index] == host.ID
+}
+
 // importsBeforeSelf reports whether a host of the same region, or one of another with the same distance to the origin, brings a chunk into
 // its region before this host, whose score is ownScore.
 func (p *Planner) importsBeforeSelf(index int, host core.Host, ownScore uint64) bool {
+	if imports := p.imports(index, host); imports != p.imports(index, p.self) {
+		return imports
+	}
 	if reader := p.readers[host.ID]; reader != p.readers[p.self.ID] {
 		return reader
 	}
 	return p.outranksSelf(index, host, ownScore)
 }
 
-// importTier orders hosts by how early they fetch from the origin, the first ones lowest.
-func (p *Planner) importTier(host core.Host) int {
+// importTier orders hosts by how early they fetch a chunk from the origin, the first ones lowest.
+func (p *Planner) importTier(index int, host core.Host) int {
 	tier := 0
 	if host.Region != p.cfg.OriginRegion {
-		tier += 2
+		tier += 3
 	}
-	if p.cfg.OriginReaders > 0 && !p.readers[host.ID] {
-		tier++
+	switch {
+	case p.cfg.OriginReaders <= 0, p.imports(index, host):
+		return tier
+	case p.readers[host.ID]:
+		return tier + 1
 	}
-	return tier
+	return tier + 2
 }
 
 // announceGain chooses the peers to poll because of a new chunk: some of the own region, and for a chunk from the origin the hosts that
