--- a/coordination/rollout/choice.go
+++ b/coordination/rollout/choice.go
@@ -62,7 +62,8 @@
 	newest := wanted.Newest()
 	if progress.Unanswered != 0 {
 		choice := Choice{Version: progress.Unanswered, Load: true, Reason: ReasonUnanswered}
-		return choice.withAhead(newest, true)
+		choice.Ahead, choice.AheadOrigin = nextAfter(cfg, now, wanted, progress, choice.Version), true
+		return choice
 	}
 	best := Choice{Version: newest, Load: true, Reason: ReasonNewest}
 	if cfg.ActivationDelay <= 0 {
@@ -77,9 +78,21 @@
 			best = choice
 		}
 	}
+	if best.Ahead != 0 {
+		best.Ahead = nextAfter(cfg, now, wanted, progress, best.Version)
+	}
 	return best
 }
 
+// nextAfter returns the version to stage after another one, or 0 if that is the newest.
+func nextAfter(cfg Config, now time.Time, wanted fleet.Wanted, progress Progress, version int64) int64 {
+	if version >= wanted.Newest() {
+		return 0
+	}
+	progress.Loaded, progress.Staged, progress.Unanswered, progress.Chosen = version, 0, 0, 0
+	return NextVersion(cfg, now, wanted, progress).Version
+}
+
 // completes returns the choice of a superseded version, and false if the newest one is chosen in its place.
 func (f forecast) completes(candidate fleet.WantedVersion) (Choice, bool) {
 	supply := f.progress.supply(candidate.Version)
@@ -103,15 +116,7 @@
 		return Choice{}, false
 	}
 	if staged || supply.Absent == 0 || originAway {
-		choice = choice.withAhead(f.wanted.Newest(), staged || supply.Absent == 0)
+		choice.Ahead, choice.AheadOrigin = f.wanted.Newest(), staged || supply.Absent == 0
 	}
 	return choice, true
 }
-
-// withAhead returns the choice with the newest version to fetch meanwhile, unless that is the chosen one.
-func (c Choice) withAhead(newest int64, origin bool) Choice {
-	if newest > c.Version {
-		c.Ahead, c.AheadOrigin = newest, origin
-	}
-	return c
-}
--- a/coordination/rollout/forecast.go
+++ b/coordination/rollout/forecast.go
@@ -11,8 +11,12 @@
 	// has lasted. A longer time loads superseded versions during short outages, a shorter one starts those loads so late that most
 	// replicas load at the same time.
 	minOutage = 3 * time.Second
-	// fetchSlack is the ratio of the usual time of a fetch to the bound that follows from the links.
-	fetchSlack = 1.3
+	// fetchSlack is the ratio of the usual time of a fetch to the bound that follows from the links: 1.34 to 1.62 in simulations of 30 and
+	// 58 hosts.
+	fetchSlack = 1.6
+	// minLoadSpread is the time over which the loads of an upstream are spread at least, so that most replicas serve while some load. With
+	// less of it, a simulated succession of two versions left more than half of the replicas without service for 1.3 s.
+	minLoadSpread = 1500 * time.Millisecond
 	// loadCost is the time without service that counts as much as one additional load, during which other replicas serve.
 	loadCost = 300 * time.Millisecond
 	// switchMargin is the least gain in time of service for which a host leaves the version that it has chosen before. Forecasts vary by
@@ -113,9 +117,10 @@
 	return f.now.Add(time.Hour)
 }
 
-// direct returns the cost in time without service if the newest version is loaded next, and it is fetched after the given time.
+// direct returns the cost in time without service, or with less than minLoadSpread for the loads, if the newest version is loaded next
+// and is fetched after the given time.
 func (f forecast) direct(fetchedAfter time.Duration) time.Duration {
-	readyAt := f.now.Add(fetchedAfter + f.cfg.LoadTime)
+	readyAt := f.now.Add(fetchedAfter + f.cfg.LoadTime + minLoadSpread)
 	return positive(readyAt.Sub(f.servedUntil(f.progress.Loaded)))
 }
 
@@ -128,8 +133,8 @@
 		return 0, false
 	}
 	newestFetched := max(fetched+f.fetchedAfter(f.wanted.Newest()), fetched+f.cfg.LoadTime)
-	newestReadyAt := f.now.Add(newestFetched + f.cfg.LoadTime)
-	gap := positive(readyAt.Sub(f.servedUntil(f.progress.Loaded))) + positive(newestReadyAt.Sub(until))
+	newestReadyAt := f.now.Add(newestFetched + f.cfg.LoadTime + minLoadSpread)
+	gap := positive(readyAt.Add(minLoadSpread).Sub(f.servedUntil(f.progress.Loaded))) + positive(newestReadyAt.Sub(until))
 	return gap + loadCost, true
 }
 
@@ -145,16 +150,15 @@
 }
 
 // isInsured reports whether a superseded version is completed although the newest is expected in time: its fetch had a head start,
-// completing it costs no time of service, and it may serve if the origin fails before it has sent the newest.
+// completing it costs no time of service beyond one load, and it may serve if the origin fails before it has sent the newest.
 func (f forecast) isInsured(version fleet.WantedVersion) bool {
 	next, _ := f.wanted.Pending(version.Version)
 	headStart := next.Since.Sub(version.Since)
 	if float64(headStart) < minHeadStart*float64(f.progress.Links.FetchTime(f.cfg.FetchTime)) {
 		return false
 	}
-	newest := f.fetchedAfter(f.wanted.Newest())
-	_, useful := f.via(version.Version)
-	return useful && f.direct(newest+f.fetchedAfter(version.Version)) <= f.direct(newest)
+	via, useful := f.via(version.Version)
+	return useful && via <= f.direct(f.fetchedAfter(f.wanted.Newest()))+loadCost
 }
 
 func positive(d time.Duration) time.Duration { return max(d, 0) }
