Keep the staged version in the simulation, and let adopted orders wait

Cause: the simulated cache evicted the staged version when a third was fetched ahead, unlike the agent. An adopted order of a superseded version was sent again at once, before its turn (2 of 12 runs of TestPieceOfAnAdoptedOrderIsStagedAgain failed).

Change: the simulation evicts as transport/staging does. An adopted order waits for its turn as if no newer version were wanted.

TestPieceOfAnAdoptedOrderIsStagedAgain passes 30 of 30 with the race detector.

--- a/internal/rolloutsim/host.go
+++ b/internal/rolloutsim/host.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/rollout"
@@ -198,7 +199,7 @@
 	return ok && count(held) == len(held)
 }
 
-// open makes room for the pieces of a version.
+// open makes room for the pieces of a version. As in transport/staging, the one in the staging area is kept if more than one is.
 func (h *host) open(version int64) {
 	if _, ok := h.pieces[version]; ok {
 		return
@@ -206,9 +207,14 @@
 	h.pieces[version] = make([]bool, h.d.Pieces)
 	h.opened = append(h.opened, version)
 	for len(h.opened) > h.p.KeepVersions {
-		delete(h.pieces, h.opened[0])
-		delete(h.manifests, h.opened[0])
-		h.opened = h.opened[1:]
+		remove := 0
+		if h.opened[0] == h.staging && h.p.KeepVersions > 1 {
+			remove = 1
+		}
+		delete(h.pieces, h.opened[remove])
+		delete(h.manifests, h.opened[remove])
+		delete(h.asked, h.opened[remove])
+		h.opened = slices.Delete(h.opened, remove, remove+1)
 	}
 }
 
--- a/transport/staging/pieces.go
+++ b/transport/staging/pieces.go
@@ -68,8 +68,9 @@
 	defer p.mu.Unlock()
 	next := &heldVersion{target: t, manifest: manifest, data: make([][]byte, len(manifest.Digests))}
 	if old := p.find(t); old != nil {
+		sameManifest := slices.Equal(old.manifest.Digests, manifest.Digests)
 		for i := range min(len(old.data), len(next.data)) {
-			if old.data[i] != nil && manifest.Digests[i].Matches(old.data[i]) {
+			if old.data[i] != nil && (sameManifest || manifest.Digests[i].Matches(old.data[i])) {
 				next.data[i] = old.data[i]
 			}
 		}
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -87,6 +88,10 @@
 	unanswered := a.unanswered.target == t && a.adopted.isZero()
 	earliest := a.repeatAt
 	if !unanswered {
+		if a.unanswered.target == t {
+			// An adopted order waits for its turn as if no newer version were wanted.
+			wanted = slices.DeleteFunc(slices.Clone(wanted), func(w fleet.WantedVersion) bool { return w.Version > t.version })
+		}
 		earliest = rollout.EarliestLoadTime(a.Config.Rollout, rollout.Load{
 			Wanted: wanted, Loaded: loaded, Version: t.version, ReadyAt: a.readySince(t, now), Members: view.Members,
 			Upstream: a.Upstream, Address: a.ReplicaAddress,
