--- /dev/null
+++ b/transport/staging/pieces_test.go
@@ -0,0 +1,43 @@
+package staging
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/protocol/worker"
+)
+
+// TestVersionInUseIsNotRemoved guards against removing the pieces of a staged version when two others become wanted: they could not be
+// verified or staged again before the load order.
+func TestVersionInUseIsNotRemoved(t *testing.T) {
+	cache := newPieceCache()
+	version := func(v int64) target { return target{model: "m", version: v} }
+	inUse := func(t target) bool { return t == version(2) }
+	manifest := worker.Manifest{Digests: []worker.Digest{"2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"}}
+	for v := int64(1); v <= 4; v++ {
+		cache.open(version(v), manifest, inUse)
+		require.True(t, cache.put(version(v), 0, []byte("foo")))
+	}
+	for v, want := range map[int64]bool{1: false, 2: true, 3: false, 4: true} {
+		require.Equal(t, want, cache.isComplete(version(v)), "version %d", v)
+	}
+	cache.open(target{model: "n", version: 1}, manifest, inUse)
+	require.True(t, cache.isComplete(version(4)), "another model has room of its own")
+}
+
+// TestRejectedManifestKeepsItsPieces guards against fetching all pieces again because one digest of a manifest was corrupt.
+func TestRejectedManifestKeepsItsPieces(t *testing.T) {
+	cache, v := newPieceCache(), target{model: "m", version: 1}
+	sound := worker.Digest("2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae")
+	corrupt := worker.Manifest{Model: "m", Version: 1, Digests: []worker.Digest{sound, "0"}}
+	cache.open(v, corrupt, func(target) bool { return true })
+	require.True(t, cache.put(v, 0, []byte("foo")))
+	cache.reject(v)
+	require.True(t, cache.isRejected(corrupt))
+	_, ok := cache.digests(v)
+	require.False(t, ok)
+	cache.open(v, worker.Manifest{Model: "m", Version: 1, Digests: []worker.Digest{sound, sound}}, func(target) bool { return true })
+	_, held := cache.get(v, 0)
+	require.True(t, held)
+}
