--- a/internal/rolloutsim/rolloutsim_test.go
+++ b/internal/rolloutsim/rolloutsim_test.go
@@ -61,6 +61,7 @@
 func TestOneVersionIsNotWorseOffThanBefore(t *testing.T) {
 	for name, d := range deployments(58) {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			now, earlier := play(t, d, rolloutsim.Scenario{WantedAt: at(1), Until: 12 * time.Second, Seed: 1})
 			require.Equal(t, d.Hosts, now.Orders)
 			require.LessOrEqual(t, now.OriginCopies, earlier.OriginCopies)
@@ -79,6 +80,7 @@
 	for name, d := range deployments(58) {
 		for _, from := range at(0, 1) {
 			t.Run(fmt.Sprint(name, " outage until ", from+outage), func(t *testing.T) {
+				t.Parallel()
 				sc := rolloutsim.Scenario{WantedAt: at(1), Until: 16 * time.Second, Seed: 1}
 				start := time.Second
 				if from > 0 {
@@ -98,6 +100,7 @@
 func TestFirstRequestFollowsTheReturnOfTheOrigin(t *testing.T) {
 	for name, d := range deployments(58) {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			sc := rolloutsim.Scenario{
 				WantedAt: at(1), OriginAway: rolloutsim.Window{From: 1500 * time.Millisecond, To: 5 * time.Second}, Until: 6 * time.Second, Seed: 1,
 			}
@@ -139,21 +142,35 @@
 // with two versions, in each second otherwise.
 var outageRuns = sync.OnceValue(func() map[string][]outageRun {
 	runs := map[string][]outageRun{}
+	var mu sync.Mutex
+	var customers sync.WaitGroup
 	for customer, d := range deployments(18) {
-		for count, interval := range map[int]time.Duration{1: time.Second, 2: time.Second / 2, 3: time.Second} {
-			for from := interval; from <= 6*time.Second; from += interval {
-				sc := rolloutsim.Scenario{
-					WantedAt: at(1, 3, 5)[:count], OriginAway: rolloutsim.Window{From: from, To: from + outage}, Until: 17 * time.Second, Seed: 1,
-				}
-				runs[customer] = append(runs[customer], outageRun{
-					name: fmt.Sprint(count, " versions, outage from ", from), permitted: permittedShortage(d, sc),
-					now: rolloutsim.Run(d, sc, current(d)), earlier: rolloutsim.Run(d, sc, rolloutsim.Earlier(d)),
-				})
+		customers.Go(func() {
+			list := runsOf(d)
+			mu.Lock()
+			defer mu.Unlock()
+			runs[customer] = list
+		})
+	}
+	customers.Wait()
+	return runs
+})
+
+func runsOf(d rolloutsim.Deployment) []outageRun {
+	var runs []outageRun
+	for count, interval := range map[int]time.Duration{1: time.Second, 2: time.Second / 2, 3: time.Second} {
+		for from := interval; from <= 6*time.Second; from += interval {
+			sc := rolloutsim.Scenario{
+				WantedAt: at(1, 3, 5)[:count], OriginAway: rolloutsim.Window{From: from, To: from + outage}, Until: 17 * time.Second, Seed: 1,
 			}
+			runs = append(runs, outageRun{
+				name: fmt.Sprint(count, " versions, outage from ", from), permitted: permittedShortage(d, sc),
+				now: rolloutsim.Run(d, sc, current(d)), earlier: rolloutsim.Run(d, sc, rolloutsim.Earlier(d)),
+			})
 		}
 	}
 	return runs
-})
+}
 
 // TestOutageDuringASuccessionLeavesShorterHoles guards against replicas without a permitted version for longer than with the earlier
 // decisions, which abandon versions by a timer and drop their pieces.
@@ -186,6 +203,7 @@
 	t.Helper()
 	for name, d := range deployments(30) {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			now, earlier := play(t, d, rolloutsim.Scenario{WantedAt: wanted, Until: 16 * time.Second, Seed: 1})
 			require.Greater(t, earlier.Shortage, 500*time.Millisecond, "the earlier decisions show the hole")
 			require.Less(t, now.Shortage, earlier.Shortage/5)
@@ -221,6 +239,7 @@
 	for name, d := range deployments(30) {
 		for fault, apply := range faults {
 			t.Run(name+" "+fault, func(t *testing.T) {
+				t.Parallel()
 				sc := rolloutsim.Scenario{WantedAt: at(1, 3), Until: 18 * time.Second, Seed: 1}
 				apply(&sc)
 				now, earlier := play(t, d, sc)
