Spread the upload of pieces over all hosts

Cause: a trace of Oberland (52 hosts, version 3 after the origin's outage) shows 24 hosts, the readers, uploading 34 pieces a second each, which is their link, and the others 1 to 10: all hosts fetched the rarest pieces first, and only readers hold those. Hosts got 17 to 21 pieces a second of the 34 that arrived, so the last pieces came 2 s after the origin had sent them. Without readers nothing changes.

--- a/coordination/transfer/planner.go
+++ b/coordination/transfer/planner.go
@@ -173,13 +173,13 @@
 	return p.cfg.RetryBase
 }
 
-// fetchFromPeers starts fetches from peers, rarest chunk first.
+// fetchFromPeers starts fetches from peers.
 func (p *Planner) fetchFromPeers(now time.Time) []Fetch {
 	var fetches []Fetch
 	if len(p.inFlight) >= p.cfg.DownloadSlots {
 		return nil
 	}
-	for _, index := range p.rarestFirst() {
+	for _, index := range p.fetchOrder() {
 		if len(p.inFlight) >= p.cfg.DownloadSlots {
 			break
 		}
@@ -192,21 +192,24 @@
 	return fetches
 }
 
-// rarestFirst returns the missing chunks that a known peer holds and that are not being fetched, fewest holders first.
-func (p *Planner) rarestFirst() []int {
+// fetchOrder returns the missing chunks that a known peer holds and that are not being fetched, in the order in which they are fetched.
+// Without readers the rarest come first. With readers only those hold the rarest chunks: if all hosts fetched these first, the links of
+// the readers would be full and those of the others idle, half of the hosts in a trace of 52. So the order is random there.
+func (p *Planner) fetchOrder() []int {
 	var indexes []int
 	for index, held := range p.held {
 		if _, inFlight := p.inFlight[index]; !held && !inFlight && p.holderCounts[index] > 0 {
 			indexes = append(indexes, index)
 		}
 	}
-	// Those that the region lacks come first, because all of its hosts wait for them. Equally rare chunks are ordered differently on each host, so that hosts fetch different chunks first.
+	// Those that the region lacks come first, because all of its hosts wait for them. The others are ordered differently on each host, so
+	// that hosts fetch different chunks first.
 	lacking := p.lackedByRegion(indexes)
 	sortBy(indexes, func(a, b int) bool {
 		if lacking[a] != lacking[b] {
 			return lacking[a]
 		}
-		if p.holderCounts[a] != p.holderCounts[b] {
+		if p.cfg.OriginReaders <= 0 && p.holderCounts[a] != p.holderCounts[b] {
 			return p.holderCounts[a] < p.holderCounts[b]
 		}
 		return p.tieBreak[a] < p.tieBreak[b]
@@ -269,6 +272,10 @@
 	if distA, distB := p.distance(a.host), p.distance(b.host); distA != distB {
 		return distA < distB
 	}
+	// The link of the reader that brought the chunk into the region is needed for new ones.
+	if imports := p.imports(index, a.host); imports != p.imports(index, b.host) {
+		return !imports
+	}
 	if a.activeFetches != b.activeFetches {
 		return a.activeFetches < b.activeFetches
 	}
