--- a/internal/metricsdoc/metricsdoc_test.go
+++ b/internal/metricsdoc/metricsdoc_test.go
@@ -39,6 +39,8 @@
 		"ingress_oversized_responses": {constants(constantsOfType(t, "transport/ingress", "sizeLimit"))},
 		"held_bytes":                  {constants(valuesOfArray(t, "coordination/holding", "kindNames"))},
 		"held_refused":                {constants(valuesOfArray(t, "coordination/holding", "kindNames"))},
+		"staging_manifests":           {constants(constantsOfType(t, "transport/staging", "manifestSource"))},
+		"staging_version_choices":     {constants(constantsOfType(t, "coordination/rollout", "Reason"))},
 		"staging_pieces":              {constants(constantsOfType(t, "coordination/transfer", "Outcome"))},
 		"object_api_calls":            objectAPI,
 		"object_api_failures":         objectAPI,
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -51,6 +51,10 @@
 	LateOrderTimeout time.Duration
 	// RetryPause is the pause after a failed rollout step.
 	RetryPause time.Duration
+	// OriginReaders and GainPolls are those of transfer.Config. In a simulation of 58 hosts, 4 readers and 20 needed longer than 8, and one
+	// poll per gained piece longer than 2.
+	OriginReaders int
+	GainPolls     int
 	// CrossRegionSlots is the number of concurrent uploads to other regions in addition to the upload slots.
 	CrossRegionSlots int
 	// LinkShare is the share of the host's link that uploads of weights to peers may use; live requests have the
@@ -62,15 +66,16 @@
 func DefaultConfig() Config {
 	settings := config.DefaultTransfer()
 	settings.DownloadSlots = 4
-	settings.UploadSlots = 3
+	settings.UploadSlots = 4
 	settings.OriginSlots = 1
 	settings.TakeOver = time.Second
 	settings.ChunkTimeout = 3 * time.Second
 	settings.Avoid = 700 * time.Millisecond
 	settings.PollInterval = 200 * time.Millisecond
 	settings.ControlBytesPerSecond = 40 << 10
-	settings.RetryBase = 150 * time.Millisecond
-	settings.RetryCap = time.Second
+	// The cap lets the readers reach an origin that has returned within 0.3 s.
+	settings.RetryBase = 100 * time.Millisecond
+	settings.RetryCap = 250 * time.Millisecond
 	return Config{
 		Transfer:         settings,
 		Rollout:          rollout.DefaultConfig(),
@@ -87,7 +92,10 @@
 		VerificationInterval: time.Second,
 
 		RetryPause: 300 * time.Millisecond,
-		LinkShare:  0.85,
+		LinkShare:  0.95,
+
+		OriginReaders: 8,
+		GainPolls:     2,
 
 		CrossRegionSlots: 3,
 	}
@@ -118,8 +126,9 @@
 	StopReports func()
 	// WorkerEnded, if set, is called when a process of the worker has ended. born is its start.
 	WorkerEnded func(born int64)
-	Random      *rand.Rand
-	Now         func() time.Time
+	// Random is not used concurrently with itself.
+	Random *rand.Rand
+	Now    func() time.Time
 	// WallClock returns the time of day, as workers state their start; nil means time.Now.
 	WallClock func() time.Time
 	Log       *logrus.Entry
@@ -146,6 +155,9 @@
 	loading bool
 	// staged is the version whose pieces have all been staged since the worker's last start.
 	staged target
+	// ready is the staged version that is to be loaded since readyAt.
+	ready   target
+	readyAt time.Time
 	// verifiedAt is the start of the oldest read of the last complete verification of staged pieces.
 	verifiedAt time.Time
 	// announced is the version of the last load notice; orderedAt is the time of the last answer to an order, or of the report
@@ -163,7 +175,45 @@
 	inherited       inheritedOrder
 	// adopted is the unanswered order while only an earlier process may have sent it.
 	adopted loadOrder
-	wake    chan struct{}
+	// choices holds the last choice of each model, supplies what this host lacks of the versions that it has fetched.
+	choices  map[core.Model]rollout.Choice
+	supplies map[target]rollout.Supply
+	// originFailedAt is the time from which the origin has not answered; zero if it does. originSilent is set if this is only inferred
+	// from the lack of new pieces.
+	originFailedAt time.Time
+	originSilent   bool
+	// stagedPieces holds the pieces of each model that the worker's present process has accepted.
+	stagedPieces map[core.Model]stagedPieces
+	// running holds the fetches that run.
+	running map[target]*versionFetch
+	// fetching is the version whose pieces are being staged.
+	fetching target
+	// ahead is the version whose pieces are fetched into memory.
+	ahead target
+	wake  chan struct{}
+
+	randomMu sync.Mutex
+}
+
+// randomBelow returns a random number in [0, n].
+func (a *Agent) randomBelow(n int64) int64 {
+	a.randomMu.Lock()
+	defer a.randomMu.Unlock()
+	return a.Random.Int64N(n + 1)
+}
+
+// forkRandom returns a source of random numbers for a concurrent user.
+func (a *Agent) forkRandom() *rand.Rand {
+	a.randomMu.Lock()
+	defer a.randomMu.Unlock()
+	return rand.New(rand.NewPCG(a.Random.Uint64(), a.Random.Uint64()))
+}
+
+// inUse reports whether the pieces of a version must be kept: it is being staged, or is staged and may be verified again.
+func (a *Agent) inUse(t target) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.staged == t || a.unanswered.target == t || a.fetching == t || a.ahead == t
 }
 
 // New returns an Agent.
@@ -173,7 +223,7 @@
 	}
 	return &Agent{
 		Dependencies: deps,
-		pieces:       &pieceCache{},
+		pieces:       newPieceCache(),
 		peers:        newPeerClient(),
 		throttle:     newThrottle(deps.Config.Transfer.DownloadSlots),
 		inherited: inheritedOrder{
@@ -187,7 +237,9 @@
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
 	uploads := transfer.NewUploadSlots(a.Config.Transfer.UploadSlots, a.Config.CrossRegionSlots)
-	server := &peerServer{pieces: a.pieces, uploads: uploads, limiter: a.uploadLimiter()}
+	server := &peerServer{
+		pieces: a.pieces, uploads: uploads, limiter: a.uploadLimiter(), uploadRate: a.LinkBytesPerSecond * a.Config.LinkShare, heard: a.recordPeer,
+	}
 	server.register(mux)
 	return mux
 }
@@ -212,6 +264,7 @@
 func (a *Agent) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { a.watchWorker(ctx) })
+	loops.Go(func() { a.fetchAhead(ctx) })
 	for ctx.Err() == nil {
 		pause := a.Config.ReportInterval
 		if err := a.step(ctx); err != nil && ctx.Err() == nil {
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"strconv"
@@ -46,31 +47,46 @@
 	pool       pond.Pool
 	events     chan func(now time.Time)
 	mismatched int
+	// memoryOnly is set while the worker's staging area is in use by another version: pieces are only put into the cache.
+	memoryOnly bool
+	// wanted reports whether the fetch goes on.
+	wanted func(target) bool
 	// firstWrite logs the moment from which the staging area no longer holds only an earlier version.
 	firstWrite sync.Once
 }
 
-// fetch fetches all pieces of a version and stages them at the worker. It returns early when the version is no longer
-// wanted.
-func (a *Agent) fetch(ctx context.Context, t target) error {
-	manifest, err := a.readManifest(ctx, t)
+// fetch fetches all pieces of a version and stages them at the worker, or only puts them into the cache. It returns early when the
+// version is no longer wanted.
+func (a *Agent) fetch(ctx context.Context, t target, memoryOnly bool) error {
+	wanted := a.wants
+	if memoryOnly {
+		wanted = a.wantsAhead
+	}
+	manifest, err := a.obtainManifest(ctx, t, func() bool { return wanted(t) })
+	if errors.Is(err, errSuperseded) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
-	a.pieces.reset(t, manifest)
+	a.setFetching(t, memoryOnly)
+	a.pieces.open(t, manifest, a.inUse)
 	ctx, cancel := context.WithCancel(ctx)
 	cfg := a.Config.Transfer
 	r := &versionFetch{
-		Agent:  a,
-		target: t,
-		plan: transfer.New(a.transferConfig(), a.self(), transfer.Target{Digest: versionKey(t), Chunks: len(manifest.Digests)},
-			a.Random, a.Now()),
+		Agent:      a,
+		target:     t,
+		memoryOnly: memoryOnly,
+		wanted:     wanted,
+		plan: transfer.New(a.fetchConfig(memoryOnly), a.self(), transfer.Target{Digest: versionKey(t), Chunks: len(manifest.Digests)},
+			a.forkRandom(), a.Now()),
 		pool:   pond.NewPool(cfg.DownloadSlots + cfg.Neighbors),
 		events: make(chan func(time.Time), eventQueueLength),
 	}
 	defer r.pool.StopAndWait()
 	defer cancel()
-	if err := r.adoptStaged(ctx, manifest); err != nil {
+	defer a.trackFetch(r)()
+	if err := r.adoptPieces(ctx, manifest); err != nil {
 		return err
 	}
 	r.logTarget().WithField("missing", r.plan.Missing()).WithField("pieces", len(manifest.Digests)).Info("fetch started")
@@ -81,6 +97,26 @@
 	return r.Log.WithField("model", r.target.model).WithField("version", r.target.version)
 }
 
+// setFetching notes the version whose pieces are being staged, or fetched ahead into memory.
+func (a *Agent) setFetching(t target, ahead bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ahead {
+		a.ahead = t
+	} else {
+		a.fetching = t
+	}
+}
+
+// fetchConfig returns the settings of a fetch. One into memory leaves download slots to the version that is staged meanwhile.
+func (a *Agent) fetchConfig(memoryOnly bool) transfer.Config {
+	cfg := a.transferConfig()
+	if memoryOnly {
+		cfg.DownloadSlots = max(cfg.DownloadSlots/2, 1)
+	}
+	return cfg
+}
+
 // readManifest returns the manifest of a version, from the piece cache if it is held there and otherwise from the origin.
 func (a *Agent) readManifest(ctx context.Context, t target) (worker.Manifest, error) {
 	if digests, ok := a.pieces.digests(t); ok {
@@ -93,6 +129,9 @@
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
 	manifest, err := a.Origin.Manifest(ctx, origin.Address, t.model, t.version)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		a.noteOrigin(err)
+	}
 	if err != nil {
 		return manifest, err
 	}
@@ -103,51 +142,21 @@
 	return manifest, nil
 }
 
-// adoptStaged marks the pieces that are in the cache or staged at the worker as held, so that they are not fetched again.
-func (r *versionFetch) adoptStaged(ctx context.Context, manifest worker.Manifest) error {
-	for index := range manifest.Digests {
-		if _, held := r.pieces.get(r.target, index); held {
-			r.plan.MarkHeld(index)
-			continue
-		}
-		data, err := r.readStaged(ctx, r.target.model, index)
-		if protocol.CodeOf(err) == protocol.CodeNotFound {
-			// Pieces are staged in any order, but a worker without the first piece most likely has none.
-			if index == 0 {
-				return nil
-			}
-			continue
-		}
-		if err != nil && !isWrongPiece(err) {
-			return err
-		}
-		if err != nil || !manifest.Digests[index].Matches(data) {
-			// The worker has staged another version.
-			if index == 0 {
-				return nil
-			}
-			continue
-		}
-		if r.pieces.put(r.target, index, data) {
-			r.plan.MarkHeld(index)
-		}
-	}
-	return nil
-}
-
 func (r *versionFetch) loop(ctx context.Context) error {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for !r.plan.Complete() {
-		if !r.wants(r.target) {
+		r.noteSupply(r.target, r.plan.Missing(), r.plan.Absent(), r.plan.IdleFor(r.Now()))
+		if !r.wanted(r.target) {
 			r.logTarget().WithField("missing", r.plan.Missing()).Info("fetch superseded")
 			return nil
 		}
 		if r.mismatched >= maxMismatchedPieces {
-			r.pieces.reset(target{}, worker.Manifest{})
+			r.pieces.reject(r.target)
 			return protocol.Errorf(protocol.CodeMalformed, "%d pieces do not match the manifest", r.mismatched)
 		}
 		r.plan.SetHosts(r.hosts())
+		r.plan.AllowOrigin(!r.memoryOnly || r.aheadFromOrigin(r.target.model))
 		r.startActions(ctx, r.plan.Step(r.Now()))
 		select {
 		case <-ctx.Done():
@@ -157,6 +166,7 @@
 		case <-ticker.C:
 		}
 	}
+	r.noteSupply(r.target, 0, 0, 0)
 	return nil
 }
 
@@ -180,7 +190,7 @@
 func (r *versionFetch) pollPeer(ctx context.Context, peer core.Host) {
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	held, err := r.peers.heldPieces(callCtx, peer.DataAddr, r.target)
+	held, err := r.peers.heldPieces(callCtx, peer.DataAddr, r.target, r.pieces.held(r.target))
 	r.postEvent(ctx, func(now time.Time) {
 		if err != nil {
 			r.plan.HandlePollFailure(now, peer.ID)
@@ -195,11 +205,11 @@
 	if err == nil {
 		err = r.checkAndStage(ctx, fetch.Index, data)
 	}
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && protocol.CodeOf(err) != protocol.CodeRateLimited {
 		r.Log.WithError(err).WithField("piece", fetch.Index).WithField("version", r.target.version).
 			WithField("peer", fetch.Source.Peer).Info("fetch piece")
 	}
-	result := transfer.Result{Fetch: fetch, Outcome: transport.FetchOutcome(err)}
+	result := transfer.Result{Fetch: fetch, Outcome: transport.FetchOutcome(err), RetryAfter: protocol.RetryAfterOf(err)}
 	countPiece(fetch, result.Outcome, len(data))
 	r.postEvent(ctx, func(now time.Time) {
 		if held != nil {
@@ -217,17 +227,21 @@
 		return nil, nil, err
 	}
 	started := r.Now()
-	defer func() { r.throttle.release(r.Now().Sub(started)) }()
+	// The duration of a fetch from the origin depends on how many hosts share its link, not on the link of this host.
+	defer func() { r.throttle.release(r.Now().Sub(started), !fetch.Source.IsOrigin()) }()
 	ctx, cancel := context.WithTimeout(ctx, r.Config.Transfer.ChunkTimeout)
 	defer cancel()
 	if !fetch.Source.IsOrigin() {
-		return r.peers.fetchPiece(ctx, r.peerAddress(string(fetch.Source.Peer)), r.target, fetch, r.maxPieceBytes())
+		return r.peers.fetchPiece(ctx, r.peerAddress(string(fetch.Source.Peer)), r.target, fetch, r.pieces.held(r.target), r.maxPieceBytes())
 	}
 	origin, ok := r.origin()
 	if !ok {
 		return nil, nil, protocol.Errorf(protocol.CodeUnavailable, "the configuration names no weight origin")
 	}
 	data, err := r.Origin.Piece(ctx, origin.Address, r.target.model, r.target.version, fetch.Index, r.maxPieceBytes())
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		r.noteOrigin(err)
+	}
 	return data, nil, err
 }
 
@@ -240,18 +254,14 @@
 	if !digests[index].Matches(data) {
 		return protocol.Errorf(protocol.CodeMalformed, "piece %d does not match its digest", index)
 	}
-	r.firstWrite.Do(func() { r.logTarget().WithField("piece", index).Info("first piece staged") })
-	var err error
-	for range maxStageAttempts {
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if err = r.stage(ctx, r.target, index, data); err == nil {
-			r.pieces.put(r.target, index, data)
-			return nil
-		}
+	if r.memoryOnly {
+		r.pieces.put(r.target, index, data)
+		return nil
 	}
-	return err
+	r.firstWrite.Do(func() { r.logTarget().WithField("piece", index).Info("first piece staged") })
+	// A piece that can't be staged now is still useful to peers.
+	r.pieces.put(r.target, index, data)
+	return r.stageAndRetry(ctx, index, data)
 }
 
 // stage stages a piece. The call goes on when ctx ends, because a canceled one could take effect after pieces of the next
@@ -259,7 +269,11 @@
 func (a *Agent) stage(ctx context.Context, t target, index int, data []byte) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stageTimeout)
 	defer cancel()
+	a.noteStaged(t, index, false)
 	err := a.Worker.Stage(ctx, t.model, index, data)
+	if err == nil {
+		a.noteStaged(t, index, true)
+	}
 	if ctx.Err() != nil {
 		varWritesUnanswered.Add(1)
 		a.Log.WithFields(logrus.Fields{"model": t.model, "version": t.version, "piece": index}).
@@ -362,7 +376,9 @@
 }
 
 func (a *Agent) transferConfig() transfer.Config {
-	cfg := transfer.Config{Transfer: a.Config.Transfer, Strategy: transfer.StrategySwarm}
+	cfg := transfer.Config{
+		Transfer: a.Config.Transfer, Strategy: transfer.StrategySwarm, OriginReaders: a.Config.OriginReaders, GainPolls: a.Config.GainPolls,
+	}
 	if origin, ok := a.origin(); ok {
 		cfg.OriginRegion = a.Regions[origin.FailureDomain]
 	}
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -23,21 +25,36 @@
 		return nil
 	}
 	for _, model := range spec.Models {
+		before := a.stagedTarget()
 		if err := a.stepModel(ctx, view, spec, model); err != nil {
 			return err
 		}
+		if after := a.stagedTarget(); after.model == model && after != before {
+			// The next step loads what is staged before another model is staged, and does so without a pause.
+			a.Wake()
+			return nil
+		}
 	}
 	return nil
 }
 
+func (a *Agent) stagedTarget() target {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.staged
+}
+
 func (a *Agent) stepModel(ctx context.Context, view *fleet.View, spec *fleet.EngineSpec, model core.Model) error {
 	wanted, ok := view.Wanted[model]
 	if !ok {
 		// Versions start at 1; without a wanted version that is the one to load.
 		wanted = fleet.Wanted{{Version: 1}}
 	}
-	t := target{model: model, version: a.targetVersion(wanted, model, spec.Layers)}
+	choice := a.choose(wanted, model, spec)
+	a.noteChoice(model, choice)
+	t := target{model: model, version: choice.Version}
 	state, report := a.rolloutState(view, wanted, t, spec)
+	state.Held = !choice.Load
 	switch rollout.Decide(state) {
 	case rollout.ActionFetch:
 		return a.fetchAndStage(ctx, t)
@@ -57,7 +74,7 @@
 // cacheForPeers reads the pieces of a loaded version from the worker's staging area into the cache, so that new hosts
 // nearby fetch them from this host and not from the origin.
 func (a *Agent) cacheForPeers(ctx context.Context, t target, state rollout.State) error {
-	if state.Loaded != t.version || state.Staged || state.Busy {
+	if state.Loaded != t.version || state.Staged || state.Busy || a.pieces.isComplete(t) {
 		return nil
 	}
 	return a.fetchAndStage(ctx, t)
@@ -71,7 +88,14 @@
 	unanswered := a.unanswered.target == t && a.adopted.isZero()
 	earliest := a.repeatAt
 	if !unanswered {
-		earliest = rollout.EarliestLoadTime(a.Config.Rollout, wanted, loaded, view.Members, a.Upstream, a.ReplicaAddress)
+		if a.unanswered.target == t {
+			// An adopted order waits for its turn as if no newer version were wanted.
+			wanted = slices.DeleteFunc(slices.Clone(wanted), func(w fleet.WantedVersion) bool { return w.Version > t.version })
+		}
+		earliest = rollout.EarliestLoadTime(a.Config.Rollout, rollout.Load{
+			Wanted: wanted, Loaded: loaded, Version: t.version, ReadyAt: a.readySince(t, now), Members: view.Members,
+			Upstream: a.Upstream, Address: a.ReplicaAddress,
+		})
 	}
 	return rollout.State{
 		Now:          now,
@@ -84,6 +108,18 @@
 	}, a.report
 }
 
+// readySince returns the time from which a version is staged and to be loaded; the caller holds the lock.
+func (a *Agent) readySince(t target, now time.Time) time.Time {
+	switch {
+	case a.staged != t || !a.choices[t.model].Load:
+		a.ready, a.readyAt = target{}, time.Time{}
+		return now
+	case a.ready != t:
+		a.ready, a.readyAt = t, now
+	}
+	return a.readyAt
+}
+
 // fetchAndStage fetches a version and stages it at the worker.
 func (a *Agent) fetchAndStage(ctx context.Context, t target) error {
 	a.mu.Lock()
@@ -96,10 +132,12 @@
 	if replace, err := a.settleInheritedOrder(ctx, t); err != nil || !replace {
 		return eris.Wrapf(err, "look for an order of an earlier process before version %d of %s", t.version, t.model)
 	}
-	if err := a.fetch(ctx, t); err != nil {
+	if err := a.fetch(ctx, t, false); err != nil {
 		return eris.Wrapf(err, "fetch version %d of %s", t.version, t.model)
 	}
-	if !a.wants(t) {
+	if !a.wants(t) || !a.pieces.isComplete(t) {
+		// The next step fetches the version that is chosen now, without a pause.
+		a.Wake()
 		return nil
 	}
 	a.mu.Lock()
@@ -113,27 +151,6 @@
 	return nil
 }
 
-// wants reports whether no newer version has become the target.
-func (a *Agent) wants(t target) bool {
-	view := a.View()
-	wanted, ok := view.Wanted[t.model]
-	spec := view.Configuration.Upstreams[a.Upstream].Engine
-	return !ok || spec == nil || a.targetVersion(wanted, t.model, spec.Layers) <= t.version
-}
-
-func (a *Agent) targetVersion(wanted fleet.Wanted, model core.Model, layers int) int64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.expireAdoptedOrder()
-	stagedVersion := int64(0)
-	if a.staged.model == model {
-		stagedVersion = a.staged.version
-	}
-	return rollout.NextVersion(a.Config.Rollout, a.Now(), wanted, rollout.Progress{
-		Loaded: a.loadedOrLoading(model, layers), Staged: stagedVersion, Unanswered: a.unanswered.version(model),
-	})
-}
-
 // executingOrder reports whether the worker is carrying out an order or may not show a recent one in its report yet;
 // the caller holds the lock. An unanswered order counts as executing only once the worker reports it.
 func (a *Agent) executingOrder() bool {
