Scale the bounds of slow fetches with pieces and links

Cause: a trace of Kinéplan (58 hosts, version 3 after the origin's outage): all pieces are in the fleet at 28.7 s, but hosts get 8 pieces a second of the 23 that their link takes, and hold the version at 30.5 s. Fetches from peers take 186 ms at the median, so a limit that one slow fetch has set to one never rises, for which 150 ms are needed. Change: the bounds are multiples of the time that a fetch takes alone, at least the earlier ones. Measured: TestFetchLimitRisesWhilePeersShareTheirLinks fails with the earlier bounds (limit 1).

--- a/internal/rolloutsim/fetch.go
+++ b/internal/rolloutsim/fetch.go
@@ -149,7 +149,7 @@
 func (h *host) release(took time.Duration, record bool) {
 	h.active--
 	if record {
-		h.limiter.RecordDuration(took)
+		h.limiter.RecordDuration(took, time.Duration(float64(h.d.PieceBytes)/h.d.HostBytesPerSecond*float64(time.Second)))
 	}
 	h.net.after(h.p.ThrottlePoll/2, func() {
 		for len(h.waiting) > 0 && h.active < h.limiter.Limit() {
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -228,7 +228,7 @@
 	}
 	started := r.Now()
 	// The duration of a fetch from the origin depends on how many hosts share its link, not on the link of this host.
-	defer func() { r.throttle.release(r.Now().Sub(started), !fetch.Source.IsOrigin()) }()
+	defer func() { r.throttle.release(r.Now().Sub(started), r.pieceTimeAlone(), !fetch.Source.IsOrigin()) }()
 	ctx, cancel := context.WithTimeout(ctx, r.Config.Transfer.ChunkTimeout)
 	defer cancel()
 	if !fetch.Source.IsOrigin() {
@@ -245,6 +245,15 @@
 	return data, nil, err
 }
 
+// pieceTimeAlone returns the time to fetch a piece with the whole link of this host, 0 if its bandwidth or the size is unknown.
+func (a *Agent) pieceTimeAlone() time.Duration {
+	size := a.maxPieceBytes()
+	if a.LinkBytesPerSecond <= 0 || size == largestPieceBytes {
+		return 0
+	}
+	return time.Duration(float64(size) / a.LinkBytesPerSecond * float64(time.Second))
+}
+
 // checkAndStage checks a piece against its digest, stages it at the worker and caches it for peers.
 func (r *versionFetch) checkAndStage(ctx context.Context, index int, data []byte) error {
 	digests, ok := r.pieces.digests(r.target)
--- a/transport/staging/throttle.go
+++ b/transport/staging/throttle.go
@@ -47,13 +47,14 @@
 	return nil, true
 }
 
-// release frees a slot. It records the duration of the fetch if that depends on the link of this host.
-func (t *throttle) release(duration time.Duration, record bool) {
+// release frees a slot. It records the duration of the fetch if that depends on the link of this host; alone is that of a fetch which has
+// the whole link.
+func (t *throttle) release(duration, alone time.Duration, record bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.active--
 	if record {
-		t.limiter.RecordDuration(duration)
+		t.limiter.RecordDuration(duration, alone)
 	}
 	close(t.freed)
 	t.freed = make(chan struct{})
