Let idle readers fetch what slow readers have not

Cause: a trace of Kinéplan: two of 48 pieces of version 2 were never fetched, because their reader was slow; the origin's link was idle for 0.7 s before the origin failed. The turn of other hosts counts the time without progress, and pieces that spread between peers are progress. All hosts then waited for the two pieces until 24.5 s and gave the version up. Change: a reader without a piece of its own to fetch takes one that nobody holds, one reader each 300 ms in the order of rank.

--- a/coordination/transfer/origin.go
+++ b/coordination/transfer/origin.go
@@ -10,6 +10,9 @@
 	// maxFirstPollWait bounds the wait for the neighbors' responses before the first fetch from the origin, where hosts announce what they
 	// gain. A neighbor that has stopped answers no poll and must not delay a rollout by TakeOver.
 	maxFirstPollWait = 150 * time.Millisecond
+	// standInDelay is the time without a chunk of its own to fetch after which a reader fetches one of another reader that nobody holds. It
+	// is longer than a fetch from the origin, 230 ms at the median while eight readers share its link, so that few are fetched twice.
+	standInDelay = 300 * time.Millisecond
 	// maxRetryShift prevents the exponential backoff from overflowing a time.Duration.
 	maxRetryShift = 16
 )
@@ -25,6 +28,7 @@
 	}
 	p.originRetryAt = now.Add(max(p.originBackoff(), result.RetryAfter))
 	p.originFaults++
+	p.idleSince = now
 	if p.cfg.OriginReaders > 0 {
 		// The lack of progress is not the fault of the hosts that rank before this one. Otherwise all hosts have their turn when the
 		// outage ends.
@@ -66,6 +70,12 @@
 	}
 	var fetches []Fetch
 	assigned, takeOvers := p.originCandidates(now)
+	switch {
+	case len(assigned) > 0:
+		p.idleSince = time.Time{}
+	case p.idleSince.IsZero():
+		p.idleSince = now
+	}
 	for i, index := range append(assigned, takeOvers...) {
 		if p.originBarred || p.originActive >= p.originSlots() || len(p.inFlight) >= p.cfg.DownloadSlots {
 			break
@@ -108,13 +118,31 @@
 		switch {
 		case ranksFirst:
 			assigned = append(assigned, index)
-		case mayFetch:
+		case mayFetch, p.standsIn(now, index):
 			takeOvers = append(takeOvers, index)
 		}
 	}
 	return assigned, p.chooseTakeOver(now, takeOvers)
 }
 
+// standsIn reports whether this reader fetches a chunk of another reader because it has no chunk of its own left. The other one may be
+// slow or gone, and the progress of chunks between peers says nothing about that: in a trace two of 48 chunks were missing when the origin
+// failed, after its link had been idle for 0.7 s. The readers have their turns one after the other.
+func (p *Planner) standsIn(now time.Time, index int) bool {
+	if p.idleSince.IsZero() || p.self.Region != p.cfg.OriginRegion || !p.readers[p.self.ID] {
+		return false
+	}
+	turns := int(now.Sub(p.idleSince) / standInDelay)
+	ahead := 0
+	for _, host := range p.hosts {
+		if host.Region == p.self.Region && p.readers[host.ID] && !p.imports(index, host) &&
+			ranksBefore(p.target.Digest, index, host.ID, p.self.ID) {
+			ahead++
+		}
+	}
+	return ahead < turns
+}
+
 // chooseTakeOver returns at most one of the chunks that other hosts are responsible for, and none before nextTakeOver, so that
 // polls can show first which chunks the other hosts have fetched meanwhile.
 func (p *Planner) chooseTakeOver(now time.Time, chunks []int) []int {
--- a/coordination/transfer/planner.go
+++ b/coordination/transfer/planner.go
@@ -52,7 +52,10 @@
 	lastProbedChunk int
 
 	// originBarred is set while the origin is left to another version.
-	originBarred  bool
+	originBarred bool
+	// idleSince is the time since which this host has no chunk of its own to fetch from the origin, or of the last failure of the origin if
+	// that is later; zero while it has one.
+	idleSince     time.Time
 	originActive  int
 	originFaults  int
 	originRetryAt time.Time
