Renew the write deadline before the end of a stream

The deadline of the last event stayed in force until the server wrote the last chunk after the handler. A stream that paused for longer than SendTimeout (8 s) before its end was cut, though its caller read all of it. The deadline is now renewed before the end is written. The new test failed with "unexpected EOF" before the change and passes with it.

--- a/transport/ingress/held_test.go
+++ b/transport/ingress/held_test.go
@@ -218,6 +218,26 @@
 	requireCut(t, conn)
 }
 
+// TestStreamMayPauseBeforeItsEnd guards against a complete stream that looks cut off because the write deadline of its last event passes
+// before the replica ends it.
+func TestStreamMayPauseBeforeItsEnd(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	h := newHarnessWith(t, func(c *ingress.Config) { c.SendTimeout = timeout }, streamRoute())
+	h.startReplica("r1", "llm", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", headers.EventStream)
+		w.Header().Set(names.Stamp, "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(3 * timeout)
+	})
+	response, err := http.ReadResponse(bufio.NewReader(h.sendHead("/stream/", "Content-Length: 0")), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: x\n\n", string(body))
+}
+
 // TestReplicaThatCutsOffAnUnreadResponseIsNotBroken guards against counting a replica as broken, and its prompt as one on which it crashes,
 // because it has cut off a response that the caller didn't read.
 func TestReplicaThatCutsOffAnUnreadResponseIsNotBroken(t *testing.T) {
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -91,6 +91,8 @@
 		case err == io.EOF && pending.isEmpty():
 			c.recordEnd(response)
 			c.startStream(response)
+			// The server writes the end of the response after the handler; the deadline of the last event may have passed.
+			c.boundWrite()
 			return attemptResult{
 				outcome: dispatch.OutcomeServed, responded: true, latency: latency, connectionLost: !response.Framed,
 			}
