Don't count a full host as a fault of the replica

A response for which the limit of held bytes left no room counted as a broken attempt and a lost connection, so that a host short of memory ejected sound replicas and noted a loss on the prompt. The attempt now counts as abandoned. The new test saw "broken" before the change and passes with it, and so do the tests of transport/ingress.

--- a/transport/ingress/buffer.go
+++ b/transport/ingress/buffer.go
@@ -1,10 +1,12 @@
 package ingress
 
 import (
+	"errors"
 	"io"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/coordination/holding"
 	"github.com/guavatrestle/guavatrestle/transport/held"
 )
@@ -86,6 +88,14 @@
 	return grown, nil
 }
 
+// excuseReplicaOfLimit changes the result of an attempt whose response this host has no room for, which is no fault of the replica.
+func excuseReplicaOfLimit(result attemptResult) attemptResult {
+	if errors.Is(result.err, errBuffersFull) {
+		result.outcome, result.connectionLost = dispatch.OutcomeAbandoned, false
+	}
+	return result
+}
+
 // release gives back what the request has reserved.
 func (b *responseBuffer) release() {
 	b.held.Force(b.kind, -b.reserved)
--- a/transport/ingress/held_test.go
+++ b/transport/ingress/held_test.go
@@ -258,6 +258,18 @@
 	require.Equal(t, dispatch.OutcomeAbandoned, lines[0].Data["outcome"])
 }
 
+// TestHostWithoutRoomIsNoFaultOfTheReplica guards against counting sound replicas as broken, up to their ejection, because this host has no
+// room for their responses.
+func TestHostWithoutRoomIsNoFaultOfTheReplica(t *testing.T) {
+	h := newHarnessHolding(t, limits(), func(*ingress.Config) {}, unsafeRoute())
+	h.startReplica("r1", "orders", respondStamped(strings.Repeat("x", 1<<20)))
+	defer h.fill().Close()
+	require.Equal(t, http.StatusBadGateway, h.call(http.MethodPost, "/unsafe/", "x", nil).status)
+	lines := h.logLines("try failed")
+	require.Len(t, lines, 1)
+	require.Equal(t, dispatch.OutcomeAbandoned, lines[0].Data["outcome"])
+}
+
 // TestSlowReaderIsNoFaultOfTheReplica guards against moving a stream to another replica, and counting the first as broken, because the
 // caller doesn't read.
 func TestSlowReaderIsNoFaultOfTheReplica(t *testing.T) {
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -92,12 +92,12 @@
 		return attemptResult{outcome: dispatch.OutcomeBroken, err: err}
 	}
 	if response.Status == http.StatusOK && isEventStream(response.Header) {
-		return c.excuseReplica(c.relayStream(ctx, response, sent, guard))
+		return excuseReplicaOfLimit(c.excuseReplica(c.relayStream(ctx, response, sent, guard)))
 	}
 	if c.stream.started {
 		return attemptResult{outcome: dispatch.OutcomeFailed, err: eris.Errorf("resumed stream got status %d", response.Status)}
 	}
-	return c.relayBuffered(ctx, choice, response, sent, guard)
+	return excuseReplicaOfLimit(c.relayBuffered(ctx, choice, response, sent, guard))
 }
 
 // outdated reports whether the version of the chosen replica is older than the oldest allowed by now.
