End no slow callers for records or an ended request

A store response beyond the limit of records, which callers' requests don't share, ended slow callers although memory was not short, and so did the next read of a body that was ended itself. Slow callers are now ended only for requests of callers that found no room. The new test saw one ended before the change and none with it.

--- a/coordination/holding/holding.go
+++ b/coordination/holding/holding.go
@@ -126,7 +126,8 @@
 	a.sweptAt = now
 	a.measure(now)
 	needed := int64(0)
-	if !admitted {
+	if room != roomFound && kind != KindRecords {
+		// Records have a limit of their own, to which the requests of callers leave no more.
 		needed = neededPerByte * more
 	}
 	ended := a.endSlow(now, needed, func(slow *Request) bool {
--- a/coordination/holding/holding_test.go
+++ b/coordination/holding/holding_test.go
@@ -109,6 +109,23 @@
 	require.Empty(t, again, "what was ended counts as free")
 }
 
+// TestSlowCallersAreNotEndedInVain guards against ending slow callers although memory isn't short, for records, which have a limit of their
+// own, or for a request that was ended itself.
+func TestSlowCallersAreNotEndedInVain(t *testing.T) {
+	a := New(ConfigFor(136 * megabyte))
+	slow := open(a, 1)
+	a.Force(slow, KindEvents, megabyte)
+	a.BeginWrite(start.Add(-time.Hour), slow)
+	ok, ended := a.Admit(start, open(a, 2), KindRecords, a.cfg.Records+1)
+	require.False(t, ok)
+	require.Empty(t, ended)
+	other := open(a, 3)
+	other.ended = true
+	ok, ended = a.Admit(start.Add(sweepInterval), other, KindBody, megabyte)
+	require.False(t, ok)
+	require.Empty(t, ended)
+}
+
 // TestTricklingBodyIsEndedWhileMemoryIsShort guards against bodies that arrive a few bytes at a time and keep the memory of their announced
 // length, and against ending one that arrives steadily.
 func TestTricklingBodyIsEndedWhileMemoryIsShort(t *testing.T) {
