Let requests spill over when near replicas are held off

A host whose replicas with reports had all sent Retry-After refused requests though replicas outside of its subset had room, and a held-off replica with a free slot kept requests from them while the others were full. A replica that is held off now counts as full for the decision, with the same bound on requests to the others. The new test saw held_off before the change and a replica chosen with it; the tests of coordination/dispatch pass.

--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -113,7 +113,9 @@
 	if len(b.outside) > 0 && !request.inside {
 		inside := request
 		inside.inside = true
-		if choice, verdict := b.Pick(now, inside); verdict != VerdictNoCandidate && !(verdict == VerdictFull && b.spills(now, &inside)) {
+		choice, verdict := b.Pick(now, inside)
+		noneTakesIt := verdict == VerdictFull || verdict == VerdictHeldOff
+		if verdict != VerdictNoCandidate && !(noneTakesIt && b.spills(now, &inside)) {
 			return choice, verdict
 		}
 	}
--- a/coordination/dispatch/outside.go
+++ b/coordination/dispatch/outside.go
@@ -27,6 +27,9 @@
 			spilled, outside = spilled+r.inFlight, outside+1
 			continue
 		}
+		if now.Before(b.heldUntil(r)) {
+			continue
+		}
 		moved := *request
 		moved.Moved = true
 		if b.eligible(now, request, r) && r.load(&b.cfg, now) < r.slots()+b.cfg.Overcommit && b.hasCapacity(now, &moved, r) {
--- a/coordination/dispatch/subset_test.go
+++ b/coordination/dispatch/subset_test.go
@@ -47,6 +47,21 @@
 	require.False(t, b.Silent(now, "near"), "the last report is from before")
 }
 
+// TestHeldOffReplicasLetRequestsSpillOver guards against refusing requests because the replicas with reports want none for now, while others
+// have capacity.
+func TestHeldOffReplicasLetRequestsSpillOver(t *testing.T) {
+	for _, fullToo := range []bool{false, true} {
+		b := newBalancer(member("held", "a"), member("other", "a"), member("outside", "a"))
+		b.RecordReport(start, "held", dispatch.Report{Models: []fleet.LoadedModel{{Model: "m", Version: 1, Layers: 16}}, Senders: 1})
+		b.RecordReport(start, "other", dispatch.Report{Running: 100, Models: []fleet.LoadedModel{{Model: "m", Version: 1, Layers: 16}}, Senders: 1})
+		b.SetOutside(map[fleet.ReplicaID]bool{"outside": true, "other": !fullToo})
+		b.HoldOff(start, "held", time.Minute)
+		choice, verdict := b.Pick(start, request())
+		require.Equal(t, dispatch.VerdictChosen, verdict, "full too: %t", fullToo)
+		require.EqualValues(t, "outside", choice.ID)
+	}
+}
+
 // TestHeadroomIsSharedByThoseWhoGetReports guards against slots that stay empty because each host takes a share as if all hosts sent.
 func TestHeadroomIsSharedByThoseWhoGetReports(t *testing.T) {
 	chosen := func(requesters int) int {
