Don't let urgent load reports delay the next ones

Each urgent report moved the time of the next one on by a whole interval, so that an agent that sent several in a row fell silent to hosts with intervals of 200 to 334 ms for as many intervals. The next report is now due at most one interval after the last.

--- a/transport/loadshare/census.go
+++ b/transport/loadshare/census.go
@@ -132,12 +132,13 @@
 }
 
 // nextDue returns the time of the report after one at now. Reports are only made every ReportInterval, so the time that one is late is
-// subtracted from the next interval.
+// subtracted from the next interval. An urgent report is earlier than due; the next one follows it after the usual interval.
 func (h *requester) nextDue(now time.Time) time.Time {
-	if next := h.dueAt.Add(h.interval); next.After(now) {
+	latest := now.Add(h.interval)
+	if next := h.dueAt.Add(h.interval); next.After(now) && next.Before(latest) {
 		return next
 	}
-	return now.Add(h.interval)
+	return latest
 }
 
 // encodeReport encodes the present report; the caller holds the lock. Where not all entry hosts request reports, the numbers hold for all
--- a/transport/loadshare/fleet_news_test.go
+++ b/transport/loadshare/fleet_news_test.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -177,3 +178,15 @@
 		}
 	}
 }
+
+// TestUrgentReportsDontDelayTheNext guards against an agent that sends several urgent reports and then none for so long that its engine
+// counts as silent.
+func TestUrgentReportsDontDelayTheNext(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := requester{interval: 300 * time.Millisecond, dueAt: now}
+	for range 10 {
+		h.dueAt = h.nextDue(now)
+		require.LessOrEqual(t, h.dueAt.Sub(now), h.interval)
+		now = now.Add(10 * time.Millisecond)
+	}
+}
