--- a/transport/ingress/held_test.go
+++ b/transport/ingress/held_test.go
@@ -218,6 +218,26 @@
 	requireCut(t, conn)
 }
 
+// TestStreamMayPauseBeforeItsEnd guards against a complete stream that looks cut off because the write deadline of its last event passes
+// before the replica ends it.
+func TestStreamMayPauseBeforeItsEnd(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	h := newHarnessWith(t, func(c *ingress.Config) { c.SendTimeout = timeout }, streamRoute())
+	h.startReplica("r1", "llm", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", headers.EventStream)
+		w.Header().Set(names.Stamp, "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(3 * timeout)
+	})
+	response, err := http.ReadResponse(bufio.NewReader(h.sendHead("/stream/", "Content-Length: 0")), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: x\n\n", string(body))
+}
+
 // TestReplicaThatCutsOffAnUnreadResponseIsNotBroken guards against counting a replica as broken, and its prompt as one on which it crashes,
 // because it has cut off a response that the caller didn't read.
 func TestReplicaThatCutsOffAnUnreadResponseIsNotBroken(t *testing.T) {
@@ -238,6 +258,18 @@
 	require.Equal(t, dispatch.OutcomeAbandoned, lines[0].Data["outcome"])
 }
 
+// TestHostWithoutRoomIsNoFaultOfTheReplica guards against counting sound replicas as broken, up to their ejection, because this host has no
+// room for their responses.
+func TestHostWithoutRoomIsNoFaultOfTheReplica(t *testing.T) {
+	h := newHarnessHolding(t, limits(), func(*ingress.Config) {}, unsafeRoute())
+	h.startReplica("r1", "orders", respondStamped(strings.Repeat("x", 1<<20)))
+	defer h.fill().Close()
+	require.Equal(t, http.StatusBadGateway, h.call(http.MethodPost, "/unsafe/", "x", nil).status)
+	lines := h.logLines("try failed")
+	require.Len(t, lines, 1)
+	require.Equal(t, dispatch.OutcomeAbandoned, lines[0].Data["outcome"])
+}
+
 // TestSlowReaderIsNoFaultOfTheReplica guards against moving a stream to another replica, and counting the first as broken, because the
 // caller doesn't read.
 func TestSlowReaderIsNoFaultOfTheReplica(t *testing.T) {
