Keep the time since which a version is ready per model

Cause: an agent kept one such time for all models of an engine. The step for another model cleared it, so the next step took the present time, and a replica's turn moved on until the end of the loaded version. All replicas of an engine of two models then loaded at the end of the spread.

Change: the time is kept per model, also while a version of another model is staged. It restarts with another version, or if the version is held.

Tests: TestReadyTimeIsKeptInStepsForOtherModels fails when the time is kept once for all models (expected 16:40, actual 16:42).

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -134,6 +134,12 @@
 	Log       *logrus.Entry
 }
 
+// readyVersion is a version that has been staged and to be loaded since a time.
+type readyVersion struct {
+	target target
+	since  time.Time
+}
+
 // Agent stages the wanted model versions at the worker of its host and orders the worker to load them.
 type Agent struct {
 	Dependencies
@@ -155,9 +161,8 @@
 	loading bool
 	// staged is the version whose pieces have all been staged since the worker's last start.
 	staged target
-	// ready is the staged version that is to be loaded since readyAt.
-	ready   target
-	readyAt time.Time
+	// ready holds the version of each model that is staged and to be loaded.
+	ready map[core.Model]readyVersion
 	// verifiedAt is the start of the oldest read of the last complete verification of staged pieces.
 	verifiedAt time.Time
 	// announced is the version of the last load notice; orderedAt is the time of the last answer to an order, or of the report
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -108,16 +108,24 @@
 	}, a.report
 }
 
-// readySince returns the time from which a version is staged and to be loaded; the caller holds the lock.
+// readySince returns the time from which a version is staged and to be loaded; the caller holds the lock. The time is kept while a
+// version of another model is staged.
 func (a *Agent) readySince(t target, now time.Time) time.Time {
-	switch {
-	case a.staged != t || !a.choices[t.model].Load:
-		a.ready, a.readyAt = target{}, time.Time{}
+	if !a.choices[t.model].Load || a.staged.model == t.model && a.staged != t {
+		delete(a.ready, t.model)
 		return now
-	case a.ready != t:
-		a.ready, a.readyAt = t, now
 	}
-	return a.readyAt
+	ready, ok := a.ready[t.model]
+	if ok && ready.target == t {
+		return ready.since
+	}
+	if a.staged == t {
+		if a.ready == nil {
+			a.ready = map[core.Model]readyVersion{}
+		}
+		a.ready[t.model] = readyVersion{target: t, since: now}
+	}
+	return now
 }
 
 // fetchAndStage fetches a version and stages it at the worker.
