Track the staged version per model

Cause: an agent kept one staged version, though the worker's staging area has a copy per model. While two models of an engine waited for their turn to load, each step staged the other one and started the next step without a pause: 29,426 log lines and no idle time in a second.

Change: the staged version is kept per model, also in the state dump. A load order for one model waits while another model's order is unanswered, because only one such order is tracked. Until now this followed from the single staged version.

Tests: TestModelsThatWaitForTheirLoadAreStagedOnce counts 2 stagings (29,426 before).

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -136,8 +137,8 @@
 
 // readyVersion is a version that has been staged and to be loaded since a time.
 type readyVersion struct {
-	target target
-	since  time.Time
+	version int64
+	since   time.Time
 }
 
 // Agent stages the wanted model versions at the worker of its host and orders the worker to load them.
@@ -159,8 +160,8 @@
 	// loading is true from the load notice until the worker has loaded the version or has restarted, the order has
 	// failed, or no load is due.
 	loading bool
-	// staged is the version whose pieces have all been staged since the worker's last start.
-	staged target
+	// staged holds the version of each model whose pieces have all been staged since the worker's last start.
+	staged map[core.Model]int64
 	// ready holds the version of each model that is staged and to be loaded.
 	ready map[core.Model]readyVersion
 	// verifiedAt is the start of the oldest read of the last complete verification of staged pieces.
@@ -218,7 +219,7 @@
 func (a *Agent) inUse(t target) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.staged == t || a.unanswered.target == t || a.fetching == t || a.ahead == t
+	return a.isStaged(t) || a.unanswered.target == t || a.fetching == t || a.ahead == t
 }
 
 // New returns an Agent.
@@ -290,9 +291,8 @@
 	Answered bool
 	Loading  bool
 	Report   worker.Report
-	Model    core.Model
-	// Complete is the version whose pieces have all been staged.
-	Complete int64
+	// Complete holds the version of each model whose pieces have all been staged.
+	Complete map[core.Model]int64
 	// Unanswered is the version of an order that the worker may still carry out; 0 means none.
 	Unanswered int64
 }
@@ -302,7 +302,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return State{
-		Answered: a.responding, Loading: a.loading, Report: a.report, Model: a.staged.model, Complete: a.staged.version,
+		Answered: a.responding, Loading: a.loading, Report: a.report, Complete: maps.Clone(a.staged),
 		Unanswered: a.unanswered.target.version,
 	}
 }
--- a/transport/staging/choice.go
+++ b/transport/staging/choice.go
@@ -49,10 +49,7 @@
 	a.expireAdoptedOrder()
 	progress := rollout.Progress{
 		Loaded: a.loadedOrLoading(model, spec.Layers), Unanswered: a.unanswered.version(model), Chosen: a.choices[model].Version,
-		Links: links,
-	}
-	if a.staged.model == model {
-		progress.Staged = a.staged.version
+		Staged: a.staged[model], Links: links,
 	}
 	for _, w := range wanted {
 		if supply, ok := a.supplies[target{model: model, version: w.Version}]; ok {
@@ -92,7 +89,7 @@
 	varVersionChoices.Add(string(choice.Reason), 1)
 	fields := logrus.Fields{
 		"model": model, "version": choice.Version, "reason": choice.Reason, "load": choice.Load, "ahead": choice.Ahead,
-		"gain_ms": choice.Gain.Milliseconds(), "origin_failing": !a.originFailedAt.IsZero(), "staged": a.staged.version,
+		"gain_ms": choice.Gain.Milliseconds(), "origin_failing": !a.originFailedAt.IsZero(), "staged": a.staged[model],
 	}
 	for _, version := range []int64{choice.Version, choice.Ahead} {
 		if supply, ok := a.supplies[target{model: model, version: version}]; ok && version == choice.Version {
--- a/transport/staging/harness_test.go
+++ b/transport/staging/harness_test.go
@@ -235,6 +235,8 @@
 	clock func() time.Time
 	// onSend, if set, runs before an order is checked a last time and sent.
 	onSend func()
+	// logs, if set, gets the logs of the agents that start.
+	logs io.Writer
 }
 
 func newGroup(t *testing.T) *group {
@@ -287,6 +289,9 @@
 	published := &reports{}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	if g.logs != nil {
+		logger.SetOutput(g.logs)
+	}
 	cfg := staging.DefaultConfig()
 	cfg.ReportInterval, cfg.OrderReportDelay, cfg.LoadNoticeDelay = 5*time.Millisecond, 20*time.Millisecond, time.Millisecond
 	cfg.RetryPause, cfg.MinWorkerAge = 5*time.Millisecond, 5*time.Millisecond
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/core"
 )
 
 // orderLoad verifies the staged pieces, notifies entry hosts and orders the worker to load the version. An order that was
@@ -109,9 +110,12 @@
 	return nil
 }
 
-// clearStaged forgets that a version is staged, so that the next step fetches it again.
-func (a *Agent) clearStaged() {
+// isStaged reports whether all pieces of a version have been staged; the caller holds the lock.
+func (a *Agent) isStaged(t target) bool { return a.staged[t.model] == t.version && t.version != 0 }
+
+// clearStaged forgets that a version of a model is staged, so that the next step fetches it again.
+func (a *Agent) clearStaged(model core.Model) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.staged = target{}
+	delete(a.staged, model)
 }
--- a/transport/staging/order_faults_test.go
+++ b/transport/staging/order_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -385,6 +386,45 @@
 	require.Empty(t, w.wrong)
 }
 
+// TestModelsThatWaitForTheirLoadAreStagedOnce guards against staging the versions of two models in turn, without a pause and with a log line
+// each, while both wait for their turn to load.
+func TestModelsThatWaitForTheirLoadAreStagedOnce(t *testing.T) {
+	g := newGroup(t)
+	g.table.SetConfiguration(&fleet.Configuration{Version: 2, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
+		"llm":    {Engine: &fleet.EngineSpec{Layers: layers, Chunks: pieceCount, Models: []core.Model{"m", "n"}}},
+		"origin": {Origin: &fleet.OriginSpec{Address: "origin", FailureDomain: "a"}},
+	}})
+	logs := &safeBuffer{}
+	g.logs = logs
+	g.setWanted(2)
+	g.table.SetWanted(time.Now(), fleet.WeightTarget{Model: "n", Version: 2})
+	w := &modelsWorker{staged: map[core.Model]map[int][]byte{"m": {}, "n": {}}, loaded: map[core.Model]int64{"m": 1, "n": 1}}
+	g.startAgentWith("127.0.14.10", w, func(cfg *staging.Config) {
+		cfg.Rollout.FirstLoadDelay, cfg.Rollout.LastLoadDelay = time.Second, 1200*time.Millisecond
+	})
+	require.Eventually(t, func() bool { return w.version("m") == 2 && w.version("n") == 2 }, 8*time.Second, time.Millisecond)
+	require.Empty(t, w.wrong)
+	require.Equal(t, 2, strings.Count(logs.String(), "version staged"))
+}
+
+// safeBuffer is a buffer for concurrent writers.
+type safeBuffer struct {
+	mu     sync.Mutex
+	buffer strings.Builder
+}
+
+func (b *safeBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 // TestRestartedAgentComparesMoreThanTheFirstPiece guards against taking an ordered version for the loaded one because they
 // share their first piece.
 func TestRestartedAgentComparesMoreThanTheFirstPiece(t *testing.T) {
--- a/transport/staging/report.go
+++ b/transport/staging/report.go
@@ -59,7 +59,7 @@
 	if report.Born != a.report.Born {
 		a.noteEnd()
 		// A restarted worker may have lost its staged pieces.
-		a.staged, a.accepted, a.stagedPieces = target{}, target{}, nil
+		a.staged, a.accepted, a.stagedPieces = nil, target{}, nil
 		a.loading = false
 		a.workerSeenAt = started
 	}
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -25,11 +25,11 @@
 		return nil
 	}
 	for _, model := range spec.Models {
-		before := a.stagedTarget()
+		before := a.stagedVersion(model)
 		if err := a.stepModel(ctx, view, spec, model); err != nil {
 			return err
 		}
-		if after := a.stagedTarget(); after.model == model && after != before {
+		if a.stagedVersion(model) != before {
 			// The next step loads what is staged before another model is staged, and does so without a pause.
 			a.Wake()
 			return nil
@@ -38,10 +38,10 @@
 	return nil
 }
 
-func (a *Agent) stagedTarget() target {
+func (a *Agent) stagedVersion(model core.Model) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.staged
+	return a.staged[model]
 }
 
 func (a *Agent) stepModel(ctx context.Context, view *fleet.View, spec *fleet.EngineSpec, model core.Model) error {
@@ -101,30 +101,26 @@
 		Now:          now,
 		Wanted:       t.version,
 		Loaded:       loaded,
-		Busy:         !a.responding || a.executingOrder(),
-		Staged:       a.staged == t,
+		Busy:         !a.responding || a.executingOrder() || a.awaitsOtherModel(t.model),
+		Staged:       a.isStaged(t),
 		Unanswered:   unanswered,
 		EarliestLoad: earliest,
 	}, a.report
 }
 
-// readySince returns the time from which a version is staged and to be loaded; the caller holds the lock. The time is kept while a
-// version of another model is staged.
+// readySince returns the time from which a version is staged and to be loaded; the caller holds the lock.
 func (a *Agent) readySince(t target, now time.Time) time.Time {
-	if !a.choices[t.model].Load || a.staged.model == t.model && a.staged != t {
+	if !a.choices[t.model].Load || !a.isStaged(t) {
 		delete(a.ready, t.model)
 		return now
 	}
-	ready, ok := a.ready[t.model]
-	if ok && ready.target == t {
+	if ready, ok := a.ready[t.model]; ok && ready.version == t.version {
 		return ready.since
 	}
-	if a.staged == t {
-		if a.ready == nil {
-			a.ready = map[core.Model]readyVersion{}
-		}
-		a.ready[t.model] = readyVersion{target: t, since: now}
+	if a.ready == nil {
+		a.ready = map[core.Model]readyVersion{}
 	}
+	a.ready[t.model] = readyVersion{version: t.version, since: now}
 	return now
 }
 
@@ -151,7 +147,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.report.Born == born {
-		a.staged = t
+		if a.staged == nil {
+			a.staged = map[core.Model]int64{}
+		}
+		a.staged[t.model] = t.version
 	}
 	a.Log.WithFields(logrus.Fields{
 		"model": t.model, "version": t.version, "took_ms": a.Now().Sub(started).Milliseconds(),
@@ -166,6 +165,12 @@
 	return a.report.Busy || recent
 }
 
+// awaitsOtherModel reports whether the worker may still carry out an order for another model; the caller holds the lock. Only one order
+// without an answer is tracked, so the next one is not sent before.
+func (a *Agent) awaitsOtherModel(model core.Model) bool {
+	return !a.unanswered.isZero() && a.unanswered.target.model != model
+}
+
 // loadedOrLoading returns the version that the worker has loaded or was ordered to load; the caller holds the lock.
 // Counting the ordered version lets the pieces of the next one be staged while the worker still finishes its requests
 // before a load.
--- a/transport/staging/verify.go
+++ b/transport/staging/verify.go
@@ -45,7 +45,7 @@
 func (a *Agent) verifyStaged(ctx context.Context, t target) (*verification, error) {
 	digests, ok := a.pieces.digests(t)
 	if !ok || len(digests) == 0 {
-		a.clearStaged()
+		a.clearStaged(t.model)
 		return nil, protocol.Errorf(protocol.CodeChanged, "pieces of version %d are not held", t.version)
 	}
 	v := &verification{target: t, digests: digests, soundAt: make([]time.Time, len(digests))}
@@ -103,7 +103,7 @@
 func (a *Agent) restage(ctx context.Context, t target, index int) error {
 	data, ok := a.pieces.get(t, index)
 	if !ok {
-		a.clearStaged()
+		a.clearStaged(t.model)
 		return protocol.Errorf(protocol.CodeChanged, "piece %d of version %d is not held", index, t.version)
 	}
 	varPiecesRestaged.Add(1)
@@ -149,6 +149,6 @@
 func (a *Agent) isVerificationDue(t target) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.unanswered.target == t && a.staged == t && a.responding &&
+	return a.unanswered.target == t && a.isStaged(t) && a.responding &&
 		a.Now().Sub(a.verifiedAt) >= a.Config.VerificationInterval
 }
