Drop a failure of the origin that was not seen again

Cause: a host noted the time of its first failed request to the origin and cleared it only with an answer to a request of its own. A host whose turn at the origin was over got the other pieces from peers and asked no more, so its forecast expected an outage as long as the time since, hours later, and its choice favored superseded versions.

Change: the failure no longer counts 5 s after the last failed request. A host that still fetches from the origin fails again within 3.25 s. If known hosts gain no pieces either, the origin still counts as silent, from the last gain.

--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -188,6 +188,8 @@
 	// from the lack of new pieces.
 	originFailedAt time.Time
 	originSilent   bool
+	// originTriedAt is the time of the last request that the origin did not answer.
+	originTriedAt time.Time
 	// stagedPieces holds the pieces of each model that the worker's present process has accepted.
 	stagedPieces map[core.Model]stagedPieces
 	// running holds the fetches that run.
--- a/transport/staging/choice.go
+++ b/transport/staging/choice.go
@@ -19,6 +19,10 @@
 // that follows a single failure succeeds before.
 const minOriginOutage = 250 * time.Millisecond
 
+// maxOriginFailureAge is the time after the last failed request from which the origin's failure is no longer assumed. A host that fetches
+// from an origin without an answer fails again within 3.25 s; one whose turn is over learns of the origin's return only through peers.
+const maxOriginFailureAge = 5 * time.Second
+
 // wants reports whether a version is the one to stage.
 func (a *Agent) wants(t target) bool {
 	choice, ok := a.currentChoice(t.model)
@@ -67,6 +71,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.expireOriginFailure()
 	if away := a.Now().Sub(a.originFailedAt); !a.originFailedAt.IsZero() && away >= minOriginOutage {
 		links.OriginAwayFor = away
 	}
@@ -115,6 +120,7 @@
 			}
 		}
 	}
+	a.expireOriginFailure()
 	a.supplies[t] = rollout.Supply{Version: t.version, Missing: missing, Absent: absent}
 	if absent > 0 && idle >= originSilence && a.originFailedAt.IsZero() {
 		a.originFailedAt, a.originSilent = a.Now().Add(-idle), true
@@ -123,6 +129,13 @@
 	}
 }
 
+// expireOriginFailure drops a failure of the origin that has not been seen again; the caller holds the lock.
+func (a *Agent) expireOriginFailure() {
+	if !a.originSilent && !a.originFailedAt.IsZero() && a.Now().Sub(a.originTriedAt) >= maxOriginFailureAge {
+		a.originFailedAt = time.Time{}
+	}
+}
+
 // noteOrigin notes the outcome of a request to the origin. A refusal or a corrupt response shows that it answers.
 func (a *Agent) noteOrigin(err error) {
 	a.mu.Lock()
@@ -130,6 +143,7 @@
 	a.originSilent = false
 	switch protocol.CodeOf(err) {
 	case protocol.CodeUnavailable:
+		a.originTriedAt = a.Now()
 		if a.originFailedAt.IsZero() {
 			a.originFailedAt = a.Now()
 		}
