Take the manifest from peers after a restart

Cause: an agent that starts compares the staged pieces with the manifest of the wanted version before it replaces them, and read that manifest only from the origin. While the origin was unavailable it fetched nothing, also from peers, until no order of its predecessor was expected (15 s). After a restart of all agents each of them read the manifest from the origin.

Change: the manifest is obtained as for a fetch, from peers first and with the origin as fallback. Manifests of other versions still come from the origin.

Tests: TestRestartedAgentNeedsNoOrigin fails before (not loaded after 5 s; with the change the test takes less than 0.1 s). Package tests pass, 22 s.

--- a/transport/staging/harness_test.go
+++ b/transport/staging/harness_test.go
@@ -174,6 +174,8 @@
 	unnamed int64
 	// corruptManifests is the number of manifests to send with a wrong digest.
 	corruptManifests int
+	// down makes the origin unavailable.
+	down bool
 	// manifests is the number of manifests sent.
 	manifests int
 }
@@ -181,6 +183,9 @@
 func (o *fakeOrigin) Manifest(_ context.Context, _ string, model core.Model, version int64) (worker.Manifest, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.down {
+		return worker.Manifest{}, protocol.Errorf(protocol.CodeUnavailable, "the origin is down")
+	}
 	if version < o.oldest {
 		return worker.Manifest{}, protocol.Errorf(protocol.CodeExpired, "version %d is gone", version)
 	}
@@ -203,6 +208,9 @@
 func (o *fakeOrigin) Piece(_ context.Context, _ string, _ core.Model, version int64, index, maxBytes int) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.down {
+		return nil, protocol.Errorf(protocol.CodeUnavailable, "the origin is down")
+	}
 	o.pieces++
 	o.largestRead = max(o.largestRead, maxBytes)
 	data := o.content(version, index)
--- a/transport/staging/inherited.go
+++ b/transport/staging/inherited.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -77,7 +78,10 @@
 	if !a.orderMayBeInherited() {
 		return true, nil
 	}
-	manifest, err := a.readManifest(ctx, t)
+	manifest, err := a.obtainManifest(ctx, t, func() bool { return a.wants(t) })
+	if errors.Is(err, errSuperseded) {
+		return false, nil
+	}
 	if err != nil {
 		return false, err
 	}
--- a/transport/staging/inherited_test.go
+++ b/transport/staging/inherited_test.go
@@ -119,3 +119,23 @@
 	require.Eventually(t, func() bool { return w.version() == 1 }, 8*time.Second, time.Millisecond)
 	require.GreaterOrEqual(t, sentAt.Sub(startedAt), minAge)
 }
+
+// TestRestartedAgentNeedsNoOrigin guards against an agent that waits for the origin until no order of its predecessor is expected, 15 s,
+// while a peer holds the manifest and all pieces.
+func TestRestartedAgentNeedsNoOrigin(t *testing.T) {
+	g := newGroup(t)
+	g.setWanted(2)
+	holder, restarted := newWorker(), newWorker()
+	g.startAgent("127.0.22.1", holder)
+	eventually(t, func() bool { return holder.version() == 2 })
+	g.origin.mu.Lock()
+	g.origin.down = true
+	g.origin.mu.Unlock()
+	restarted.loaded = []fleet.LoadedModel{{Model: "m", Version: 1, Layers: layers}}
+	for index := range pieceCount {
+		restarted.staged[index] = piece(1, index)
+	}
+	g.startAgent("127.0.22.2", restarted)
+	require.Eventually(t, func() bool { return restarted.version() == 2 }, 5*time.Second, time.Millisecond)
+	require.Empty(t, restarted.wrong())
+}
