Read back no staged pieces of another version

Cause: a version whose first piece was fetched ahead into memory is staged after an earlier one. Its fetch then read each piece that it lacked back from the staging area, one after the other, and got those of the earlier version, before it fetched any.

Change: nothing is read back if this process has staged pieces of another version of the model. After a restart of the agent it still reads them.

--- a/transport/staging/adopt.go
+++ b/transport/staging/adopt.go
@@ -38,6 +38,14 @@
 	return pieces.version == t.version && pieces.indexes[index]
 }
 
+// isReplaced reports whether this process has begun to stage pieces of another version of the model.
+func (a *Agent) isReplaced(t target) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	pieces := a.stagedPieces[t.model]
+	return pieces.version != 0 && pieces.version != t.version
+}
+
 // adoptPieces marks the pieces that are in the cache or staged at the worker as held, so that they are not fetched again, and stages
 // those that are only in the cache.
 func (r *versionFetch) adoptPieces(ctx context.Context, manifest worker.Manifest) error {
@@ -58,9 +66,9 @@
 	return group.Wait()
 }
 
-// adoptStaged reads the pieces that the cache lacks back from the worker's staging area.
+// adoptStaged reads the pieces that the cache lacks back from the worker's staging area, unless that has pieces of another version.
 func (r *versionFetch) adoptStaged(ctx context.Context, manifest worker.Manifest) error {
-	if r.memoryOnly {
+	if r.memoryOnly || r.isReplaced(r.target) {
 		return nil
 	}
 	for index := range manifest.Digests {
