Refuse a peer's manifest with another number of pieces

Cause: the manifest of a peer was accepted with any number of digests. With fewer than the version has, all of its pieces are staged and verified while others of the earlier version stay in the worker's staging area, and the order loads both.

Change: a peer's manifest must list as many pieces as the configuration states for the engine. Manifests from the origin are accepted as before, so a configuration that states another number causes no stop.

Tests: TestManifestOfPeerMustListAllPieces fails before (no error). Package tests pass, 21 s.

--- a/transport/staging/manifest.go
+++ b/transport/staging/manifest.go
@@ -151,14 +151,31 @@
 	return again, err
 }
 
-// manifestFromPeer asks a peer for a manifest. It refuses one that was rejected before.
+// manifestFromPeer asks a peer for a manifest. It refuses one that was rejected before, and one with another number of pieces than the
+// configuration states: with too few of them, pieces of an earlier version would stay in the staging area and be loaded.
 func (a *Agent) manifestFromPeer(ctx context.Context, peer core.Host, t target, wait bool) (worker.Manifest, error) {
 	manifest, err := a.peers.manifest(ctx, peer.DataAddr, t, peer.Region != a.Region, wait)
 	if err == nil && a.pieces.isRejected(manifest) {
 		err = protocol.Errorf(protocol.CodeMalformed, "peer sent a manifest that does not match the pieces")
 	}
+	if pieces := a.configuredPieces(); err == nil && pieces > 0 && len(manifest.Digests) != pieces {
+		err = protocol.Errorf(protocol.CodeMalformed, "peer sent a manifest of %d pieces, want %d", len(manifest.Digests), pieces)
+	}
 	if err == nil {
 		countManifest(manifestPeer, nil)
 	}
 	return manifest, err
 }
+
+// configuredPieces returns the number of pieces of a version that the configuration states, or 0 if it states none.
+func (a *Agent) configuredPieces() int {
+	view := a.View()
+	if !view.Ready() {
+		return 0
+	}
+	spec := view.Configuration.Upstreams[a.Upstream].Engine
+	if spec == nil {
+		return 0
+	}
+	return spec.Chunks
+}
--- /dev/null
+++ b/transport/staging/manifest_test.go
@@ -0,0 +1,35 @@
+package staging
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
+)
+
+// Guards against a load order for a version of which some pieces were never staged: a peer's manifest lists fewer than the version has.
+func TestManifestOfPeerMustListAllPieces(t *testing.T) {
+	version := target{model: "m", version: 2}
+	mux, held := http.NewServeMux(), newPieceCache()
+	(&peerServer{pieces: held}).register(mux)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	table := fleet.NewTable()
+	table.SetConfiguration(&fleet.Configuration{Version: 1, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
+		"llm": {Engine: &fleet.EngineSpec{Chunks: 2, Models: []core.Model{"m"}}},
+	}})
+	a := &Agent{Dependencies: Dependencies{Upstream: "llm", View: table.View}, pieces: newPieceCache(), peers: newPeerClient()}
+	defer a.peers.client.GetClient().CloseIdleConnections()
+	ask := func(digests ...worker.Digest) error {
+		held.open(version, worker.Manifest{Digests: digests}, func(target) bool { return false })
+		_, err := a.manifestFromPeer(t.Context(), core.Host{DataAddr: server.Listener.Addr().String()}, version, false)
+		return err
+	}
+	require.Error(t, ask("one"))
+	require.NoError(t, ask("one", "two"))
+}
