Release pieces of versions that may not serve any more

Cause: the pieces of a superseded version stayed in memory until another version was fetched, 2.4 MB per model of a host with 152 MB.

Change: once a newer version is loaded and its activation delay is over, older versions that are not in use are removed. Until then peers may still complete them. Without an activation delay they are kept as before.

Tests: TestSupersededPiecesAreReleased fails without the removal. Package tests pass, 22 s.

--- a/transport/staging/pieces.go
+++ b/transport/staging/pieces.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// removeBefore removes the older versions of a model that are not in use.
+func (p *pieceCache) removeBefore(t target, inUse func(target) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.versions = slices.DeleteFunc(p.versions, func(held *heldVersion) bool {
+		return held.target.model == t.model && held.target.version < t.version && !inUse(held.target)
+	})
+}
+
 // isComplete reports whether all pieces of a version are held.
 func (p *pieceCache) isComplete(t target) bool {
 	p.mu.Lock()
--- a/transport/staging/pieces_test.go
+++ b/transport/staging/pieces_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavatrestle/guavatrestle/coordination/rollout"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
+	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
 // TestVersionInUseIsNotRemoved guards against removing the pieces of a staged version when two others become wanted: they could not be
@@ -41,3 +45,27 @@
 	_, held := cache.get(v, 0)
 	require.True(t, held)
 }
+
+// TestSupersededPiecesAreReleased guards against pieces that stay in memory until the next version, perhaps for days, although no replica may
+// serve them, and against their release while a peer may still complete them.
+func TestSupersededPiecesAreReleased(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start
+	older, newer := target{model: "m", version: 2}, target{model: "m", version: 3}
+	wanted := fleet.Wanted{{Version: 2, Since: start.Add(-time.Second)}, {Version: 3, Since: start}}
+	a := &Agent{pieces: newPieceCache(), staged: map[core.Model]int64{"m": 3}}
+	a.Now = func() time.Time { return now }
+	a.Config.Rollout = rollout.Config{ActivationDelay: 7 * time.Second}
+	manifest := worker.Manifest{Digests: []worker.Digest{"2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"}}
+	for _, version := range []target{older, newer} {
+		a.pieces.open(version, manifest, a.inUse)
+		require.True(t, a.pieces.put(version, 0, []byte("foo")))
+	}
+	now = start.Add(6 * time.Second)
+	a.releaseSuperseded(wanted, newer)
+	require.True(t, a.pieces.isComplete(older), "a replica may serve it for another second")
+	now = start.Add(7 * time.Second)
+	a.releaseSuperseded(wanted, newer)
+	require.False(t, a.pieces.isComplete(older))
+	require.True(t, a.pieces.isComplete(newer))
+}
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -64,6 +64,7 @@
 		if !state.Busy {
 			a.setLoading(false)
 		}
+		a.releaseSuperseded(wanted, t)
 		return a.cacheForPeers(ctx, t, state)
 	case rollout.ActionWait:
 		return a.verifyOrdered(ctx, t)
@@ -80,6 +81,14 @@
 	return a.fetchAndStage(ctx, t)
 }
 
+// releaseSuperseded releases the pieces of versions older than a loaded one once no replica may serve them, so that no peer needs them.
+func (a *Agent) releaseSuperseded(wanted fleet.Wanted, loaded target) {
+	delay := a.Config.Rollout.ActivationDelay
+	if delay > 0 && wanted.Due(a.Now(), delay) >= loaded.version {
+		a.pieces.removeBefore(loaded, a.inUse)
+	}
+}
+
 func (a *Agent) rolloutState(view *fleet.View, wanted fleet.Wanted, t target, spec *fleet.EngineSpec) (rollout.State, worker.Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
