--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -134,6 +135,12 @@
 	Log       *logrus.Entry
 }
 
+// readyVersion is a version that has been staged and to be loaded since a time.
+type readyVersion struct {
+	version int64
+	since   time.Time
+}
+
 // Agent stages the wanted model versions at the worker of its host and orders the worker to load them.
 type Agent struct {
 	Dependencies
@@ -153,11 +160,10 @@
 	// loading is true from the load notice until the worker has loaded the version or has restarted, the order has
 	// failed, or no load is due.
 	loading bool
-	// staged is the version whose pieces have all been staged since the worker's last start.
-	staged target
-	// ready is the staged version that is to be loaded since readyAt.
-	ready   target
-	readyAt time.Time
+	// staged holds the version of each model whose pieces have all been staged since the worker's last start.
+	staged map[core.Model]int64
+	// ready holds the version of each model that is staged and to be loaded.
+	ready map[core.Model]readyVersion
 	// verifiedAt is the start of the oldest read of the last complete verification of staged pieces.
 	verifiedAt time.Time
 	// announced is the version of the last load notice; orderedAt is the time of the last answer to an order, or of the report
@@ -182,6 +188,8 @@
 	// from the lack of new pieces.
 	originFailedAt time.Time
 	originSilent   bool
+	// originTriedAt is the time of the last request that the origin did not answer.
+	originTriedAt time.Time
 	// stagedPieces holds the pieces of each model that the worker's present process has accepted.
 	stagedPieces map[core.Model]stagedPieces
 	// running holds the fetches that run.
@@ -213,7 +221,7 @@
 func (a *Agent) inUse(t target) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.staged == t || a.unanswered.target == t || a.fetching == t || a.ahead == t
+	return a.isStaged(t) || a.unanswered.target == t || a.fetching == t || a.ahead == t
 }
 
 // New returns an Agent.
@@ -285,9 +293,8 @@
 	Answered bool
 	Loading  bool
 	Report   worker.Report
-	Model    core.Model
-	// Complete is the version whose pieces have all been staged.
-	Complete int64
+	// Complete holds the version of each model whose pieces have all been staged.
+	Complete map[core.Model]int64
 	// Unanswered is the version of an order that the worker may still carry out; 0 means none.
 	Unanswered int64
 }
@@ -297,7 +304,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return State{
-		Answered: a.responding, Loading: a.loading, Report: a.report, Model: a.staged.model, Complete: a.staged.version,
+		Answered: a.responding, Loading: a.loading, Report: a.report, Complete: maps.Clone(a.staged),
 		Unanswered: a.unanswered.target.version,
 	}
 }
--- a/transport/staging/harness_test.go
+++ b/transport/staging/harness_test.go
@@ -174,6 +174,8 @@
 	unnamed int64
 	// corruptManifests is the number of manifests to send with a wrong digest.
 	corruptManifests int
+	// down makes the origin unavailable.
+	down bool
 	// manifests is the number of manifests sent.
 	manifests int
 }
@@ -181,6 +183,9 @@
 func (o *fakeOrigin) Manifest(_ context.Context, _ string, model core.Model, version int64) (worker.Manifest, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.down {
+		return worker.Manifest{}, protocol.Errorf(protocol.CodeUnavailable, "the origin is down")
+	}
 	if version < o.oldest {
 		return worker.Manifest{}, protocol.Errorf(protocol.CodeExpired, "version %d is gone", version)
 	}
@@ -203,6 +208,9 @@
 func (o *fakeOrigin) Piece(_ context.Context, _ string, _ core.Model, version int64, index, maxBytes int) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.down {
+		return nil, protocol.Errorf(protocol.CodeUnavailable, "the origin is down")
+	}
 	o.pieces++
 	o.largestRead = max(o.largestRead, maxBytes)
 	data := o.content(version, index)
@@ -235,6 +243,8 @@
 	clock func() time.Time
 	// onSend, if set, runs before an order is checked a last time and sent.
 	onSend func()
+	// logs, if set, gets the logs of the agents that start.
+	logs io.Writer
 }
 
 func newGroup(t *testing.T) *group {
@@ -287,6 +297,9 @@
 	published := &reports{}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	if g.logs != nil {
+		logger.SetOutput(g.logs)
+	}
 	cfg := staging.DefaultConfig()
 	cfg.ReportInterval, cfg.OrderReportDelay, cfg.LoadNoticeDelay = 5*time.Millisecond, 20*time.Millisecond, time.Millisecond
 	cfg.RetryPause, cfg.MinWorkerAge = 5*time.Millisecond, 5*time.Millisecond
