Cancel requests for versions that become wanted after they were sent

Cause: the timer that cancels an attempt at a replica with an old version started only if a newer version was wanted when it was sent. A route whose timeout exceeds the cancellation delay could start on old weights too late. Change: such attempts are checked when a version that becomes wanted right after the send may end the old one. Attempts that end earlier have no timer. Measured: TestRequestIsCanceledForAVersionWantedAfterItWasSent gets 504 at the deadline without the check, and 502 before it with it.

--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/guavatrestle/guavatrestle/state/fleet"
+	"github.com/guavatrestle/guavatrestle/transport/ingress"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -276,6 +277,19 @@
 	require.Equal(t, http.StatusBadGateway, got.status, "the deadline of 2 s has not passed")
 }
 
+// TestRequestIsCanceledForAVersionWantedAfterItWasSent guards against a request that waits at a replica with an old version until that is
+// outdated, because no newer version was wanted when it was sent.
+func TestRequestIsCanceledForAVersionWantedAfterItWasSent(t *testing.T) {
+	h := newHarnessWith(t, func(cfg *ingress.Config) { cfg.OldVersionCancelAfter = 200 * time.Millisecond }, streamRoute())
+	h.startReplica("r1", "llm", func(_ http.ResponseWriter, r *http.Request) {
+		h.table.SetWanted(time.Now(), fleet.WeightTarget{Model: "m", Version: 2})
+		h.publish()
+		<-r.Context().Done()
+	})
+	got := h.call(http.MethodPost, "/stream/x", "prompt", nil)
+	require.Equal(t, http.StatusBadGateway, got.status, "the deadline of 2 s has not passed")
+}
+
 // TestReplacementOfSilentReplicaUsesCurrentMinVersion checks that the replacement of a silent replica is chosen with
 // the versions that are due at that moment. A request was moved 7.6 s after a new version became the target, to a replica
 // chosen with the versions that were due when the request arrived.
--- a/transport/ingress/slow.go
+++ b/transport/ingress/slow.go
@@ -60,13 +60,25 @@
 
 // startVersionTimer starts the timer that cancels the attempt when the replica's version is outdated.
 func (g *attemptGuard) startVersionTimer() {
-	until, ok := g.call.versionDeadline(g.choice)
+	wait, ok := g.nextVersionCheck()
 	if !ok {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.outdatedTimer = time.AfterFunc(until.Sub(g.call.h.Now()), g.cancelOutdated)
+	g.outdatedTimer = time.AfterFunc(wait, g.cancelOutdated)
+}
+
+// nextVersionCheck returns the time until the replica's version may be outdated. A newer version may become wanted right after the attempt
+// was sent, so one that may last for OldVersionCancelAfter is checked then. It returns false if the version stays allowed for longer than
+// the attempt lasts.
+func (g *attemptGuard) nextVersionCheck() (time.Duration, bool) {
+	c := g.call
+	if until, ok := c.versionDeadline(g.choice); ok {
+		return until.Sub(c.h.Now()), true
+	}
+	after := c.h.Config.OldVersionCancelAfter
+	return after, after > 0 && c.deadline.Sub(c.h.Now()) > after && c.dispatchRequest().Model != ""
 }
 
 // versionDeadline returns the time until which the chosen replica may start on the request with its version. It returns
@@ -150,8 +162,7 @@
 	if g.disarmed || g.responding || g.cause != nil {
 		return
 	}
-	until, ok := g.call.versionDeadline(g.choice)
-	remaining := until.Sub(g.call.h.Now())
+	remaining, ok := g.nextVersionCheck()
 	switch {
 	case !ok:
 	case remaining > 0:
