Let no request that may run once block others in line

A waiting request for which no replica is found blocks those behind it that differ only in size. Since requests that may run only once are kept from replicas at which they would exceed their deadline, one of them with little time left blocked all later requests of its and lower priorities until its wait ended, although replicas had free slots. It now blocks only such requests with no more time.

TestRequestThatMayRunOnceDoesNotBlockOthers fails without the change.

--- a/transport/ingress/line.go
+++ b/transport/ingress/line.go
@@ -211,10 +211,12 @@
 	}
 }
 
-// blocks reports whether no replica takes another request either, since it takes none of w: nothing but the size differs.
+// blocks reports whether no replica takes another request either, since it takes none of w: nothing but the size differs. A request that
+// may run only once is also kept from replicas at which it would exceed its deadline, so it blocks only such requests with less time.
 func (w *waiter) blocks(other *waiter) bool {
 	a, b := &w.request, &other.request
 	return a.Priority <= b.Priority && (b.Late || !a.Late) && (a.Guaranteed || !b.Guaranteed) &&
+		(!a.Once || b.Once && b.DeadlineLeft <= a.DeadlineLeft) &&
 		a.Model == b.Model && a.MinVersion == b.MinVersion && a.NextMinVersion == b.NextMinVersion && a.Only == b.Only &&
 		slices.Equal(a.RouteRegions, b.RouteRegions) && slices.Equal(a.TeamRegions, b.TeamRegions) && isSubset(a.Exclude, b.Exclude)
 }
--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -126,6 +126,24 @@
 	require.Equal(t, dispatch.VerdictChosen, result.verdict)
 }
 
+// TestRequestThatMayRunOnceDoesNotBlockOthers guards against requests that wait behind one that is kept from all replicas only because
+// it may run once and would exceed its deadline there.
+func TestRequestThatMayRunOnceDoesNotBlockOthers(t *testing.T) {
+	once := &waiter{request: dispatch.Request{Upstream: simUpstream, Once: true, DeadlineLeft: 200 * time.Millisecond}}
+	for name, other := range map[string]struct {
+		request dispatch.Request
+		blocked bool
+	}{
+		"may be repeated": {dispatch.Request{Upstream: simUpstream, Priority: 1, DeadlineLeft: 100 * time.Millisecond}, false},
+		"later deadline":  {dispatch.Request{Upstream: simUpstream, Priority: 1, Once: true, DeadlineLeft: time.Second}, false},
+		"same deadline":   {dispatch.Request{Upstream: simUpstream, Priority: 1, Once: true, DeadlineLeft: 200 * time.Millisecond}, true},
+	} {
+		require.Equal(t, other.blocked, once.blocks(&waiter{request: other.request}), name)
+	}
+	repeatable := &waiter{request: dispatch.Request{Upstream: simUpstream}}
+	require.True(t, repeatable.blocks(once))
+}
+
 // TestNewViewIsCheckedAgain guards against requests that wait under an old configuration.
 func TestNewViewIsCheckedAgain(t *testing.T) {
 	f := newWaitFixture(0, 2)
