Back off from replicas that refuse although slots are free

A replica of a service that refuses when full got no backoff after a refusal as long as any recent report was known. If the last load header shows free slots, because the replica refuses for another reason or its refusal has no such header, all requests went on to it and were refused. The backoff is left out only while the replica is known to be full.

TestReplicaThatRefusesWithFreeSlotsGetsNothingForAMoment fails without the change; the tests of coordination/dispatch pass.

--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -176,7 +176,7 @@
 		r.failureRate += failureGain * (1 - r.failureRate)
 		r.recordBroken(cfg, now)
 	case OutcomeShed:
-		if r.refusesWhenFull() && r.hasFreshReport(cfg, now) {
+		if r.knownFull(cfg, now) {
 			// The header of the refusal says until when the replica is full.
 			return
 		}
--- a/coordination/dispatch/service_test.go
+++ b/coordination/dispatch/service_test.go
@@ -71,6 +71,20 @@
 	require.Equal(t, dispatch.VerdictChosen, verdict, "one of six requests of 100 ms has ended")
 }
 
+// TestReplicaThatRefusesWithFreeSlotsGetsNothingForAMoment guards against requests that go on to a replica which refuses them for another
+// reason than occupied slots, or without a load header, so that its last one still shows free slots.
+func TestReplicaThatRefusesWithFreeSlotsGetsNothingForAMoment(t *testing.T) {
+	b := newBookingsPair()
+	only := dispatch.Request{Upstream: "bookings", Only: "r1"}
+	b.RecordReport(start, "r1", dispatch.Report{Running: 1, Slots: 6, MomentPace: 1})
+	choice, _ := b.Pick(start, only)
+	b.Done(start.Add(2*time.Millisecond), choice, dispatch.OutcomeShed, 0)
+	_, verdict := b.Pick(start.Add(3*time.Millisecond), only)
+	require.Equal(t, dispatch.VerdictFull, verdict)
+	_, verdict = b.Pick(start.Add(2*time.Millisecond+config().ShedBackoff), only)
+	require.Equal(t, dispatch.VerdictChosen, verdict)
+}
+
 // TestReplicaThatQueuesIsNotTakenForFull guards against requests that are held back from a service that queues them.
 func TestReplicaThatQueuesIsNotTakenForFull(t *testing.T) {
 	b := newBookingsPair()
