Measure the latency of a replica before its response is written

The latency of a buffered response contained the time in which the caller read it. It is now also the usual service time, by which a service counts as full and unsafe requests are sent, and the usual start, by which waiting requests lose their objective; a slow caller made all of these longer for others. It ends now when the response is complete.

--- a/transport/ingress/held_test.go
+++ b/transport/ingress/held_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -253,3 +254,26 @@
 	require.Len(t, h.received(), 1)
 	require.Zero(t, ended.Load())
 }
+
+// slowWriter is a caller that takes a while to read each part of a response.
+type slowWriter struct{ *httptest.ResponseRecorder }
+
+func (w slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(300 * time.Millisecond)
+	return w.ResponseRecorder.Write(p)
+}
+
+// TestSlowReaderDoesNotCountAsLatencyOfTheReplica guards against a usual service time, and thereby an expected start of other requests,
+// that contains the time in which callers read their responses.
+func TestSlowReaderDoesNotCountAsLatencyOfTheReplica(t *testing.T) {
+	h := newHarness(t, safeRoute())
+	h.startReplica("r1", "orders", respondStamped("x"))
+	request := httptest.NewRequest(http.MethodGet, "http://a.example/safe/x", nil)
+	request.Header.Set("Authorization", "Bearer key-1")
+	w := slowWriter{httptest.NewRecorder()}
+	h.frontend.Config.Handler.ServeHTTP(w, request)
+	require.Equal(t, http.StatusOK, w.Code)
+	latency := h.router.State()[0].Latency
+	require.Greater(t, latency, 0.0)
+	require.Less(t, latency, 0.2)
+}
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -307,11 +307,12 @@
 		}
 	}
 	c.recordEnd(response)
-	c.responseLatency = c.h.Now().Sub(c.arrived)
+	ended := c.h.Now()
+	c.responseLatency = ended.Sub(c.arrived)
 	c.releaseBody()
 	buffered.write(c)
 	return attemptResult{
-		outcome: dispatch.OutcomeServed, responded: true, latency: c.h.Now().Sub(sent), connectionLost: !response.Framed,
+		outcome: dispatch.OutcomeServed, responded: true, latency: ended.Sub(sent), connectionLost: !response.Framed,
 	}
 }
 
