Check the size of waiting requests in a new configuration

A waiting request that follows a new configuration was not checked again against the memory of the engines, which may be smaller there or belong to another upstream. An engine that gets a request beyond its memory ends.

TestSizeIsCheckedAgainstANewConfiguration fails without the change.

--- a/transport/ingress/wait.go
+++ b/transport/ingress/wait.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/workload"
 	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport"
 )
 
@@ -152,13 +154,10 @@
 	if err := c.authorize(); err != nil {
 		return err
 	}
-	for _, target := range route.Targets {
-		if target.Upstream == c.upstream {
-			return nil
-		}
+	if !slices.ContainsFunc(route.Targets, func(target fleet.Target) bool { return target.Upstream == c.upstream }) {
+		c.upstream = c.h.router.pickUpstream(route)
 	}
-	c.upstream = c.h.router.pickUpstream(route)
-	return nil
+	return c.checkTokens()
 }
 
 // newWaiter returns the request as it waits for a replica since a time.
--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -15,6 +15,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/waiting"
 	"github.com/guavatrestle/guavatrestle/coordination/workload"
+	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -209,6 +210,25 @@
 	}
 }
 
+// TestSizeIsCheckedAgainstANewConfiguration guards against a request that is sent to an engine on which it exceeds the memory, because a
+// configuration with a smaller cache came while it waited.
+func TestSizeIsCheckedAgainstANewConfiguration(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	f.h.Headers.TokenCounts = "Tokens"
+	c := f.call(t, 2)
+	c.r.Header.Set("Tokens", "900,200")
+	require.Nil(t, c.checkTokens())
+	configuration := *f.view.Configuration
+	configuration.Version++
+	engine := &fleet.EngineSpec{Layers: 2, Performance: &fleet.EnginePerformance{CacheTokens: 1000}}
+	configuration.Upstreams = map[core.Upstream]fleet.UpstreamSpec{simUpstream: {Name: simUpstream, Engine: engine}}
+	f.table.SetConfiguration(&configuration)
+	f.publish()
+	_, err := c.awaitReplica(context.Background())
+	require.NotNil(t, err)
+	require.Equal(t, api.CodeTooManyTokens, err.Code)
+}
+
 // TestOutdatedReplicaIsNotUsedAfterAWait guards against a request that starts on a version that became outdated while it waited.
 func TestOutdatedReplicaIsNotUsedAfterAWait(t *testing.T) {
 	f := newWaitFixture(0, 2)
