Send only valid priorities to engines

With more distinct priorities than the ten values, each had a part of no values, and a request that had lost its objective was sent with -1. A part has at least one value now, and the last priorities share the highest.

TestEnginePriorityIsValidWithManyPriorities fails without the change.

--- a/transport/ingress/wait.go
+++ b/transport/ingress/wait.go
@@ -259,12 +259,13 @@
 	if len(priorities) < 2 {
 		return priority
 	}
-	width := workload.Levels / len(priorities)
+	// Configurations may have more priorities than there are values; the last ones then share the highest.
+	width := max(workload.Levels/len(priorities), 1)
 	base := 0
 	for base < len(priorities)-1 && priorities[base] < priority {
 		base++
 	}
-	return base*width + urgency(c.h.Now(), c.workload(), width)
+	return min(base*width+urgency(c.h.Now(), c.workload(), width), maxPriority)
 }
 
 // urgency returns the place of a request among width values of its priority.
--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -271,6 +271,23 @@
 	require.LessOrEqual(t, last, maxPriority)
 }
 
+// TestEnginePriorityIsValidWithManyPriorities guards against a priority that replicas don't accept if a configuration has more priorities
+// than there are values.
+func TestEnginePriorityIsValidWithManyPriorities(t *testing.T) {
+	priorities := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20}
+	f := newWaitFixture(priorities...)
+	last := 0
+	for _, priority := range priorities {
+		for _, elapsed := range []time.Duration{0, time.Second} {
+			c := f.call(t, priority)
+			c.elapsed = elapsed
+			require.GreaterOrEqual(t, c.enginePriority(), last, "priority %d after %v", priority, elapsed)
+			last = c.enginePriority()
+		}
+	}
+	require.Equal(t, maxPriority, last)
+}
+
 // TestSlowStartsLeaveTimeToWait guards against new requests that count as late on their arrival, because earlier ones had waited long at
 // the replicas: then those that have waited longest go first, and none is served in time.
 func TestSlowStartsLeaveTimeToWait(t *testing.T) {
