Number waiting requests over all lines

The line of an upstream is dropped when a configuration leaves it a single priority. A request of it that noticed this late, after another configuration had created a new line, could remove a request with the same number from that one. Nothing ended the wait of the removed request then except its checks and its deadline, and its slot could go to no one.

TestWaitUnderAnOldConfigurationEndsNoOther fails without the change.

--- a/transport/ingress/line.go
+++ b/transport/ingress/line.go
@@ -26,7 +26,6 @@
 type line struct {
 	queue   *waiting.Queue
 	waiters map[waiting.ID]*waiter
-	lastID  waiting.ID
 }
 
 // waiter is a request that waits for a replica.
@@ -121,8 +120,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, l := r.now(), r.lineOf(w.request.Upstream)
-	l.lastID++
-	w.id, w.item.ID = l.lastID, l.lastID
+	r.lastWaiter++
+	w.id, w.item.ID = r.lastWaiter, r.lastWaiter
 	if first {
 		l.queue.Arrived(now, workload.RankAt(now, w.item.Request))
 	}
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -9,6 +9,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/lateness"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/retry"
+	"github.com/guavatrestle/guavatrestle/coordination/waiting"
 	"github.com/guavatrestle/guavatrestle/coordination/workload"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -26,6 +27,8 @@
 	// ranked has the upstreams whose routes have different priorities, with these, lines their waiting requests.
 	ranked map[core.Upstream][]int
 	lines  map[core.Upstream]*line
+	// lastWaiter is the last ID of a waiting request. IDs are unique over all lines, since a request may outlast its line.
+	lastWaiter waiting.ID
 	// startTimes holds the usual time to the response or first event by route.
 	startTimes map[string]*startTime
 	// retryBurst is this host's part of the burst of the retry budgets of all hosts.
--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -154,6 +154,24 @@
 	require.True(t, result.recheck)
 }
 
+// TestWaitUnderAnOldConfigurationEndsNoOther guards against a request that is forgotten in the queue, because one that waited in the line
+// before the upstream had a single priority for a while leaves the new line.
+func TestWaitUnderAnOldConfigurationEndsNoOther(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	first := f.wait(t, 0)
+	old := f.call(t, 2).newWaiter(f.now, quarantine.Decision{})
+	old.deliver = func(waitResult) {}
+	f.router.await(old, true)
+	f.configure("key", 2)
+	f.configure("key", 0, 2)
+	results := []*waitResult{f.wait(t, 2), f.wait(t, 2)}
+	f.router.leave(old)
+	f.router.done(first.choice, dispatch.OutcomeServed, time.Millisecond)
+	require.Equal(t, dispatch.VerdictChosen, results[0].verdict)
+	f.router.done(results[0].choice, dispatch.OutcomeServed, time.Millisecond)
+	require.Equal(t, dispatch.VerdictChosen, results[1].verdict)
+}
+
 // TestReplicaThatJoinsIsUsedAtOnce guards against requests that don't notice a new replica, and against a new view without another
 // configuration that makes all of them queue again.
 func TestReplicaThatJoinsIsUsedAtOnce(t *testing.T) {
