Mark only requests of services that may run once

Engines take a request that may run only once like any other, but streams that can't be resumed were marked, too. Since such a request blocks only those with no more time left, a look at a queue of such streams would choose a replica for each of them.

TestStreamsThatMayRunOnceBlockOthers fails without the change.

--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -154,7 +154,7 @@
 	// Guaranteed is true for a request of a priority of which fewer requests are started than its minimum share. It leaves no slots to
 	// more urgent ones.
 	Guaranteed bool
-	// Once is true for a request that must not run twice.
+	// Once is true for a request to a service that must not run twice.
 	Once bool
 	// ObjectiveLeft and DeadlineLeft are the times until the request misses its latency objective and until its deadline; 0 means
 	// unknown, or for the objective that it is missed already.
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -232,11 +232,11 @@
 		Exclude:      c.tried,
 		Late:         c.late,
 		Priority:     c.priority(),
-		Once:         !c.route.Repeatable(),
 	}
 	request.ObjectiveLeft, request.DeadlineLeft = c.timeLeft()
 	spec := c.view.Configuration.Upstreams[c.upstream]
 	if spec.Engine == nil {
+		request.Once = !c.route.Repeatable()
 		return request
 	}
 	request.Model = core.Model(c.r.Header.Get(c.h.Headers.Model))
--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -145,6 +145,17 @@
 	require.True(t, repeatable.blocks(once))
 }
 
+// TestStreamsThatMayRunOnceBlockOthers guards against a choice for each of the streams that wait for full engines. Engines take a request
+// that may run only once like any other.
+func TestStreamsThatMayRunOnceBlockOthers(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	first := f.call(t, 0)
+	require.False(t, first.route.Repeatable())
+	f.now = f.now.Add(time.Millisecond)
+	second := f.call(t, 2)
+	require.True(t, first.newWaiter(f.now, quarantine.Decision{}).blocks(second.newWaiter(f.now, quarantine.Decision{})))
+}
+
 // TestNewViewIsCheckedAgain guards against requests that wait under an old configuration.
 func TestNewViewIsCheckedAgain(t *testing.T) {
 	f := newWaitFixture(0, 2)
