Queue a waiting request again when its trial has ended

A request with a part whose quarantine has run out waits for the one replica of the trial. While it waited in line it stayed restricted to that replica, also after the part had been found sound, or the replica had left and another one was used for trials, until its time had passed. The periodic check now queues it again; the polling wait did so before.

TestRequestIsNotRestrictedToATrialThatEnded fails without the change.

--- a/transport/ingress/wait.go
+++ b/transport/ingress/wait.go
@@ -33,9 +33,7 @@
 			return dispatch.Choice{}, quarantineErr
 		}
 		request := c.dispatchRequest()
-		if decision.Verdict == quarantine.VerdictTrial {
-			request.Only = c.h.router.trialReplica(c.upstream, decision.Key)
-		}
+		request.Only = c.onlyReplica(decision)
 		choice, verdict := c.h.router.pickReplica(request)
 		if verdict == dispatch.VerdictChosen && decision.Verdict == quarantine.VerdictTrial {
 			if c.trial = c.h.Quarantine.beginTrial(decision.Key); !c.trial {
@@ -79,7 +77,7 @@
 		if err != nil {
 			return dispatch.Choice{}, err
 		}
-		result, err := c.waitInLine(ctx, c.newWaiter(since, decision))
+		result, err := c.waitInLine(ctx, c.newWaiter(since, decision), decision)
 		switch {
 		case err != nil:
 			return dispatch.Choice{}, err
@@ -163,12 +161,18 @@
 // newWaiter returns the request as it waits for a replica since a time.
 func (c *call) newWaiter(since time.Time, decision quarantine.Decision) *waiter {
 	w := &waiter{request: c.dispatchRequest(), item: waiting.Item{Request: c.workload(), Since: since, Bytes: int64(len(c.body))}}
-	if decision.Verdict == quarantine.VerdictTrial {
-		w.request.Only = c.h.router.trialReplica(c.upstream, decision.Key)
-	}
+	w.request.Only = c.onlyReplica(decision)
 	return w
 }
 
+// onlyReplica returns the replica that the request is restricted to by the quarantine, empty if there is none.
+func (c *call) onlyReplica(decision quarantine.Decision) fleet.ReplicaID {
+	if decision.Verdict != quarantine.VerdictTrial {
+		return ""
+	}
+	return c.h.router.trialReplica(c.upstream, decision.Key)
+}
+
 // workload returns the properties of the request that determine its rank.
 func (c *call) workload() workload.Request {
 	request := workload.Request{
@@ -180,8 +184,9 @@
 	return request
 }
 
-// waitInLine queues the request and returns the end of its wait.
-func (c *call) waitInLine(ctx context.Context, w *waiter) (waitResult, *transport.Error) {
+// waitInLine queues the request and returns the end of its wait. It must be queued again if the quarantine restricts it to another replica
+// than decision, or no longer.
+func (c *call) waitInLine(ctx context.Context, w *waiter, decision quarantine.Decision) (waitResult, *transport.Error) {
 	results := make(chan waitResult, 1)
 	w.deliver = func(result waitResult) { results <- result }
 	first := !c.waited
@@ -209,9 +214,10 @@
 			c.leaveLine(w, results)
 			return waitResult{}, c.noCapacityError(dispatch.VerdictFull)
 		case <-timer.C:
-			if _, err := c.checkWait(); err != nil {
+			now, err := c.checkWait()
+			if err != nil || now.Verdict != decision.Verdict || c.onlyReplica(now) != w.request.Only {
 				c.leaveLine(w, results)
-				return waitResult{}, err
+				return waitResult{recheck: true}, err
 			}
 		}
 	}
--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -284,6 +284,24 @@
 	require.Zero(t, f.router.lineOf(simUpstream).queue.Len())
 }
 
+// TestRequestIsNotRestrictedToATrialThatEnded guards against a request that waits for the replica of a trial although its prompt has been
+// found sound, or that replica has left, and others have room.
+func TestRequestIsNotRestrictedToATrialThatEnded(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	first, c := f.wait(t, 0), f.call(t, 2)
+	trial := quarantine.Decision{Verdict: quarantine.VerdictTrial, Key: quarantine.Key{Upstream: simUpstream, Part: "p"}}
+	w := c.newWaiter(f.now, trial)
+	require.EqualValues(t, "r1", w.request.Only)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	result, err := c.waitInLine(ctx, w, trial)
+	require.Nil(t, err)
+	require.True(t, result.recheck, "the prompt has no part in quarantine now")
+	require.Zero(t, f.router.lineOf(simUpstream).queue.Len())
+	f.router.done(first.choice, dispatch.OutcomeServed, time.Millisecond)
+	require.Zero(t, f.router.State()[0].InFlight)
+}
+
 // TestEnginePriorityFollowsTheRank guards against a replica's queue in which a request goes before one of a more urgent priority, or one
 // that has lost its objective before one of its priority that can still meet it.
 func TestEnginePriorityFollowsTheRank(t *testing.T) {
