Release a replica before its buffered response is written

The slot of a replica was held, and its connection kept from other requests, while the caller read a response that was complete. A few slow callers made a replica with six slots count as full at this entry for as long as they read. The response is written after the attempt has ended, as error responses are.

TestSlowReaderDoesNotCountAsLatencyOfTheReplica fails without the change; the tests of transport/ingress pass (17.9 s).

--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -111,8 +111,9 @@
 type attemptResult struct {
 	outcome dispatch.Outcome
 	// responded reports whether the complete response was passed to the caller's connection. The caller may have
-	// disconnected meanwhile.
+	// disconnected meanwhile. response is set if that is still to be done, which needs no replica any more.
 	responded bool
+	response  *bufferedResponse
 	// notRun reports whether the replica certainly did not run the request, unsent whether no byte of it was sent.
 	notRun bool
 	unsent bool
@@ -150,6 +151,9 @@
 		}
 		result := c.attemptAndRelease(ctx, choice)
 		if result.responded {
+			if result.response != nil {
+				result.response.write(c)
+			}
 			c.logUnread()
 			c.outcome = outcomeServed
 			c.releaseNextChoice()
--- a/transport/ingress/held_test.go
+++ b/transport/ingress/held_test.go
@@ -256,23 +256,29 @@
 }
 
 // slowWriter is a caller that takes a while to read each part of a response.
-type slowWriter struct{ *httptest.ResponseRecorder }
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	onWrite func()
+}
 
 func (w slowWriter) Write(p []byte) (int, error) {
+	w.onWrite()
 	time.Sleep(300 * time.Millisecond)
 	return w.ResponseRecorder.Write(p)
 }
 
 // TestSlowReaderDoesNotCountAsLatencyOfTheReplica guards against a usual service time, and thereby an expected start of other requests,
-// that contains the time in which callers read their responses.
+// that contains the time in which callers read their responses, and against a replica that counts as occupied meanwhile.
 func TestSlowReaderDoesNotCountAsLatencyOfTheReplica(t *testing.T) {
 	h := newHarness(t, safeRoute())
 	h.startReplica("r1", "orders", respondStamped("x"))
 	request := httptest.NewRequest(http.MethodGet, "http://a.example/safe/x", nil)
 	request.Header.Set("Authorization", "Bearer key-1")
-	w := slowWriter{httptest.NewRecorder()}
+	inFlight := -1
+	w := slowWriter{httptest.NewRecorder(), func() { inFlight = h.router.State()[0].InFlight }}
 	h.frontend.Config.Handler.ServeHTTP(w, request)
 	require.Equal(t, http.StatusOK, w.Code)
+	require.Zero(t, inFlight)
 	latency := h.router.State()[0].Latency
 	require.Greater(t, latency, 0.0)
 	require.Less(t, latency, 0.2)
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -310,9 +310,8 @@
 	ended := c.h.Now()
 	c.responseLatency = ended.Sub(c.arrived)
 	c.releaseBody()
-	buffered.write(c)
 	return attemptResult{
-		outcome: dispatch.OutcomeServed, responded: true, latency: ended.Sub(sent), connectionLost: !response.Framed,
+		outcome: dispatch.OutcomeServed, responded: true, response: buffered, latency: ended.Sub(sent), connectionLost: !response.Framed,
 	}
 }
 
