Refuse a body beyond the queue's bound without the others

A waiting request whose body alone exceeds the bound of bytes let the queue refuse the requests of the lowest rank one after the other: with an urgent one, all of them and then itself. It is now refused by itself.

TestRequestBeyondTheBoundOfBytesEndsNoOther fails without the change.

--- a/coordination/waiting/queue.go
+++ b/coordination/waiting/queue.go
@@ -52,7 +52,7 @@
 
 // Reasons for a refusal.
 const (
-	// ReasonQueueFull means that the queue holds as much as it may, and the request has the lowest rank.
+	// ReasonQueueFull means that the queue holds as much as it may, and the request has the lowest rank or exceeds the bound by itself.
 	ReasonQueueFull Reason = "queue_full"
 	// ReasonForecast means that the request can't start within its time by the forecast.
 	ReasonForecast Reason = "forecast"
@@ -250,8 +250,12 @@
 
 // check returns the reason why a request with a number of others ahead of it may not wait, empty if it may.
 func (q *Queue) check(now time.Time, item queued, forecast time.Duration, ahead int) Reason {
-	if !now.Before(item.until) {
+	switch {
+	case !now.Before(item.until):
 		return ReasonTimeout
+	case item.Bytes > q.cfg.MaxBytes:
+		// It would not fit even if all others were refused.
+		return ReasonQueueFull
 	}
 	if !item.rank.Lost && forecast <= item.rank.StartBy.Sub(now) {
 		return ""
--- a/coordination/waiting/queue_test.go
+++ b/coordination/waiting/queue_test.go
@@ -77,6 +77,19 @@
 	}
 }
 
+// TestRequestBeyondTheBoundOfBytesEndsNoOther guards against an urgent request with a large body for which all waiting requests are refused,
+// and then it too.
+func TestRequestBeyondTheBoundOfBytesEndsNoOther(t *testing.T) {
+	q := waiting.NewQueue(waiting.Config{MaxRequests: 9, MaxBytes: 25, MaxLateWait: time.Second, MaxLateShare: 1})
+	q.Add(start, waiting.Item{ID: 1, Request: stream(2, 0), Bytes: 10})
+	q.Add(start, waiting.Item{ID: 2, Request: stream(0, 0), Bytes: 30})
+	refused := q.Review(start)
+	require.Len(t, refused, 1)
+	require.EqualValues(t, 2, refused[0].ID)
+	require.Equal(t, waiting.ReasonQueueFull, refused[0].Reason)
+	require.Equal(t, []waiting.ID{1}, order(q, start))
+}
+
 // TestRequestThatCannotStartInTimeIsRefusedAtOnce guards against a request that is held although it can't be served, when it arrives and
 // when the forecast gets worse while it waits.
 func TestRequestThatCannotStartInTimeIsRefusedAtOnce(t *testing.T) {
