--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -15,6 +15,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/coordination/waiting"
 	"github.com/guavatrestle/guavatrestle/coordination/workload"
+	"github.com/guavatrestle/guavatrestle/protocol/api"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
@@ -126,6 +127,35 @@
 	require.Equal(t, dispatch.VerdictChosen, result.verdict)
 }
 
+// TestRequestThatMayRunOnceDoesNotBlockOthers guards against requests that wait behind one that is kept from all replicas only because
+// it may run once and would exceed its deadline there.
+func TestRequestThatMayRunOnceDoesNotBlockOthers(t *testing.T) {
+	once := &waiter{request: dispatch.Request{Upstream: simUpstream, Once: true, DeadlineLeft: 200 * time.Millisecond}}
+	for name, other := range map[string]struct {
+		request dispatch.Request
+		blocked bool
+	}{
+		"may be repeated": {dispatch.Request{Upstream: simUpstream, Priority: 1, DeadlineLeft: 100 * time.Millisecond}, false},
+		"later deadline":  {dispatch.Request{Upstream: simUpstream, Priority: 1, Once: true, DeadlineLeft: time.Second}, false},
+		"same deadline":   {dispatch.Request{Upstream: simUpstream, Priority: 1, Once: true, DeadlineLeft: 200 * time.Millisecond}, true},
+	} {
+		require.Equal(t, other.blocked, once.blocks(&waiter{request: other.request}), name)
+	}
+	repeatable := &waiter{request: dispatch.Request{Upstream: simUpstream}}
+	require.True(t, repeatable.blocks(once))
+}
+
+// TestStreamsThatMayRunOnceBlockOthers guards against a choice for each of the streams that wait for full engines. Engines take a request
+// that may run only once like any other.
+func TestStreamsThatMayRunOnceBlockOthers(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	first := f.call(t, 0)
+	require.False(t, first.route.Repeatable())
+	f.now = f.now.Add(time.Millisecond)
+	second := f.call(t, 2)
+	require.True(t, first.newWaiter(f.now, quarantine.Decision{}).blocks(second.newWaiter(f.now, quarantine.Decision{})))
+}
+
 // TestNewViewIsCheckedAgain guards against requests that wait under an old configuration.
 func TestNewViewIsCheckedAgain(t *testing.T) {
 	f := newWaitFixture(0, 2)
@@ -135,6 +165,24 @@
 	require.True(t, result.recheck)
 }
 
+// TestWaitUnderAnOldConfigurationEndsNoOther guards against a request that is forgotten in the queue, because one that waited in the line
+// before the upstream had a single priority for a while leaves the new line.
+func TestWaitUnderAnOldConfigurationEndsNoOther(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	first := f.wait(t, 0)
+	old := f.call(t, 2).newWaiter(f.now, quarantine.Decision{})
+	old.deliver = func(waitResult) {}
+	f.router.await(old, true)
+	f.configure("key", 2)
+	f.configure("key", 0, 2)
+	results := []*waitResult{f.wait(t, 2), f.wait(t, 2)}
+	f.router.leave(old)
+	f.router.done(first.choice, dispatch.OutcomeServed, time.Millisecond)
+	require.Equal(t, dispatch.VerdictChosen, results[0].verdict)
+	f.router.done(results[0].choice, dispatch.OutcomeServed, time.Millisecond)
+	require.Equal(t, dispatch.VerdictChosen, results[1].verdict)
+}
+
 // TestReplicaThatJoinsIsUsedAtOnce guards against requests that don't notice a new replica, and against a new view without another
 // configuration that makes all of them queue again.
 func TestReplicaThatJoinsIsUsedAtOnce(t *testing.T) {
@@ -191,6 +239,25 @@
 	}
 }
 
+// TestSizeIsCheckedAgainstANewConfiguration guards against a request that is sent to an engine on which it exceeds the memory, because a
+// configuration with a smaller cache came while it waited.
+func TestSizeIsCheckedAgainstANewConfiguration(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	f.h.Headers.TokenCounts = "Tokens"
+	c := f.call(t, 2)
+	c.r.Header.Set("Tokens", "900,200")
+	require.Nil(t, c.checkTokens())
+	configuration := *f.view.Configuration
+	configuration.Version++
+	engine := &fleet.EngineSpec{Layers: 2, Performance: &fleet.EnginePerformance{CacheTokens: 1000}}
+	configuration.Upstreams = map[core.Upstream]fleet.UpstreamSpec{simUpstream: {Name: simUpstream, Engine: engine}}
+	f.table.SetConfiguration(&configuration)
+	f.publish()
+	_, err := c.awaitReplica(context.Background())
+	require.NotNil(t, err)
+	require.Equal(t, api.CodeTooManyTokens, err.Code)
+}
+
 // TestOutdatedReplicaIsNotUsedAfterAWait guards against a request that starts on a version that became outdated while it waited.
 func TestOutdatedReplicaIsNotUsedAfterAWait(t *testing.T) {
 	f := newWaitFixture(0, 2)
@@ -217,6 +284,24 @@
 	require.Zero(t, f.router.lineOf(simUpstream).queue.Len())
 }
 
+// TestRequestIsNotRestrictedToATrialThatEnded guards against a request that waits for the replica of a trial although its prompt has been
+// found sound, or that replica has left, and others have room.
+func TestRequestIsNotRestrictedToATrialThatEnded(t *testing.T) {
+	f := newWaitFixture(0, 2)
+	first, c := f.wait(t, 0), f.call(t, 2)
+	trial := quarantine.Decision{Verdict: quarantine.VerdictTrial, Key: quarantine.Key{Upstream: simUpstream, Part: "p"}}
+	w := c.newWaiter(f.now, trial)
+	require.EqualValues(t, "r1", w.request.Only)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	result, err := c.waitInLine(ctx, w, trial)
+	require.Nil(t, err)
+	require.True(t, result.recheck, "the prompt has no part in quarantine now")
+	require.Zero(t, f.router.lineOf(simUpstream).queue.Len())
+	f.router.done(first.choice, dispatch.OutcomeServed, time.Millisecond)
+	require.Zero(t, f.router.State()[0].InFlight)
+}
+
 // TestEnginePriorityFollowsTheRank guards against a replica's queue in which a request goes before one of a more urgent priority, or one
 // that has lost its objective before one of its priority that can still meet it.
 func TestEnginePriorityFollowsTheRank(t *testing.T) {
@@ -233,6 +318,23 @@
 	require.LessOrEqual(t, last, maxPriority)
 }
 
+// TestEnginePriorityIsValidWithManyPriorities guards against a priority that replicas don't accept if a configuration has more priorities
+// than there are values.
+func TestEnginePriorityIsValidWithManyPriorities(t *testing.T) {
+	priorities := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20}
+	f := newWaitFixture(priorities...)
+	last := 0
+	for _, priority := range priorities {
+		for _, elapsed := range []time.Duration{0, time.Second} {
+			c := f.call(t, priority)
+			c.elapsed = elapsed
+			require.GreaterOrEqual(t, c.enginePriority(), last, "priority %d after %v", priority, elapsed)
+			last = c.enginePriority()
+		}
+	}
+	require.Equal(t, maxPriority, last)
+}
+
 // TestSlowStartsLeaveTimeToWait guards against new requests that count as late on their arrival, because earlier ones had waited long at
 // the replicas: then those that have waited longest go first, and none is served in time.
 func TestSlowStartsLeaveTimeToWait(t *testing.T) {
@@ -244,23 +346,69 @@
 	require.False(t, workload.RankAt(f.now, c.workload()).Lost)
 }
 
-// BenchmarkAwait measures a decision while 200 requests wait for 34 full replicas.
-func BenchmarkAwait(b *testing.B) {
-	now := time.Unix(1000, 0)
-	s := &simulation{ranked: true, began: now}
-	router := NewRouter(DefaultConfig(), rand.New(rand.NewPCG(1, 1)), func() time.Time { return now })
+// waitingRouter returns a router with 200 requests that wait for 34 full replicas. *now is its time.
+func waitingRouter(now *time.Time) (*Router, []*waiter) {
+	s := &simulation{ranked: true, began: *now}
+	router := NewRouter(DefaultConfig(), rand.New(rand.NewPCG(1, 1)), func() time.Time { return *now })
 	router.SetView(s.view())
 	for _, r := range s.replicas {
 		router.RecordLoad(r.id, dispatch.Report{Running: 40, Slots: simSlots, Models: []fleet.LoadedModel{}})
 	}
+	var waiters []*waiter
 	for i := range 200 {
 		w := &waiter{request: dispatch.Request{Upstream: simUpstream, Priority: i % 3}}
-		w.item.Request.Priority, w.item.Request.Arrived, w.item.Request.Deadline = i%3, now, now.Add(time.Hour)
+		w.item.Request.Priority, w.item.Request.Arrived, w.item.Request.Deadline = i%3, *now, now.Add(time.Hour)
+		w.item.Request.Objective = time.Hour
 		w.deliver = func(waitResult) {}
 		router.await(w, true)
+		waiters = append(waiters, w)
+	}
+	return router, waiters
+}
+
+// TestTimersShareTheChecksOfALine guards against a queue that is checked as a whole for each of its requests, which takes half of the
+// processor time of an entry, and against a request whose time has passed that is not refused because of that.
+func TestTimersShareTheChecksOfALine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	router, waiters := waitingRouter(&now)
+	l, checks := router.lineOf(simUpstream), 0
+	for _, w := range waiters {
+		now = now.Add(waitCheckInterval / time.Duration(len(waiters)))
+		router.check(w, 0, 0)
+		if l.checkedAt.Equal(now) {
+			checks++
+		}
 	}
+	require.Equal(t, int(waitCheckInterval/lineCheckInterval), checks)
+
+	var refused waitResult
+	last := &waiter{request: dispatch.Request{Upstream: simUpstream}}
+	last.item.Request.Arrived, last.item.Request.Deadline = now, now.Add(2*time.Millisecond)
+	last.deliver = func(result waitResult) { refused = result }
+	router.await(last, true)
+	now = router.check(last, 0, 0)
+	require.Empty(t, refused.refusal.Reason)
+	router.check(last, 0, 0)
+	require.Equal(t, waiting.ReasonTimeout, refused.refusal.Reason)
+}
+
+// BenchmarkAwait measures a decision while 200 requests wait for 34 full replicas.
+func BenchmarkAwait(b *testing.B) {
+	now := time.Unix(1000, 0)
+	router, _ := waitingRouter(&now)
 	b.ResetTimer()
 	for range b.N {
 		router.RecordLoad("r1", dispatch.Report{Running: 40, Slots: simSlots, Models: []fleet.LoadedModel{}})
 	}
 }
+
+// BenchmarkCheck measures a periodic check of one of 200 waiting requests, each of which is checked every 100 ms.
+func BenchmarkCheck(b *testing.B) {
+	now := time.Unix(1000, 0)
+	router, waiters := waitingRouter(&now)
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(waitCheckInterval / time.Duration(len(waiters)))
+		router.check(waiters[i%len(waiters)], 0, 0)
+	}
+}
