--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -125,21 +124,13 @@
 	var waiting waitSummary
 	avoidSilent := b.avoidsSilent(now, request.Upstream)
 	for _, candidate := range group {
-		if !b.eligible(now, &request, candidate) {
+		o := b.obstacleOf(now, &request, candidate, avoidSilent)
+		if o.verdict == VerdictNoCandidate {
 			continue
 		}
 		verdict = VerdictFull
-		if until := b.heldUntil(candidate); now.Before(until) {
-			waiting.add(VerdictHeldOff, until)
-			continue
-		}
-		if avoidSilent && b.silent(now, candidate) ||
-			!b.hasCapacity(now, &request, candidate) || !b.startsInTime(now, &request, candidate) {
-			waiting.add(VerdictFull, time.Time{})
-			continue
-		}
-		if !b.hasPermit(now, candidate) {
-			waiting.add(b.permitVerdict(candidate), candidate.permits.next(now))
+		if o.reason != "" {
+			waiting.add(o.verdict, o.until)
 			continue
 		}
 		if candidate.model != nil {
@@ -163,14 +154,6 @@
 	return Choice{HeldUntil: waiting.until}, waiting.verdict()
 }
 
-// permitVerdict returns why a replica without a permit is not chosen.
-func (b *Balancer) permitVerdict(r *replica) Verdict {
-	if b.statedLimit(r.member.ID, r.member.Born) != nil {
-		return VerdictLimited
-	}
-	return VerdictFull
-}
-
 // waitSummary sums up why none of the replicas that could serve a request is chosen.
 type waitSummary struct {
 	full, limited bool
@@ -268,53 +251,10 @@
 	return r != nil && r.member.Usable()
 }
 
-// eligible reports whether a replica may serve a request, regardless of its current capacity.
-func (b *Balancer) eligible(now time.Time, request *Request, r *replica) bool {
-	switch {
-	case !r.member.Usable(), r.addressMoved, b.isLeaving(r), request.inside && b.outside[r.member.ID]:
-		return false
-	case slices.Contains(request.Exclude, r.member.ID), request.Only != "" && request.Only != r.member.ID:
-		return false
-	case !b.inAllowedRegion(request.RouteRegions, r), !b.inAllowedRegion(request.TeamRegions, r):
-		return false
-	case request.Model == "":
-		return true
-	}
-	version, ok := r.loadedVersion(&b.cfg, now, request)
-	return ok && version >= request.MinVersion
-}
-
 func (b *Balancer) inAllowedRegion(regions []core.Region, r *replica) bool {
 	return len(regions) == 0 || slices.Contains(regions, b.cfg.Regions[r.member.FailureDomain])
 }
 
-func (b *Balancer) hasCapacity(now time.Time, request *Request, r *replica) bool {
-	limit := r.slots() + r.overcommit(&b.cfg)
-	reserved, ranked := b.reservedSlots(now, request, r)
-	switch {
-	case r.refusesWhenFull():
-		// The check below counts what may have ended since; knownFull is exact.
-		limit = math.MaxInt
-	case ranked:
-		limit = r.slots() + max(r.overcommit(&b.cfg), b.cfg.RankedOvercommit) - reserved
-	case request.Moved:
-		limit += b.cfg.MovedOvercommit
-	case request.Late && b.specs[r.member.Upstream].Engine != nil:
-		limit = int(math.Ceil(float64(r.slots()) * (1 - b.cfg.LateReserve)))
-	}
-	switch {
-	case now.Before(r.excludedUntil), r.probing(&b.cfg):
-		return false
-	case r.report.Loading && r.hasFreshReport(&b.cfg, now):
-		return false
-	case r.load(&b.cfg, now) >= limit, r.knownFull(&b.cfg, now), !r.endsInTime(now, request):
-		return false
-	case !request.Moved && r.headroomUsed(&b.cfg, now, reserved, ranked):
-		return false
-	}
-	return true
-}
-
 // startsInTime reports whether a replica is expected to start a request while its loaded version is still allowed.
 func (b *Balancer) startsInTime(now time.Time, request *Request, r *replica) bool {
 	if request.Model == "" || request.NextMinVersion <= request.MinVersion {
--- a/coordination/dispatch/spread.go
+++ b/coordination/dispatch/spread.go
@@ -20,13 +20,17 @@
 
 // addModelled adds an engine with published figures that has capacity.
 func (b *Balancer) addModelled(now time.Time, request *Request, r *replica, waiting *waitSummary) {
-	if b.cfg.Regions[r.member.FailureDomain] != b.cfg.Region {
+	if !b.inOwnRegion(r) {
 		b.field.unrated = append(b.field.unrated, r)
 		return
 	}
 	b.field.home = b.rate(b.field.home, now, request, r, waiting)
 }
 
+func (b *Balancer) inOwnRegion(r *replica) bool {
+	return b.cfg.Regions[r.member.FailureDomain] == b.cfg.Region
+}
+
 // rate appends an engine to list unless the request would only lengthen its queue.
 func (b *Balancer) rate(list []candidate, now time.Time, request *Request, r *replica, waiting *waitSummary) []candidate {
 	c := b.modelledCandidate(now, request, r)
@@ -49,12 +53,17 @@
 		f.distant = b.rate(f.distant, now, request, r, waiting)
 	}
 	distant := draw(f.distant, b.random)
-	if home == nil || distant != nil && home.miss-distant.miss >= regionMargin {
+	if home == nil || distant != nil && leavesRegion(home, distant) {
 		return distant
 	}
 	return home
 }
 
+// leavesRegion reports whether a request goes to a candidate in another region, since it is much less likely to miss the objective there.
+func leavesRegion(home, distant *candidate) bool {
+	return home.miss-distant.miss >= regionMargin
+}
+
 // draw draws a candidate so that the requests which all hosts have sent since the reports, and this one, even out the scores: each
 // replica gets requests in proportion to what it lacks to the common level that they would reach. With a single host, which knows all
 // that it has sent, that is the best replica.
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -43,6 +43,8 @@
 	miss float64
 	// arrivals is the number of requests of other hosts that act on the same report of the replica, and pace its pace.
 	arrivals, pace float64
+	// noRoom is true if the cache of the replica has no room for the request.
+	noRoom bool
 	// queues is true if the request would exceed Overcommit and is not expected to start in time.
 	queues bool
 }
@@ -99,7 +101,7 @@
 	}
 	if !r.model.Fits(expected, work) {
 		c.score += noRoomPenalty
-		c.miss = 1
+		c.miss, c.noRoom = 1, true
 	}
 	if r.member.FailureDomain != b.cfg.FailureDomain && b.cfg.Regions[r.member.FailureDomain] == b.cfg.Region {
 		c.score += b.cfg.DomainPenalty
