Serve the explanation of a placement on the debug port

GET /debug/placement of a hosted entry describes a request by route or upstream, team and sizes, and answers with the place in the queue and the candidates of each target.

--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -233,6 +233,7 @@
 	debug := http.NewServeMux()
 	server.AddDebug(debug, server.Introspection{State: e.state, Ready: e.handler.Ready})
 	debug.HandleFunc("POST /debug/quarantine/clear", e.clearQuarantine)
+	debug.HandleFunc("GET /debug/placement", e.handler.ServePlacement)
 	for address, handler := range map[string]http.Handler{
 		e.ReadyListen: ready, debugAddress(e.Host): debug,
 		net.JoinHostPort(e.Host.Address, strconv.Itoa(e.Host.PeerPort)): &relay.Server{Cache: e.cache, Direct: e.source.Direct, Log: e.Log},
--- a/transport/ingress/call.go
+++ b/transport/ingress/call.go
@@ -11,7 +11,6 @@
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/protocol/api"
-	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport"
@@ -223,46 +222,6 @@
 	return transport.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.RunNotRun, reason, c.upstream)
 }
 
-// dispatchRequest returns the description of the request for the balancer.
-func (c *call) dispatchRequest() dispatch.Request {
-	request := dispatch.Request{
-		Upstream:     c.upstream,
-		RouteRegions: c.route.HomeRegions,
-		TeamRegions:  teamRegions(c.team),
-		Exclude:      c.tried,
-		Late:         c.late,
-		Priority:     c.priority(),
-		Once:         !c.route.Repeatable(),
-	}
-	request.ObjectiveLeft, request.DeadlineLeft = c.timeLeft()
-	spec := c.view.Configuration.Upstreams[c.upstream]
-	if spec.Engine == nil {
-		return request
-	}
-	request.Model = core.Model(c.r.Header.Get(c.h.Headers.Model))
-	request.Layers = spec.Engine.Layers
-	tokens := c.h.Headers.Tokens(c.r.Header)
-	request.PromptTokens, request.OutputTokens = tokens.Prompt, expectedOutput(tokens)
-	if c.h.Config.OldVersionGrace > 0 {
-		// Uses the current view, since a version may have become the target after the request arrived.
-		wanted := c.h.View().Wanted[request.Model]
-		request.MinVersion = wanted.Due(c.h.Now(), c.h.Config.OldVersionGrace)
-		request.NextMinVersion = wanted.Due(c.h.Now(), c.h.Config.OldVersionIdleOnlyAfter)
-	}
-	return request
-}
-
-// expectedOutput returns the caller's estimate of the number of output tokens, or the maximum if there is none.
-func expectedOutput(tokens headers.Tokens) int {
-	switch {
-	case tokens.OutputHint == 0:
-		return tokens.MaxOutput
-	case tokens.MaxOutput == 0:
-		return tokens.OutputHint
-	}
-	return min(tokens.OutputHint, tokens.MaxOutput)
-}
-
 // mayRetry reports whether another attempt may follow a failed one. It excludes the failed replica from further attempts
 // and, unless nothing was sent, takes a retry from the budget.
 func (c *call) mayRetry(choice dispatch.Choice, result attemptResult) bool {
--- a/transport/ingress/wait.go
+++ b/transport/ingress/wait.go
@@ -13,6 +13,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/waiting"
 	"github.com/guavatrestle/guavatrestle/coordination/workload"
 	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/transport"
 )
@@ -171,12 +172,13 @@
 }
 
 // workload returns the properties of the request that determine its rank.
-func (c *call) workload() workload.Request {
+func (c *call) workload() workload.Request { return c.workloadOf(c.h.Headers.Tokens(c.r.Header)) }
+
+func (c *call) workloadOf(tokens headers.Tokens) workload.Request {
 	request := workload.Request{
 		Priority: c.priority(), Arrived: c.arrived, Elapsed: c.elapsed, Objective: c.route.Objective, Deadline: c.deadline,
 		FirstEvent: c.h.router.usualStart(c.route), Resumed: c.stream.started,
 	}
-	tokens := c.h.Headers.Tokens(c.r.Header)
 	request.Work = workload.Work(c.view.Configuration.Upstreams[c.upstream].Engine, tokens.Prompt, expectedOutput(tokens))
 	return request
 }
