--- a/transport/cli/cli.go
+++ b/transport/cli/cli.go
@@ -104,7 +104,7 @@
 	root.AddCommand(
 		a.applyCommand(), a.getCommand(), a.listCommand(), a.diffCommand(), a.historyCommand(),
 		a.validateCommand(), a.retireCommand(), a.domainCommand(), a.rolloutCommand(), a.statusCommand(),
-		a.dumpCommand(), a.manifestCommand(), a.tokenCommand(), a.versionCommand(),
+		a.dumpCommand(), a.explainPlacementCommand(), a.manifestCommand(), a.tokenCommand(), a.versionCommand(),
 	)
 	return root
 }
