State a verdict as uncertain where a permit decides it

A replica that would only queue the request and whose permit phase is not drawn counted as full without the permit too, so that the verdict full was stated as certain where Pick may return limited. The new test failed before (Certain was true) and passes now; it also covers a replica outside the subset that is used if there is no permit.

--- a/coordination/dispatch/explain.go
+++ b/coordination/dispatch/explain.go
@@ -124,11 +124,11 @@
 		if o.reason == "" {
 			o = b.explainRated(now, request, r, baseline, &e, &row)
 		}
-		e.addObstacle(o)
+		without := o
 		if row.PhaseUnknown {
-			without := b.withoutPermit(now, r)
-			e.withoutPermits.add(without.verdict, without.until)
+			without = b.withoutPermit(now, r)
 		}
+		e.addObstacles(o, without)
 		e.Replicas = append(e.Replicas, row)
 	}
 	e.conclude()
@@ -156,11 +156,17 @@
 	return obstacle{}
 }
 
-func (e *explainer) addObstacle(o obstacle) {
-	e.eligible = e.eligible || o.verdict != VerdictNoCandidate
-	if o.reason != "" && o.verdict != VerdictNoCandidate {
-		e.waiting.add(o.verdict, o.until)
-		e.withoutPermits.add(o.verdict, o.until)
+// addObstacles adds what keeps a replica from being chosen, and what does so without a permit of an unknown phase.
+func (e *explainer) addObstacles(with, without obstacle) {
+	if with.verdict == VerdictNoCandidate {
+		return
+	}
+	e.eligible = true
+	if with.reason != "" {
+		e.waiting.add(with.verdict, with.until)
+	}
+	if without.reason != "" {
+		e.withoutPermits.add(without.verdict, without.until)
 	}
 }
 
--- a/coordination/dispatch/explain_test.go
+++ b/coordination/dispatch/explain_test.go
@@ -239,3 +239,49 @@
 		}
 	}
 }
+
+// TestVerdictThatDependsOnAPermitIsNotCertain guards against a verdict that is stated as certain although it depends on the phase of
+// permits, and against replicas without reports that count as excluded although they are used if there is no permit.
+func TestVerdictThatDependsOnAPermitIsNotCertain(t *testing.T) {
+	verdicts, chosen := map[dispatch.Verdict]bool{}, map[fleet.ReplicaID]bool{}
+	for seed := range uint64(60) {
+		queued := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"))
+		report := engineReport(4+config().Overcommit, 2, 0)
+		report.Senders, report.RequestLimit = 1, fleet.RequestLimit{Stated: true, PerSecond: 0.5}
+		queued.RecordReport(start, "r1", report)
+		require.False(t, queued.Explain(start, streamRequest()).Certain)
+		_, verdict := queued.Pick(start, streamRequest())
+		verdicts[verdict] = true
+
+		patient := streamRequest()
+		patient.ObjectiveLeft = 3 * time.Second
+		spilled := newModelledBalancer(seed, &fleetsim.Published, member("r1", "a"), member("r2", "a"))
+		spilled.SetOutside(map[fleet.ReplicaID]bool{"r2": true})
+		cold := member("r1", "a")
+		cold.ColdUntil = start.Add(time.Second)
+		report.RequestLimit = fleet.RequestLimit{}
+		v := view(cold, member("r2", "a"))
+		v.Configuration.Upstreams["llm"] = fleet.UpstreamSpec{
+			ColdPerSecond: 1, Engine: &fleet.EngineSpec{Layers: 16, Slots: 4, Performance: &fleetsim.Published},
+		}
+		spilled.SetView(v)
+		spilled.RecordReport(start, "r1", report)
+		e := spilled.Explain(start, patient)
+		require.False(t, e.Certain)
+		require.Empty(t, row(e, "r2").Reason, "%+v", e)
+		choice, _ := spilled.Pick(start, patient)
+		chosen[choice.ID] = true
+	}
+	require.Len(t, verdicts, 2)
+	require.Len(t, chosen, 2)
+}
+
+// TestOnlyCertainChoicesHaveProbabilityOne guards against a certain choice that another replica can win by its jitter.
+func TestOnlyCertainChoicesHaveProbabilityOne(t *testing.T) {
+	const jitter = 0.02
+	contested := dispatch.JitterProbabilities([]float64{0, jitter * 0.9999}, jitter)
+	require.Less(t, contested[0], 1.0)
+	require.Positive(t, contested[1])
+	require.Equal(t, []float64{1, 0}, dispatch.JitterProbabilities([]float64{0, jitter}, jitter))
+	require.Equal(t, []float64{0, 1}, dispatch.JitterProbabilities([]float64{1, 0}, 0))
+}
--- a/coordination/dispatch/export_test.go
+++ b/coordination/dispatch/export_test.go
@@ -26,3 +26,12 @@
 	}
 	return text
 }
+
+// JitterProbabilities returns the probabilities with which candidates with the given scores are chosen.
+func JitterProbabilities(scores []float64, jitter float64) []float64 {
+	list := make([]candidate, len(scores))
+	for i, score := range scores {
+		list[i].score = score
+	}
+	return jitterProbabilities(list, jitter)
+}
--- a/coordination/dispatch/probability.go
+++ b/coordination/dispatch/probability.go
@@ -62,7 +62,7 @@
 		if list[i].score < lowest+jitter {
 			probabilities[i] = max(probabilities[i], minProbability)
 		}
-		if probabilities[i] == 1 && len(list) > 1 && contested(list, i, jitter) {
+		if probabilities[i] == 1 && contested(list, i, jitter) {
 			probabilities[i] -= minProbability
 		}
 	}
--- a/transport/cli/placement_test.go
+++ b/transport/cli/placement_test.go
@@ -108,3 +108,12 @@
 		require.Contains(t, errOut, c.message, c.args)
 	}
 }
+
+// TestPlacementOfANewerEntryIsPassedOn guards against JSON that lacks what this version of the command does not know.
+func TestPlacementOfANewerEntryIsPassedOn(t *testing.T) {
+	const answer = `{"targets": [], "unknown": 1}`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(answer)) }))
+	t.Cleanup(server.Close)
+	_, out, errOut := newFixture(t).run("explain-placement", "--address", server.Listener.Addr().String(), "--route", "a", "--json")
+	require.Equal(t, answer, out, errOut)
+}
