--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -28,8 +28,8 @@
 	// forecastError is the error of the last forecast that was compared with a response.
 	forecastError    float64
 	hasForecastError bool
-	// field is the memory for the candidates of one Pick.
-	field field
+	// candidates is the memory for the candidates of one Pick.
+	candidates candidateSet
 	// senders is the number of hosts that send to a replica in the last report that has one, 0 if there is none.
 	senders int
 	// outside holds the replicas from which this host requests no load reports.
@@ -91,7 +91,7 @@
 	if report.Leaving {
 		b.markLeaving(now, id, r.member.Born)
 	}
-	r.recordMomentPace(now, report.MomentPace)
+	r.recordCurrentPace(now, report.CurrentPace)
 	r.report = report
 	r.reportedAt, r.derived = now, derived{}
 	if fromAgent {
@@ -120,7 +120,7 @@
 	}
 	group := b.groups[request.Upstream]
 	baseline := baselineLatency(group)
-	b.field.reset()
+	b.candidates.reset()
 	var best candidate
 	verdict := VerdictNoCandidate
 	var waiting waitSummary
@@ -271,7 +271,7 @@
 func (b *Balancer) score(now time.Time, r *replica, baseline float64) float64 {
 	score := (r.expectedLoad(&b.cfg, now) + 1) / float64(r.slots())
 	score += b.distancePenalty(r) + b.cfg.FailureWeight*r.failureRate
-	score += b.slownessPenalty(r, baseline) + b.cfg.MomentWeight*(r.expectedMomentPace(now)-1)
+	score += b.slownessPenalty(r, baseline) + b.cfg.CurrentPaceWeight*(r.expectedCurrentPace(now)-1)
 	return score + b.cfg.Jitter*b.random.Float64()
 }
 
--- a/coordination/dispatch/config.go
+++ b/coordination/dispatch/config.go
@@ -79,8 +79,8 @@
 	SlowWeight    float64
 	SlowThreshold float64
 	SlowCap       float64
-	// MomentWeight is added to the score for each multiple of the usual service time by which the stated one of this moment exceeds it.
-	MomentWeight float64
+	// CurrentPaceWeight is added to the score for each multiple of the usual service time by which the stated one of this moment exceeds it.
+	CurrentPaceWeight float64
 	// DefaultSenders is the number of hosts assumed to send to a replica that is cold or has a request limit, while no report has given
 	// the number.
 	DefaultSenders int
@@ -122,7 +122,7 @@
 		SlowWeight:            0.25,
 		SlowThreshold:         1.8,
 		SlowCap:               1.5,
-		MomentWeight:          0.5,
+		CurrentPaceWeight:     0.5,
 		DefaultSenders:        24,
 		ColdShare:             0.8,
 		LimitShare:            0.8,
@@ -252,8 +252,8 @@
 	Demand []float64
 	// Pace is the current service time as a multiple of the usual one; 0 means unknown.
 	Pace float64
-	// MomentPace is the service time of this moment as a multiple of the usual one, as a response states it; 0 means unknown.
-	MomentPace float64
+	// CurrentPace is the service time of this moment as a multiple of the usual one, as a response states it; 0 means unknown.
+	CurrentPace float64
 	// CacheUsed and CacheTotal are the sizes of an engine's cache in a unit of its own; 0 means unknown.
 	CacheUsed, CacheTotal int64
 	// RequestLimit is the request rate that the replica takes from all hosts together.
--- a/coordination/dispatch/explain.go
+++ b/coordination/dispatch/explain.go
@@ -91,7 +91,7 @@
 // copyOf returns a copy of the balancer with the replicas of an upstream, on which predicates may keep what they derive.
 func (b *Balancer) copyOf(upstream core.Upstream) *Balancer {
 	c := *b
-	c.random, c.field = rand.New(zeroSource{}), field{}
+	c.random, c.candidates = rand.New(zeroSource{}), candidateSet{}
 	group := make([]*replica, 0, len(b.groups[upstream]))
 	for _, r := range b.groups[upstream] {
 		copied := *r
--- a/coordination/dispatch/explain_test.go
+++ b/coordination/dispatch/explain_test.go
@@ -75,7 +75,7 @@
 		}
 		if f.chance(0.3) {
 			// A response's load header.
-			report.Models, report.MomentPace, report.Waiting = nil, 1+3*f.Float64(), 0
+			report.Models, report.CurrentPace, report.Waiting = nil, 1+3*f.Float64(), 0
 		}
 		report.RequestLimit = fleet.RequestLimit{Stated: f.chance(0.2), PerSecond: 3}
 		f.b.RecordReport(f.now, id, report)
--- a/coordination/dispatch/export_test.go
+++ b/coordination/dispatch/export_test.go
@@ -19,7 +19,7 @@
 
 // Dump returns all state of the replicas, the scratch memory and the known services and notices.
 func (b *Balancer) Dump() string {
-	text := fmt.Sprintf("%+v %d %v %v", b.field, b.senders, b.outside, b.hasForecastError)
+	text := fmt.Sprintf("%+v %d %v %v", b.candidates, b.senders, b.outside, b.hasForecastError)
 	for _, id := range slices.Sorted(maps.Keys(b.replicas)) {
 		r := b.replicas[id]
 		text += fmt.Sprintf("\n%s %+v %+v %+v %+v", id, *r, r.service, r.permits, b.notices[id])
--- a/coordination/dispatch/moment_test.go
+++ b/coordination/dispatch/pace_test.go
@@ -14,8 +14,8 @@
 func pacedPair(seed uint64) *dispatch.Balancer {
 	b := dispatch.NewBalancer(config(), rand.New(rand.NewPCG(seed, 1)))
 	b.SetView(view(member("r1", "a"), member("r2", "a")))
-	b.RecordReport(start, "r1", dispatch.Report{Slots: 4, MomentPace: 2.5})
-	b.RecordReport(start, "r2", dispatch.Report{Slots: 4, MomentPace: 1})
+	b.RecordReport(start, "r1", dispatch.Report{Slots: 4, CurrentPace: 2.5})
+	b.RecordReport(start, "r2", dispatch.Report{Slots: 4, CurrentPace: 1})
 	return b
 }
 
@@ -41,8 +41,8 @@
 		require.True(t, state.OutUntil.IsZero())
 	}
 	// A full replica is not better than a slow one.
-	b.RecordReport(start.Add(time.Second), "r1", dispatch.Report{Slots: 4, MomentPace: 2.5})
-	b.RecordReport(start.Add(time.Second), "r2", dispatch.Report{Slots: 4, Running: 4, Waiting: 1, MomentPace: 1})
+	b.RecordReport(start.Add(time.Second), "r1", dispatch.Report{Slots: 4, CurrentPace: 2.5})
+	b.RecordReport(start.Add(time.Second), "r2", dispatch.Report{Slots: 4, Running: 4, Waiting: 1, CurrentPace: 1})
 	choice, _ := b.Pick(start.Add(time.Second), request())
 	require.EqualValues(t, "r1", choice.ID)
 }
--- a/coordination/dispatch/probability.go
+++ b/coordination/dispatch/probability.go
@@ -123,7 +123,7 @@
 	shares := make([]float64, len(list))
 	level, total, best := commonLevel(list), 0.0, 0
 	for i := range list {
-		shares[i] = list[i].lack(level)
+		shares[i] = list[i].deficit(level)
 		total += shares[i]
 		if list[i].score < list[best].score {
 			best = i
--- a/coordination/dispatch/replica.go
+++ b/coordination/dispatch/replica.go
@@ -48,9 +48,9 @@
 	// excludedUntil is the end of the current ejection or shed backoff.
 	excludedUntil time.Time
 	addressMoved  bool
-	// momentPace is the last stated MomentPace, which arrived at momentPaceAt.
-	momentPace   float64
-	momentPaceAt time.Time
+	// currentPace is the last stated CurrentPace, which arrived at currentPaceAt.
+	currentPace   float64
+	currentPaceAt time.Time
 	// permits holds the permits to send to the replica while it is cold or has a request limit, nil otherwise.
 	permits *permits
 }
@@ -167,7 +167,7 @@
 		r.failureRate *= 1 - failureGain
 		if latency > 0 {
 			// What a stated pace explains counts in the score while it lasts.
-			r.avgLatency = movingAverage(r.avgLatency, latency.Seconds()/r.expectedMomentPace(now))
+			r.avgLatency = movingAverage(r.avgLatency, latency.Seconds()/r.expectedCurrentPace(now))
 		}
 	case OutcomeFailed:
 		r.consecutiveBroken = 0
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -46,7 +46,7 @@
 // recordHeader learns from a load header whether full replicas queue requests.
 func (s *service) recordHeader(report *Report) {
 	s.queues = s.queues || report.Waiting > 0
-	s.refuses = s.refuses || report.MomentPace > 0
+	s.refuses = s.refuses || report.CurrentPace > 0
 	s.usualRunning += usualRunningGain * (float64(report.Running) - s.usualRunning)
 }
 
@@ -56,7 +56,7 @@
 	case outcome == OutcomeShed && r.hasFreshReport(cfg, now) && r.report.Waiting == 0 && r.report.Running >= r.slots():
 		s.refuses = true
 	case outcome == OutcomeServed && latency > 0:
-		usual := time.Duration(float64(latency) / r.expectedMomentPace(now))
+		usual := time.Duration(float64(latency) / r.expectedCurrentPace(now))
 		if s.usualTime == 0 {
 			s.usualTime = usual
 			return
@@ -101,7 +101,7 @@
 		running := float64(r.report.Running)
 		if usual := r.service.usualTime; usual > 0 {
 			age := now.Sub(r.reportedAt)
-			running -= running * float64(age) / (float64(usual) * r.expectedMomentPace(now))
+			running -= running * float64(age) / (float64(usual) * r.expectedCurrentPace(now))
 		}
 		occupied = max(occupied, max(running, 0)+float64(r.unreportedSends(cfg, now)))
 	}
@@ -113,7 +113,7 @@
 	if r.service == nil {
 		return 0
 	}
-	return time.Duration(float64(r.service.usualTime) * r.expectedMomentPace(now))
+	return time.Duration(float64(r.service.usualTime) * r.expectedCurrentPace(now))
 }
 
 // endsInTime reports whether a request that may run only once is expected to end before its deadline. Only a pace of the moment can
--- a/coordination/dispatch/service_test.go
+++ b/coordination/dispatch/service_test.go
@@ -57,13 +57,13 @@
 func TestFullReplicaGetsNothingUntilASlotIsExpected(t *testing.T) {
 	b := newBookingsPair()
 	only := dispatch.Request{Upstream: "bookings", Only: "r1"}
-	b.RecordReport(start, "r1", dispatch.Report{Running: 5, Slots: 6, MomentPace: 1})
+	b.RecordReport(start, "r1", dispatch.Report{Running: 5, Slots: 6, CurrentPace: 1})
 	choice, verdict := b.Pick(start, only)
 	require.Equal(t, dispatch.VerdictChosen, verdict)
 	_, verdict = b.Pick(start.Add(2*time.Millisecond), only)
 	require.Equal(t, dispatch.VerdictFull, verdict, "the request sent since has the last slot")
 
-	b.RecordReport(start.Add(20*time.Millisecond), "r1", dispatch.Report{Running: 6, Slots: 6, MomentPace: 1})
+	b.RecordReport(start.Add(20*time.Millisecond), "r1", dispatch.Report{Running: 6, Slots: 6, CurrentPace: 1})
 	b.Done(start.Add(20*time.Millisecond), choice, dispatch.OutcomeShed, 0)
 	_, verdict = b.Pick(start.Add(30*time.Millisecond), only)
 	require.Equal(t, dispatch.VerdictFull, verdict)
@@ -76,7 +76,7 @@
 func TestReplicaThatRefusesWithFreeSlotsGetsNothingForAMoment(t *testing.T) {
 	b := newBookingsPair()
 	only := dispatch.Request{Upstream: "bookings", Only: "r1"}
-	b.RecordReport(start, "r1", dispatch.Report{Running: 1, Slots: 6, MomentPace: 1})
+	b.RecordReport(start, "r1", dispatch.Report{Running: 1, Slots: 6, CurrentPace: 1})
 	choice, _ := b.Pick(start, only)
 	b.Done(start.Add(2*time.Millisecond), choice, dispatch.OutcomeShed, 0)
 	_, verdict := b.Pick(start.Add(3*time.Millisecond), only)
@@ -88,8 +88,8 @@
 // TestReplicaThatQueuesIsNotTakenForFull guards against requests that are held back from a service that queues them.
 func TestReplicaThatQueuesIsNotTakenForFull(t *testing.T) {
 	b := newBookingsPair()
-	b.RecordReport(start, "r2", dispatch.Report{Running: 6, Waiting: 1, Slots: 6, MomentPace: 1})
-	b.RecordReport(start, "r1", dispatch.Report{Running: 6, Slots: 6, MomentPace: 1})
+	b.RecordReport(start, "r2", dispatch.Report{Running: 6, Waiting: 1, Slots: 6, CurrentPace: 1})
+	b.RecordReport(start, "r1", dispatch.Report{Running: 6, Slots: 6, CurrentPace: 1})
 	_, verdict := b.Pick(start, dispatch.Request{Upstream: "bookings", Only: "r1"})
 	require.Equal(t, dispatch.VerdictChosen, verdict, "as without the header's further figures")
 }
@@ -97,8 +97,8 @@
 // TestRequestThatMayRunOnceGoesWhereItIsInTime guards against an unsafe request at a replica that is slow at this moment.
 func TestRequestThatMayRunOnceGoesWhereItIsInTime(t *testing.T) {
 	b := newBookingsPair()
-	b.RecordReport(start, "r1", dispatch.Report{Slots: 6, MomentPace: 2.1})
-	b.RecordReport(start, "r2", dispatch.Report{Running: 5, Slots: 6, MomentPace: 1})
+	b.RecordReport(start, "r1", dispatch.Report{Slots: 6, CurrentPace: 2.1})
+	b.RecordReport(start, "r2", dispatch.Report{Running: 5, Slots: 6, CurrentPace: 1})
 	request := dispatch.Request{Upstream: "bookings", Once: true, ObjectiveLeft: 200 * time.Millisecond, DeadlineLeft: time.Second}
 	choice, _ := b.Pick(start, request)
 	require.EqualValues(t, "r2", choice.ID)
--- a/coordination/dispatch/spread.go
+++ b/coordination/dispatch/spread.go
@@ -8,23 +8,25 @@
 // maxLevelRounds bounds the rounds in which the level is found; each leaves out at least one candidate.
 const maxLevelRounds = 8
 
-// field holds the engines that can take a request, of which one is drawn. All hosts act on the same reports, some hundred ms old: if each
-// chose the best replica, all would choose the same one.
-type field struct {
+// candidateSet holds the engines that can take a request, of which one is drawn. All hosts act on the same reports, some hundred ms old:
+// if each chose the best replica, all would choose the same one.
+type candidateSet struct {
 	home, distant []candidate
 	// unrated holds the replicas in other regions. They are rated only if a request may leave its region.
 	unrated []*replica
 }
 
-func (f *field) reset() { f.home, f.distant, f.unrated = f.home[:0], f.distant[:0], f.unrated[:0] }
+func (f *candidateSet) reset() {
+	f.home, f.distant, f.unrated = f.home[:0], f.distant[:0], f.unrated[:0]
+}
 
 // addModelled adds an engine with published figures that has capacity.
 func (b *Balancer) addModelled(now time.Time, request *Request, r *replica, waiting *waitSummary) {
 	if !b.inOwnRegion(r) {
-		b.field.unrated = append(b.field.unrated, r)
+		b.candidates.unrated = append(b.candidates.unrated, r)
 		return
 	}
-	b.field.home = b.rate(b.field.home, now, request, r, waiting)
+	b.candidates.home = b.rate(b.candidates.home, now, request, r, waiting)
 }
 
 func (b *Balancer) inOwnRegion(r *replica) bool {
@@ -44,7 +46,7 @@
 // chooseModelled returns an engine of this region, unless one in another region is less likely to miss the objective by regionMargin. It
 // returns nil if there is none.
 func (b *Balancer) chooseModelled(now time.Time, request *Request, waiting *waitSummary) *candidate {
-	f := &b.field
+	f := &b.candidates
 	home := draw(f.home, b.random)
 	if home != nil && home.miss < regionMargin {
 		return home
@@ -75,22 +77,22 @@
 	total := 0.0
 	best := 0
 	for i := range list {
-		total += list[i].lack(level)
+		total += list[i].deficit(level)
 		if list[i].score < list[best].score {
 			best = i
 		}
 	}
 	drawn := random.Float64() * total
 	for i := range list {
-		if drawn -= list[i].lack(level); drawn < 0 {
+		if drawn -= list[i].deficit(level); drawn < 0 {
 			return &list[i]
 		}
 	}
 	return &list[best]
 }
 
-// lack returns the number of requests that raise the replica's score to a level.
-func (c *candidate) lack(level float64) float64 { return max(level-c.score, 0) * c.capacity() }
+// deficit returns the number of requests that raise the replica's score to a level.
+func (c *candidate) deficit(level float64) float64 { return max(level-c.score, 0) * c.capacity() }
 
 // capacity returns the number of requests by which the replica's score rises by one.
 func (c *candidate) capacity() float64 { return float64(c.replica.slots()) / c.pace }
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -153,8 +153,8 @@
 
 // expectedPace returns the pace of an engine, 0 if unknown. One that a response has stated is newer than that of a report.
 func (r *replica) expectedPace(now time.Time) float64 {
-	if moment := r.expectedMomentPace(now); moment != 1 {
-		return moment
+	if current := r.expectedCurrentPace(now); current != 1 {
+		return current
 	}
 	return r.report.Pace
 }
--- a/internal/fleetsim/bookings.go
+++ b/internal/fleetsim/bookings.go
@@ -130,7 +130,7 @@
 
 // respond delivers the header and the end of a response.
 func (f *Bookings) respond(host int, choice dispatch.Choice, replica int, outcome dispatch.Outcome, sentAt time.Time) {
-	report := dispatch.Report{Running: f.running[replica], Slots: BookingSlots, MomentPace: f.pace(replica)}
+	report := dispatch.Report{Running: f.running[replica], Slots: BookingSlots, CurrentPace: f.pace(replica)}
 	f.queue.After(2*time.Millisecond, func() {
 		f.ownCounts[host][replica]--
 		if f.rule == ByHeader {
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -1,13 +1,16 @@
+// Package replay has model engines for tests that replay a load in virtual time and without a network.
 package replay
 
 import (
 	"slices"
 	"time"
+
+	"github.com/guavatrestle/guavatrestle/internal/virtualtime"
 )
 
 // Engine is a model engine with slots and a queue that is ordered by priority.
 type Engine struct {
-	Clock *Clock
+	Clock *virtualtime.Queue
 	Slots int
 	// MaxQueue bounds the queue. Requests beyond it are refused.
 	MaxQueue int
--- a/transport/ingress/contention_sim_test.go
+++ b/transport/ingress/contention_sim_test.go
@@ -12,6 +12,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/waiting"
 	"github.com/guavatrestle/guavatrestle/coordination/workload"
 	"github.com/guavatrestle/guavatrestle/internal/replay"
+	"github.com/guavatrestle/guavatrestle/internal/virtualtime"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
@@ -57,7 +58,7 @@
 	random *rand.Rand
 	// arrivals draws the callers, which are the same with all decisions.
 	arrivals *rand.Rand
-	clock    *replay.Clock
+	clock    *virtualtime.Queue
 	began    time.Time
 	routers  []*Router
 	replicas map[fleet.ReplicaID]*simReplica
@@ -71,7 +72,7 @@
 	s.random = rand.New(rand.NewPCG(seed, 7))
 	s.arrivals = rand.New(rand.NewPCG(seed, 8))
 	s.began = time.Unix(1000, 0)
-	s.clock = replay.NewClock(s.began)
+	s.clock = virtualtime.NewQueue(s.began)
 	s.kinds, s.large = make([]simStats, len(simKinds)), make([]simStats, len(simKinds))
 	view := s.view()
 	for range simEntries {
@@ -88,7 +89,7 @@
 	for i := range simKinds {
 		s.nextArrival(i)
 	}
-	s.clock.RunUntil(s.began.Add(s.length + 2*simDeadline))
+	s.clock.Run(s.began.Add(s.length + 2*simDeadline))
 }
 
 func (s *simulation) view() *fleet.View {
--- a/transport/ingress/load_header.go
+++ b/transport/ingress/load_header.go
@@ -33,7 +33,7 @@
 	}
 	report := dispatch.Report{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
 	if len(parts) > requiredLoadFigures {
-		report.MomentPace = parseSpeed(parts[requiredLoadFigures])
+		report.CurrentPace = parseSpeed(parts[requiredLoadFigures])
 	}
 	return report, true
 }
--- a/transport/ingress/load_header_test.go
+++ b/transport/ingress/load_header_test.go
@@ -17,7 +17,7 @@
 	} {
 		report, ok := parseLoad(value)
 		require.True(t, ok, value)
-		require.Equal(t, dispatch.Report{Running: 1, Waiting: 2, Slots: 6, MomentPace: pace}, report, value)
+		require.Equal(t, dispatch.Report{Running: 1, Waiting: 2, Slots: 6, CurrentPace: pace}, report, value)
 	}
 	for _, value := range []string{"", "1,2", "1,x,6,100", "-1,2,6,100"} {
 		_, ok := parseLoad(value)
--- a/transport/ingress/once_test.go
+++ b/transport/ingress/once_test.go
@@ -26,8 +26,8 @@
 	}
 	require.Equal(t, "ok", h.call(http.MethodPost, "/unsafe/", "", nil).body)
 	for path, id := range map[string]fleet.ReplicaID{"/unsafe/": "r2", "/safe/": "r1"} {
-		h.router.RecordLoad("r1", dispatch.Report{Slots: 8, MomentPace: 1.7})
-		h.router.RecordLoad("r2", dispatch.Report{Running: 5, Slots: 8, MomentPace: 1})
+		h.router.RecordLoad("r1", dispatch.Report{Slots: 8, CurrentPace: 1.7})
+		h.router.RecordLoad("r2", dispatch.Report{Running: 5, Slots: 8, CurrentPace: 1})
 		require.Equal(t, "ok", h.call(http.MethodPost, path, "", nil).body)
 		requests := h.received()
 		require.Equal(t, id, requests[len(requests)-1].replica, path)
--- a/transport/ingress/placement.go
+++ b/transport/ingress/placement.go
@@ -208,7 +208,7 @@
 	var wait *api.PlacementWait
 	if r.ranked[request.Upstream] != nil {
 		queue := waiting.NewQueue(r.cfg.Waiting)
-		if l := r.lines[request.Upstream]; l != nil {
+		if l := r.queues[request.Upstream]; l != nil {
 			queue = l.queue
 		}
 		preview := queue.Preview(now, work)
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -26,7 +26,7 @@
 	configuration *fleet.Configuration
 	// ranked has the upstreams whose routes have different priorities, with these, lines their waiting requests.
 	ranked map[core.Upstream][]int
-	lines  map[core.Upstream]*line
+	queues map[core.Upstream]*waitQueue
 	// lastWaiter is the last ID of a waiting request. IDs are unique over all lines, since a request may outlast its line.
 	lastWaiter waiting.ID
 	// startTimes holds the usual time to the response or first event by route.
@@ -45,7 +45,7 @@
 		balancer:   dispatch.NewBalancer(cfg.Dispatch, random),
 		budgets:    make(map[core.Upstream]*retry.Budget),
 		demand:     make(map[core.Upstream]*demand),
-		lines:      make(map[core.Upstream]*line),
+		queues:     make(map[core.Upstream]*waitQueue),
 		startTimes: make(map[string]*startTime),
 
 		retryBurst: cfg.Retry.BudgetBurst,
@@ -70,7 +70,7 @@
 	}
 	r.configuration = view.Configuration
 	r.ranked = view.Configuration.RankedUpstreams()
-	r.resetLines()
+	r.resetQueues()
 }
 
 // SetOutside sets the replicas from which this host requests no load reports.
--- a/transport/ingress/wait.go
+++ b/transport/ingress/wait.go
@@ -78,7 +78,7 @@
 		if err != nil {
 			return dispatch.Choice{}, err
 		}
-		result, err := c.waitInLine(ctx, c.newWaiter(since, decision), decision)
+		result, err := c.waitInQueue(ctx, c.newWaiter(since, decision), decision)
 		switch {
 		case err != nil:
 			return dispatch.Choice{}, err
@@ -186,9 +186,9 @@
 	return request
 }
 
-// waitInLine queues the request and returns the end of its wait. It must be queued again if the quarantine restricts it to another replica
+// waitInQueue queues the request and returns the end of its wait. It must be queued again if the quarantine restricts it to another replica
 // than decision, or no longer.
-func (c *call) waitInLine(ctx context.Context, w *waiter, decision quarantine.Decision) (waitResult, *transport.Error) {
+func (c *call) waitInQueue(ctx context.Context, w *waiter, decision quarantine.Decision) (waitResult, *transport.Error) {
 	results := make(chan waitResult, 1)
 	w.deliver = func(result waitResult) { results <- result }
 	first := !c.waited
--- a/transport/ingress/line.go
+++ b/transport/ingress/wait_queue.go
@@ -25,8 +25,8 @@
 	lineCheckInterval = 10 * time.Millisecond
 )
 
-// line holds the waiting requests of an upstream whose routes have different priorities.
-type line struct {
+// waitQueue holds the waiting requests of an upstream whose routes have different priorities.
+type waitQueue struct {
 	queue   *waiting.Queue
 	waiters map[waiting.ID]*waiter
 	// checkedAt is the time at which all requests were checked last.
@@ -111,11 +111,11 @@
 	return r.ranked[upstream] != nil
 }
 
-func (r *Router) lineOf(upstream core.Upstream) *line {
-	l := r.lines[upstream]
+func (r *Router) queueOf(upstream core.Upstream) *waitQueue {
+	l := r.queues[upstream]
 	if l == nil {
-		l = &line{queue: waiting.NewQueue(r.cfg.Waiting), waiters: make(map[waiting.ID]*waiter)}
-		r.lines[upstream] = l
+		l = &waitQueue{queue: waiting.NewQueue(r.cfg.Waiting), waiters: make(map[waiting.ID]*waiter)}
+		r.queues[upstream] = l
 	}
 	return l
 }
@@ -124,7 +124,7 @@
 func (r *Router) await(w *waiter, first bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, l := r.now(), r.lineOf(w.request.Upstream)
+	now, l := r.now(), r.queueOf(w.request.Upstream)
 	r.lastWaiter++
 	w.id, w.item.ID = r.lastWaiter, r.lastWaiter
 	if first {
@@ -145,7 +145,7 @@
 func (r *Router) leave(w *waiter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.lineOf(w.request.Upstream)
+	l := r.queueOf(w.request.Upstream)
 	delete(l.waiters, w.id)
 	l.queue.Remove(w.id)
 }
@@ -155,7 +155,7 @@
 func (r *Router) check(w *waiter, minVersion, nextMinVersion int64) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, l := r.now(), r.lineOf(w.request.Upstream)
+	now, l := r.now(), r.queueOf(w.request.Upstream)
 	w.request.MinVersion, w.request.NextMinVersion = minVersion, nextMinVersion
 	if l.mustCheck(w, now) {
 		l.checkedAt = now
@@ -174,7 +174,7 @@
 
 // mustCheck reports whether the requests of the line must be checked when the timer of w fires: some time after the last check, or if
 // since then the time up to which w may wait, or that from which a replica takes requests, has come.
-func (l *line) mustCheck(w *waiter, now time.Time) bool {
+func (l *waitQueue) mustCheck(w *waiter, now time.Time) bool {
 	if now.Sub(l.checkedAt) >= lineCheckInterval || w.heldUntil.After(l.checkedAt) && !w.heldUntil.After(now) {
 		return true
 	}
@@ -184,29 +184,29 @@
 
 // startWaiting starts the waiting requests for which there is a replica now; the caller must hold the lock.
 func (r *Router) startWaiting() {
-	for _, l := range r.lines {
+	for _, l := range r.queues {
 		if l.queue.Len() > 0 {
 			r.advance(l)
 		}
 	}
 }
 
-// resetLines makes all waiting requests be checked against the new configuration; the caller must hold the lock.
-func (r *Router) resetLines() {
-	for upstream, l := range r.lines {
+// resetQueues makes all waiting requests be checked against the new configuration; the caller must hold the lock.
+func (r *Router) resetQueues() {
+	for upstream, l := range r.queues {
 		for id, w := range l.waiters {
 			delete(l.waiters, id)
 			l.queue.Remove(id)
 			w.deliver(waitResult{recheck: true})
 		}
 		if r.ranked[upstream] == nil {
-			delete(r.lines, upstream)
+			delete(r.queues, upstream)
 		}
 	}
 }
 
 // advance chooses replicas for the waiting requests in their order; the caller must hold the lock.
-func (r *Router) advance(l *line) {
+func (r *Router) advance(l *waitQueue) {
 	now := r.now()
 	var full []*waiter
 	for _, next := range l.queue.Order(now) {
@@ -250,7 +250,7 @@
 
 // review refuses the requests that may not wait any longer, and w if no replica takes one of this host within its time; the caller must
 // hold the lock.
-func (r *Router) review(l *line, w *waiter) {
+func (r *Router) review(l *waitQueue, w *waiter) {
 	now := r.now()
 	for _, refusal := range l.queue.Review(now) {
 		r.refuse(l, refusal)
@@ -264,7 +264,7 @@
 }
 
 // refuse ends the wait of a request that was removed from the queue; the caller must hold the lock.
-func (r *Router) refuse(l *line, refusal waiting.Refusal) {
+func (r *Router) refuse(l *waitQueue, refusal waiting.Refusal) {
 	now, w := r.now(), l.waiters[refusal.ID]
 	delete(l.waiters, refusal.ID)
 	w.deliver(waitResult{
--- a/transport/ingress/wait_test.go
+++ b/transport/ingress/wait_test.go
@@ -281,7 +281,7 @@
 	require.NotNil(t, err)
 	f.router.done(first.choice, dispatch.OutcomeServed, time.Millisecond)
 	require.Zero(t, f.router.State()[0].InFlight)
-	require.Zero(t, f.router.lineOf(simUpstream).queue.Len())
+	require.Zero(t, f.router.queueOf(simUpstream).queue.Len())
 }
 
 // TestRequestIsNotRestrictedToATrialThatEnded guards against a request that waits for the replica of a trial although its prompt has been
@@ -294,10 +294,10 @@
 	require.EqualValues(t, "r1", w.request.Only)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	result, err := c.waitInLine(ctx, w, trial)
+	result, err := c.waitInQueue(ctx, w, trial)
 	require.Nil(t, err)
 	require.True(t, result.recheck, "the prompt has no part in quarantine now")
-	require.Zero(t, f.router.lineOf(simUpstream).queue.Len())
+	require.Zero(t, f.router.queueOf(simUpstream).queue.Len())
 	f.router.done(first.choice, dispatch.OutcomeServed, time.Millisecond)
 	require.Zero(t, f.router.State()[0].InFlight)
 }
@@ -371,7 +371,7 @@
 func TestTimersShareTheChecksOfALine(t *testing.T) {
 	now := time.Unix(1000, 0)
 	router, waiters := waitingRouter(&now)
-	l, checks := router.lineOf(simUpstream), 0
+	l, checks := router.queueOf(simUpstream), 0
 	for _, w := range waiters {
 		now = now.Add(waitCheckInterval / time.Duration(len(waiters)))
 		router.check(w, 0, 0)
