--- a/coordination/dispatch/balancer.go
+++ b/coordination/dispatch/balancer.go
@@ -113,8 +113,7 @@
 		inside := request
 		inside.inside = true
 		choice, verdict := b.Pick(now, inside)
-		noneTakesIt := verdict == VerdictFull || verdict == VerdictHeldOff
-		if verdict != VerdictNoCandidate && !(noneTakesIt && b.spills(now, &inside)) {
+		if verdict != VerdictNoCandidate && !(verdict.allowsSpill() && b.spills(now, &inside)) {
 			return choice, verdict
 		}
 	}
--- a/coordination/dispatch/explain.go
+++ b/coordination/dispatch/explain.go
@@ -73,7 +73,7 @@
 	first := b.copyOf(request.Upstream).explain(now, &inside)
 	spills := b.copyOf(request.Upstream).spills(now, &inside)
 	switch {
-	case first.Verdict == VerdictNoCandidate, first.Certain && first.Verdict == VerdictFull && spills:
+	case first.Verdict == VerdictNoCandidate, first.Certain && first.Verdict.allowsSpill() && spills:
 		return b.copyOf(request.Upstream).explain(now, &request)
 	case !first.Certain && spills:
 		// Without permits the replicas outside may be used.
--- a/coordination/dispatch/outside.go
+++ b/coordination/dispatch/outside.go
@@ -17,6 +17,9 @@
 	b.outside = outside
 }
 
+// allowsSpill reports whether a request for which this is the verdict of the replicas with reports may be sent to one without.
+func (v Verdict) allowsSpill() bool { return v == VerdictFull || v == VerdictHeldOff }
+
 // spills reports whether a request that no replica with reports takes may be sent to one without. Those replicas may be full, too, and
 // other hosts do the same: each host has so few requests at them that all hosts together have about one at each. While a replica with
 // reports has a free slot of which this host has used its share, the next report shows whether it is still free.
