Release loaded pieces when the next version is fetched

Change: when a version is fetched for staging, older ones that the worker has loaded are released, unless an order for one is unanswered.

--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -70,6 +70,9 @@
 		return err
 	}
 	a.setFetching(t, memoryOnly)
+	if !memoryOnly {
+		a.releaseLoaded(t)
+	}
 	a.pieces.open(t, manifest, a.inUse)
 	ctx, cancel := context.WithCancel(ctx)
 	cfg := a.Config.Transfer
--- a/transport/staging/pieces_test.go
+++ b/transport/staging/pieces_test.go
@@ -69,3 +69,25 @@
 	require.False(t, a.pieces.isComplete(older))
 	require.True(t, a.pieces.isComplete(newer))
 }
+
+// TestLoadedPiecesAreReleasedForTheNextVersion guards against the memory of two versions while a single one is wanted at a time, and against
+// the release of one that the worker has not loaded or may be ordered to load again.
+func TestLoadedPiecesAreReleasedForTheNextVersion(t *testing.T) {
+	older, newer := target{model: "m", version: 2}, target{model: "m", version: 3}
+	manifest := worker.Manifest{Digests: []worker.Digest{"2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"}}
+	for name, test := range map[string]struct {
+		loaded     int64
+		unanswered target
+		kept       bool
+	}{
+		"loaded": {loaded: 2}, "not loaded": {loaded: 1, kept: true}, "order not answered": {loaded: 2, unanswered: older, kept: true},
+	} {
+		a := &Agent{pieces: newPieceCache(), staged: map[core.Model]int64{"m": 2}, unanswered: loadOrder{target: test.unanswered}}
+		a.Now = time.Now
+		a.report.Models = []fleet.LoadedModel{{Model: "m", Version: test.loaded}}
+		a.pieces.open(older, manifest, a.inUse)
+		require.True(t, a.pieces.put(older, 0, []byte("foo")))
+		a.releaseLoaded(newer)
+		require.Equal(t, test.kept, a.pieces.isComplete(older), name)
+	}
+}
--- a/transport/staging/step.go
+++ b/transport/staging/step.go
@@ -89,6 +89,17 @@
 	}
 }
 
+// releaseLoaded releases the pieces of versions older than next that the worker has loaded. Hosts that fetch now want next or a newer one,
+// so an agent needs the memory of two versions only while it lacks both.
+func (a *Agent) releaseLoaded(next target) {
+	a.pieces.removeBefore(next, func(older target) bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		pending := a.unanswered.target == older || a.ahead == older || a.fetching == older || a.executingOrder()
+		return pending || !slices.ContainsFunc(a.report.Models, older.isLoaded)
+	})
+}
+
 func (a *Agent) rolloutState(view *fleet.View, wanted fleet.Wanted, t target, spec *fleet.EngineSpec) (rollout.State, worker.Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
