Fetch pieces from the origin without the throttle of the host's link

Version 2 was incomplete when the origin failed, so all replicas loaded it at 27.0 s, after its bound; untouched code loads it from 22.6 s on. Change: only fetches from peers take slots of the throttle.

--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -225,16 +225,17 @@
 	})
 }
 
+// requestPiece requests a piece from its source. Fetches from the origin are not throttled: they share its link with those of other hosts,
+// and while they waited for slots that fetches from peers had, a third of that link was unused.
 func (r *versionFetch) requestPiece(ctx context.Context, fetch transfer.Fetch) ([]byte, transfer.Bitmap, error) {
-	if err := r.throttle.acquire(ctx); err != nil {
-		return nil, nil, err
-	}
-	started := r.Now()
-	// The duration of a fetch from the origin depends on how many hosts share its link, not on the link of this host.
-	defer func() { r.throttle.release(r.Now().Sub(started), r.pieceTimeAlone(), !fetch.Source.IsOrigin()) }()
 	ctx, cancel := context.WithTimeout(ctx, r.Config.Transfer.ChunkTimeout)
 	defer cancel()
 	if !fetch.Source.IsOrigin() {
+		if err := r.throttle.acquire(ctx); err != nil {
+			return nil, nil, err
+		}
+		started := r.Now()
+		defer func() { r.throttle.release(r.Now().Sub(started), r.pieceTimeAlone()) }()
 		return r.peers.fetchPiece(ctx, r.peerAddress(string(fetch.Source.Peer)), r.target, fetch, r.pieces.held(r.target), r.maxPieceBytes())
 	}
 	origin, ok := r.origin()
--- a/transport/staging/throttle.go
+++ b/transport/staging/throttle.go
@@ -47,15 +47,12 @@
 	return nil, true
 }
 
-// release frees a slot. It records the duration of the fetch if that depends on the link of this host; alone is that of a fetch which has
-// the whole link.
-func (t *throttle) release(duration, alone time.Duration, record bool) {
+// release frees a slot and records the duration of the fetch; alone is that of a fetch which has the whole link of this host.
+func (t *throttle) release(duration, alone time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.active--
-	if record {
-		t.limiter.RecordDuration(duration, alone)
-	}
+	t.limiter.RecordDuration(duration, alone)
 	close(t.freed)
 	t.freed = make(chan struct{})
 }
