--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -57,9 +57,14 @@
 // faults overlap.
 func TestGuaranteesHoldWhileFaultsOverlap(t *testing.T) {
 	t.Parallel()
-	cfg := DefaultConfig()
-	cfg.Seed = 605 // a load order that was carried out late loaded pieces of the next version
-	run(t, cfg)
+	for _, seed := range []uint64{
+		1,   // failed once, not traced, KNOWN-RED.txt: soak-1-load
+		605, // a load order that was carried out late loaded pieces of the next version
+	} {
+		cfg := DefaultConfig()
+		cfg.Seed = seed
+		run(t, cfg)
+	}
 }
 
 // TestCrashingPromptsAreKeptFromWorkers guards against prompts on which workers crash that are sent to one worker after the other by
