Reject responses whose status is below 100

What callers saw: a replica that sent a head with status 000 and another response behind it had the second one passed on as its answer; with 000 alone on an open connection the request waited until its deadline.

Cause: http.ReadResponse accepts every number of three characters that is not negative (000 to 099, +20, -00), and the pool skipped each status below 200 as an informational response. So the bytes behind the malformed head were read as the next head.

Change: httphead.Check rejects a status that is not 100 to 999; the pool calls it for each head that it reads, informational ones too. The connection is closed and the attempt counts as broken, as with a head that can't be parsed, so that repeatable requests go elsewhere and others get 502.

Ruled out: statuses of other lengths, with letters, signs or other digits are rejected by net/http already; the tests keep them. 200 to 999 are passed on unchanged.

--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 )
 
 // maxStaleResponses bounds the late responses to earlier requests that exchange skips.
@@ -145,7 +147,7 @@
 	return err
 }
 
-// readHead reads a response head and skips informational responses.
+// readHead reads a response head and skips informational responses. It rejects malformed ones.
 func (c *conn) readHead(httpRequest *http.Request) (*http.Response, error) {
 	c.input.left = maxHeadBytes
 	defer func() { c.input.left = unlimitedInput }()
@@ -154,6 +156,9 @@
 		if err != nil && c.input.left == 0 {
 			return nil, errHeadTooLarge
 		}
+		if err == nil {
+			err = httphead.Check(response)
+		}
 		if err != nil {
 			return nil, err
 		}
