Reject responses with blanks in the names of header fields

What callers saw: a response with "X Trouble: 1", or a blank before a colon, was passed on without that line. With "Content-Length : 5" the body ended with the connection, with "Transfer-Encoding : chunked" the caller got the chunk sizes as part of the body.

Cause: net/http keeps a name with blanks as it is (golang.org/issue/34540), so that the line frames nothing, and its server leaves such lines out. Blanks in the names of informational heads had no effect but were accepted.

Change: httphead.CheckFields requires that each name is a token; Check calls it. Nothing of such a head is used: load, limit, leaving, Retry-After, refusal.

All bytes of a token are passed on.

--- a/transport/httphead/httphead.go
+++ b/transport/httphead/httphead.go
@@ -1,9 +1,12 @@
-// Package httphead rejects HTTP responses whose head is malformed. net/http accepts statuses below 100.
+// Package httphead rejects HTTP responses whose head or trailers are malformed. net/http accepts some of them: a status below 100 and
+// blanks in the names of fields.
 package httphead
 
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -26,5 +29,16 @@
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return errorf("status line %q has no status of three digits from 100", response.Status)
 	}
+	return CheckFields(response.Header)
+}
+
+// CheckFields returns an *Error if the name of a header or trailer field is not a token of RFC 9110. A field without values is a declared
+// trailer that was not sent.
+func CheckFields(fields map[string][]string) error {
+	for name, values := range fields {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return errorf("field name %q is not a token", name)
+		}
+	}
 	return nil
 }
--- a/transport/ingress/malformed_test.go
+++ b/transport/ingress/malformed_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/guavatrestle/guavatrestle/protocol/headers"
 )
 
 // malformations change a sound response to the request id-1 into a malformed one.
@@ -16,6 +18,13 @@
 	"status 099":            func(s string) string { return strings.Replace(s, "HTTP/1.1 200 ", "HTTP/1.1 099 ", 1) },
 	"status 000, then this": func(s string) string { return "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n" + s },
 	"status 2x0":            func(s string) string { return strings.Replace(s, "HTTP/1.1 200 ", "HTTP/1.1 2x0 ", 1) },
+	"blank in name":         func(s string) string { return strings.Replace(s, "\r\n", "\r\nX Trouble: 1\r\n", 1) },
+	"blank after name":      func(s string) string { return strings.Replace(s, "\r\n", "\r\nX-Trouble : 1\r\n", 1) },
+	"control byte in name":  func(s string) string { return strings.Replace(s, "\r\n", "\r\nX\x01Trouble: 1\r\n", 1) },
+	"blank after length":    func(s string) string { return strings.Replace(s, "Content-Length:", "Content-Length :", 1) },
+	"two lengths":           func(s string) string { return strings.Replace(s, "\r\n", "\r\nContent-Length : 2\r\n", 1) },
+	"chunks and length":     func(s string) string { return strings.Replace(s, "\r\n", "\r\nTransfer-Encoding : chunked\r\n", 1) },
+	"informational head":    func(s string) string { return "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\n" + s },
 }
 
 // wrongAnswer is a response whose body no caller may get.
@@ -73,6 +82,42 @@
 	}
 }
 
+// TestNothingInAMalformedHeadIsBelieved guards against a replica that gets no requests because of what a malformed head says. Each head is
+// tried without the malformed line too, where it must keep the next request away.
+func TestNothingInAMalformedHeadIsBelieved(t *testing.T) {
+	for name, head := range map[string]string{
+		"leaving":     responseHead(names.Leaving+": "+headers.LeavingValue, "Content-Length: 0"),
+		"limit":       responseHead(names.RequestLimit+": 0.01", "Content-Length: 0"),
+		"retry later": strings.Replace(responseHead(names.NotRun+": 1", "Retry-After: 100", "Content-Length: 0"), "200 OK", "503 Full", 1),
+	} {
+		for _, malformed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/malformed %v", name, malformed), func(t *testing.T) {
+				h := newHarness(t, unsafeRoute())
+				text := head
+				if malformed {
+					text = malformations["blank after name"](head)
+				}
+				var requests atomic.Int64
+				h.startReplica("r1", "orders", func(w http.ResponseWriter, r *http.Request) {
+					if requests.Add(1) == 1 {
+						respondRaw(text)(w, r)
+						return
+					}
+					respondStamped("right")(w, r)
+				})
+				first := h.call(http.MethodPost, "/unsafe/", "x", nil).status
+				second := h.call(http.MethodPost, "/unsafe/", "x", func(header http.Header) { header.Set(names.Deadline, "300") }).status
+				if !malformed {
+					require.NotEqual(t, http.StatusOK, second, "the head does not keep requests away")
+					return
+				}
+				require.Equal(t, http.StatusBadGateway, first)
+				require.Equal(t, http.StatusOK, second)
+			})
+		}
+	}
+}
+
 // TestUnusualAnswersArePassedOn guards against the rejection, or a change, of answers that are unusual but well formed.
 func TestUnusualAnswersArePassedOn(t *testing.T) {
 	const token = "!#$%&'*+-.^_`|~0aZ"
@@ -105,7 +150,7 @@
 // TestLogNamesWhatIsMalformed guards against a rejected answer whose cause the log does not tell.
 func TestLogNamesWhatIsMalformed(t *testing.T) {
 	for name, want := range map[string]string{
-		"status 000": `no status of three digits`,
+		"status 000": `no status of three digits`, "blank in name": `field name "X Trouble"`, "control byte in name": `X\x01Trouble`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, unsafeRoute())
