Reject status lines with control bytes or of another HTTP version

What callers saw: a response whose reason had a NUL or another control byte, or whose version was HTTP/0.9, 2.0 or 3.0, was passed on as an answer.

Cause: net/http checks neither the reason nor the range of the version. The same cause as for the status: the check of a head was left to it.

Change: httphead.Check requires major version 1 and a reason without control characters. An empty or missing reason, bytes above 127 in it and later minor versions are passed on.

Ruled out: control bytes and DEL in the values of fields are rejected by net/http already; the test keeps them.

The tests failed before (same command on the commit before): TestMalformedFieldValueIsNoAnswer ("HTTP/1.1 200 O\x00K" gave status 200) and TestMalformedVersionIsNoAnswer ("HTTP/0.9 200 OK" gave status 200). They pass now.

--- a/transport/backend/malformed_test.go
+++ b/transport/backend/malformed_test.go
@@ -111,6 +111,25 @@
 	}
 }
 
+// TestMalformedFieldValueIsNoAnswer guards against control bytes in values and reasons, which could be passed on.
+func TestMalformedFieldValueIsNoAnswer(t *testing.T) {
+	for value := range 256 {
+		b := byte(value)
+		if b >= ' ' && b != 0x7f || b == '\t' || b == '\n' {
+			continue
+		}
+		requireRejected(t, "HTTP/1.1 200 OK\r\nReq-Id: 1\r\nX-Load: 1"+string([]byte{b})+"0\r\nContent-Length: 5\r\n\r\nwrong")
+		requireRejected(t, "HTTP/1.1 200 O"+string([]byte{b})+"K\r\nReq-Id: 1\r\nContent-Length: 5\r\n\r\nwrong")
+	}
+}
+
+// TestMalformedVersionIsNoAnswer guards against bytes that are no HTTP/1 message.
+func TestMalformedVersionIsNoAnswer(t *testing.T) {
+	for _, version := range []string{"", "HTTP", "HTTP/1", "HTTP/1.", "HTTP/11.1", "HTTP/1.10", "HTTP/a.1", "http/1.1", "ICY", "HTTP/0.9", "HTTP/2.0", "HTTP/3.0", "RTSP/1.0"} {
+		requireRejected(t, version+" 200 OK\r\nReq-Id: 1\r\nContent-Length: 5\r\n\r\nwrong")
+	}
+}
+
 // tokenBytes are the bytes of which the name of a header field consists (RFC 9110, section 5.6.2).
 const tokenBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
 
--- a/transport/httphead/httphead.go
+++ b/transport/httphead/httphead.go
@@ -1,5 +1,5 @@
-// Package httphead rejects HTTP responses whose head or trailers are malformed. net/http accepts some of them: a status below 100 and
-// blanks in the names of fields.
+// Package httphead rejects HTTP responses whose head or trailers are malformed. net/http accepts some of them: a status below 100, blanks in
+// the names of fields, any byte in the reason.
 package httphead
 
 import (
@@ -23,12 +23,18 @@
 
 func errorf(format string, args ...any) error { return &Error{fmt.Sprintf(format, args...)} }
 
-// Check returns an *Error if the head of a response as read by net/http, is malformed. The response may be an
+// Check returns an *Error if the head of a response in HTTP/1.1 or 1.0, as read by net/http, is malformed. The response may be an
 // informational one.
 func Check(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return errorf("version is %q, want HTTP/1", response.Proto)
+	}
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return errorf("status line %q has no status of three digits from 100", response.Status)
 	}
+	if !httpguts.ValidHeaderFieldValue(response.Status) {
+		return errorf("status line %q has a control character", response.Status)
+	}
 	return CheckFields(response.Header)
 }
 
