Reject responses with malformed trailers

What callers saw: a chunked response whose trailers had a blank in the name of a field was passed on as complete, and the connection was used again. A late response to an earlier request with such trailers was skipped, and what came behind it was taken for the answer.

Cause: net/http accepts blanks in the names of trailer fields as it does in those of the head, and nothing looked at trailers.

Change: the body of a response ends with an error, and its connection is closed, if its trailers are malformed; the same holds for a late response that is skipped. A body that was buffered is not passed on, a stream that has begun is cut off or, if it can be resumed, goes on elsewhere.

Ruled out: control bytes, other separators and empty names in trailers are rejected by net/http already; the tests keep them. Trailers that are declared but not sent are not checked, as they are values of the Trailer field.

--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -132,6 +132,9 @@
 		if skipped == maxStaleBytes {
 			return nil, eris.Errorf("late response to another request exceeds %d bytes", maxStaleBytes)
 		}
+		if err := httphead.CheckFields(response.Trailer); err != nil {
+			return nil, err
+		}
 	}
 	return nil, eris.New("back end sent only responses to other requests")
 }
@@ -195,10 +198,14 @@
 	once sync.Once
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. A body with malformed trailers is not complete.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
 	if endOfBody(err) {
+		if malformed := httphead.CheckFields(b.response.Trailer); malformed != nil {
+			_ = b.Close()
+			return n, malformed
+		}
 		b.releaseConn()
 	} else if err != nil {
 		_ = b.Close()
--- a/transport/ingress/malformed_test.go
+++ b/transport/ingress/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -118,6 +119,27 @@
 	}
 }
 
+// TestMalformedTrailersEndTheAnswer guards against a body or stream that looks complete although its trailers are malformed.
+func TestMalformedTrailersEndTheAnswer(t *testing.T) {
+	for _, trailer := range []string{"X Sum: 1", "X-Sum : 1", "X\x01Sum: 1", ": 1"} {
+		end := "0\r\n" + trailer + "\r\n\r\n"
+		t.Run(fmt.Sprintf("body/%q", trailer), func(t *testing.T) {
+			h := newHarness(t, unsafeRoute())
+			h.startReplica("r1", "orders", respondRaw(responseHead("Transfer-Encoding: chunked")+"5\r\nwrong\r\n"+end))
+			got := h.call(http.MethodPost, "/unsafe/", "x", nil)
+			require.Equal(t, http.StatusBadGateway, got.status)
+		})
+		t.Run(fmt.Sprintf("stream/%q", trailer), func(t *testing.T) {
+			h := newHarness(t, streamRoute())
+			head := responseHead("Transfer-Encoding: chunked", "Content-Type: text/event-stream")
+			h.startReplica("r1", "llm", respondRaw(head+"9\r\ndata: 1\n\n\r\n"+end))
+			got := h.call(http.MethodPost, "/stream/", "", nil)
+			require.Equal(t, "data: 1\n\n", got.body)
+			require.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+		})
+	}
+}
+
 // TestUnusualAnswersArePassedOn guards against the rejection, or a change, of answers that are unusual but well formed.
 func TestUnusualAnswersArePassedOn(t *testing.T) {
 	const token = "!#$%&'*+-.^_`|~0aZ"
