Reject malformed responses of the product's own platform and peers

What callers saw: nothing yet; agents believed statuses, objects, lists, parts of weights and refusals, with their Retry-After, in responses whose head was malformed. A load order that got 409 or 422 in one was taken for refused, although it may have begun.

Cause: as on the request paths; these calls use the HTTP client of resty or net/http with their own transports.

A malformed response counts as none: CodeUnavailable for reads, CodeOutcomeUnknown for writes and orders.

--- a/transport/httphead/transport.go
+++ b/transport/httphead/transport.go
@@ -36,6 +36,15 @@
 // NewHTTP2Transport returns a Transport over base, which must use HTTP/2 only.
 func NewHTTP2Transport(base http.RoundTripper) *Transport { return &Transport{base: base, http2: true} }
 
+// CheckResponses makes a client fail requests that get a malformed response. Its transport must be set up before.
+func CheckResponses(client *http.Client) {
+	if base, ok := client.Transport.(*http.Transport); ok {
+		client.Transport = NewTransport(base)
+		return
+	}
+	client.Transport = &Transport{base: client.Transport}
+}
+
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() {
 	(&http.Client{Transport: t.base}).CloseIdleConnections()
--- a/transport/platform/engine.go
+++ b/transport/platform/engine.go
@@ -12,6 +12,7 @@
 
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
@@ -54,7 +55,7 @@
 // longer accepts connections could report its boot ID after its successor has taken over the address.
 func newStatusClient(baseURL string) *resty.Client {
 	return newClient(baseURL).
-		SetTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: netdial.MaxHeadBytes}).
+		SetTransport(httphead.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: netdial.MaxHeadBytes})).
 		SetTimeout(StatusTimeout)
 }
 
--- a/transport/platform/objects.go
+++ b/transport/platform/objects.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
@@ -55,6 +56,7 @@
 	if base, ok := client.GetClient().Transport.(*http.Transport); ok {
 		base.MaxResponseHeaderBytes = netdial.MaxHeadBytes
 	}
+	httphead.CheckResponses(client.GetClient())
 	return client
 }
 
--- a/transport/weights/peers.go
+++ b/transport/weights/peers.go
@@ -16,6 +16,7 @@
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/table"
 	"github.com/guavatrestle/guavatrestle/transport"
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
 )
 
@@ -46,7 +47,7 @@
 	base.MaxIdleConnsPerHost = idlePeerConns
 	base.IdleConnTimeout = idlePeerTimeout
 	base.MaxResponseHeaderBytes = netdial.MaxHeadBytes
-	return &PeerClient{self: self, chunks: chunks, http: &http.Client{Transport: base}}
+	return &PeerClient{self: self, chunks: chunks, http: &http.Client{Transport: httphead.NewTransport(base)}}
 }
 
 // NewSecurePeerClient returns a PeerClient for host self that sends its requests through transport, which must use
