Reject malformed statuses in HTTP/2 between processes

What callers saw: nothing. An entry accepts only status 200 from an agent and only statuses from 200 to 599 in a frame, so such a response was a failure already; a heartbeat, an exchange of settings or a claim could take the error in a response with status 000 for its peer's.

Cause: net/http accepts every number as :status in HTTP/2 too, 0200 as 200.

Change: the transports of HTTP/2 between processes use httphead, which now also compares the digits of the status. Only the stream of such a response ends, as RFC 9113 (section 8.1.1) says, since the connection carries others.

Ruled out: malformed names of header fields are rejected by net/http in HTTP/2.

--- a/transport/claims/service.go
+++ b/transport/claims/service.go
@@ -20,6 +20,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/table"
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
@@ -106,10 +107,10 @@
 // newOwnerTransport returns a transport that keeps one HTTP/2 connection to each owner. A record waits at its owner for
 // the next write. With HTTP/1.1 every waiting record occupies a connection: 6,000 claims a second exhausted 20,000 file
 // descriptors.
-func newOwnerTransport() *http.Transport {
+func newOwnerTransport() http.RoundTripper {
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{Protocols: protocols, HTTP2: server.HTTP2(), MaxResponseHeaderBytes: netdial.MaxHeadBytes}
+	return httphead.NewHTTP2Transport(&http.Transport{Protocols: protocols, HTTP2: server.HTTP2(), MaxResponseHeaderBytes: netdial.MaxHeadBytes})
 }
 
 // Run periodically deletes old segments of the shards that this entry owns, until ctx is done.
--- a/transport/daemon/control.go
+++ b/transport/daemon/control.go
@@ -10,6 +10,7 @@
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/transport/admin"
 	"github.com/guavatrestle/guavatrestle/transport/control"
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
 	"github.com/guavatrestle/guavatrestle/transport/platform"
 	"github.com/guavatrestle/guavatrestle/transport/secure"
@@ -53,11 +54,11 @@
 	http2Config.SendPingTimeout = peerPingAfter
 	transport := &http.Transport{HTTP2: http2Config, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: netdial.MaxHeadBytes}
 	if p.credentials != nil {
-		return p.credentials.Transport(transport)
+		return httphead.NewHTTP2Transport(p.credentials.Transport(transport))
 	}
 	transport.Protocols = &http.Protocols{}
 	transport.Protocols.SetUnencryptedHTTP2(true)
-	return transport
+	return httphead.NewHTTP2Transport(transport)
 }
 
 func (p *process) loadCredentials() (err error) {
--- a/transport/entry/heartbeat.go
+++ b/transport/entry/heartbeat.go
@@ -15,6 +15,7 @@
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/table"
 	"github.com/guavatrestle/guavatrestle/transport"
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 )
 
 const (
@@ -55,7 +56,7 @@
 		members:           members,
 		upstreams:         upstreams,
 		transport:         connections,
-		client:            &http.Client{Transport: connections, Timeout: heartbeatTimeout},
+		client:            &http.Client{Transport: httphead.NewHTTP2Transport(connections), Timeout: heartbeatTimeout},
 		interval:          interval,
 		now:               now,
 		log:               log,
@@ -71,7 +72,9 @@
 }
 
 // SetTLS sets the TLS wrapper for the heartbeat connections. It must be called before Run.
-func (h *Heartbeat) SetTLS(secure TLSWrapper) { h.client.Transport = secure.wrap(h.transport) }
+func (h *Heartbeat) SetTLS(secure TLSWrapper) {
+	h.client.Transport = httphead.NewHTTP2Transport(secure.wrap(h.transport))
+}
 
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeat) Run(ctx context.Context) {
--- a/transport/entry/pool.go
+++ b/transport/entry/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 	"github.com/guavatrestle/guavatrestle/transport/netdial"
 	"github.com/guavatrestle/guavatrestle/transport/server"
 )
@@ -55,7 +56,7 @@
 	defer p.mu.Unlock()
 	pooled, ok := p.transports[addr]
 	if !ok {
-		pooled = &pooledTransport{addr: addr, roundTripper: p.tls.wrap(newAgentTransport())}
+		pooled = &pooledTransport{addr: addr, roundTripper: httphead.NewHTTP2Transport(p.tls.wrap(newAgentTransport()))}
 		p.transports[addr] = pooled
 	}
 	pooled.inFlight++
--- a/transport/httphead/httphead.go
+++ b/transport/httphead/httphead.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -32,7 +34,8 @@
 	if response.ProtoMajor != major {
 		return errorf("version is %q, want HTTP/%d", response.Proto, major)
 	}
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+	status, _, _ := strings.Cut(response.Status, " ")
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus || status != strconv.Itoa(response.StatusCode) {
 		return errorf("status line %q has no status of three digits from 100", response.Status)
 	}
 	if !httpguts.ValidHeaderFieldValue(response.Status) {
