Reject malformed responses in the operators' commands

What operators saw: nothing yet; a command printed what a response with a malformed head said, for example a list of settings, or an accepted edit.

Change: both clients use httphead; the command ends with an error that names the cause. A test of internal/layers fails for a file that creates a transport or reads a response without httphead or netdial.

--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -105,3 +105,23 @@
 		require.NoError(t, err)
 	}
 }
+
+// TestResponsesAreReadThroughTheHeadCheck guards against a reader of responses that believes a malformed head.
+func TestResponsesAreReadThroughTheHeadCheck(t *testing.T) {
+	readers := []string{"&http.Transport{", "http.DefaultTransport", "http.DefaultClient", "http.ReadResponse(", "resty.New("}
+	checks := []string{"httphead.", "netdial.New"}
+	for _, dir := range append(slices.Clone(layers), "cmd", "platform") {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.Contains(path, "platformtest") {
+				return err
+			}
+			body, err := os.ReadFile(path)
+			contains := func(text string) bool { return strings.Contains(string(body), text) }
+			if slices.ContainsFunc(readers, contains) {
+				require.True(t, slices.ContainsFunc(checks, contains), "%s reads responses without httphead", path)
+			}
+			return err
+		})
+		require.NoError(t, err)
+	}
+}
--- a/transport/cli/client.go
+++ b/transport/cli/client.go
@@ -12,6 +12,7 @@
 	"github.com/go-resty/resty/v2"
 
 	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 )
 
 const adminRoot = "/admin/v1"
@@ -71,6 +72,7 @@
 		}
 		restClient.SetRootCertificate(a.ca)
 	}
+	httphead.CheckResponses(restClient.GetClient())
 	return &client{http: restClient}, nil
 }
 
--- a/transport/cli/placement.go
+++ b/transport/cli/placement.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/guavatrestle/guavatrestle/protocol/api"
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 )
 
 // placementFlags are the flags of explain-placement.
@@ -79,7 +80,9 @@
 }
 
 func (a *app) explainPlacement(ctx context.Context, f *placementFlags) error {
-	response, err := resty.New().SetTimeout(a.timeout).R().SetContext(ctx).SetQueryParams(f.query()).
+	client := resty.New().SetTimeout(a.timeout)
+	httphead.CheckResponses(client.GetClient())
+	response, err := client.R().SetContext(ctx).SetQueryParams(f.query()).
 		Get("http://" + f.address + "/debug/placement")
 	if err != nil {
 		return fmt.Errorf("call the debug listener: %w", err)
