Reject Transfer-Encoding in responses of HTTP/1.0

What callers saw: a response of HTTP/1.0 with "Transfer-Encoding: chunked" was passed on with status 200 and the chunk sizes as part of the body.

Cause: net/http leaves the field out in responses of HTTP/1.0 without using it, and the check of the head sees only what net/http returns.

Change: for responses of HTTP/1.0 the pool keeps a copy of the head's bytes while it is read, and httphead.CheckUnchunked rejects the field, as RFC 9112 (section 6.1) has the framing of such a message treated as faulty. Responses of HTTP/1.0 without it are passed on.

Not covered: transports of net/http, on the product's own path and in the control plane, which give no access to these bytes. Without a length the own path rejects such a response as undelimited.

--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -205,6 +206,8 @@
 	reader io.Reader
 	// left is the number of bytes that may still be read.
 	left int64
+	// copied, if set, gets a copy of what is read.
+	copied *bytes.Buffer
 }
 
 // Read implements io.Reader.
@@ -217,6 +220,9 @@
 	}
 	n, err := l.reader.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	if l.copied != nil {
+		l.copied.Write(p[:n])
+	}
 	return n, err
 }
 
--- a/transport/backend/malformed_test.go
+++ b/transport/backend/malformed_test.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// TestTransferEncodingBeforeHTTP11IsNoAnswer guards against chunks that are passed on as the body, since net/http ignores Transfer-Encoding in
+// a response of HTTP/1.0.
+func TestTransferEncodingBeforeHTTP11IsNoAnswer(t *testing.T) {
+	const chunks = "\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"
+	for _, head := range []string{
+		"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: identity", "Content-Length: 15\r\nTransfer-Encoding: chunked",
+		"Transfer-Encoding: chunked\r\nX-Filler: " + strings.Repeat("x", 8<<10), "X-Filler: " + strings.Repeat("x", 8<<10) + "\r\nTransfer-Encoding: chunked",
+	} {
+		requireRejected(t, "HTTP/1.0 200 OK\r\nReq-Id: 1\r\n"+head+chunks)
+		requireRejected(t, "HTTP/1.1 200 OK\r\nReq-Id: 0\r\nContent-Length: 0\r\n\r\nHTTP/1.0 200 OK\r\nReq-Id: 1\r\n"+head+chunks)
+	}
+}
+
 // TestUnusualHeadsArePassedOn guards against the rejection of heads that are unusual but well formed.
 func TestUnusualHeadsArePassedOn(t *testing.T) {
 	const ended = "Req-Id: 1\r\nContent-Length: 5\r\n\r\nsound"
@@ -120,6 +133,7 @@
 		"lines without CR":         strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+ended, "\r", ""),
 		"later minor version":      "HTTP/1.9 200 OK\r\n" + ended,
 		"HTTP/1.0":                 "HTTP/1.0 200 OK\r\n" + ended,
+		"HTTP/1.0, large head":     "HTTP/1.0 200 OK\r\nX-Filler: " + strings.Repeat("x", 8<<10) + "\r\n" + ended + "Transfer-Encoding: chunked",
 		"equal lengths":            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + ended,
 		"informational heads": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nX-A: \xff\r\n\r\nHTTP/1.1 103 Early Hints\r\n" +
 			headtest.TokenBytes + ": </a>\r\n\r\nHTTP/1.1 199 Unusual\r\n\r\nHTTP/1.1 200 OK\r\n" + ended,
--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -21,6 +21,9 @@
 // maxCopiedBody is the size up to which a body is copied behind the head, which takes less time than a write of two buffers.
 const maxCopiedBody = 16 << 10
 
+// versionWithoutChunks is the version of HTTP before chunked encoding.
+const versionWithoutChunks = "HTTP/1.0"
+
 // maxStaleBytes bounds the body of a late response to an earlier request.
 const maxStaleBytes = 1 << 20
 
@@ -155,7 +158,7 @@
 	c.input.left = maxHeadBytes
 	defer func() { c.input.left = unlimitedInput }()
 	for {
-		response, err := http.ReadResponse(c.reader, httpRequest)
+		response, err := c.readResponse(httpRequest)
 		if err != nil && c.input.left == 0 {
 			return nil, errHeadTooLarge
 		}
@@ -174,6 +177,22 @@
 	}
 }
 
+// readResponse is http.ReadResponse, which ignores Transfer-Encoding in a response of HTTP/1.0, and so would return chunks as they are. RFC 9112
+// (section 6.1) has the framing of such a response treated as faulty.
+func (c *conn) readResponse(httpRequest *http.Request) (*http.Response, error) {
+	if start, _ := c.reader.Peek(len(versionWithoutChunks)); string(start) != versionWithoutChunks {
+		return http.ReadResponse(c.reader, httpRequest)
+	}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.input.copied = bytes.NewBuffer(bytes.Clone(buffered))
+	defer func() { c.input.copied = nil }()
+	response, err := http.ReadResponse(c.reader, httpRequest)
+	if err != nil {
+		return nil, err
+	}
+	return response, httphead.CheckUnchunked(c.input.copied.Bytes())
+}
+
 func encodeHead(request *Request) []byte {
 	var buffer bytes.Buffer
 	buffer.Grow(1024 + min(len(request.Body), maxCopiedBody))
--- a/transport/httphead/httphead.go
+++ b/transport/httphead/httphead.go
@@ -3,6 +3,7 @@
 package httphead
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -54,3 +55,16 @@
 	}
 	return nil
 }
+
+// CheckUnchunked returns an *Error if a head, given by its bytes and what follows, has a Transfer-Encoding field.
+func CheckUnchunked(raw []byte) error {
+	for line := range bytes.Lines(raw) {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+		if name, _, found := bytes.Cut(line, []byte(":")); found && strings.EqualFold(string(name), "Transfer-Encoding") {
+			return errorf("Transfer-Encoding in a version of HTTP without it")
+		}
+	}
+	return nil
+}
