Play malformed responses in the soak

Cause: the tests of malformed responses use one reader each; nothing showed what callers of the real processes get.

Some of them state that nothing has run, that the worker leaves, or a Retry-After. The judge looks for their body in the responses of callers.

--- a/bench/cmd/gtbench/soak.go
+++ b/bench/cmd/gtbench/soak.go
@@ -53,6 +53,7 @@
 	flags.BoolVar(&cfg.Evacuations, "evacuations", false, "take failure domains out of service while the store withholds changes, beside the faults")
 	flags.BoolVar(&cfg.RequestLimits, "request-limits", false, "make workers state request limits, beside the faults")
 	flags.BoolVar(&cfg.EndlessResponses, "endless-responses", false, "make workers answer without end, beside the faults")
+	flags.BoolVar(&cfg.MalformedResponses, "malformed-responses", false, "make workers answer with malformed responses, beside the faults")
 	flags.BoolVar(&cfg.SuspendVerifications, "suspend-verifications", false, "suspend agents while they verify staged pieces, beside the faults")
 	flags.IntVar(&cfg.SlowCallers, "slow-callers", 0, "number of callers that send bodies or read responses too slowly, beside the faults")
 	flags.IntVar(&cfg.Entries, "entries", cfg.Entries, "number of entries")
--- a/bench/soak/endless.go
+++ b/bench/soak/endless.go
@@ -31,12 +31,8 @@
 	toAgent bool
 }
 
-func isAgentCall(path string) bool {
-	return path == "/report" || path == "/order" || strings.HasPrefix(path, "/stage-")
-}
-
 func (h *workerHost) endlessWay(path string) platformtest.Endless {
-	if endless := h.endless.Load(); endless != nil && endless.toAgent == isAgentCall(path) {
+	if endless := h.endless.Load(); endless != nil && endless.toAgent == platformtest.IsAgentCall(path) {
 		return endless.way
 	}
 	return platformtest.EndlessNone
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -86,7 +86,9 @@
 	// suspension suspends the agent at a chosen moment of its next verification, nil for none.
 	suspension atomic.Pointer[suspension]
 	// endless is how the worker's responses do not end, nil while they do.
-	endless     atomic.Pointer[endlessResponses]
+	endless atomic.Pointer[endlessResponses]
+	// malformed is which of the worker's responses are malformed, nil while none are.
+	malformed   atomic.Pointer[malformedResponses]
 	runsStarted int
 	// previousID is the ID of the worker that crashed last, empty if none has.
 	previousID string
@@ -272,7 +274,7 @@
 		ID: fmt.Sprintf("%s-run%d", h.name, h.runsStarted), Born: time.Now().UnixMilli(), Slots: slots,
 		Layers: layers, Chunks: chunks, OnRun: h.fleet.checker.recordRun, ShouldDropResponse: h.fleet.shouldDropResponse,
 		OrderDelay: h.fleet.orderDelay, CrashesOn: crashesOn, Limit: h.limit.Load,
-		Endless: h.endlessWay,
+		Endless: h.endlessWay, Malformed: h.answersMalformed,
 	}
 	w.OnStagedRead = func(index int) { h.suspension.Load().observeRead(w, index) }
 	w.OnReport = func() { h.suspension.Load().observeReport(w) }
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -183,6 +183,9 @@
 	if statusMeansNotRun(r.status) && runs > 0 && s.kind == kindUnsafe {
 		c.addViolation("request %s got status %d, which means that it did not run, but ran %d times", s.id, r.status, runs)
 	}
+	if strings.Contains(r.body, platformtest.WrongBody) {
+		c.addViolation("request %s got status %d with the body of a malformed response", s.id, r.status)
+	}
 	if r.status != http.StatusOK {
 		return
 	}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -62,6 +62,8 @@
 	RequestLimits bool
 	// EndlessResponses makes a worker after the other answer without end, beside the faults.
 	EndlessResponses bool
+	// MalformedResponses makes a worker after the other answer with malformed responses, beside the faults.
+	MalformedResponses bool
 	// SuspendVerifications suspends agents while they verify staged pieces, of which one becomes corrupt then, beside the faults.
 	SuspendVerifications bool
 	// SlowCallers is the number of callers that send bodies or read responses too slowly, beside the faults.
@@ -137,6 +139,9 @@
 		if cfg.EndlessResponses {
 			beside.Go(func() { f.answerWithoutEnd(ctx, rand.New(rand.NewPCG(cfg.Seed, 4))) })
 		}
+		if cfg.MalformedResponses {
+			beside.Go(func() { f.answerMalformed(ctx, rand.New(rand.NewPCG(cfg.Seed, 6))) })
+		}
 		if cfg.SuspendVerifications {
 			beside.Go(func() { f.suspendVerifications(ctx, rand.New(rand.NewPCG(cfg.Seed, 5))) })
 		}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -115,6 +115,15 @@
 	run(t, cfg)
 }
 
+// TestMalformedResponsesAreNeverBelieved guards against callers that get a malformed response, and against requests that run twice, or count
+// as not run, because of what one says.
+func TestMalformedResponsesAreNeverBelieved(t *testing.T) {
+	t.Parallel()
+	cfg := DefaultConfig()
+	cfg.Seed, cfg.Faults, cfg.MalformedResponses = 3, 0, true
+	run(t, cfg)
+}
+
 // TestSlowCallersTakeNoMemoryFromOthers guards against an entry that takes more memory than its host has because callers send large bodies a
 // byte at a time or read nothing of large responses, and against refusing other callers beside them.
 func TestSlowCallersTakeNoMemoryFromOthers(t *testing.T) {
--- a/internal/headtest/headtest.go
+++ b/internal/headtest/headtest.go
@@ -9,9 +9,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"testing"
-
-	"github.com/stretchr/testify/require"
 )
 
 // TokenBytes are the bytes of which the name of a header field consists (RFC 9110, section 5.6.2).
@@ -83,11 +80,20 @@
 	conns    []net.Conn
 }
 
+// test is the part of *testing.T that Start needs. Programs that play malformed responses don't import the package testing.
+type test interface {
+	Helper()
+	Fatalf(format string, args ...any)
+	Cleanup(end func())
+}
+
 // Start starts a Server, which ends with the test.
-func Start(t *testing.T, responses ...string) *Server {
+func Start(t test, responses ...string) *Server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
 	s := &Server{Address: listener.Addr().String(), Closed: make(chan struct{}, 1), listener: listener}
 	s.loops.Go(func() { s.accept(responses) })
 	t.Cleanup(func() {
