--- a/transport/ingress/malformed_test.go
+++ b/transport/ingress/malformed_test.go
@@ -126,6 +126,27 @@
 	}
 }
 
+// TestStreamWithMalformedTrailersIsResumed guards against a stream that ends as complete, or is lost, with malformed trailers.
+func TestStreamWithMalformedTrailersIsResumed(t *testing.T) {
+	h := newHarness(t, streamRoute())
+	first := "id: 1\ndata: 1\n\n"
+	head := responseHead("Transfer-Encoding: chunked", "Content-Type: text/event-stream")
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headers.LastEventID) == "" {
+			respondRaw(fmt.Sprintf("%s%x\r\n%s\r\n0\r\nX Sum: 1\r\n\r\n", head, len(first), first))(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", headers.EventStream)
+		respondStamped("id: 2\ndata: 2\n\n")(w, r)
+	}
+	h.startReplica("r1", "llm", serve)
+	h.startReplica("r2", "llm", serve)
+	got := h.call(http.MethodPost, "/stream/", "", nil)
+	require.NoError(t, got.err)
+	require.Equal(t, first+"id: 2\ndata: 2\n\n", got.body)
+	require.Len(t, h.received(), 2)
+}
+
 // TestUnusualAnswersArePassedOn guards against the rejection, or a change, of answers that are unusual but well formed.
 func TestUnusualAnswersArePassedOn(t *testing.T) {
 	const token = "!#$%&'*+-.^_`|~0aZ"
