Log each kind of failed response at the agent

Cause: the line about a malformed response was written for those that httphead rejects, but not for those that net/http rejects itself, such as a control byte in a name.

Change: an agent logs the cause whenever the back end gives no complete response, at most once a second.

The test failed before with "X\x01Load: 1" (no line at all); the message has a new name. It passes now.

--- a/transport/httphead/transport.go
+++ b/transport/httphead/transport.go
@@ -36,7 +36,7 @@
 // NewHTTP2Transport returns a Transport over base, which must use HTTP/2 only.
 func NewHTTP2Transport(base http.RoundTripper) *Transport { return &Transport{base: base, http2: true} }
 
-// CheckResponses makes a client fail requests that get a malformed response. Its transport must be set up before.
+// CheckResponses makes a client fail requests that get a malformed response. The transport of the client must be set, and set up, before.
 func CheckResponses(client *http.Client) {
 	if base, ok := client.Transport.(*http.Transport); ok {
 		client.Transport = NewTransport(base)
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -15,7 +15,6 @@
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
-	"github.com/guavatrestle/guavatrestle/transport/httphead"
 )
 
 // maxDataFrameBytes bounds the payload of one data frame.
@@ -30,8 +29,8 @@
 	attempt *attempt
 	// dropIdleConnections closes the idle connections to the back end.
 	dropIdleConnections func()
-	// logMalformed logs that the response was rejected as malformed.
-	logMalformed func(*httphead.Error)
+	// logFailure logs why the back end gave no complete response.
+	logFailure func(error)
 	// status is the HTTP status of the response; 0 before the head arrives.
 	status int
 }
@@ -116,19 +115,17 @@
 
 func (e *exchange) failure(ctx context.Context, err error) callResult {
 	maybeSent, reason := e.attempt.stopWrites()
-	if malformed, ok := errors.AsType[*httphead.Error](err); ok {
-		e.logMalformed(malformed)
-	}
 	switch {
 	case ctx.Err() != nil:
 		return interrupted(ctx, maybeSent)
 	case reason != admission.ReasonNone && !maybeSent:
 		return refused(refusalFor(reason))
-	case e.status != 0:
+	}
+	e.logFailure(err)
+	if e.status != 0 {
 		return connectionFailed(api.CodeResponseIncomplete, err, maybeSent)
-	default:
-		return connectionFailed(api.CodeUpstreamFailed, err, maybeSent)
 	}
+	return connectionFailed(api.CodeUpstreamFailed, err, maybeSent)
 }
 
 // receive sends the request, sends the parts of the response to events and then closes events, for which run waits.
@@ -160,11 +157,8 @@
 	}
 }
 
-// hideEOF returns err, or an error in its place that doesn't wrap io.EOF, which relay would take for the end of a complete response.
+// hideEOF replaces err with an error that doesn't wrap io.EOF, which relay would take for the end of a complete response.
 func hideEOF(err error) error {
-	if !errors.Is(err, io.EOF) {
-		return err
-	}
 	return protocol.Errorf(protocol.CodeIncomplete, "%v", err)
 }
 
--- a/transport/upstream/handler.go
+++ b/transport/upstream/handler.go
@@ -14,7 +14,6 @@
 	"github.com/guavatrestle/guavatrestle/protocol/platform"
 	"github.com/guavatrestle/guavatrestle/protocol/wire"
 	"github.com/guavatrestle/guavatrestle/state/core"
-	"github.com/guavatrestle/guavatrestle/transport/httphead"
 )
 
 const (
@@ -24,8 +23,8 @@
 	defaultSuspectTimeout = 5 * time.Second
 	// defaultProgressTimeout leaves time for a response that is generated completely before its first byte is sent.
 	defaultProgressTimeout = 30 * time.Second
-	// malformedLogInterval bounds the log lines about malformed responses of the back end, which all requests may get.
-	malformedLogInterval = time.Second
+	// failureLogInterval bounds the log lines about failed responses of the back end, which all requests may get.
+	failureLogInterval = time.Second
 	// lastFrameTimeout is the time after the request deadline in which the last frame may still be written.
 	lastFrameTimeout = time.Second
 )
@@ -61,13 +60,13 @@
 
 // Handler serves POST /call, by which entries send requests to the back end.
 type Handler struct {
-	deps         HandlerDependencies
-	malformedLog rate.Sometimes
+	deps       HandlerDependencies
+	failureLog rate.Sometimes
 }
 
 // NewHandler returns a Handler.
 func NewHandler(deps HandlerDependencies) *Handler {
-	return &Handler{deps: deps, malformedLog: rate.Sometimes{First: 1, Interval: malformedLogInterval}}
+	return &Handler{deps: deps, failureLog: rate.Sometimes{First: 1, Interval: failureLogInterval}}
 }
 
 // ServeHTTP implements http.Handler.
@@ -113,7 +112,7 @@
 		dropIdleConnections: h.deps.DropIdleConnections,
 		timing:              h.deps.Timing,
 		digest:              ticket.Digest(),
-		logMalformed:        func(err *httphead.Error) { h.logMalformed(request.Header.Get(api.HeaderRequestID), err) },
+		logFailure:          func(err error) { h.logFailure(request.Header.Get(api.HeaderRequestID), err) },
 		attempt:             &attempt{gate: h.deps.Gate, monitor: h.deps.Monitor, ticket: ticket},
 	}
 	result := callResult{outcome: admission.OutcomeNeutral}
@@ -122,9 +121,9 @@
 	return result
 }
 
-func (h *Handler) logMalformed(requestID string, err *httphead.Error) {
-	h.malformedLog.Do(func() {
-		h.deps.Log.WithError(err).WithField("request_id", requestID).Warn("response of the back end rejected")
+func (h *Handler) logFailure(requestID string, err error) {
+	h.failureLog.Do(func() {
+		h.deps.Log.WithError(err).WithField("request_id", requestID).Warn("back end gave no complete response")
 	})
 }
 
--- a/transport/upstream/malformed_test.go
+++ b/transport/upstream/malformed_test.go
@@ -68,17 +68,23 @@
 
 // TestLogNamesWhatIsMalformed guards against a rejected answer whose cause the log does not tell, and against a line for each of many.
 func TestLogNamesWhatIsMalformed(t *testing.T) {
-	b := startBackEnd(t, "a", hijack("HTTP/1.1 200 OK\r\nX Load: 1\r\nContent-Length: 0\r\n\r\n"))
-	a := newAgent(t, b.URL, longTiming)
-	for i := range 20 {
-		a.monitor.Poll(t.Context())
-		a.call(t.Context(), fmt.Sprintf("r%d", i), http.MethodPost, "order")
+	for line, want := range map[string]string{
+		"X Load: 1": `field name "X Load" is not a token`, "X\x01Load: 1": `malformed MIME header line: "X\x01Load: 1"`,
+	} {
+		t.Run(line, func(t *testing.T) {
+			b := startBackEnd(t, "a", hijack("HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 0\r\n\r\n"))
+			a := newAgent(t, b.URL, longTiming)
+			for i := range 20 {
+				a.monitor.Poll(t.Context())
+				a.call(t.Context(), fmt.Sprintf("r%d", i), http.MethodPost, "order")
+			}
+			lines := a.log.AllEntries()
+			require.Less(t, len(lines), 20)
+			require.Equal(t, "back end gave no complete response", lines[0].Message)
+			require.Equal(t, "r0", lines[0].Data["request_id"])
+			require.ErrorContains(t, lines[0].Data[logrus.ErrorKey].(error), want)
+		})
 	}
-	lines := a.log.AllEntries()
-	require.Less(t, len(lines), 20)
-	require.Equal(t, "response of the back end rejected", lines[0].Message)
-	require.Equal(t, "r0", lines[0].Data["request_id"])
-	require.ErrorContains(t, lines[0].Data[logrus.ErrorKey].(error), `field name "X Load" is not a token`)
 }
 
 // TestUnusualAnswerIsComplete guards against the rejection of answers that are unusual but well formed.
