Believe no refusal whose trailers are malformed

What callers saw: a chunked 503 or 421 that states that the request has not run, with a blank or a control byte in the name of a trailer field, made the entry send an unsafe request to another replica, and answer 503.

Cause: the body of a refusal is read only so that the connection can be used again, and errors of that were ignored.

Change: if the trailers are malformed the attempt counts as broken and as one that may have run. A refusal that is cut off behind its head is still believed, as its head is complete.

--- a/transport/httphead/httphead.go
+++ b/transport/httphead/httphead.go
@@ -4,8 +4,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 
@@ -24,6 +26,15 @@
 // Error implements error.
 func (e *Error) Error() string { return "malformed response: " + e.reason }
 
+// IsMalformed reports whether err says that a head or trailers are malformed, also if net/http has found that.
+func IsMalformed(err error) bool {
+	var (
+		rejected *Error
+		protocol textproto.ProtocolError
+	)
+	return errors.As(err, &rejected) || errors.As(err, &protocol)
+}
+
 func errorf(format string, args ...any) error { return &Error{fmt.Sprintf(format, args...)} }
 
 // Check returns an *Error if the head of a response in HTTP/1.1 or 1.0, as read by net/http, is malformed. The response may be an
--- a/transport/ingress/malformed_test.go
+++ b/transport/ingress/malformed_test.go
@@ -115,6 +115,17 @@
 			got := h.call(http.MethodPost, "/unsafe/", "x", nil)
 			require.Equal(t, http.StatusBadGateway, got.status)
 		})
+		for _, status := range []string{"503 Full", "421 Misdirected Request"} {
+			t.Run(fmt.Sprintf("refusal %s/%q", status, trailer), func(t *testing.T) {
+				h := newHarness(t, unsafeRoute())
+				refusal := strings.Replace(responseHead(names.NotRun+": 1", "Transfer-Encoding: chunked"), "200 OK", status, 1)
+				serve := respondRaw(refusal + "4\r\nfull\r\n" + end)
+				h.startReplica("r1", "orders", serve)
+				h.startReplica("r2", "orders", serve)
+				require.Equal(t, http.StatusBadGateway, h.call(http.MethodPost, "/unsafe/", "x", nil).status)
+				require.Len(t, h.received(), 1)
+			})
+		}
 		t.Run(fmt.Sprintf("stream/%q", trailer), func(t *testing.T) {
 			h := newHarness(t, streamRoute())
 			head := responseHead("Transfer-Encoding: chunked", "Content-Type: text/event-stream")
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -16,6 +16,7 @@
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 	"github.com/guavatrestle/guavatrestle/transport/backend"
+	"github.com/guavatrestle/guavatrestle/transport/httphead"
 )
 
 // unlimitedIdle is the idle limit for requests that may use a connection of any idle time.
@@ -234,11 +235,19 @@
 }
 
 // refusal returns the result of a response which states that the replica did not run the request, and false for any other
-// response.
+// response. A refusal with malformed trailers is not believed.
 func (c *call) refusal(choice dispatch.Choice, response *backend.Response) (attemptResult, bool) {
 	names := &c.h.Headers
-	if response.Status == http.StatusMisdirectedRequest {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
+	misdirected := response.Status == http.StatusMisdirectedRequest
+	if !misdirected && response.Header.Get(names.NotRun) == "" {
+		return attemptResult{}, false
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes)); httphead.IsMalformed(err) {
+		c.attempts++
+		c.mayHaveRun = true
+		return attemptResult{outcome: dispatch.OutcomeBroken, err: err}, true
+	}
+	if misdirected {
 		outcome := dispatch.OutcomeShed
 		if other := response.Header.Get(names.Replica); other != "" && other != string(choice.ID) {
 			outcome = dispatch.OutcomeMoved
@@ -247,11 +256,7 @@
 			outcome: outcome, notRun: true, err: eris.New("another replica or model version answers at this address"),
 		}, true
 	}
-	if response.Header.Get(names.NotRun) == "" {
-		return attemptResult{}, false
-	}
 	c.attempts++
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 	return attemptResult{
 		outcome: dispatch.OutcomeShed, notRun: true, err: eris.Errorf("replica rejected the request with status %d", response.Status),
 	}, true
