Log where the time of a wanted version comes from

The age of a version decides until when the version before it may serve, and processes that start take it from others. The logs showed that age only where an agent learned of a new version, so that a wrong one could not be followed to the process it came from.

"version wanted" now has age_ms where the time is known, and a new line names the process from which a time was learned.

--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -5,6 +5,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -266,33 +267,34 @@
 
 // ApplyPeerTarget records a peer's report that a version became a model's target age ago. A version newer than the known
 // ones becomes the target here too.
-func (f *Follower) ApplyPeerTarget(model core.Model, version int64, age time.Duration) {
+func (f *Follower) ApplyPeerTarget(from netip.Addr, model core.Model, version int64, age time.Duration) {
 	view := f.View()
 	if !view.Ready() || version <= view.Wanted[model].Newest() {
-		f.LearnTargetTime(model, version, age)
+		f.LearnTargetTime(from, model, version, age)
 		return
 	}
-	f.applyPeerVersion(model, version, f.time().Add(-age))
+	f.applyPeerVersion(model, version, f.time().Add(-age), logrus.Fields{"from": from, "age_ms": age.Milliseconds()})
 }
 
 // ApplyPeerVersion records a peer's report that a version is a model's target, without the time since when.
 func (f *Follower) ApplyPeerVersion(model core.Model, version int64) {
 	if view := f.View(); view.Ready() && version > view.Wanted[model].Newest() {
-		f.applyPeerVersion(model, version, time.Time{})
+		f.applyPeerVersion(model, version, time.Time{}, nil)
 	}
 }
 
-func (f *Follower) applyPeerVersion(model core.Model, version int64, since time.Time) {
+// applyPeerVersion stores a version and logs it with the source of its time.
+func (f *Follower) applyPeerVersion(model core.Model, version int64, since time.Time, source logrus.Fields) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.table.SetWanted(since, fleet.WeightTarget{Model: model, Version: version}) {
-		f.log.WithField("model", model).WithField("version", version).Info("version wanted, as another host says")
+		f.log.WithFields(source).WithField("model", model).WithField("version", version).Info("version wanted, as another host says")
 		f.publish()
 	}
 }
 
 // LearnTargetTime records a peer's report of how long ago a version became a model's target, unless that is known.
-func (f *Follower) LearnTargetTime(model core.Model, version int64, age time.Duration) {
+func (f *Follower) LearnTargetTime(from netip.Addr, model core.Model, version int64, age time.Duration) {
 	view := f.View()
 	if !view.Ready() {
 		return
@@ -304,6 +306,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.table.SetWantedSince(model, version, since) {
+		f.log.WithFields(logrus.Fields{"model": model, "version": version, "from": from, "age_ms": age.Milliseconds()}).
+			Info("time of a wanted version learned from another host")
 		f.publish()
 	}
 }
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -140,7 +140,11 @@
 		f.table.SetEvacuated(now, value.FailureDomain, true)
 	case fleet.WeightTarget:
 		if f.table.SetWanted(since, value) {
-			f.log.WithField("model", value.Model).WithField("version", value.Version).Info("version wanted")
+			fields := logrus.Fields{"model": value.Model, "version": value.Version}
+			if !since.IsZero() {
+				fields["age_ms"] = now.Sub(since).Milliseconds()
+			}
+			f.log.WithFields(fields).Info("version wanted")
 		}
 	}
 }
--- a/transport/follow/versions_test.go
+++ b/transport/follow/versions_test.go
@@ -1,6 +1,7 @@
 package follow_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -22,8 +23,8 @@
 	eventually(t, func() bool { return follower.View().Ready() })
 	require.True(t, follower.View().Wanted["m"][0].Since.IsZero())
 
-	follower.LearnTargetTime("m", 3, 2*time.Second)
-	follower.LearnTargetTime("m", 2, 6*time.Second)
+	follower.LearnTargetTime(netip.Addr{}, "m", 3, 2*time.Second)
+	follower.LearnTargetTime(netip.Addr{}, "m", 2, 6*time.Second)
 	wanted := follower.View().Wanted["m"]
 	require.Len(t, wanted, 2)
 	require.EqualValues(t, 2, wanted[0].Version)
@@ -77,11 +78,11 @@
 	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 3}})
 	follower := startFollower(t, s)
 	eventually(t, func() bool { return follower.View().Ready() })
-	follower.ApplyPeerTarget("m", 4, time.Second)
+	follower.ApplyPeerTarget(netip.Addr{}, "m", 4, time.Second)
 	wanted := follower.View().Wanted["m"]
 	require.EqualValues(t, 4, wanted.Newest())
 	require.False(t, wanted[len(wanted)-1].Since.IsZero())
-	follower.ApplyPeerTarget("m", 3, 2*time.Second)
+	follower.ApplyPeerTarget(netip.Addr{}, "m", 3, 2*time.Second)
 	require.EqualValues(t, 4, follower.View().Wanted["m"].Newest())
 }
 
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -46,7 +46,7 @@
 	// answer.
 	EntryHostCounts func(hosts, unresponsive int)
 	// WantedVersion receives a version that an entry host knows to be wanted and the time since it became wanted.
-	WantedVersion func(model core.Model, version int64, age time.Duration)
+	WantedVersion func(from netip.Addr, model core.Model, version int64, age time.Duration)
 	// NewestVersion receives the newest wanted version of a model from an entry host that doesn't know since when it is wanted.
 	NewestVersion func(model core.Model, version int64)
 	// Relays receives the relay of each failure domain every ReportInterval.
@@ -341,7 +341,7 @@
 			return
 		}
 		r.recordRequest(from, request)
-		deliverWanted(request.Wanted, r.sink.WantedVersion)
+		deliverWanted(from.Addr().Unmap(), request.Wanted, r.sink.WantedVersion)
 		for _, newest := range request.Newest {
 			r.sink.NewestVersion(core.Model(newest.Model), newest.Version)
 		}
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -22,8 +22,8 @@
 // Sink receives the contents of reports from agents.
 type Sink struct {
 	Report func(fleet.ReplicaID, dispatch.Report)
-	// WantedVersion receives a wanted version and the time since it became wanted.
-	WantedVersion func(model core.Model, version int64, age time.Duration)
+	// WantedVersion receives a version that an agent knows to be wanted and the time since it became wanted.
+	WantedVersion func(from netip.Addr, model core.Model, version int64, age time.Duration)
 	// EntryHostCounts receives the number of entry hosts that request reports from an agent and the number of those that the
 	// store does not answer.
 	EntryHostCounts func(hosts, unresponsive int)
@@ -240,7 +240,7 @@
 		}
 	}
 	l.Sink.EntryHostCounts(received.Report.Senders, received.Report.StoreUnresponsiveCount)
-	deliverWanted(received.Report.Wanted, l.Sink.WantedVersion)
+	deliverWanted(from.Addr().Unmap(), received.Report.Wanted, l.Sink.WantedVersion)
 }
 
 // exchangeNotices adds the notices of an agent, and sends it those that it lacks if it has compared.
--- a/transport/loadshare/fuzz_test.go
+++ b/transport/loadshare/fuzz_test.go
@@ -1,6 +1,7 @@
 package loadshare
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -35,14 +36,14 @@
 			require.False(t, n.At.After(now), "time of a notice")
 			ledger.Add(now, n)
 		}
-		sink := func(_ core.Model, _ int64, age time.Duration) {
+		sink := func(_ netip.Addr, _ core.Model, _ int64, age time.Duration) {
 			require.GreaterOrEqual(t, age, time.Duration(0), "age of a version")
 		}
-		deliverWanted(received.Wanted, sink)
+		deliverWanted(netip.Addr{}, received.Wanted, sink)
 		if received.Report == nil {
 			return
 		}
-		deliverWanted(received.Report.Wanted, sink)
+		deliverWanted(netip.Addr{}, received.Report.Wanted, sink)
 		report := received.Report.decode(1)
 		require.GreaterOrEqual(t, report.Running, 0)
 		require.GreaterOrEqual(t, report.Waiting, 0)
--- a/transport/loadshare/loadshare_test.go
+++ b/transport/loadshare/loadshare_test.go
@@ -61,7 +61,7 @@
 				defer mu.Unlock()
 				hostCounts = [2]int{hosts, unresponsive}
 			},
-			WantedVersion: func(model core.Model, version int64, age time.Duration) {
+			WantedVersion: func(_ netip.Addr, model core.Model, version int64, age time.Duration) {
 				mu.Lock()
 				defer mu.Unlock()
 				if model == "m" && version == 4 {
@@ -78,7 +78,7 @@
 	require.NoError(t, err)
 	reporter, err := loadshare.NewReporter("127.0.10.1", port, func() *fleet.View { return view }, loadshare.RequestSink{
 		EntryHostCounts: func(int, int) {},
-		WantedVersion: func(model core.Model, version int64, age time.Duration) {
+		WantedVersion: func(_ netip.Addr, model core.Model, version int64, age time.Duration) {
 			mu.Lock()
 			defer mu.Unlock()
 			if model == "m" && version == 4 {
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -164,11 +164,13 @@
 	return list
 }
 
-// deliverWanted passes each version to sink.
-func deliverWanted(versions []wantedVersion, sink func(model core.Model, version int64, age time.Duration)) {
+// deliverWanted passes each version that a host has told to sink.
+func deliverWanted(
+	from netip.Addr, versions []wantedVersion, sink func(from netip.Addr, model core.Model, version int64, age time.Duration),
+) {
 	for _, version := range versions {
 		age := min(max(version.AgeMS, 0), maxWantedAge.Milliseconds())
-		sink(core.Model(version.Model), version.Version, time.Duration(age)*time.Millisecond)
+		sink(from, core.Model(version.Model), version.Version, time.Duration(age)*time.Millisecond)
 	}
 }
 
