Count the age of a version from the question for it

What callers saw: after a restart of entry processes, requests began on version 1 up to 1.5 s after the bound of 8 s at which version 2 had to serve all of them.

Cause: agents and entry hosts told each other how long ago a version became wanted, counted when the datagram was made; the receiver subtracted that age from the time at which it read the datagram. An agent that stood still read the datagrams seconds late, took the version for that much younger and kept this time, since a known time was never replaced. Entry hosts that started took their time from whichever agent reported first.

Change: a process holds an earliest and a latest time for each version. One that lacks them, or whose times are more than 1 s apart, asks with its own clock in the question, which the answer repeats with the ages. The earliest time follows from the time of the question, the latest from that at which the answer is read, so a datagram may wait anywhere for any time. Answers narrow the two times in any order; of two that contradict each other the earlier one holds. Ages in other datagrams only say that there is a version. A process asks again until its times are close, so that an early one heard first does not cost service. Hosts of an earlier version still use those ages; from entry hosts that don't answer, agents take over a version after 1 s without a time.

The tests of messages and of the table now use the new calls; what they check is the same. The agent of TestReportAppliesOnlyToItsProcess lacks the version of the entry host and the other way round, since only then a time is told.

TestVersionNeverCountsAsWantedTooLate plays hosts that stand still, restart, and lose or delay datagrams by up to 5 s, in virtual time. It fails when the earliest time counts from the reading, and, for service, when entry hosts don't ask. TestVersionTimeHeardFirstDoesNotWin and TestOutageNoticedHereIsNotForgotten cover the order of news.

--- a/state/fleet/table.go
+++ b/state/fleet/table.go
@@ -209,19 +209,24 @@
 }
 
 // SetWanted stores a weight target unless the same or a newer version is wanted. since is the time at which operators set the
-// target, a lower bound of it, or zero when it is unknown. It reports whether the version was stored.
+// target, or zero when it is unknown. It reports whether the version was stored.
 func (t *Table) SetWanted(since time.Time, target WeightTarget) bool {
-	current := t.wanted[target.Model]
-	if target.Version <= current.Newest() {
+	return t.SetWantedVersion(target.Model, WantedVersion{Version: target.Version, Since: since, Until: since})
+}
+
+// SetWantedVersion is SetWanted for a version of which bounds of the time are known.
+func (t *Table) SetWantedVersion(model core.Model, wanted WantedVersion) bool {
+	current := t.wanted[model]
+	if wanted.Version <= current.Newest() {
 		return false
 	}
-	t.wanted[target.Model] = current.With(WantedVersion{Version: target.Version, Since: since})
+	t.wanted[model] = current.With(wanted)
 	return true
 }
 
-// SetWantedSince stores the time since which a version is wanted if it was unknown. It reports whether it was stored.
-func (t *Table) SetWantedSince(model core.Model, version int64, since time.Time) bool {
-	next, changed := t.wanted[model].WithSince(version, since)
+// NarrowWanted adds the bounds of a version's time that another host has told to what is known. It reports whether that changed.
+func (t *Table) NarrowWanted(model core.Model, told WantedVersion) bool {
+	next, changed := t.wanted[model].WithTime(told)
 	if changed {
 		t.wanted[model] = next
 	}
--- a/state/fleet/wanted_test.go
+++ b/state/fleet/wanted_test.go
@@ -30,22 +30,59 @@
 	require.EqualValues(t, 3, wanted.Due(start, activationDelay))
 }
 
+// at returns a version whose time is known exactly.
+func at(version int64, since time.Time) fleet.WantedVersion {
+	return fleet.WantedVersion{Version: version, Since: since, Until: since}
+}
+
 // TestRestartedProcessLearnsEarlierVersions guards against version 1 staying allowed in a process that saw only version 3 and
 // so does not know that version 2 is due.
 func TestRestartedProcessLearnsEarlierVersions(t *testing.T) {
 	wanted := fleet.Wanted{}.With(fleet.WantedVersion{Version: 3})
-	wanted, changed := wanted.WithSince(3, start.Add(3*time.Second))
+	wanted, changed := wanted.WithTime(at(3, start.Add(3*time.Second)))
 	require.True(t, changed)
-	wanted, changed = wanted.WithSince(2, start)
+	wanted, changed = wanted.WithTime(at(2, start))
 	require.True(t, changed)
 	require.EqualValues(t, 2, wanted.Due(start.Add(8*time.Second), activationDelay))
 
-	_, changed = wanted.WithSince(2, start.Add(time.Second))
-	require.False(t, changed, "a known time is not replaced")
-	_, changed = wanted.WithSince(4, start)
+	_, changed = wanted.WithTime(at(2, start.Add(time.Second)))
+	require.False(t, changed, "a known time is not replaced by a later one")
+	_, changed = wanted.WithTime(at(4, start))
 	require.False(t, changed, "a version that the store has not listed is not added")
 }
 
+// TestVersionTimeHeardFirstDoesNotWin guards against the time of a version that depends on which host is heard first: all orders of the
+// same news must give the same time, also if one of them is wrong.
+func TestVersionTimeHeardFirstDoesNotWin(t *testing.T) {
+	second := func(n float64) time.Time { return start.Add(time.Duration(n * float64(time.Second))) }
+	between := func(since, until float64) fleet.WantedVersion {
+		return fleet.WantedVersion{Version: 3, Since: second(since), Until: second(until)}
+	}
+	for name, news := range map[string][]fleet.WantedVersion{
+		"uncertain":        {between(-3, 4), between(0, 0.2), between(-2, 0.5)},
+		"too late":         {between(3, 3.1), between(0, 0.2), between(-2, 0.5)},
+		"too late, chains": {between(5, 5.5), between(3, 3.1), between(0, 0.2)},
+	} {
+		for _, order := range [][3]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+			wanted := fleet.Wanted{{Version: 3, Until: second(6)}}
+			for _, i := range order {
+				wanted, _ = wanted.WithTime(news[i])
+			}
+			require.Equal(t, second(0), wanted[0].Since, "%s, order %v", name, order)
+			require.False(t, wanted.LacksTime(3), "%s, order %v", name, order)
+		}
+	}
+}
+
+// TestOutageNoticedHereIsNotForgotten guards against service that is lost after an outage of the store, because a host that did not notice
+// it tells the time before it.
+func TestOutageNoticedHereIsNotForgotten(t *testing.T) {
+	wanted := fleet.Wanted{at(3, start)}.ClampSince(start.Add(9 * time.Second))
+	wanted, changed := wanted.WithTime(at(3, start))
+	require.False(t, changed)
+	require.Equal(t, start.Add(9*time.Second), wanted[0].Since)
+}
+
 // TestOlderTargetDoesNotReplaceNewer guards against a late, older target that replaces a newer one.
 func TestOlderTargetDoesNotReplaceNewer(t *testing.T) {
 	wanted := fleet.Wanted{}.With(fleet.WantedVersion{Version: 3, Since: start}).With(fleet.WantedVersion{Version: 2, Since: start})
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -265,48 +265,54 @@
 	}
 }
 
-// ApplyPeerTarget records a peer's report that a version became a model's target age ago. A version newer than the known
+// ApplyPeerTarget records the time at which a version became a model's target, as a peer has told it. A version newer than the known
 // ones becomes the target here too.
-func (f *Follower) ApplyPeerTarget(from netip.Addr, model core.Model, version int64, age time.Duration) {
+func (f *Follower) ApplyPeerTarget(from netip.Addr, model core.Model, told fleet.WantedVersion) {
 	view := f.View()
-	if !view.Ready() || version <= view.Wanted[model].Newest() {
-		f.LearnTargetTime(from, model, version, age)
+	if !view.Ready() || told.Version <= view.Wanted[model].Newest() {
+		f.LearnTargetTime(from, model, told)
 		return
 	}
-	f.applyPeerVersion(model, version, f.time().Add(-age), logrus.Fields{"from": from, "age_ms": age.Milliseconds()})
+	f.applyPeerVersion(model, told, f.timeFields(from, told))
+}
+
+// timeFields returns the fields of log lines about the time of a version that a peer has told.
+func (f *Follower) timeFields(from netip.Addr, told fleet.WantedVersion) logrus.Fields {
+	return logrus.Fields{
+		"from": from, "age_ms": f.time().Sub(told.Since).Milliseconds(), "uncertain_ms": told.Until.Sub(told.Since).Milliseconds(),
+	}
 }
 
 // ApplyPeerVersion records a peer's report that a version is a model's target, without the time since when.
 func (f *Follower) ApplyPeerVersion(model core.Model, version int64) {
 	if view := f.View(); view.Ready() && version > view.Wanted[model].Newest() {
-		f.applyPeerVersion(model, version, time.Time{}, nil)
+		f.applyPeerVersion(model, fleet.WantedVersion{Version: version, Until: f.time()}, nil)
 	}
 }
 
 // applyPeerVersion stores a version and logs it with the source of its time.
-func (f *Follower) applyPeerVersion(model core.Model, version int64, since time.Time, source logrus.Fields) {
+func (f *Follower) applyPeerVersion(model core.Model, wanted fleet.WantedVersion, source logrus.Fields) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.table.SetWanted(since, fleet.WeightTarget{Model: model, Version: version}) {
-		f.log.WithFields(source).WithField("model", model).WithField("version", version).Info("version wanted, as another host says")
+	if f.table.SetWantedVersion(model, wanted) {
+		f.log.WithFields(source).WithField("model", model).WithField("version", wanted.Version).Info("version wanted, as another host says")
 		f.publish()
 	}
 }
 
-// LearnTargetTime records a peer's report of how long ago a version became a model's target, unless that is known.
-func (f *Follower) LearnTargetTime(from netip.Addr, model core.Model, version int64, age time.Duration) {
+// LearnTargetTime records the time at which a version became a model's target, as a peer has told it.
+func (f *Follower) LearnTargetTime(from netip.Addr, model core.Model, told fleet.WantedVersion) {
 	view := f.View()
 	if !view.Ready() {
 		return
 	}
-	since := f.time().Add(-age)
-	if _, isNew := view.Wanted[model].WithSince(version, since); !isNew {
+	if _, isNew := view.Wanted[model].WithTime(told); !isNew {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.table.SetWantedSince(model, version, since) {
-		f.log.WithFields(logrus.Fields{"model": model, "version": version, "from": from, "age_ms": age.Milliseconds()}).
+	if f.table.NarrowWanted(model, told) {
+		f.log.WithFields(f.timeFields(from, told)).WithFields(logrus.Fields{"model": model, "version": told.Version}).
 			Info("time of a wanted version learned from another host")
 		f.publish()
 	}
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -139,7 +139,8 @@
 	case fleet.Evacuation:
 		f.table.SetEvacuated(now, value.FailureDomain, true)
 	case fleet.WeightTarget:
-		if f.table.SetWanted(since, value) {
+		wanted := fleet.WantedVersion{Version: value.Version, Since: since, Until: now}
+		if f.table.SetWantedVersion(value.Model, wanted) {
 			fields := logrus.Fields{"model": value.Model, "version": value.Version}
 			if !since.IsZero() {
 				fields["age_ms"] = now.Sub(since).Milliseconds()
--- a/transport/follow/versions_test.go
+++ b/transport/follow/versions_test.go
@@ -13,6 +13,12 @@
 	"github.com/guavatrestle/guavatrestle/transport/follow"
 )
 
+// told returns a version that became wanted an exactly known time ago.
+func told(version int64, age time.Duration) fleet.WantedVersion {
+	since := bootclock.Time().Add(-age)
+	return fleet.WantedVersion{Version: version, Since: since, Until: since}
+}
+
 // TestVersionFoundAtStartHasNoKnownTime checks that a process does not take its own start for the time at which a version
 // became the target, and that it takes that time from a peer.
 func TestVersionFoundAtStartHasNoKnownTime(t *testing.T) {
@@ -23,8 +29,8 @@
 	eventually(t, func() bool { return follower.View().Ready() })
 	require.True(t, follower.View().Wanted["m"][0].Since.IsZero())
 
-	follower.LearnTargetTime(netip.Addr{}, "m", 3, 2*time.Second)
-	follower.LearnTargetTime(netip.Addr{}, "m", 2, 6*time.Second)
+	follower.LearnTargetTime(netip.Addr{}, "m", told(3, 2*time.Second))
+	follower.LearnTargetTime(netip.Addr{}, "m", told(2, 6*time.Second))
 	wanted := follower.View().Wanted["m"]
 	require.Len(t, wanted, 2)
 	require.EqualValues(t, 2, wanted[0].Version)
@@ -78,11 +84,11 @@
 	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 3}})
 	follower := startFollower(t, s)
 	eventually(t, func() bool { return follower.View().Ready() })
-	follower.ApplyPeerTarget(netip.Addr{}, "m", 4, time.Second)
+	follower.ApplyPeerTarget(netip.Addr{}, "m", told(4, time.Second))
 	wanted := follower.View().Wanted["m"]
 	require.EqualValues(t, 4, wanted.Newest())
 	require.False(t, wanted[len(wanted)-1].Since.IsZero())
-	follower.ApplyPeerTarget(netip.Addr{}, "m", 3, 2*time.Second)
+	follower.ApplyPeerTarget(netip.Addr{}, "m", told(3, 2*time.Second))
 	require.EqualValues(t, 4, follower.View().Wanted["m"].Newest())
 }
 
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -58,7 +58,7 @@
 	source := newSource(deps.Host, deps.Source, nil, deps.Held, deps.Log)
 	follower := follow.New(source, agentFollowConfig, newRandom(deps.Random), deps.Log)
 	sink := loadshare.RequestSink{
-		EntryHostCounts: follower.RecordPeerReachability, WantedVersion: follower.ApplyPeerTarget,
+		EntryHostCounts: follower.RecordPeerReachability, VersionTime: follower.ApplyPeerTarget,
 		NewestVersion: follower.ApplyPeerVersion,
 		Relays: func(relays map[core.FailureDomain]netip.Addr) {
 			if address, ok := relays[deps.Host.FailureDomain]; ok {
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -142,7 +142,7 @@
 		PriorityDemand:    e.router.PriorityDemand,
 		Notices:           e.quarantine,
 		Sink: loadshare.Sink{
-			Report: e.recordLoad, WantedVersion: e.follower.LearnTargetTime,
+			Report: e.recordLoad, VersionTime: e.follower.LearnTargetTime,
 			EntryHostCounts: e.follower.RecordPeerReachability, Relay: e.source.SetRelay,
 			Outside: e.router.SetOutside,
 		},
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -45,9 +45,9 @@
 	// EntryHostCounts receives the number of entry hosts that request reports and the number of those that the store does not
 	// answer.
 	EntryHostCounts func(hosts, unresponsive int)
-	// WantedVersion receives a version that an entry host knows to be wanted and the time since it became wanted.
-	WantedVersion func(from netip.Addr, model core.Model, version int64, age time.Duration)
-	// NewestVersion receives the newest wanted version of a model from an entry host that doesn't know since when it is wanted.
+	// VersionTime receives a version that an entry host knows to be wanted, with the bounds of its time.
+	VersionTime func(from netip.Addr, model core.Model, told fleet.WantedVersion)
+	// NewestVersion receives a wanted version of a model from an entry host that doesn't say since when it is wanted.
 	NewestVersion func(model core.Model, version int64)
 	// Relays receives the relay of each failure domain every ReportInterval.
 	Relays func(map[core.FailureDomain]netip.Addr)
@@ -76,6 +76,9 @@
 	// census counts the entry hosts of all failure domains, for those that ask this agent.
 	census  *reporting.Census
 	regions map[core.FailureDomain]core.Region
+	// unansweredSince is the time of the first question for the times of versions since the last answer, zero if all were answered. Only the
+	// goroutine that receives datagrams uses it.
+	unansweredSince time.Time
 	// earlier makes the agent report like one of an earlier version, in tests.
 	earlier bool
 }
@@ -337,13 +340,40 @@
 // take returns a function that handles the message of a datagram from an address.
 func (r *Reporter) take(from netip.AddrPort) func(message) {
 	return func(request message) {
-		if request.Report != nil {
-			return
+		switch {
+		case request.Report != nil:
+		case request.Times != nil:
+			r.unansweredSince = time.Time{}
+			request.Times.deliverTimes(r.now(), from.Addr().Unmap(), r.sink.VersionTime)
+		default:
+			r.recordRequest(from, request)
+			r.learnVersions(from, request)
 		}
-		r.recordRequest(from, request)
-		deliverWanted(from.Addr().Unmap(), request.Wanted, r.sink.WantedVersion)
-		for _, newest := range request.Newest {
-			r.sink.NewestVersion(core.Model(newest.Model), newest.Version)
+	}
+}
+
+// learnVersions passes on what an entry host says of versions, and asks it for times that it may know more closely.
+func (r *Reporter) learnVersions(from netip.AddrPort, request message) {
+	now, view := r.now(), r.view()
+	if request.AskTimes != nil {
+		if times := answerQuestion(now, view, *request.AskTimes); times != nil {
+			sendMessage(r.conn, r.log, from, message{Times: times})
 		}
 	}
+	for _, newest := range request.Newest {
+		r.sink.NewestVersion(core.Model(newest.Model), newest.Version)
+	}
+	if !lacksAny(view, request.Wanted, true) {
+		return
+	}
+	sendMessage(r.conn, r.log, from, message{AskTimes: question(now)})
+	if r.unansweredSince.IsZero() {
+		r.unansweredSince = now
+	}
+	if now.Sub(r.unansweredSince) <= answerPatience {
+		return
+	}
+	for _, version := range request.Wanted {
+		r.sink.NewestVersion(core.Model(version.Model), version.Version)
+	}
 }
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -22,8 +22,8 @@
 // Sink receives the contents of reports from agents.
 type Sink struct {
 	Report func(fleet.ReplicaID, dispatch.Report)
-	// WantedVersion receives a version that an agent knows to be wanted and the time since it became wanted.
-	WantedVersion func(from netip.Addr, model core.Model, version int64, age time.Duration)
+	// VersionTime receives a version that an agent knows to be wanted, with the bounds of its time.
+	VersionTime func(from netip.Addr, model core.Model, told fleet.WantedVersion)
 	// EntryHostCounts receives the number of entry hosts that request reports from an agent and the number of those that the
 	// store does not answer.
 	EntryHostCounts func(hosts, unresponsive int)
@@ -82,6 +82,8 @@
 	demand atomic.Pointer[map[core.Upstream]float64]
 	// compared is set once an agent has compared its notices with those of this host.
 	compared atomic.Bool
+	// lacksTimes is set if an agent has listed a version of which this host doesn't know the time.
+	lacksTimes atomic.Bool
 	// divided is set while reports are requested from a subset of the agents.
 	divided bool
 	peers   peers
@@ -138,6 +140,7 @@
 	round := l.peers.startRound(l.now(), byHost, view.Ready())
 	l.announce(&round, len(byHost))
 	demand := make(map[core.Upstream]float64)
+	lacksTimes := l.lacksTimes.Swap(false) || lackTimes(l.now(), view)
 	asked := 0
 	for _, host := range round.order {
 		if !round.asks(host) {
@@ -162,6 +165,9 @@
 			digest := l.Notices.Digest()
 			request.Digest = &digest
 		}
+		if lacksTimes && asked < timeQuestions {
+			request.AskTimes = question(l.now())
+		}
 		body, err := json.Marshal(request)
 		if err != nil {
 			l.Log.WithError(err).Error("encode request for reports")
@@ -227,6 +233,7 @@
 	if l.Notices != nil {
 		l.exchangeNotices(from, received)
 	}
+	l.exchangeTimes(from, received)
 	l.peers.learn(l.now(), &received)
 	byHost := l.byHost.Load()
 	if received.Report == nil || byHost == nil || !l.peers.isNewest(from.Addr().Unmap(), received.Report) {
@@ -240,7 +247,22 @@
 		}
 	}
 	l.Sink.EntryHostCounts(received.Report.Senders, received.Report.StoreUnresponsiveCount)
-	deliverWanted(from.Addr().Unmap(), received.Report.Wanted, l.Sink.WantedVersion)
+	if lacksAny(l.View(), received.Report.Wanted, false) {
+		l.lacksTimes.Store(true)
+	}
+}
+
+// exchangeTimes answers a question for the times of versions, and passes on the answer to one.
+func (l *Listener) exchangeTimes(from netip.AddrPort, received message) {
+	now := l.now()
+	if received.AskTimes != nil {
+		if times := answerQuestion(now, l.View(), *received.AskTimes); times != nil {
+			sendMessage(l.conn, l.Log, from, message{Times: times})
+		}
+	}
+	if received.Times != nil {
+		received.Times.deliverTimes(now, from.Addr().Unmap(), l.Sink.VersionTime)
+	}
 }
 
 // exchangeNotices adds the notices of an agent, and sends it those that it lacks if it has compared.
--- a/transport/loadshare/fleet_test.go
+++ b/transport/loadshare/fleet_test.go
@@ -130,7 +130,7 @@
 ) {
 	r, err := NewReporter("127.0.0.1", 0, func() *fleet.View { return view }, RequestSink{
 		EntryHostCounts: func(int, int) {},
-		WantedVersion:   func(netip.Addr, core.Model, int64, time.Duration) { s.learned[address] = true },
+		VersionTime:     func(netip.Addr, core.Model, fleet.WantedVersion) { s.learned[address] = true },
 		NewestVersion:   func(core.Model, int64) { s.learned[address] = true },
 		Relays:          func(relays map[core.FailureDomain]netip.Addr) { s.relays[address] = relays[domain] },
 	}, log)
@@ -160,7 +160,7 @@
 					}
 					s.reports[address][id] = report
 				},
-				WantedVersion:   func(netip.Addr, core.Model, int64, time.Duration) {},
+				VersionTime:     func(netip.Addr, core.Model, fleet.WantedVersion) {},
 				EntryHostCounts: func(int, int) {}, Relay: func(relay netip.Addr) { s.relays[address] = relay },
 			},
 		},
--- a/transport/loadshare/fuzz_test.go
+++ b/transport/loadshare/fuzz_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/state/core"
+	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
 // FuzzMessage guards against a datagram that ends the process or yields values out of range: ages, counts and shares that are negative
@@ -25,6 +26,8 @@
 	f.Add([]byte(`{"r":{"c":-1,"o":9223372036854775807}}`))
 	f.Add([]byte(`{"c":true,"i":334,"h":true,"o":7,"b":true,"t":111,"n":[{"d":"a","n":22,"a":900}],"z":{"a":"10.0.0.1"},"d":"a"}`))
 	f.Add([]byte(`{"l":"CgAAAQ==","w":true,"n":[{"d":"a","n":-1,"a":-5}],"t":-1,"r":{"h":-1,"c":-9}}`))
+	f.Add([]byte(`{"q":5,"a":{"q":4294967295000,"v":[{"n":"m","v":2,"a":1200,"s":700}]}}`))
+	f.Add([]byte(`{"q":-9223372036854775808,"a":{"q":9223372036854775807,"v":[{"n":"m","v":2,"a":9223372036854775807,"s":-1}]}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		received, err := decodeMessage(data)
 		if err != nil {
@@ -36,14 +39,15 @@
 			require.False(t, n.At.After(now), "time of a notice")
 			ledger.Add(now, n)
 		}
-		sink := func(_ netip.Addr, _ core.Model, _ int64, age time.Duration) {
-			require.GreaterOrEqual(t, age, time.Duration(0), "age of a version")
+		if received.Times != nil {
+			received.Times.deliverTimes(now, netip.Addr{}, func(_ netip.Addr, _ core.Model, told fleet.WantedVersion) {
+				require.False(t, told.Until.After(now), "time of a version")
+				require.False(t, told.Since.After(told.Until), "bounds of the time of a version")
+			})
 		}
-		deliverWanted(netip.Addr{}, received.Wanted, sink)
 		if received.Report == nil {
 			return
 		}
-		deliverWanted(netip.Addr{}, received.Report.Wanted, sink)
 		report := received.Report.decode(1)
 		require.GreaterOrEqual(t, report.Running, 0)
 		require.GreaterOrEqual(t, report.Waiting, 0)
--- a/transport/loadshare/loadshare_test.go
+++ b/transport/loadshare/loadshare_test.go
@@ -35,8 +35,10 @@
 		table.SetReplica(time.Now(), 1, &fleet.Replica{ID: id, Upstream: "llm", Address: "127.0.10.1:80", Born: born})
 	}
 	table.SetReplica(time.Now(), 1, &fleet.Replica{ID: "plain", Upstream: "orders", Address: "127.0.10.1:81", Born: 2})
+	agentView := table.View()
+	agentView.Wanted = map[core.Model]fleet.Wanted{"restarted": {{Version: 7, Since: bootclock.Time().Add(-3 * time.Second)}}}
 	table.SetWanted(bootclock.Time().Add(-3*time.Second), fleet.WeightTarget{Model: "m", Version: 4})
-	table.SetWanted(time.Time{}, fleet.WeightTarget{Model: "restarted", Version: 7})
+	table.SetWantedVersion("restarted", fleet.WantedVersion{Version: 7, Until: bootclock.Time()})
 	view := table.View()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -61,11 +63,11 @@
 				defer mu.Unlock()
 				hostCounts = [2]int{hosts, unresponsive}
 			},
-			WantedVersion: func(_ netip.Addr, model core.Model, version int64, age time.Duration) {
+			VersionTime: func(_ netip.Addr, model core.Model, told fleet.WantedVersion) {
 				mu.Lock()
 				defer mu.Unlock()
-				if model == "m" && version == 4 {
-					entryAge = age
+				if model == "restarted" && told.Version == 7 {
+					entryAge = bootclock.Time().Sub(told.Since)
 				}
 			},
 			Relay: func(address netip.Addr) {
@@ -76,13 +78,13 @@
 		},
 	})
 	require.NoError(t, err)
-	reporter, err := loadshare.NewReporter("127.0.10.1", port, func() *fleet.View { return view }, loadshare.RequestSink{
+	reporter, err := loadshare.NewReporter("127.0.10.1", port, func() *fleet.View { return agentView }, loadshare.RequestSink{
 		EntryHostCounts: func(int, int) {},
-		WantedVersion: func(_ netip.Addr, model core.Model, version int64, age time.Duration) {
+		VersionTime: func(_ netip.Addr, model core.Model, told fleet.WantedVersion) {
 			mu.Lock()
 			defer mu.Unlock()
-			if model == "m" && version == 4 {
-				agentAge = age
+			if model == "m" && told.Version == 4 {
+				agentAge = bootclock.Time().Sub(told.Since)
 			}
 		},
 		NewestVersion: func(model core.Model, version int64) {
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -57,7 +57,8 @@
 	PriorityDemand []float64 `json:"p,omitempty"`
 	// StoreUnresponsive is set in a request when the store does not answer the sender.
 	StoreUnresponsive bool `json:"x,omitempty"`
-	// Wanted lists, in a request, the versions that recently became wanted as known to the sender.
+	// Wanted lists, in a request, the versions that recently became wanted as known to the sender. Only hosts of an earlier version use
+	// the ages: the datagram may be read at any time after it was sent. The others ask for them.
 	Wanted []wantedVersion `json:"v,omitempty"`
 	// Newest lists, in a request, the newest wanted versions of which the sender doesn't know since when they are wanted, as after its
 	// start. Agents read the wanted versions by lists that may be seconds old.
@@ -80,6 +81,9 @@
 	// request it asks for the notices that the sender lacks, and in a response for those that the agent lacks.
 	Notices []notice `json:"k,omitempty"`
 	Digest  *uint64  `json:"g,omitempty"`
+	// AskTimes asks for the times of the versions that recently became wanted, in the clock of the sender. Times answers it.
+	AskTimes *int64        `json:"q,omitempty"`
+	Times    *versionTimes `json:"a,omitempty"`
 }
 
 type report struct {
@@ -116,11 +120,13 @@
 	AgeMS         int64              `json:"a"`
 }
 
-// wantedVersion is a version and the time since it became wanted.
+// wantedVersion is a version and the time since it became wanted, at most.
 type wantedVersion struct {
 	Model   string `json:"n"`
 	Version int64  `json:"v"`
 	AgeMS   int64  `json:"a"`
+	// SpreadMS is, in versionTimes, the time by which the version may have become wanted later.
+	SpreadMS int64 `json:"s,omitempty"`
 }
 
 // newestVersion is a model's newest wanted version.
@@ -135,7 +141,8 @@
 	Layers  int    `json:"l"`
 }
 
-// recentWanted returns the versions that became wanted within wantedLifetime, as far as the time is known.
+// recentWanted returns the versions that became wanted within wantedLifetime, as far as the time is known. Ages are rounded up and
+// uncertainties with them, so that the bounds hold.
 func recentWanted(now time.Time, view *fleet.View) []wantedVersion {
 	if !view.Ready() {
 		return nil
@@ -144,14 +151,23 @@
 	for model, wanted := range view.Wanted {
 		for _, version := range wanted {
 			age := now.Sub(version.Since)
-			if !version.Since.IsZero() && age < wantedLifetime {
-				list = append(list, wantedVersion{Model: string(model), Version: version.Version, AgeMS: age.Milliseconds()})
+			if version.Since.IsZero() || age >= wantedLifetime {
+				continue
 			}
+			told := wantedVersion{Model: string(model), Version: version.Version, AgeMS: roundUp(age)}
+			told.SpreadMS = told.AgeMS
+			if !version.Until.IsZero() {
+				told.SpreadMS -= max(now.Sub(version.Until).Milliseconds(), 0)
+			}
+			list = append(list, told)
 		}
 	}
 	return list
 }
 
+// roundUp returns a time in whole milliseconds, rounded up.
+func roundUp(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
 // newestWithoutTime returns the newest wanted versions of models as far as it is not known since when they are wanted.
 func newestWithoutTime(view *fleet.View, models []core.Model) []newestVersion {
 	var list []newestVersion
@@ -164,16 +180,6 @@
 	return list
 }
 
-// deliverWanted passes each version that a host has told to sink.
-func deliverWanted(
-	from netip.Addr, versions []wantedVersion, sink func(from netip.Addr, model core.Model, version int64, age time.Duration),
-) {
-	for _, version := range versions {
-		age := min(max(version.AgeMS, 0), maxWantedAge.Milliseconds())
-		sink(from, core.Model(version.Model), version.Version, time.Duration(age)*time.Millisecond)
-	}
-}
-
 // encodeReport encodes a report, whose Demand is the total by priority, with the total demand.
 func encodeReport(
 	born int64, r dispatch.Report, demand float64, unresponsive int, order int64, versions []wantedVersion,
--- a/transport/loadshare/receive.go
+++ b/transport/loadshare/receive.go
@@ -69,6 +69,9 @@
 			return received, err
 		}
 	}
+	if err := received.Times.check(); err != nil {
+		return received, err
+	}
 	return received, received.Report.check()
 }
 
