Date versions read from the store by when their answer can have arrived

What callers saw: on hosts that had stood still while a new version became wanted, requests began on the old version up to 0.3 s after the bound of 8 s, and such a host told its time to those that started later.

Cause: a change that ended the wait of a watch counted as made at the moment at which its answer was read. On a host that stood still the answer had been waiting in the socket.

Change: internal/standstill notices from a beat every 100 ms when the process did not run for more than 250 ms. Until the process has caught up, the earliest time of what it reads is the beginning of the standstill.

TestVersionReadLateHasAnEarlierTime fails with the time of the reading in place of that of the arrival ("the version may have become wanted at any time since").

--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -97,6 +97,8 @@
 	ProbeWait time.Duration
 	// Now returns the time since the host's boot; nil means bootclock.Now.
 	Now func() bootclock.Instant
+	// ArrivedAfter returns a time after which everything has arrived that the process reads now, as standstill.Monitor does; nil means Now.
+	ArrivedAfter func() bootclock.Instant
 }
 
 // position is a point in the store's history from which a kind can be watched. The zero position means that the kind must be
@@ -158,6 +160,9 @@
 	if cfg.Now == nil {
 		cfg.Now = bootclock.Now
 	}
+	if cfg.ArrivedAfter == nil {
+		cfg.ArrivedAfter = cfg.Now
+	}
 	return &Follower{
 		source:        source,
 		cfg:           cfg,
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -62,8 +62,10 @@
 	}
 	since := f.completeUntil[kind]
 	if !got.list && time.Duration(f.now()-got.sent) > promptResponseLimit {
-		// The change ended the wait of the watch, so it was made just now.
-		since = now
+		// The change ended the wait of the watch, so it was made right before the answer arrived.
+		if arrivedAfter := time.Unix(0, int64(f.cfg.ArrivedAfter())); arrivedAfter.After(since) {
+			since = arrivedAfter
+		}
 	}
 	for _, record := range batch.Records {
 		f.applyRecord(now, since, kind, record)
--- a/transport/follow/versions_test.go
+++ b/transport/follow/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,3 +122,33 @@
 	eventually(t, func() bool { return follower.View().Wanted["m"].Newest() == 3 })
 	require.True(t, follower.View().Wanted["m"][0].Since.IsZero())
 }
+
+// TestVersionReadLateHasAnEarlierTime guards against requests that begin on an old version too late at a host that stood still while the
+// new one became wanted: the answer of the store was waiting for it, and the version counted from its reading.
+func TestVersionReadLateHasAnEarlierTime(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	var stoodFrom atomic.Int64
+	cfg := follow.Config{
+		Kinds:     []follow.Kind{{Kind: feed.KindConfiguration}, {Kind: feed.KindWeightTargets}},
+		ProbeWait: 50 * time.Millisecond,
+		ArrivedAfter: func() bootclock.Instant {
+			if from := stoodFrom.Load(); from != 0 {
+				return bootclock.Instant(from)
+			}
+			return bootclock.Now()
+		},
+	}
+	follower := startConfigured(t, s, cfg)
+	eventually(t, func() bool { return follower.View().Ready() })
+	const longWatch = time.Second
+	readyAt := bootclock.Time()
+	eventually(t, func() bool { return bootclock.Time().Sub(readyAt) > longWatch })
+	// The process stood still for 0.4 s and has just begun to run again.
+	stoodFrom.Store(int64(bootclock.Now()) - int64(400*time.Millisecond))
+	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 2}})
+	eventually(t, func() bool { return follower.View().Wanted["m"].Newest() == 2 })
+	wanted := follower.View().Wanted["m"][0]
+	require.False(t, wanted.Since.After(time.Unix(0, stoodFrom.Load())), "the version may have become wanted at any time since")
+	require.False(t, wanted.Until.Before(wanted.Since.Add(400*time.Millisecond)))
+}
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -14,6 +14,7 @@
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
+	"github.com/guavatrestle/guavatrestle/internal/standstill"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -56,7 +57,10 @@
 // RunAgent runs an agent process until ctx is done.
 func RunAgent(ctx context.Context, deps AgentDependencies) error {
 	source := newSource(deps.Host, deps.Source, nil, deps.Held, deps.Log)
-	follower := follow.New(source, agentFollowConfig, newRandom(deps.Random), deps.Log)
+	monitor := standstill.NewMonitor(bootclock.Now)
+	followCfg := agentFollowConfig
+	followCfg.ArrivedAfter = monitor.ArrivedAfter
+	follower := follow.New(source, followCfg, newRandom(deps.Random), deps.Log)
 	sink := loadshare.RequestSink{
 		EntryHostCounts: follower.RecordPeerReachability, VersionTime: follower.ApplyPeerTarget,
 		NewestVersion: follower.ApplyPeerVersion,
@@ -101,6 +105,7 @@
 	if err := listenAgent(deps, agent, follower); err != nil {
 		return err
 	}
+	loops.Go(func() { monitor.Run(ctx, deps.Log) })
 	loops.Go(func() { follower.Run(ctx) })
 	loops.Go(func() { reporter.Run(ctx) })
 	loops.Go(func() { agent.Run(ctx) })
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -20,6 +20,7 @@
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
 	"github.com/guavatrestle/guavatrestle/coordination/quarantine"
 	"github.com/guavatrestle/guavatrestle/internal/bootclock"
+	"github.com/guavatrestle/guavatrestle/internal/standstill"
 	"github.com/guavatrestle/guavatrestle/protocol/feed"
 	"github.com/guavatrestle/guavatrestle/protocol/headers"
 	"github.com/guavatrestle/guavatrestle/state/core"
@@ -115,6 +116,7 @@
 	// quarantine keeps prompts on which replicas crash from them.
 	quarantine *ingress.Quarantine
 	delay      *delayWatch
+	standstill *standstill.Monitor
 	leaving    atomic.Bool
 	// stopsAt is the time at which requests are cut off, in nanoseconds of the boot clock; 0 while new connections are taken.
 	stopsAt atomic.Int64
@@ -151,6 +153,7 @@
 	if err != nil {
 		return err
 	}
+	loops.Go(func() { e.standstill.Run(loopCtx, deps.Log) })
 	loops.Go(func() { listener.Run(loopCtx) })
 	loops.Go(func() { e.follower.Run(loopCtx) })
 	loops.Go(func() { e.prune(loopCtx) })
@@ -172,7 +175,10 @@
 	e.closing, e.abort = context.WithCancel(context.Background())
 	e.cache = relay.NewCache()
 	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Held, deps.Log)
-	e.follower = follow.New(e.source, entryFollowConfig, newRandom(deps.Random), deps.Log)
+	e.standstill = standstill.NewMonitor(bootclock.Now)
+	followCfg := entryFollowConfig
+	followCfg.ArrivedAfter = e.standstill.ArrivedAfter
+	e.follower = follow.New(e.source, followCfg, newRandom(deps.Random), deps.Log)
 	e.router = ingress.NewRouter(deps.Ingress, newRandom(deps.Random), bootclock.Time)
 	e.follower.OnChange(e.router.SetView)
 	e.quarantine = ingress.NewQuarantine(deps.Ingress.Quarantine, newRandom(deps.Random), bootclock.Time, deps.Log)
