Let relays tell how old a change can be

Cause: a host that reads the store through a relay took a change as made when the relay's answer ended its wait, and an answer without changes as proof that there were none until 0.5 s before. Both assume that the relay learns changes at once, which one that stands still doesn't.

Change: a relay keeps, with each record, the earliest time at which it can have been changed: the last confirmation of the store before it, or the time from which the answer of the store can have been waiting. Its responses state that age. Readers count it from the time at which they sent their call plus the time for which the relay held it, so it doesn't matter when the response is read. Relays of an earlier version state no age; their answers are taken as before.

--- a/protocol/feed/feed.go
+++ b/protocol/feed/feed.go
@@ -21,6 +21,10 @@
 	KindWeightTargets Kind = "weight_targets"
 )
 
+// PromptResponseLimit is an upper bound of the time in which even a slow store responds to a watch whose changes were made before the call.
+// A watch that took longer was ended by a change made during its wait.
+const PromptResponseLimit = 500 * time.Millisecond
+
 // Record is a record or its removal.
 type Record struct {
 	Name     string
@@ -46,6 +50,10 @@
 	Relayed       bool
 	HeldFor       time.Duration
 	CompleteAfter time.Duration
+	// Dated is true if that host has told how old the changes can be. ChangedAfter is then the time after the call was sent before which
+	// none of the records was changed, mostly negative.
+	Dated        bool
+	ChangedAfter time.Duration
 }
 
 // Source is read access to the platform's store. Errors are of type *protocol.Error: CodeExpired means that the store no
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -33,9 +33,6 @@
 	// outageSlack is the time beyond the wait of the probing watch after which a store without a response counts as
 	// unavailable.
 	outageSlack = 1500 * time.Millisecond
-	// promptResponseLimit is an upper bound of the time in which even a slow store responds to a watch whose changes were
-	// made before the call. A watch that took longer was ended by a change made during its wait.
-	promptResponseLimit = 500 * time.Millisecond
 	// An agent must know at least outageMinHosts entry hosts, and at least outageMinShare of them must not reach the store, for
 	// an outage to count as one of the store. A network fault between the store and some hosts leaves most others connected.
 	outageMinHosts = 3
--- a/transport/follow/relayed_test.go
+++ b/transport/follow/relayed_test.go
@@ -61,3 +61,31 @@
 	eventually(t, func() bool { return follower.View().Wanted["m"].Newest() == 2 })
 	require.WithinRange(t, follower.View().Wanted["m"][0].Since, setAt.Add(-hold/2), bootclock.Time())
 }
+
+// datedSource is a relayedSource that tells how old the changes can be.
+type datedSource struct {
+	*relayedSource
+	changed time.Duration
+}
+
+func (s *datedSource) Watch(ctx context.Context, kind feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
+	batch, err := s.relayedSource.Watch(ctx, kind, since, wait)
+	batch.Dated, batch.ChangedAfter = true, batch.HeldFor-s.changed
+	return batch, err
+}
+
+// TestVersionFromARelayThatStoodStillHasAnEarlierTime guards against requests that begin on an old version too late at hosts that read the
+// store through a relay that stood still while the new one became wanted.
+func TestVersionFromARelayThatStoodStillHasAnEarlierTime(t *testing.T) {
+	const stood = 600 * time.Millisecond
+	s := &datedSource{&relayedSource{source: newSource(), hold: 2 * time.Second, age: 900 * time.Millisecond}, stood}
+	s.put(feed.KindConfiguration, configuration(1))
+	follower := startWithSource(t, s)
+	eventually(t, func() bool { return follower.View().Ready() })
+	readyAt := bootclock.Time()
+	eventually(t, func() bool { return bootclock.Time().Sub(readyAt) > 700*time.Millisecond })
+	toldAt := bootclock.Time()
+	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 2}})
+	eventually(t, func() bool { return follower.View().Wanted["m"].Newest() == 2 })
+	require.WithinRange(t, follower.View().Wanted["m"][0].Since, toldAt.Add(-stood-500*time.Millisecond), bootclock.Time().Add(-stood))
+}
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -30,15 +30,29 @@
 	completeAt bootclock.Instant
 }
 
-// quietUntil returns the time up to which there was no change that the batch lacks. A relay learns changes at once, although the
-// store may have confirmed some time ago that there are no others.
+// quietUntil returns the time up to which there was no change that the batch lacks. A relay that doesn't date changes is taken to learn
+// them at once, although the store may have confirmed some time ago that there are no others.
 func (a arrival) quietUntil(batch feed.Batch) time.Time {
-	if batch.Relayed {
-		return time.Unix(0, int64(a.sent)).Add(batch.HeldFor - promptResponseLimit)
+	if batch.Relayed && !batch.Dated {
+		return time.Unix(0, int64(a.sent)).Add(batch.HeldFor - feed.PromptResponseLimit)
 	}
 	return time.Unix(0, int64(a.completeAt))
 }
 
+// changedAfter returns the earliest time of the changes in a batch, as far as it shows from the read itself; zero if it doesn't.
+func (f *Follower) changedAfter(batch feed.Batch, got arrival) time.Time {
+	switch {
+	case got.list:
+		return time.Time{}
+	case batch.Dated:
+		return time.Unix(0, int64(got.sent)).Add(batch.ChangedAfter)
+	case time.Duration(f.now()-got.sent) <= feed.PromptResponseLimit:
+		return time.Time{}
+	}
+	// A change ended the wait of the watch, so it was made right before the answer arrived.
+	return time.Unix(0, int64(f.cfg.ArrivedAfter()))
+}
+
 // applyBatch applies a batch to the table.
 func (f *Follower) applyBatch(kind feed.Kind, batch feed.Batch, got arrival) {
 	f.mu.Lock()
@@ -61,11 +75,8 @@
 		f.probeAnswered = make(chan struct{})
 	}
 	since := f.completeUntil[kind]
-	if !got.list && time.Duration(f.now()-got.sent) > promptResponseLimit {
-		// The change ended the wait of the watch, so it was made right before the answer arrived.
-		if arrivedAfter := time.Unix(0, int64(f.cfg.ArrivedAfter())); arrivedAfter.After(since) {
-			since = arrivedAfter
-		}
+	if changedAfter := f.changedAfter(batch, got); changedAfter.After(since) {
+		since = changedAfter
 	}
 	for _, record := range batch.Records {
 		f.applyRecord(now, since, kind, record)
--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -56,8 +56,8 @@
 
 // RunAgent runs an agent process until ctx is done.
 func RunAgent(ctx context.Context, deps AgentDependencies) error {
-	source := newSource(deps.Host, deps.Source, nil, deps.Held, deps.Log)
 	monitor := standstill.NewMonitor(bootclock.Now)
+	source := newSource(deps.Host, deps.Source, nil, deps.Held, monitor, deps.Log)
 	followCfg := agentFollowConfig
 	followCfg.ArrivedAfter = monitor.ArrivedAfter
 	follower := follow.New(source, followCfg, newRandom(deps.Random), deps.Log)
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -174,8 +174,8 @@
 	e := &entry{EntryDependencies: deps, pool: backend.NewPoolWithBuffers(socketBufferBytes(deps.Host))}
 	e.closing, e.abort = context.WithCancel(context.Background())
 	e.cache = relay.NewCache()
-	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Held, deps.Log)
 	e.standstill = standstill.NewMonitor(bootclock.Now)
+	e.source = newSource(deps.Host, deps.Source, e.cache, deps.Held, e.standstill, deps.Log)
 	followCfg := entryFollowConfig
 	followCfg.ArrivedAfter = e.standstill.ArrivedAfter
 	e.follower = follow.New(e.source, followCfg, newRandom(deps.Random), deps.Log)
@@ -202,11 +202,14 @@
 }
 
 // newSource returns the source of a process, which reads the store through a relay if it can. Only an entry host has a cache.
-func newSource(host Host, store feed.Source, cache *relay.Cache, account *held.Account, log *logrus.Entry) *relay.Source {
+func newSource(
+	host Host, store feed.Source, cache *relay.Cache, account *held.Account, monitor *standstill.Monitor, log *logrus.Entry,
+) *relay.Source {
 	// An address that is not an IP address is never named as relay.
 	self, _ := netip.ParseAddr(host.Address)
 	return relay.NewSource(relay.Config{
-		Store: store, Cache: cache, Self: self, Port: host.PeerPort, Brief: cache == nil, Held: account, Log: log,
+		Store: store, Cache: cache, Self: self, Port: host.PeerPort, Brief: cache == nil, Held: account,
+		ArrivedAfter: monitor.ArrivedAfter, Log: log,
 	})
 }
 
--- a/transport/relay/cache.go
+++ b/transport/relay/cache.go
@@ -38,6 +38,8 @@
 type cachedRecord struct {
 	feed.Record
 	batchRevision int64
+	// changedAfter is the earliest time at which the record can have been changed, 0 if unknown.
+	changedAfter bootclock.Instant
 	// full and brief hold the encoded record once it has been sent, as it is sent to many hosts.
 	full, brief encoding
 }
@@ -140,10 +142,15 @@
 		records: make(map[string]*cachedRecord, len(batch.Records)), changed: make(chan struct{}),
 		payloads: make(map[int64]*payload),
 	}
+	previous := c.kinds[kind]
+	changedAfter := bootclock.Instant(0)
+	if previous != nil && previous.era == batch.Era {
+		changedAfter = previous.completeAt
+	}
 	for _, record := range batch.Records {
-		next.records[record.Name] = &cachedRecord{Record: record, batchRevision: batch.Revision}
+		next.records[record.Name] = &cachedRecord{Record: record, batchRevision: batch.Revision, changedAfter: changedAfter}
 	}
-	if previous := c.kinds[kind]; previous != nil {
+	if previous != nil {
 		next.keepHistory(previous)
 		close(previous.changed)
 	}
@@ -165,23 +172,25 @@
 			k.records[name] = old
 		case !ok:
 			removal := feed.Record{Name: name, Revision: old.Revision, Removed: true}
-			k.records[name] = &cachedRecord{Record: removal, batchRevision: k.revision}
+			k.records[name] = &cachedRecord{Record: removal, batchRevision: k.revision, changedAfter: previous.completeAt}
 		case listed.Revision == old.Revision && !old.Removed:
 			k.records[name] = old
 		}
 	}
 }
 
-// PutChanges adds the changes of a watch from the position that the cache holds.
-func (c *Cache) PutChanges(kind feed.Kind, batch feed.Batch, completeAt bootclock.Instant) {
+// PutChanges adds the changes of a watch from the position that the cache holds. They were made after changedAfter, or at any time since the
+// last read if it is 0.
+func (c *Cache) PutChanges(kind feed.Kind, batch feed.Batch, completeAt, changedAfter bootclock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[kind]
 	if k == nil || k.era != batch.Era || batch.Revision < k.revision {
 		return
 	}
+	changedAfter = max(changedAfter, k.completeAt)
 	for _, record := range batch.Records {
-		k.records[record.Name] = &cachedRecord{Record: record, batchRevision: batch.Revision}
+		k.records[record.Name] = &cachedRecord{Record: record, batchRevision: batch.Revision, changedAfter: changedAfter}
 	}
 	if len(batch.Records) > 0 {
 		clear(k.payloads)
--- a/transport/relay/payload.go
+++ b/transport/relay/payload.go
@@ -6,9 +6,12 @@
 	"encoding/binary"
 	"encoding/json"
 	"hash/crc32"
+	"math"
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/guavatrestle/guavatrestle/internal/bootclock"
 )
 
 const (
@@ -25,8 +28,10 @@
 // payload is the part of a response that is the same for all hosts that read the same records. It is encoded and compressed once: a
 // configuration of 1,500 routes has 0.4 MB, and sent separately to 20 hosts it occupied the relay's link for longer than the hosts wait.
 type payload struct {
-	records     []*cachedRecord
-	full, brief form
+	records []*cachedRecord
+	// changedAfter is the earliest time at which one of the records can have been changed, the maximum if there are none.
+	changedAfter bootclock.Instant
+	full, brief  form
 }
 
 // form is a payload with full or brief records.
@@ -50,10 +55,11 @@
 	if len(k.payloads) >= maxPayloads {
 		clear(k.payloads)
 	}
-	next := &payload{}
+	next := &payload{changedAfter: math.MaxInt64}
 	for _, record := range k.records {
 		if selected(record) {
 			next.records = append(next.records, record)
+			next.changedAfter = min(next.changedAfter, record.changedAfter)
 		}
 	}
 	k.payloads[key] = next
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -109,6 +109,8 @@
 		// One is added because both times are rounded down.
 		AgeMS: time.Duration(now-result.completeAt).Milliseconds() + 1,
 	}
+	changed := min(max(time.Duration(now-result.payload.changedAfter), 0), maxChangedAge).Milliseconds() + 1
+	head.ChangedMS = &changed
 	compressed := strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip)
 	parts, packed, err := result.payload.encode(head, r.URL.Query().Has(paramBrief), compressed)
 	if err != nil {
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -80,7 +80,9 @@
 	Held *held.Account
 	// Now returns the time since the host's boot; nil means bootclock.Now.
 	Now func() bootclock.Instant
-	Log *logrus.Entry
+	// ArrivedAfter returns a time after which everything has arrived that the process reads now, as standstill.Monitor does; nil means Now.
+	ArrivedAfter func() bootclock.Instant
+	Log          *logrus.Entry
 }
 
 // Source reads the store through the relay of the failure domain while there is one that works, and directly otherwise.
@@ -125,6 +127,9 @@
 	if cfg.Now == nil {
 		cfg.Now = bootclock.Now
 	}
+	if cfg.ArrivedAfter == nil {
+		cfg.ArrivedAfter = cfg.Now
+	}
 	transport := held.CountResponses(netdial.NewTransportWithTimeout(connectTimeout), cfg.Held)
 	client := resty.New().SetTransport(transport).SetResponseBodyLimit(maxResponseBytes)
 	return &Source{
@@ -281,6 +286,7 @@
 		Revision: wire.Revision, Era: wire.Era, Relayed: true,
 		HeldFor: time.Duration(wire.HeldMS) * time.Millisecond, CompleteAfter: wire.completeAfter(),
 	}
+	batch.ChangedAfter, batch.Dated = wire.changedAfter()
 	for _, record := range wire.Records {
 		batch.Records = append(batch.Records, record.decode(kind))
 	}
@@ -372,11 +378,20 @@
 		completeAt = sent + bootclock.Instant(wait)
 	}
 	if cached {
-		s.cfg.Cache.PutChanges(kind, batch, completeAt)
+		s.cfg.Cache.PutChanges(kind, batch, completeAt, s.changedAfter(sent))
 	}
 	return batch, completeAt, nil
 }
 
+// changedAfter returns the earliest time of the changes that a watch returns now which was sent at a time, 0 if it is unknown.
+func (s *Source) changedAfter(sent bootclock.Instant) bootclock.Instant {
+	if time.Duration(s.cfg.Now()-sent) <= feed.PromptResponseLimit {
+		return 0
+	}
+	// A change ended the wait of the watch, so it was made right before the answer arrived.
+	return s.cfg.ArrivedAfter()
+}
+
 func (s *Source) elected() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/relay/wire.go
+++ b/transport/relay/wire.go
@@ -26,6 +26,9 @@
 	paramBrief = "brief"
 )
 
+// maxChangedAge bounds the age of a change in a response. Older ones don't matter to any reader.
+const maxChangedAge = 24 * time.Hour
+
 // wireBatch is the response to a read.
 type wireBatch struct {
 	wireHead
@@ -40,6 +43,8 @@
 	// that the records are complete.
 	HeldMS int64 `json:"held_ms"`
 	AgeMS  int64 `json:"age_ms"`
+	// ChangedMS is the age that the oldest change among the records has at most, at the response. Relays of an earlier version don't tell it.
+	ChangedMS *int64 `json:"changed_ms,omitempty"`
 }
 
 type wireRecord struct {
@@ -116,3 +121,11 @@
 func (w wireHead) completeAfter() time.Duration {
 	return time.Duration(w.HeldMS-w.AgeMS) * time.Millisecond
 }
+
+// changedAfter is the same for the time before which no record was changed. It reports whether the relay has told it.
+func (w wireHead) changedAfter() (time.Duration, bool) {
+	if w.ChangedMS == nil {
+		return 0, false
+	}
+	return time.Duration(w.HeldMS-min(max(*w.ChangedMS, 0), maxChangedAge.Milliseconds())) * time.Millisecond, true
+}
