Use no ages of notices and counts that may have waited

What callers see: a host that stood still refuses requests with a sound prompt part for up to 10 min; requests go to a relay that has gone; hosts count entry hosts that have gone and so use less of a limited replica.

Cause: notices about prompts and counts of entry hosts carry their age, which the receiver counted from the reading. A host that stood still dated all that waited for it too late, by as long as it had waited, and told that on. Of two notices the earlier could become the later one: a quarantine that was told at once, and the news 1 s later that the part is sound, told 2 s after that. Notices are known by ID, so the wrong order stayed. An agent that stood still also took waiting requests for the presence of entry hosts that had been killed meanwhile.

Change: of a datagram that may have waited for more than 1 s, notices, comparisons and counts are not used, and a request makes its sender get reports, but neither counted nor named as a relay. Nothing is lost: senders compare notices and tell counts again in the next rounds, within about a second. loadshare_datagrams_read_late counts them.

--- a/transport/hosted/agent.go
+++ b/transport/hosted/agent.go
@@ -75,6 +75,7 @@
 		return err
 	}
 	reporter.SetRegions(deps.Host.Regions)
+	reporter.SetArrivedAfter(monitor.ArrivedAfter)
 	agent := staging.New(staging.Dependencies{
 		Config:         deps.Staging,
 		HostIP:         deps.Host.Address,
--- a/transport/hosted/entry.go
+++ b/transport/hosted/entry.go
@@ -143,6 +143,7 @@
 		Demand:            e.router.MeasureDemand,
 		PriorityDemand:    e.router.PriorityDemand,
 		Notices:           e.quarantine,
+		ArrivedAfter:      e.standstill.ArrivedAfter,
 		Sink: loadshare.Sink{
 			Report: e.recordLoad, VersionTime: e.follower.LearnTargetTime,
 			EntryHostCounts: e.follower.RecordPeerReachability, Relay: e.source.SetRelay,
--- a/transport/loadshare/agent.go
+++ b/transport/loadshare/agent.go
@@ -38,6 +38,9 @@
 	relay netip.Addr
 	// entryHosts is the number of entry hosts that the host knows, 0 in a small fleet.
 	entryHosts int
+	// unconfirmed is set if the last request may have waited for long. The host gets reports but is neither counted nor named as a relay,
+	// since it may be gone.
+	unconfirmed bool
 }
 
 // RequestSink receives the contents of requests for reports from entry hosts.
@@ -58,10 +61,12 @@
 	conn packetConn
 	port uint16
 	// now reads the clock since boot.
-	now  func() time.Time
-	view func() *fleet.View
-	sink RequestSink
-	log  *logrus.Entry
+	now func() time.Time
+	// arrivedAfter returns a time after which everything has arrived that is read now.
+	arrivedAfter func() time.Time
+	view         func() *fleet.View
+	sink         RequestSink
+	log          *logrus.Entry
 
 	mu         sync.Mutex
 	requesters map[netip.AddrPort]requester
@@ -92,7 +97,7 @@
 	// An address that is not an IP address has no notices.
 	host, _ := netip.ParseAddr(ip)
 	return &Reporter{
-		conn: conn, port: uint16(port), now: bootclock.Time, view: view, sink: sink, log: log, requesters: make(map[netip.AddrPort]requester),
+		conn: conn, port: uint16(port), now: bootclock.Time, arrivedAfter: bootclock.Time, view: view, sink: sink, log: log, requesters: make(map[netip.AddrPort]requester),
 		ledger: quarantine.NewLedger(quarantine.DefaultConfig()), push: make(chan struct{}, 1), host: host,
 		census: reporting.NewCensus(),
 	}, nil
@@ -101,6 +106,12 @@
 // SetRegions sets the regions of the failure domains; it must be called before Run.
 func (r *Reporter) SetRegions(regions map[core.FailureDomain]core.Region) { r.regions = regions }
 
+// SetArrivedAfter sets a function that returns a time after which everything has arrived that this process reads now, as standstill.Monitor
+// does; it must be called before Run.
+func (r *Reporter) SetArrivedAfter(arrivedAfter func() bootclock.Instant) {
+	r.arrivedAfter = func() time.Time { return time.Unix(0, int64(arrivedAfter())) }
+}
+
 // Run receives requests and sends reports until ctx is done.
 func (r *Reporter) Run(ctx context.Context) {
 	var loops sync.WaitGroup
@@ -142,15 +153,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	unresponsive := 0
+	confirmed, unresponsive := 0, 0
 	for address, host := range r.requesters {
-		if now.Sub(host.lastRequest) > requestLifetime {
+		switch {
+		case now.Sub(host.lastRequest) > requestLifetime:
 			delete(r.requesters, address)
-		} else if host.storeUnresponsive {
+			continue
+		case host.unconfirmed:
+			continue
+		case host.storeUnresponsive:
 			unresponsive++
 		}
+		confirmed++
 	}
-	r.sink.EntryHostCounts(len(r.requesters), unresponsive)
+	r.sink.EntryHostCounts(confirmed, unresponsive)
 	r.sink.Relays(r.relays(true))
 	due := r.dueRequesters(now, urgent)
 	if !r.hasReport || len(due) == 0 {
@@ -206,6 +222,9 @@
 func (r *Reporter) relays(told bool) map[core.FailureDomain]netip.Addr {
 	var candidates []relay.Candidate
 	for address, host := range r.requesters {
+		if host.unconfirmed {
+			continue
+		}
 		if told && host.relay.IsValid() {
 			candidates = append(candidates, relay.Candidate{Address: host.relay, FailureDomain: host.failureDomain, Direct: true})
 		}
@@ -220,6 +239,7 @@
 func (r *Reporter) recordRequest(from netip.AddrPort, request message) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	late := readLate(r.now(), r.arrivedAfter())
 	earlier, registered := r.requesters[from]
 	if len(request.Notices) == 0 && (registered || len(r.requesters) < maxRequesters) {
 		r.requesters[from] = requester{
@@ -228,10 +248,13 @@
 			priorityDemand: request.PriorityDemand,
 			presence:       request.Presence && !r.earlier, interval: time.Duration(request.IntervalMS) * time.Millisecond, dueAt: earlier.dueAt,
 			relay: request.Relays[request.FailureDomain], entryHosts: request.EntryHosts,
+			unconfirmed: late,
 		}
 	}
-	learnCounts(r.census, r.now(), request.Counts)
-	r.addNotices(decodeNotices(r.now(), request.Notices))
+	if !late {
+		learnCounts(r.census, r.now(), request.Counts)
+		r.addNotices(decodeNotices(r.now(), request.Notices))
+	}
 	if request.Digest != nil {
 		r.answerComparison(from, *request.Digest)
 	}
--- a/transport/loadshare/census.go
+++ b/transport/loadshare/census.go
@@ -86,7 +86,7 @@
 	domain := request.FailureDomain
 	var entries []netip.Addr
 	for address, host := range r.requesters {
-		if host.failureDomain == domain {
+		if host.failureDomain == domain && !host.unconfirmed {
 			entries = append(entries, address.Addr().Unmap())
 		}
 	}
--- a/transport/loadshare/entry.go
+++ b/transport/loadshare/entry.go
@@ -63,6 +63,9 @@
 	// PriorityDemand, if set, returns the same by the level of the requests' priority, as of the last call of Demand; nil if the routes
 	// of the upstream have only one priority.
 	PriorityDemand func(core.Upstream) []float64
+	// ArrivedAfter returns a time after which everything has arrived that this process reads now, as standstill.Monitor does; nil means
+	// the present.
+	ArrivedAfter func() bootclock.Instant
 	// Notices, if set, is exchanged with other hosts.
 	Notices Notices
 	Sink    Sink
@@ -230,6 +233,9 @@
 	if address, ok := received.Relays[l.FailureDomain]; ok {
 		l.Sink.Relay(address)
 	}
+	if readLate(l.now(), l.arrivedAfter()) {
+		received.Notices, received.Digest, received.Counts = nil, nil, nil
+	}
 	if l.Notices != nil {
 		l.exchangeNotices(from, received)
 	}
@@ -316,6 +322,13 @@
 	}
 }
 
+func (l *Listener) arrivedAfter() time.Time {
+	if l.ArrivedAfter == nil {
+		return l.now()
+	}
+	return time.Unix(0, int64(l.ArrivedAfter()))
+}
+
 // toldDemand returns the demand for an upstream that agents have been told last.
 func (l *Listener) toldDemand(upstream core.Upstream) float64 {
 	if demand := l.demand.Load(); demand != nil {
--- a/transport/loadshare/fleet_test.go
+++ b/transport/loadshare/fleet_test.go
@@ -139,7 +139,7 @@
 	}
 	_ = r.conn.Close()
 	r.SetRegions(regions)
-	r.host, r.port, r.now = address, 1, s.time
+	r.host, r.port, r.now, r.arrivedAfter = address, 1, s.time, s.time
 	r.conn = wiredConn{wire: &s.wire, self: netip.AddrPortFrom(address, 1)}
 	s.reporters = append(s.reporters, r)
 	s.hosts[address] = func(from netip.AddrPort, data []byte) { handleDatagram(log, from, data, r.take(from)) }
--- a/transport/loadshare/receive.go
+++ b/transport/loadshare/receive.go
@@ -14,6 +14,13 @@
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
 
+// maxReadDelay is the time for which a datagram may have waited in the socket of this host until its ages are too low to be used. Shorter
+// delays don't matter to what they decide, which takes 15 s and more.
+const maxReadDelay = time.Second
+
+// varReadLate counts the datagrams whose ages were not used because they may have waited for longer.
+var varReadLate = expvar.NewInt("loadshare_datagrams_read_late")
+
 // varRejected counts datagrams that were malformed or whose handling panicked.
 var varRejected = expvar.NewInt("loadshare_datagrams_rejected")
 
@@ -42,6 +49,16 @@
 	rejectLog.Do(func() { log.WithError(err).WithField("from", from).Warn("datagram rejected") })
 }
 
+// readLate reports whether a datagram that is read now may have waited for so long that its ages are not used. The sender repeats what it
+// holds: notices with the next comparison, counts and requests in one of the next rounds.
+func readLate(now, arrivedAfter time.Time) bool {
+	if now.Sub(arrivedAfter) <= maxReadDelay {
+		return false
+	}
+	varReadLate.Add(1)
+	return true
+}
+
 func decodeMessage(data []byte) (message, error) {
 	var received message
 	if err := json.Unmarshal(data, &received); err != nil {
--- a/transport/loadshare/times_test.go
+++ b/transport/loadshare/times_test.go
@@ -131,7 +131,7 @@
 	}, log)
 	require.NoError(r.t, err)
 	require.NoError(r.t, reporter.conn.Close())
-	reporter.conn, reporter.now = conn, now
+	reporter.conn, reporter.now, reporter.arrivedAfter = conn, now, now
 	reporter.SetReport(1, dispatch.Report{})
 	h.reporter = reporter
 }
