Restart versions at the earliest end of an outage

What callers see: requests begin on an old version too late at a host that stood still while an outage of the store ended. Shown by a test, not seen in service.

Cause: after an outage that most entry hosts share, the activation delay of the wanted versions starts again, at the moment at which the process reads the first answer of the store. On a host that stood still that is later than the end of the outage, by as long as the answer or the news of the shared outage waited; it told this time to hosts that started.

Change: the delay restarts at the time after which the answer can have arrived. Table.StoreRecovered no longer restarts it; Table.RestartActivation does, with that time. The tests of the table pass the same times as before.

--- a/state/fleet/table.go
+++ b/state/fleet/table.go
@@ -74,15 +74,14 @@
 	}
 }
 
-// StoreRecovered records that the store responds again after an outage. shared is true if most processes could not reach it,
-// rather than this one alone; the activation delay of the wanted versions then starts again.
-func (t *Table) StoreRecovered(now time.Time, shared bool) {
-	t.storeRecoveredAt = now
-	if !shared {
-		return
-	}
+// StoreRecovered records that the store responds again after an outage.
+func (t *Table) StoreRecovered(now time.Time) { t.storeRecoveredAt = now }
+
+// RestartActivation restarts the activation delay of the wanted versions at the end of an outage of the store, or a lower bound of that
+// time. It is for outages in which most processes could not reach the store, rather than this one alone.
+func (t *Table) RestartActivation(end time.Time) {
 	for model, wanted := range t.wanted {
-		t.wanted[model] = wanted.ClampSince(now)
+		t.wanted[model] = wanted.ClampSince(end)
 	}
 }
 
--- a/state/fleet/table_test.go
+++ b/state/fleet/table_test.go
@@ -38,7 +38,7 @@
 	table := fleet.NewTable()
 	table.SetReplica(start, 1, replica("r1", 1))
 	table.SetReplica(start, 2, replica("r2", 1))
-	table.StoreRecovered(start.Add(10*time.Second), true)
+	table.StoreRecovered(start.Add(10 * time.Second))
 	table.RemoveUnlisted(start.Add(10*time.Second), map[fleet.ReplicaID]bool{})
 	require.Equal(t, []fleet.ReplicaID{"r1", "r2"}, ids(table.View()))
 
@@ -54,7 +54,7 @@
 	table := fleet.NewTable()
 	table.SetReplica(start, 1, replica("r1", 1))
 	recoveredAt := start.Add(14 * time.Second)
-	table.StoreRecovered(recoveredAt, false)
+	table.StoreRecovered(recoveredAt)
 	table.RemoveUnlisted(recoveredAt, nil)
 	table.Expire(start.Add(16 * time.Second))
 	require.Empty(t, table.View().Members)
@@ -74,7 +74,7 @@
 	draining := replica("r1", 1)
 	draining.Draining = true
 	table.SetReplica(start, 1, draining)
-	table.StoreRecovered(start, true)
+	table.StoreRecovered(start)
 	table.RemoveReplica(start, "r1")
 	require.Empty(t, table.View().Members)
 }
--- a/state/fleet/wanted_test.go
+++ b/state/fleet/wanted_test.go
@@ -99,7 +99,10 @@
 	for shared, want := range map[bool]int64{true: 0, false: 2} {
 		table := fleet.NewTable()
 		table.SetWanted(start, fleet.WeightTarget{Model: "m", Version: 2})
-		table.StoreRecovered(start.Add(8*time.Second), shared)
+		table.StoreRecovered(start.Add(8 * time.Second))
+		if shared {
+			table.RestartActivation(start.Add(8 * time.Second))
+		}
 		require.EqualValues(t, want, table.View().Wanted["m"].Due(start.Add(9*time.Second), activationDelay))
 		require.EqualValues(t, 2, table.View().Wanted["m"].Due(start.Add(15*time.Second), activationDelay))
 	}
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -65,8 +65,8 @@
 	if f.storeUnresponsive(now) {
 		f.log.WithField("silent_ms", now.Sub(f.lastAnswered).Milliseconds()).WithField("shared", f.sharedOutage).
 			Info("store answers again")
-		f.table.StoreRecovered(now, f.sharedOutage)
-		f.restartVersionTimes(now)
+		f.table.StoreRecovered(now)
+		f.restartVersionTimes()
 	}
 	f.sharedOutage = false
 	f.lastAnswered = now
@@ -119,13 +119,15 @@
 }
 
 // restartVersionTimes makes versions that became wanted during an outage of the store count from its end, like those that were wanted
-// before; the caller holds the lock.
-func (f *Follower) restartVersionTimes(now time.Time) {
+// before; the caller holds the lock. If this process stood still, the outage may have ended at any time since.
+func (f *Follower) restartVersionTimes() {
 	if !f.sharedOutage {
 		return
 	}
+	end := time.Unix(0, int64(f.cfg.ArrivedAfter()))
+	f.table.RestartActivation(end)
 	for kind := range f.completeUntil {
-		f.completeUntil[kind] = now
+		f.completeUntil[kind] = end
 	}
 }
 
--- a/transport/follow/versions_test.go
+++ b/transport/follow/versions_test.go
@@ -77,6 +77,39 @@
 	require.False(t, follower.View().Wanted["m"][0].Since.Before(endAt))
 }
 
+// TestOutageEndNoticedLateRestartsVersionsEarlier guards against requests that begin on an old version too late at a host that stood still
+// while an outage ended: it restarted the activation delay when it woke.
+func TestOutageEndNoticedLateRestartsVersionsEarlier(t *testing.T) {
+	s := newSource()
+	s.put(feed.KindConfiguration, configuration(1))
+	s.put(feed.KindWeightTargets, feed.Record{Name: "m", Value: fleet.WeightTarget{Model: "m", Version: 2}})
+	var stoodFrom atomic.Int64
+	cfg := follow.Config{
+		Kinds: []follow.Kind{{Kind: feed.KindConfiguration}, {Kind: feed.KindWeightTargets}}, ProbeWait: 50 * time.Millisecond,
+		ArrivedAfter: func() bootclock.Instant {
+			if from := stoodFrom.Load(); from != 0 {
+				return bootclock.Instant(from)
+			}
+			return bootclock.Now()
+		},
+	}
+	follower := startConfigured(t, s, cfg)
+	eventually(t, func() bool { return follower.View().Ready() })
+	follower.LearnTargetTime(netip.Addr{}, "m", told(2, time.Minute))
+	s.setDown(true)
+	eventually(t, follower.StoreUnresponsive)
+	follower.RecordPeerReachability(10, 10)
+	// The process stood still for 1 s and has just begun to run again.
+	from := bootclock.Time().Add(-time.Second)
+	stoodFrom.Store(from.UnixNano())
+	s.put(feed.KindWeightTargets, feed.Record{Name: "n", Value: fleet.WeightTarget{Model: "n", Version: 3}})
+	s.setDown(false)
+	eventually(t, func() bool { return follower.View().Wanted["n"].Newest() == 3 })
+	for model, wanted := range follower.View().Wanted {
+		require.Equal(t, from, wanted[0].Since, "model %s", model)
+	}
+}
+
 // TestVersionReportedByPeerBecomesTargetAtOnce checks that a new version reported by a peer becomes the target at once, and
 // not only with the next stale list.
 func TestVersionReportedByPeerBecomesTargetAtOnce(t *testing.T) {
