--- a/Makefile
+++ b/Makefile
@@ -50,4 +50,5 @@
 	$(BIN)/gtbench soak --seed 1 --crashing-prompts
 	$(BIN)/gtbench soak --seed 3 --count 3 --faults 2 --evacuations --lose-all
 	$(BIN)/gtbench soak --seed 2 --faults 3 --request-limits
+	$(BIN)/gtbench soak --seed $(SOAK_SEED) --count $(SOAK_COUNT) --parallel 2 --faults 0 --standstills-at-versions
 	$(BIN)/gtbench soak --seed $(SOAK_SEED) --count $(SOAK_COUNT) --parallel 2
--- a/bench/cmd/gtbench/soak.go
+++ b/bench/cmd/gtbench/soak.go
@@ -55,6 +55,7 @@
 	flags.BoolVar(&cfg.EndlessResponses, "endless-responses", false, "make workers answer without end, beside the faults")
 	flags.BoolVar(&cfg.MalformedResponses, "malformed-responses", false, "make workers answer with malformed responses, beside the faults")
 	flags.BoolVar(&cfg.SuspendVerifications, "suspend-verifications", false, "suspend agents while they verify staged pieces, beside the faults")
+	flags.BoolVar(&cfg.StandstillsAtVersions, "standstills-at-versions", false, "suspend agents and entries and kill entries around new versions, beside the faults")
 	flags.IntVar(&cfg.SlowCallers, "slow-callers", 0, "number of callers that send bodies or read responses too slowly, beside the faults")
 	flags.IntVar(&cfg.Entries, "entries", cfg.Entries, "number of entries")
 	flags.IntVar(&cfg.Agents, "agents", cfg.Agents, "number of agents, each with an engine")
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -69,6 +69,7 @@
 	s := sentRequest{
 		id: fmt.Sprintf("c%d-%d", c.number, number), method: http.MethodPost, kind: kinds[c.random.IntN(len(kinds))],
 		key: c.fleet.keys[c.random.IntN(len(c.fleet.keys))], team: teamName, at: time.Now(),
+		entry: c.entry,
 	}
 	s.path = "/" + string(s.kind) + "/x?n=" + strconv.Itoa(number)
 	if s.kind == kindStream {
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -62,7 +62,7 @@
 	longestOrderDelay atomic.Int64
 	// crashingPrompts is true while some callers send prompts on which workers crash.
 	crashingPrompts atomic.Bool
-	// suspensions counts the agents that were suspended during a verification.
+	// suspensions counts the suspensions during a verification or around a version.
 	suspensions atomic.Int64
 	// restarts waits for the workers that restart after such a crash.
 	restarts sync.WaitGroup
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -25,6 +25,8 @@
 	promptParts                       []string
 	kind                              requestKind
 	at                                time.Time
+	// entry is the address that the request was sent to.
+	entry string
 }
 
 // receivedResponse is the response that a caller received; status 0 means none.
@@ -55,6 +57,10 @@
 	faults      []interval
 	// disturbed holds those of faults in which entries, or the store that they read, don't work as usual.
 	disturbed []interval
+	// onlyStandstills is set if processes are suspended and killed at versions and nothing else is disturbed. disturbedEntries holds, by
+	// address, the ends of these disturbances.
+	onlyStandstills  bool
+	disturbedEntries map[string][]time.Time
 	// evacuations holds the periods in which a failure domain was out of service.
 	evacuations []evacuation
 	// crashes holds the times at which workers crashed on a prompt.
@@ -71,7 +77,7 @@
 		revokeBound: revoke, activateBound: activate,
 		requests: make(map[string]sentRequest), responses: make(map[string]receivedResponse),
 		runs:    make(map[string][]platformtest.Run),
-		revoked: make(map[string]time.Time), targetSetAt: make(map[int64]time.Time),
+		revoked: make(map[string]time.Time), targetSetAt: make(map[int64]time.Time), disturbedEntries: make(map[string][]time.Time),
 	}
 }
 
@@ -160,7 +166,11 @@
 	}
 	for version, at := range c.targetSetAt {
 		sinceTarget := run.StartedAt.Sub(at)
-		if s.kind == kindStream && run.Version < version && sinceTarget > c.activateBound && c.noFaultBetween(at, run.StartedAt) {
+		if s.kind != kindStream || run.Version >= version || sinceTarget <= c.activateBound {
+			continue
+		}
+		c.checkStandstillVersion(s, version, run.StartedAt, sinceTarget)
+		if c.noFaultBetween(at, run.StartedAt) {
 			c.addViolation("request %s began on version %d, %s after version %d became the target", s.id, run.Version, sinceTarget, version)
 		}
 	}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -66,6 +66,9 @@
 	MalformedResponses bool
 	// SuspendVerifications suspends agents while they verify staged pieces, of which one becomes corrupt then, beside the faults.
 	SuspendVerifications bool
+	// StandstillsAtVersions suspends agents and entries and kills entries around new target versions, beside the faults. Without faults it is
+	// checked that no version is served too late at the entries that are not disturbed.
+	StandstillsAtVersions bool
 	// SlowCallers is the number of callers that send bodies or read responses too slowly, beside the faults.
 	SlowCallers int
 	// LoseAll ends all processes and workers during a rollout, after the faults.
@@ -98,7 +101,7 @@
 	Crashes int
 	// PeakMemory is the largest resident size in MB of the process of each host, since its last start.
 	PeakMemory map[string]int
-	// Suspensions is the number of agents that were suspended during a verification.
+	// Suspensions is the number of suspensions during a verification or around a version.
 	Suspensions int
 	// Broken lists the violated guarantees.
 	Broken []string
@@ -145,6 +148,10 @@
 		if cfg.SuspendVerifications {
 			beside.Go(func() { f.suspendVerifications(ctx, rand.New(rand.NewPCG(cfg.Seed, 5))) })
 		}
+		if cfg.StandstillsAtVersions {
+			c.onlyStandstills = cfg.Faults == 0
+			beside.Go(func() { f.standStillAtVersions(ctx, rand.New(rand.NewPCG(cfg.Seed, 7))) })
+		}
 		if cfg.SlowCallers > 0 {
 			beside.Go(func() { f.callSlowly(ctx, cfg.SlowCallers) })
 		}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -106,6 +106,16 @@
 	require.NotZero(t, run(t, cfg).Suspensions)
 }
 
+// TestVersionsAreServedInTimeWhateverStandsStill guards against requests that begin on an old version too late at entries that start after
+// agents and entries stood still: these read the age of the new version late and told it on.
+func TestVersionsAreServedInTimeWhateverStandsStill(t *testing.T) {
+	t.Parallel()
+	cfg := DefaultConfig()
+	cfg.Seed = 3 // ages of versions were counted from their reading
+	cfg.Faults, cfg.StandstillsAtVersions = 0, true
+	require.NotZero(t, run(t, cfg).Suspensions)
+}
+
 // TestResponsesWithoutEndLeaveMemoryAndService guards against workers that send bytes without end until the processes that call them have
 // used up the memory of their hosts, or serve no other requests any more.
 func TestResponsesWithoutEndLeaveMemoryAndService(t *testing.T) {
