Keep the times of up to 64 versions of a model

What callers saw: of ten versions set 0.9 s apart, requests began on version 1 up to a second after version 2 had to serve all of them.

Cause: a host kept eight versions of a model. The tenth made it forget the second with its time, before that was due.

Change: 64 versions are kept; a message lists the newest 24 of all models, which fit into a datagram.

Test: TestManyVersionsInSuccessionKeepTheirTimes, before: "expected: int(2), actual: int64(0)".

--- a/state/fleet/wanted.go
+++ b/state/fleet/wanted.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// maxWantedVersions bounds the versions kept per model; more than one may be wanted within one activation delay.
-const maxWantedVersions = 8
+// maxWantedVersions bounds the versions kept per model. All that became wanted within one activation delay are needed; the bound is for
+// operators that set one every 0.2 s for longer than that.
+const maxWantedVersions = 64
 
 // WantedVersion is a model version that operators set as the target.
 type WantedVersion struct {
--- a/state/fleet/wanted_test.go
+++ b/state/fleet/wanted_test.go
@@ -107,3 +107,16 @@
 		require.EqualValues(t, 2, table.View().Wanted["m"].Due(start.Add(15*time.Second), activationDelay))
 	}
 }
+
+// TestManyVersionsInSuccessionKeepTheirTimes guards against requests that begin on an old version too late while newer ones become wanted
+// quickly: the first of more than eight was forgotten with its time before it was due.
+func TestManyVersionsInSuccessionKeepTheirTimes(t *testing.T) {
+	table := fleet.NewTable()
+	const between = 300 * time.Millisecond
+	for i := range 30 {
+		table.SetWanted(start.Add(time.Duration(i)*between), fleet.WeightTarget{Model: "m", Version: int64(2 + i)})
+	}
+	wanted := table.View().Wanted["m"]
+	require.EqualValues(t, 2, wanted.Due(start.Add(activationDelay), activationDelay))
+	require.EqualValues(t, 3, wanted.Due(start.Add(activationDelay+between), activationDelay))
+}
--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -6,9 +6,11 @@
 package loadshare
 
 import (
+	"cmp"
 	"encoding/json"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/guavatrestle/guavatrestle/coordination/dispatch"
@@ -30,6 +32,8 @@
 	// wantedLifetime is the time for which messages list a version after it became wanted. It is longer than the time in
 	// which an activation must be complete.
 	wantedLifetime = 20 * time.Second
+	// maxToldVersions bounds the versions in a message, the newest of all models, so that it fits into a datagram.
+	maxToldVersions = 24
 	// maxWantedAge bounds the age of a version in a message.
 	maxWantedAge = time.Hour
 	// maxCount bounds the counts of a report, so that their sums don't overflow.
@@ -162,6 +166,10 @@
 			list = append(list, told)
 		}
 	}
+	if len(list) > maxToldVersions {
+		slices.SortFunc(list, func(a, b wantedVersion) int { return cmp.Compare(a.AgeMS, b.AgeMS) })
+		list = list[:maxToldVersions]
+	}
 	return list
 }
 
--- a/transport/loadshare/times_test.go
+++ b/transport/loadshare/times_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -270,3 +271,26 @@
 		r.checkService()
 	}
 }
+
+// TestManyVersionsFitIntoADatagram guards against load reports and answers that are cut off, and so not read at all, because more versions
+// became wanted in the last seconds than there is room for.
+func TestManyVersionsFitIntoADatagram(t *testing.T) {
+	now := time.Unix(1<<20, 0)
+	view := &fleet.View{Configuration: &fleet.Configuration{}, Wanted: map[core.Model]fleet.Wanted{}}
+	for _, model := range []core.Model{"daka510000", "daka510001"} {
+		for i := range 60 {
+			since := now.Add(time.Duration(i-100) * 150 * time.Millisecond)
+			view.Wanted[model] = append(view.Wanted[model], fleet.WantedVersion{Version: int64(1000 + i), Since: since, Until: since.Add(700 * time.Millisecond)})
+		}
+	}
+	versions := recentWanted(now, view)
+	body, err := encodeReport(1773693574193, dispatch.Report{
+		Running: 11, Waiting: 30, Slots: 12, Pace: 1.25, Demand: []float64{100.5, 20.5, 3.5}, CacheUsed: 1 << 40, CacheTotal: 1 << 41,
+		Models: []fleet.LoadedModel{{Model: "daka510000", Version: 1000, Layers: 16}, {Model: "daka510001", Version: 1000, Layers: 16}},
+	}, 123.25, 11, 1<<40, versions)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(body), maxDatagramBytes*3/4, "entry hosts that request reports add counts to their own")
+	for _, model := range []string{"daka510000", "daka510001"} {
+		require.True(t, slices.ContainsFunc(versions, func(v wantedVersion) bool { return v.Model == model && v.Version == 1059 }), "newest of %s", model)
+	}
+}
