Tell no negative age of a version

A version that becomes wanted between the reading of the clock and that of the view, 1 ms or more apart, had a negative age, and the receiver rejected the answer; the next round repeated it. Found by reading; not seen in service.

TestVersionNewerThanTheClockReadingIsTold, before: "age of a version is -4 ms, of which -4 ms are uncertain".

--- a/transport/loadshare/message.go
+++ b/transport/loadshare/message.go
@@ -158,7 +158,7 @@
 			if version.Since.IsZero() || age >= wantedLifetime {
 				continue
 			}
-			told := wantedVersion{Model: string(model), Version: version.Version, AgeMS: roundUp(age)}
+			told := wantedVersion{Model: string(model), Version: version.Version, AgeMS: max(roundUp(age), 0)}
 			told.SpreadMS = told.AgeMS
 			if !version.Until.IsZero() {
 				told.SpreadMS -= max(now.Sub(version.Until).Milliseconds(), 0)
--- a/transport/loadshare/times_test.go
+++ b/transport/loadshare/times_test.go
@@ -294,3 +294,12 @@
 		require.True(t, slices.ContainsFunc(versions, func(v wantedVersion) bool { return v.Model == model && v.Version == 1059 }), "newest of %s", model)
 	}
 }
+
+// TestVersionNewerThanTheClockReadingIsTold guards against an answer that is rejected by its receiver because a version became wanted
+// between the reading of the clock and that of the view, and so has a negative age.
+func TestVersionNewerThanTheClockReadingIsTold(t *testing.T) {
+	now := time.Unix(1<<20, 0)
+	since := now.Add(5 * time.Millisecond)
+	view := &fleet.View{Configuration: &fleet.Configuration{}, Wanted: map[core.Model]fleet.Wanted{"m": {{Version: 2, Since: since, Until: since}}}}
+	require.NoError(t, answerQuestion(now, view, 1).check())
+}
