--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -8,9 +8,10 @@
 )
 
 var cases = map[string]func(*world) bool{
-	"tenants":  lastTenant,
-	"settings": changedSettings,
 	"manifest": cutManifest,
+	"settings": changedSettings,
+	"slow":     slowReader,
+	"tenants":  lastTenant,
 }
 
 func main() {
