--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -10,7 +10,6 @@
 var cases = map[string]func(*world) bool{
 	"manifest": cutManifest,
 	"settings": changedSettings,
-	"slow":     slowReader,
 	"tenants":  lastTenant,
 }
 
