--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: review3 CASE FOLDER, in the root of the repository")
+		fmt.Println("usage: review3 CASE RECORD, in the root of the repository")
 		os.Exit(exitNotRun)
 	}
 	program, err := filepath.Abs("target/guavatrestled")
@@ -31,7 +31,7 @@
 		fmt.Println(err)
 		os.Exit(exitNotRun)
 	}
-	record, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	record, err := os.Create(os.Args[2])
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(exitNotRun)
