Log the manifest that a fetch starts from, with its source

An agent ordered a load with a piece of the earlier version. Four causes were possible: a list of digests that is incomplete, a piece that was overwritten after it was read back, a configuration that changed, a late write of an earlier fetch. The logs showed "fetch started" with 47 pieces, but not where the list came from nor what the configuration states, so the first and the third looked the same.

--- a/transport/staging/manifest.go
+++ b/transport/staging/manifest.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/guavatrestle/guavatrestle/coordination/transfer"
 	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
@@ -93,7 +95,9 @@
 	startedAt := a.Now()
 	for attempt := 0; ; attempt++ {
 		if digests, ok := a.pieces.digests(t); ok {
-			return worker.Manifest{Model: t.model, Version: t.version, Digests: digests}, nil
+			manifest := worker.Manifest{Model: t.model, Version: t.version, Digests: digests}
+			a.logManifest(manifest, manifestCache)
+			return manifest, nil
 		}
 		if !wanted() {
 			return worker.Manifest{}, errSuperseded
@@ -148,6 +152,9 @@
 	if err == nil && !slices.Equal(manifest.Digests, again.Digests) {
 		err = protocol.Errorf(protocol.CodeMalformed, "two reads of the manifest of version %d differ", t.version)
 	}
+	if err == nil {
+		a.logManifest(again, manifestOrigin)
+	}
 	return again, err
 }
 
@@ -163,10 +170,19 @@
 	}
 	if err == nil {
 		countManifest(manifestPeer, nil)
+		a.logManifest(manifest, manifestPeer)
 	}
 	return manifest, err
 }
 
+// logManifest logs the number of pieces of a manifest that is about to be used, with the one that the configuration states.
+func (a *Agent) logManifest(manifest worker.Manifest, source manifestSource) {
+	a.Log.WithFields(logrus.Fields{
+		"model": manifest.Model, "version": manifest.Version, "source": source,
+		"pieces": len(manifest.Digests), "configured_pieces": a.configuredPieces(),
+	}).Info("manifest received")
+}
+
 // configuredPieces returns the number of pieces of a version that the configuration states, or 0 if it states none.
 func (a *Agent) configuredPieces() int {
 	view := a.View()
--- a/transport/staging/manifest_test.go
+++ b/transport/staging/manifest_test.go
@@ -1,10 +1,12 @@
 package staging
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/guavatrestle/guavatrestle/protocol/worker"
@@ -23,7 +25,9 @@
 	table.SetConfiguration(&fleet.Configuration{Version: 1, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
 		"llm": {Engine: &fleet.EngineSpec{Chunks: 2, Models: []core.Model{"m"}}},
 	}})
-	a := &Agent{Dependencies: Dependencies{Upstream: "llm", View: table.View}, pieces: newPieceCache(), peers: newPeerClient()}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a := &Agent{Dependencies: Dependencies{Upstream: "llm", View: table.View, Log: logrus.NewEntry(log)}, pieces: newPieceCache(), peers: newPeerClient()}
 	defer a.peers.client.GetClient().CloseIdleConnections()
 	ask := func(digests ...worker.Digest) error {
 		held.open(version, worker.Manifest{Digests: digests}, func(target) bool { return false })
--- a/transport/staging/metrics.go
+++ b/transport/staging/metrics.go
@@ -23,12 +23,14 @@
 	varWritesUnanswered     = expvar.NewInt("staging_writes_unanswered")
 )
 
-// manifestSource is where a manifest came from; manifestFailed counts failed reads from the origin.
+// manifestSource is where a manifest came from; manifestFailed counts failed reads from the origin. Manifests from the cache are not
+// counted.
 type manifestSource string
 
 const (
 	manifestOrigin manifestSource = "origin"
 	manifestPeer   manifestSource = "peer"
+	manifestCache  manifestSource = "cache"
 	manifestFailed manifestSource = "failed"
 )
 
