Never load fewer pieces than the configuration states

What callers saw: after a new version, every token is made with a layer of two versions, with status 200 and for good.

Cause: the number of digests in the manifest decided how many pieces are fetched, staged, verified and loaded. A manifest from the origin was accepted with any number above 0, one from the cache without a check, and nothing counted when the load was ordered. The pieces that the list lacks stay in the worker's staging area as they were for the version before.

Change: a manifest must list as many valid digests as the configuration states pieces, from the origin, a peer or the cache, at each use. The order counts again, when the connection to the worker is open. While the number is not known, nothing is requested or loaded.

TestManifestOfPeerMustListAllPieces used digests that were not hashes; it now has well-formed ones and more cases.

--- a/protocol/worker/worker.go
+++ b/protocol/worker/worker.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 
+	"github.com/guavatrestle/guavatrestle/protocol"
 	"github.com/guavatrestle/guavatrestle/state/core"
 	"github.com/guavatrestle/guavatrestle/state/fleet"
 )
@@ -75,9 +76,29 @@
 	Digests []Digest
 }
 
+// CheckComplete returns an error unless the manifest lists a valid digest for each of the pieces of a version.
+func (m Manifest) CheckComplete(pieces int) error {
+	if len(m.Digests) != pieces {
+		return protocol.Errorf(protocol.CodeMalformed, "manifest of %s version %d lists %d pieces, want %d", m.Model, m.Version, len(m.Digests), pieces)
+	}
+	for index, digest := range m.Digests {
+		if !digest.IsValid() {
+			return protocol.Errorf(protocol.CodeMalformed, "manifest of %s version %d has the invalid digest %q of piece %d",
+				m.Model, m.Version, digest, index)
+		}
+	}
+	return nil
+}
+
 // Digest is a SHA-256 hash in hexadecimal.
 type Digest string
 
+// IsValid reports whether the digest has the form of a hash.
+func (d Digest) IsValid() bool {
+	sum, err := hex.DecodeString(string(d))
+	return err == nil && len(sum) == sha256.Size
+}
+
 // Matches reports whether data has the digest.
 func (d Digest) Matches(data []byte) bool {
 	sum := sha256.Sum256(data)
--- a/transport/staging/fetch.go
+++ b/transport/staging/fetch.go
@@ -122,8 +122,8 @@
 
 // readManifest returns the manifest of a version, from the piece cache if it is held there and otherwise from the origin.
 func (a *Agent) readManifest(ctx context.Context, t target) (worker.Manifest, error) {
-	if digests, ok := a.pieces.digests(t); ok {
-		return worker.Manifest{Model: t.model, Version: t.version, Digests: digests}, nil
+	if manifest, ok := a.cachedManifest(t); ok {
+		return manifest, nil
 	}
 	origin, ok := a.origin()
 	if !ok {
@@ -138,11 +138,11 @@
 	if err != nil {
 		return manifest, err
 	}
-	if manifest.Model != t.model || manifest.Version != t.version || len(manifest.Digests) == 0 {
-		return manifest, protocol.Errorf(protocol.CodeMalformed, "manifest is of %s version %d with %d pieces, want %s version %d",
-			manifest.Model, manifest.Version, len(manifest.Digests), t.model, t.version)
+	if manifest.Model != t.model || manifest.Version != t.version {
+		return manifest, protocol.Errorf(protocol.CodeMalformed, "manifest is of %s version %d, want %s version %d",
+			manifest.Model, manifest.Version, t.model, t.version)
 	}
-	return manifest, nil
+	return manifest, a.checkManifest(manifest, manifestOrigin)
 }
 
 func (r *versionFetch) loop(ctx context.Context) error {
--- a/transport/staging/harness_test.go
+++ b/transport/staging/harness_test.go
@@ -174,6 +174,9 @@
 	unnamed int64
 	// corruptManifests is the number of manifests to send with a wrong digest.
 	corruptManifests int
+	// changeDigests, if set, changes the digests of the next damagedLists manifests.
+	changeDigests func([]worker.Digest) []worker.Digest
+	damagedLists  int
 	// down makes the origin unavailable.
 	down bool
 	// manifests is the number of manifests sent.
@@ -202,6 +205,10 @@
 		o.corruptManifests--
 		manifest.Digests[3] = worker.Digest(strings.Repeat("0", 64))
 	}
+	if o.damagedLists > 0 {
+		o.damagedLists--
+		manifest.Digests = o.changeDigests(manifest.Digests)
+	}
 	return manifest, nil
 }
 
@@ -249,11 +256,18 @@
 
 func newGroup(t *testing.T) *group {
 	g := &group{t: t, table: fleet.NewTable(), origin: &fakeOrigin{}, clock: time.Now}
-	g.table.SetConfiguration(&fleet.Configuration{Version: 1, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
-		"llm":    {Engine: &fleet.EngineSpec{Layers: layers, Chunks: pieceCount, Models: []core.Model{"m"}}},
+	g.configure(1, pieceCount)
+	return g
+}
+
+// configure sets a version of the configuration, in which a version of the model has the given number of pieces.
+func (g *group) configure(version int64, pieces int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.SetConfiguration(&fleet.Configuration{Version: version, Upstreams: map[core.Upstream]fleet.UpstreamSpec{
+		"llm":    {Engine: &fleet.EngineSpec{Layers: layers, Chunks: pieces, Models: []core.Model{"m"}}},
 		"origin": {Origin: &fleet.OriginSpec{Address: "origin", FailureDomain: "a"}},
 	}})
-	return g
 }
 
 func (g *group) view() *fleet.View {
--- a/transport/staging/load.go
+++ b/transport/staging/load.go
@@ -58,8 +58,8 @@
 	return a.Config.MinWorkerAge - a.Now().Sub(a.workerSeenAt)
 }
 
-// sendOrder sends a load order and notes its outcome. It sends nothing, and returns an error with protocol.CodeExpired, if a staged
-// piece has not been read back for MaxVerificationAge when the connection to the worker is open.
+// sendOrder sends a load order and notes its outcome. It sends nothing if, when the connection to the worker is open, a staged piece has
+// not been read back for MaxVerificationAge, or the configuration states another number of pieces than were read back.
 func (a *Agent) sendOrder(ctx context.Context, order loadOrder, report worker.Report, repeated bool, verified *verification) error {
 	t := order.target
 	fields := logrus.Fields{
@@ -74,7 +74,7 @@
 	err := a.Worker.Load(callCtx, worker.LoadOrder{
 		Model: t.model, Version: t.version, ExpectedOrders: order.orders, FencingToken: t.version,
 		MaySend: func() error {
-			age, err := a.beginOrder(order, verified)
+			age, err := a.beginOrder(order, verified, a.configuredPieces())
 			begun = err == nil
 			fields["oldest_read_age_ms"] = age.Milliseconds()
 			return err
--- a/transport/staging/manifest.go
+++ b/transport/staging/manifest.go
@@ -33,6 +33,9 @@
 	maxBackoffShift = 8
 )
 
+// errPiecesUnknown is the error of a fetch while no manifest can be checked for completeness.
+var errPiecesUnknown = protocol.Errorf(protocol.CodeUnavailable, "the configuration states no number of pieces")
+
 // errSuperseded is the error of a fetch whose version is no longer wanted.
 var errSuperseded = protocol.Errorf(protocol.CodeChanged, "the version is no longer wanted")
 
@@ -83,8 +86,8 @@
 	if status := response.StatusCode(); status != http.StatusOK {
 		return worker.Manifest{}, protocol.Errorf(protocol.CodeUnavailable, "ask peer for a manifest: status %d", status)
 	}
-	if err := json.Unmarshal(response.Body(), &body); err != nil || len(body.Digests) == 0 {
-		return worker.Manifest{}, protocol.Errorf(protocol.CodeMalformed, "peer sent a malformed manifest")
+	if err := json.Unmarshal(response.Body(), &body); err != nil {
+		return worker.Manifest{}, protocol.Wrap(protocol.CodeMalformed, err, "decode manifest from a peer")
 	}
 	return worker.Manifest{Model: t.model, Version: t.version, Digests: body.Digests}, nil
 }
@@ -94,9 +97,7 @@
 func (a *Agent) obtainManifest(ctx context.Context, t target, wanted func() bool) (worker.Manifest, error) {
 	startedAt := a.Now()
 	for attempt := 0; ; attempt++ {
-		if digests, ok := a.pieces.digests(t); ok {
-			manifest := worker.Manifest{Model: t.model, Version: t.version, Digests: digests}
-			a.logManifest(manifest, manifestCache)
+		if manifest, ok := a.cachedManifest(t); ok {
 			return manifest, nil
 		}
 		if !wanted() {
@@ -115,6 +116,22 @@
 	}
 }
 
+// cachedManifest returns the manifest of a version from the piece cache. The configuration may state another number of pieces than when
+// the manifest was received, so it is checked again.
+func (a *Agent) cachedManifest(t target) (worker.Manifest, bool) {
+	digests, ok := a.pieces.digests(t)
+	if !ok {
+		return worker.Manifest{}, false
+	}
+	manifest := worker.Manifest{Model: t.model, Version: t.version, Digests: digests}
+	if a.checkManifest(manifest, manifestCache) != nil {
+		return worker.Manifest{}, false
+	}
+	countManifest(manifestCache, nil)
+	a.logManifest(manifest, manifestCache)
+	return manifest, true
+}
+
 func (a *Agent) manifestBackoff(attempt int) time.Duration {
 	step := min(manifestRetryBase<<min(attempt, maxBackoffShift), manifestRetryCap)
 	return step/2 + time.Duration(a.randomBelow(int64(step/2)))
@@ -123,6 +140,9 @@
 // requestManifest asks peers first, then the origin if it is this host's turn, and otherwise waits for the peer that gets the manifest
 // before this host.
 func (a *Agent) requestManifest(ctx context.Context, t target, attempt int, waited time.Duration) (worker.Manifest, error) {
+	if a.configuredPieces() <= 0 {
+		return worker.Manifest{}, errPiecesUnknown
+	}
 	cfg, hosts, key := a.transferConfig(), a.hosts(), versionKey(t)
 	peers := transfer.ManifestPeers(cfg, a.self(), hosts, key, attempt)
 	for _, peer := range peers {
@@ -158,15 +178,14 @@
 	return again, err
 }
 
-// manifestFromPeer asks a peer for a manifest. It refuses one that was rejected before, and one with another number of pieces than the
-// configuration states: with too few of them, pieces of an earlier version would stay in the staging area and be loaded.
+// manifestFromPeer asks a peer for a manifest. It refuses one that is incomplete or was rejected before.
 func (a *Agent) manifestFromPeer(ctx context.Context, peer core.Host, t target, wait bool) (worker.Manifest, error) {
 	manifest, err := a.peers.manifest(ctx, peer.DataAddr, t, peer.Region != a.Region, wait)
 	if err == nil && a.pieces.isRejected(manifest) {
 		err = protocol.Errorf(protocol.CodeMalformed, "peer sent a manifest that does not match the pieces")
 	}
-	if pieces := a.configuredPieces(); err == nil && pieces > 0 && len(manifest.Digests) != pieces {
-		err = protocol.Errorf(protocol.CodeMalformed, "peer sent a manifest of %d pieces, want %d", len(manifest.Digests), pieces)
+	if err == nil {
+		err = a.checkManifest(manifest, manifestPeer)
 	}
 	if err == nil {
 		countManifest(manifestPeer, nil)
@@ -175,6 +194,42 @@
 	return manifest, err
 }
 
+// checkManifest returns an error unless a manifest lists as many pieces as the configuration states, each with a valid digest. With too
+// few of them, pieces of an earlier version would stay in the staging area and be loaded.
+func (a *Agent) checkManifest(manifest worker.Manifest, source manifestSource) error {
+	pieces := a.configuredPieces()
+	if pieces <= 0 {
+		return errPiecesUnknown
+	}
+	err := manifest.CheckComplete(pieces)
+	if err != nil {
+		countManifest(manifestIncomplete, nil)
+		a.logIncomplete(manifest, source, err)
+	}
+	return err
+}
+
+// incompleteManifest identifies manifests that are incomplete in the same way.
+type incompleteManifest struct {
+	target target
+	source manifestSource
+	reason string
+}
+
+// logIncomplete logs that a manifest is incomplete, unless the last one was so in the same way.
+func (a *Agent) logIncomplete(manifest worker.Manifest, source manifestSource, err error) {
+	found := incompleteManifest{
+		target: target{model: manifest.Model, version: manifest.Version}, source: source, reason: err.Error(),
+	}
+	a.mu.Lock()
+	logged := a.lastIncomplete == found
+	a.lastIncomplete = found
+	a.mu.Unlock()
+	if !logged {
+		a.Log.WithError(err).WithField("source", source).Warn("manifest is incomplete")
+	}
+}
+
 // logManifest logs the number of pieces of a manifest that is about to be used, with the one that the configuration states.
 func (a *Agent) logManifest(manifest worker.Manifest, source manifestSource) {
 	a.Log.WithFields(logrus.Fields{
--- a/transport/staging/manifest_test.go
+++ b/transport/staging/manifest_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/sirupsen/logrus"
@@ -34,6 +35,13 @@
 		_, err := a.manifestFromPeer(t.Context(), core.Host{DataAddr: server.Listener.Addr().String()}, version, false)
 		return err
 	}
-	require.Error(t, ask("one"))
-	require.NoError(t, ask("one", "two"))
+	one, two := worker.Digest(strings.Repeat("1", 64)), worker.Digest(strings.Repeat("2", 64))
+	require.Error(t, ask())
+	require.Error(t, ask(one))
+	require.Error(t, ask(one, two, one))
+	require.Error(t, ask(one, ""))
+	require.Error(t, ask("", two))
+	require.NoError(t, ask(one, two))
+	a.View = func() *fleet.View { return nil }
+	require.Error(t, ask(one, two), "the number of pieces is not known yet")
 }
--- a/transport/staging/metrics.go
+++ b/transport/staging/metrics.go
@@ -23,8 +23,8 @@
 	varWritesUnanswered     = expvar.NewInt("staging_writes_unanswered")
 )
 
-// manifestSource is where a manifest came from; manifestFailed counts failed reads from the origin. Manifests from the cache are not
-// counted.
+// manifestSource is where a manifest came from; manifestFailed counts failed reads from the origin, manifestIncomplete the manifests of
+// any source that were not accepted.
 type manifestSource string
 
 const (
@@ -32,6 +32,8 @@
 	manifestPeer   manifestSource = "peer"
 	manifestCache  manifestSource = "cache"
 	manifestFailed manifestSource = "failed"
+
+	manifestIncomplete manifestSource = "incomplete"
 )
 
 func countManifest(source manifestSource, err error) {
--- a/transport/staging/order.go
+++ b/transport/staging/order.go
@@ -36,9 +36,13 @@
 }
 
 // beginOrder notes that the worker may carry out an order from now on, whether or not it answers. It returns an error, and the order
-// must not be sent, if a staged piece was last read back longer ago than MaxVerificationAge; age is that of the oldest read. The caller
-// sends the order without waiting for anything else.
-func (a *Agent) beginOrder(order loadOrder, verified *verification) (age time.Duration, err error) {
+// must not be sent, if a staged piece was last read back longer ago than MaxVerificationAge, or not all pieces of a version were; age is
+// that of the oldest read. The caller sends the order without waiting for anything else.
+func (a *Agent) beginOrder(order loadOrder, verified *verification, pieces int) (age time.Duration, err error) {
+	if err := verified.checkComplete(pieces); err != nil {
+		a.clearStaged(order.target.model)
+		return 0, err
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Now()
--- a/transport/staging/verify.go
+++ b/transport/staging/verify.go
@@ -33,6 +33,15 @@
 	v.soundAt[index] = at
 }
 
+// checkComplete returns an error unless the verification covers all pieces of a version. The worker would load others as they are.
+func (v *verification) checkComplete(pieces int) error {
+	if pieces <= 0 || len(v.soundAt) != pieces {
+		return protocol.Errorf(protocol.CodeChanged, "%d pieces of version %d are staged, the configuration states %d", len(v.soundAt),
+			v.target.version, pieces)
+	}
+	return nil
+}
+
 // oldest returns the time since which each piece has been read back; zero if one of them is not known to be sound.
 func (v *verification) oldest() time.Time {
 	v.mu.Lock()
@@ -44,11 +53,15 @@
 // not match their digest.
 func (a *Agent) verifyStaged(ctx context.Context, t target) (*verification, error) {
 	digests, ok := a.pieces.digests(t)
-	if !ok || len(digests) == 0 {
+	if !ok {
 		a.clearStaged(t.model)
 		return nil, protocol.Errorf(protocol.CodeChanged, "pieces of version %d are not held", t.version)
 	}
 	v := &verification{target: t, digests: digests, soundAt: make([]time.Time, len(digests))}
+	if err := v.checkComplete(a.configuredPieces()); err != nil {
+		a.clearStaged(t.model)
+		return nil, err
+	}
 	return v, a.verifyAgain(ctx, v)
 }
 
