Log the teams of a configuration and count why requests are allowed

A request with a revoked key ran. The configuration could be an old one, the key could still be listed in it, the route could allow anonymous requests, or no key could be required. "configuration in force" had no teams, and nothing told why a request was allowed.

--- a/internal/metricsdoc/metricsdoc_test.go
+++ b/internal/metricsdoc/metricsdoc_test.go
@@ -32,6 +32,7 @@
 		"ingress_waiting":             {levels},
 		"ingress_wait_ms":             {levels},
 		"ingress_wait_refused":        {constants(constantsOfType(t, "coordination/waiting", "Reason")), levels},
+		"ingress_authorized":          {constants(constantsOfType(t, "transport/ingress", "authorization"))},
 		"ingress_refused":             {constants(ingressErrorCodes(t))},
 		"ingress_outcome_latency_ms":  {outcomes},
 		"ingress_upstream_requests":   {upstreams, outcomes},
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -147,7 +147,9 @@
 	switch value := record.Value.(type) {
 	case *fleet.Configuration:
 		if f.table.SetConfiguration(value) {
-			f.log.WithField("version", value.Version).WithField("routes", len(value.Routes)).Info("configuration in force")
+			f.log.WithFields(logrus.Fields{
+				"version": value.Version, "routes": len(value.Routes), "teams": len(value.Teams),
+			}).Info("configuration in force")
 		}
 	case *fleet.Replica:
 		f.table.SetReplica(now, record.Revision, value)
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -169,12 +169,14 @@
 func (c *call) authorize() *transport.Error {
 	key, present := strings.CutPrefix(c.r.Header.Get("Authorization"), bearerPrefix)
 	if len(c.view.Configuration.Teams) == 0 {
+		varAuthorized.Add(string(authorizedWithoutKeys), 1)
 		return nil
 	}
 	if present {
 		c.team = c.view.Team(key)
 	}
 	if c.route.Anonymous && c.team == nil {
+		varAuthorized.Add(string(authorizedByRoute), 1)
 		return nil
 	}
 	if maxAge := c.h.Config.MaxKeyAge; maxAge > 0 && c.viewAge > maxAge {
@@ -185,6 +187,7 @@
 	if c.team == nil {
 		return transport.Errorf(http.StatusUnauthorized, api.CodeUnauthorized, api.RunNotRun, "the API key is unknown")
 	}
+	varAuthorized.Add(string(authorizedByKey), 1)
 	return nil
 }
 
--- a/transport/ingress/metrics.go
+++ b/transport/ingress/metrics.go
@@ -18,6 +18,7 @@
 // Counters of the request path.
 var (
 	varRequests         = expvar.NewInt("ingress_requests")
+	varAuthorized       = expvar.NewMap("ingress_authorized")
 	varServed           = expvar.NewInt("ingress_served")
 	varFailed           = expvar.NewInt("ingress_failed")
 	varRefused          = expvar.NewMap("ingress_refused")
@@ -36,6 +37,15 @@
 	varUpstreamLatency  = expvar.NewMap("ingress_upstream_latency_ms")
 )
 
+// authorization is why a request is allowed; it is a key of varAuthorized.
+type authorization string
+
+const (
+	authorizedByKey       authorization = "key"
+	authorizedByRoute     authorization = "anonymous_route"
+	authorizedWithoutKeys authorization = "no_keys_required"
+)
+
 // sizeLimit is a limit that a response may exceed; it is a key of varOversized.
 type sizeLimit string
 
