Require keys when the last one has been taken away

What callers saw: after the operators remove the only team, requests with its revoked key, with a key that never existed and with none run.

Cause: the decoder made an empty list of teams and a missing one the same, and the check of keys took both for a service without keys.

A process that has seen a list goes on to require keys. If the platform's contracts have teams, keys are required whatever a configuration lacks, so a restart opens nothing. An unknown key is refused where keys are optional, too. Relays pass on whether keys are optional; a configuration without teams from a relay of an earlier version is not used, the host reads the store. Routes for anonymous requests go on.

The fake store of the relay's tests sent replicas as configurations; it now sends configurations.

--- a/cmd/guavatrestled/hosted.go
+++ b/cmd/guavatrestled/hosted.go
@@ -85,6 +85,7 @@
 	cfg.Dispatch.FailureDomain = settings.FailureDomain
 	cfg.Dispatch.Regions = settings.Regions
 	cfg.RetryBurstTotal = retryBurstShare * settings.Bounds.RetryBurst
+	cfg.RequireKeys = settings.KeysRequired
 	cfg.MaxKeyAge = scaleDuration(settings.Bounds.RevokedKeyTimeout, maxKeyAgeShare)
 	cfg.MaxReadyAge = scaleDuration(settings.Bounds.RevokedKeyTimeout, maxReadyAgeShare)
 	end := endOfOldVersion(settings.Bounds.ActivationTimeout)
--- a/state/fleet/table.go
+++ b/state/fleet/table.go
@@ -52,10 +52,13 @@
 // Table collects the records of the store and builds views of them. It is not safe for concurrent use.
 type Table struct {
 	configuration *Configuration
-	replicas      map[ReplicaID]*registration
-	departed      map[ReplicaID]departure
-	evacuated     map[core.FailureDomain]*evacuation
-	wanted        map[core.Model]Wanted
+	// keysRequired is set by the first configuration with a list of teams. A later one without the list doesn't open the service: it takes
+	// all keys away.
+	keysRequired bool
+	replicas     map[ReplicaID]*registration
+	departed     map[ReplicaID]departure
+	evacuated    map[core.FailureDomain]*evacuation
+	wanted       map[core.Model]Wanted
 	// storeRecoveredAt is the end of the store's last outage, restoredAt the time at which it last came back from an older copy.
 	storeRecoveredAt time.Time
 	restoredAt       time.Time
@@ -101,10 +104,14 @@
 		return false
 	}
 	t.configuration = c
+	t.keysRequired = t.keysRequired || !c.KeysOptional
 	t.indexed = nil
 	return true
 }
 
+// KeysOptional reports whether requests need no API key: the table has a configuration, and none so far has had a list of teams.
+func (t *Table) KeysOptional() bool { return t.configuration != nil && !t.keysRequired }
+
 // SetReplica stores a registration unless the table holds a later revision.
 func (t *Table) SetReplica(now time.Time, revision int64, r *Replica) {
 	previous := t.replicas[r.ID]
@@ -268,6 +275,7 @@
 	view := &View{
 		Configuration: t.configuration,
 		Wanted:        maps.Clone(t.wanted),
+		KeysOptional:  t.KeysOptional(),
 		routes:        t.indexed.routes,
 		teams:         t.indexed.teams,
 	}
--- a/state/fleet/types.go
+++ b/state/fleet/types.go
@@ -28,7 +28,10 @@
 	Routes    []Route
 	Upstreams map[core.Upstream]UpstreamSpec
 	Teams     []Team
-	Limits    Limits
+	// KeysOptional is true if the operators state no list of teams, so that requests need no API key. An empty list is not the same: its
+	// last key has been taken away, and no request has a valid one.
+	KeysOptional bool
+	Limits       Limits
 }
 
 // RankedUpstreams returns the upstreams whose routes have different priorities, each with the priorities of its routes and of the teams
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -27,6 +27,8 @@
 	Configuration *Configuration
 	Members       []Member
 	Wanted        map[core.Model]Wanted
+	// KeysOptional is true if neither the configuration nor one before it has a list of teams, so that requests need no API key.
+	KeysOptional bool
 
 	routes map[string][]*Route
 	teams  map[string]*Team
@@ -66,7 +68,9 @@
 	for i := range v.Configuration.Teams {
 		team := &v.Configuration.Teams[i]
 		for _, key := range team.Keys {
-			v.teams[key] = team
+			if key != "" {
+				v.teams[key] = team
+			}
 		}
 	}
 }
@@ -84,7 +88,7 @@
 	if v == nil {
 		return nil
 	}
-	redacted := &View{Members: v.Members, Wanted: v.Wanted}
+	redacted := &View{Members: v.Members, Wanted: v.Wanted, KeysOptional: v.KeysOptional}
 	if v.Configuration != nil {
 		configuration := *v.Configuration
 		configuration.Teams = slices.Clone(configuration.Teams)
--- a/transport/follow/take.go
+++ b/transport/follow/take.go
@@ -148,7 +148,7 @@
 	case *fleet.Configuration:
 		if f.table.SetConfiguration(value) {
 			f.log.WithFields(logrus.Fields{
-				"version": value.Version, "routes": len(value.Routes), "teams": len(value.Teams),
+				"version": value.Version, "routes": len(value.Routes), "teams": len(value.Teams), "keys_optional": f.table.KeysOptional(),
 			}).Info("configuration in force")
 		}
 	case *fleet.Replica:
--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -34,6 +34,9 @@
 	CapacityWaitShare float64
 	// CapacityPollInterval is the time between two attempts to choose a replica during that wait.
 	CapacityPollInterval time.Duration
+	// RequireKeys rejects requests without a valid API key even if the configuration has never had a list of teams. Anonymous routes are
+	// exempt.
+	RequireKeys bool
 	// MaxKeyAge is the age of the configuration beyond which its API keys are no longer accepted; 0 disables the check.
 	MaxKeyAge time.Duration
 	// MaxReadyAge is the age of the configuration beyond which the host reports itself not ready; 0 disables the check.
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -165,19 +165,21 @@
 		"this host stops before the deadline of the request; another one takes it")
 }
 
-// authorize finds the team of a request by its API key. Without configured teams every request is allowed.
+// authorize finds the team of a request by its API key. A request without a key is allowed on an anonymous route, and if keys are optional;
+// an unknown key is only accepted on an anonymous route, as if it were missing.
 func (c *call) authorize() *transport.Error {
 	key, present := strings.CutPrefix(c.r.Header.Get("Authorization"), bearerPrefix)
-	if len(c.view.Configuration.Teams) == 0 {
-		varAuthorized.Add(string(authorizedWithoutKeys), 1)
-		return nil
-	}
 	if present {
 		c.team = c.view.Team(key)
 	}
-	if c.route.Anonymous && c.team == nil {
+	switch {
+	case c.team != nil:
+	case c.route.Anonymous:
 		varAuthorized.Add(string(authorizedByRoute), 1)
 		return nil
+	case !present && c.view.KeysOptional && !c.h.Config.RequireKeys:
+		varAuthorized.Add(string(authorizedWithoutKeys), 1)
+		return nil
 	}
 	if maxAge := c.h.Config.MaxKeyAge; maxAge > 0 && c.viewAge > maxAge {
 		// The key may have been revoked since. Another host may have a newer configuration, so the caller should reconnect.
@@ -185,7 +187,7 @@
 		return keyAgeError(c.viewAge)
 	}
 	if c.team == nil {
-		return transport.Errorf(http.StatusUnauthorized, api.CodeUnauthorized, api.RunNotRun, "the API key is unknown")
+		return transport.Errorf(http.StatusUnauthorized, api.CodeUnauthorized, api.RunNotRun, "the request has no valid API key")
 	}
 	varAuthorized.Add(string(authorizedByKey), 1)
 	return nil
--- a/transport/relay/bench_test.go
+++ b/transport/relay/bench_test.go
@@ -57,7 +57,7 @@
 		for range b.N {
 			var wire wireBatch
 			_ = json.Unmarshal(whole, &wire)
-			wire.Records[0].decode(feed.KindConfiguration)
+			wire.Records[0].decode(feed.KindConfiguration, false)
 		}
 	})
 	b.Run("view", func(b *testing.B) {
--- a/transport/relay/fuzz_test.go
+++ b/transport/relay/fuzz_test.go
@@ -23,7 +23,7 @@
 		_ = batch.completeAfter()
 		for _, record := range batch.Records {
 			for _, kind := range kinds {
-				decoded := record.decode(kind)
+				decoded := record.decode(kind, false)
 				require.Equal(t, record.Name, decoded.Name)
 				require.False(t, kind == "unknown" && decoded.Value != nil)
 				if decoded.Err != nil && record.Invalid == "" {
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -51,18 +51,26 @@
 	s.changes = append(s.changes, record)
 }
 
-func (s *store) List(context.Context, feed.Kind, bool) (feed.Batch, error) {
+// ofKind returns a record with a value of the kind that is read; the store holds the same names for every kind.
+func ofKind(kind feed.Kind, record feed.Record) feed.Record {
+	if _, ok := record.Value.(*fleet.Replica); ok && kind == feed.KindConfiguration {
+		record.Value = &fleet.Configuration{}
+	}
+	return record
+}
+
+func (s *store) List(_ context.Context, kind feed.Kind, _ bool) (feed.Batch, error) {
 	s.calls.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	batch := feed.Batch{Revision: s.revision, Era: s.era}
 	for _, record := range s.records {
-		batch.Records = append(batch.Records, record)
+		batch.Records = append(batch.Records, ofKind(kind, record))
 	}
 	return batch, nil
 }
 
-func (s *store) Watch(_ context.Context, _ feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
+func (s *store) Watch(_ context.Context, kind feed.Kind, since int64, wait time.Duration) (feed.Batch, error) {
 	s.calls.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,7 +80,7 @@
 	batch := feed.Batch{Revision: s.revision, Era: s.era}
 	for _, record := range s.changes {
 		if record.Revision > since {
-			batch.Records = append(batch.Records, record)
+			batch.Records = append(batch.Records, ofKind(kind, record))
 		}
 	}
 	return batch, nil
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"net"
 	"net/http"
@@ -288,7 +289,12 @@
 	}
 	batch.ChangedAfter, batch.Dated = wire.changedAfter()
 	for _, record := range wire.Records {
-		batch.Records = append(batch.Records, record.decode(kind))
+		decoded := record.decode(kind, s.cfg.Brief)
+		if errors.Is(decoded.Err, errKeysUnknown) {
+			// Skipped like other records that can't be decoded, it would leave the configuration before it in force, and confirmed.
+			return feed.Batch{}, errKeysUnknown
+		}
+		batch.Records = append(batch.Records, decoded)
 	}
 	return batch, s.accept(kind, batch)
 }
--- a/transport/relay/wire.go
+++ b/transport/relay/wire.go
@@ -56,6 +56,28 @@
 	Value   json.RawMessage `json:"value,omitempty"`
 }
 
+// errKeysUnknown is the error of a configuration that doesn't tell whether requests need keys.
+var errKeysUnknown = protocol.Errorf(protocol.CodeUnavailable, "the relay's configuration doesn't tell whether keys are required")
+
+// wireConfiguration is a configuration, in which relays of an earlier version don't tell whether keys are optional.
+type wireConfiguration struct {
+	fleet.Configuration
+	KeysOptional *bool
+}
+
+// decode returns an error if the configuration has no teams and doesn't tell whether that makes keys optional. A brief one never has teams,
+// and is not used to check keys.
+func (w wireConfiguration) decode(brief bool) (*fleet.Configuration, error) {
+	value := w.Configuration
+	switch {
+	case w.KeysOptional != nil:
+		value.KeysOptional = *w.KeysOptional
+	case len(value.Teams) == 0 && !brief:
+		return nil, errKeysUnknown
+	}
+	return &value, nil
+}
+
 // encodeRecord encodes a record, with a brief configuration if that is asked for.
 func encodeRecord(record feed.Record, brief bool) ([]byte, error) {
 	wire := wireRecord{Name: record.Name, Revision: record.Revision, Removed: record.Removed}
@@ -79,7 +101,8 @@
 	return body, eris.Wrapf(err, "encode record %q", record.Name)
 }
 
-func (w wireRecord) decode(kind feed.Kind) feed.Record {
+// decode decodes a record, which is a brief one if that was asked for.
+func (w wireRecord) decode(kind feed.Kind, brief bool) feed.Record {
 	record := feed.Record{Name: w.Name, Revision: w.Revision, Removed: w.Removed}
 	if w.Invalid != "" {
 		record.Err = eris.New(w.Invalid)
@@ -90,9 +113,10 @@
 	var err error
 	switch kind {
 	case feed.KindConfiguration:
-		value := &fleet.Configuration{}
-		err = json.Unmarshal(w.Value, value)
-		record.Value = value
+		var value wireConfiguration
+		if err = json.Unmarshal(w.Value, &value); err == nil {
+			record.Value, err = value.decode(brief)
+		}
 	case feed.KindReplicas:
 		value := &fleet.Replica{}
 		err = json.Unmarshal(w.Value, value)
