--- a/state/fleet/types.go
+++ b/state/fleet/types.go
@@ -212,10 +212,11 @@
 	return LoadedVersion(r.Models, model, layers)
 }
 
-// LoadedVersion returns the version of a model of which all layers are loaded.
+// LoadedVersion returns the version of a model of which all layers are loaded. If the number of layers is not known, a count of loaded ones
+// never shows that.
 func LoadedVersion(models []LoadedModel, model core.Model, layers int) (version int64, ok bool) {
 	for _, loaded := range models {
-		if loaded.Model == model && (loaded.Layers == AllLayers || loaded.Layers >= layers) {
+		if loaded.Model == model && (loaded.Layers == AllLayers || layers > 0 && loaded.Layers >= layers) {
 			return loaded.Version, true
 		}
 	}
