Tell a retry slack of zero from none stated

Shown by a test only.

What callers could see: where the platform allows no retries on top of its ratio (bounds.retry_slack=0), each host still repeats 8 requests at once, without a common bound.

Cause: a burst of zero for all hosts together meant no bound.

Change: no bound is infinite, and is the default while the platform states none. With zero each host keeps one retry, as with any small bound.

--- a/transport/ingress/config.go
+++ b/transport/ingress/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,8 +27,8 @@
 	Quarantine quarantine.Config
 	// Waiting bounds the requests that wait for a replica of an upstream whose routes have different priorities.
 	Waiting waiting.Config
-	// RetryBurstTotal bounds the bursts of the retry budgets of all hosts together; 0 means no bound. Each host has an equal part of
-	// it, at most Retry.BudgetBurst and at least one retry.
+	// RetryBurstTotal bounds the bursts of the retry budgets of all hosts together; infinite means no bound. Each host has an equal part
+	// of it, at most Retry.BudgetBurst and at least one retry.
 	RetryBurstTotal float64
 	// CapacityWaitShare is the part of the route's latency objective for which a request waits while every replica is full. A
 	// larger one rejects fewer requests and lets more of them miss their objective.
@@ -89,6 +90,7 @@
 			BudgetRatio: 0.15,
 			BudgetBurst: 8,
 		},
+		RetryBurstTotal:      math.Inf(1),
 		Quarantine:           quarantine.DefaultConfig(),
 		Waiting:              waiting.DefaultConfig(),
 		CapacityWaitShare:    0.12,
--- a/transport/ingress/router.go
+++ b/transport/ingress/router.go
@@ -111,7 +111,7 @@
 // shareRetryBurst sets the burst of the retry budgets to this host's part among the given number of hosts, if that is known; the
 // caller must hold the lock.
 func (r *Router) shareRetryBurst(hosts int) {
-	if r.cfg.RetryBurstTotal <= 0 || hosts <= 0 {
+	if hosts <= 0 {
 		return
 	}
 	burst := min(r.cfg.Retry.BudgetBurst, max(r.cfg.RetryBurstTotal/float64(hosts), 1))
--- a/transport/ingress/router_test.go
+++ b/transport/ingress/router_test.go
@@ -28,4 +28,8 @@
 	require.Equal(t, 8, retries(12))
 	require.Equal(t, 2, retries(52))
 	require.Equal(t, 1, retries(2500))
+	cfg.RetryBurstTotal = 0
+	require.Equal(t, 1, retries(12), "no burst is not the same as no bound")
+	cfg.RetryBurstTotal = DefaultConfig().RetryBurstTotal
+	require.Equal(t, 8, retries(2500))
 }
