Reject a team's empty list of failure domains

Shown by a test only.

What operators could see: whoever removes the last failure domain from a team's list lets all failure domains serve the team.

Cause: an empty list was accepted and meant the same as none.

Change: a document with an empty list is rejected with the path of the field; leaving the list out still allows all. Documents that are stored already are not changed.

The test on the code before: TestRemovalOfTheLastFailureDomainDoesNotAllowAll expected: false, actual: true, `,"failure_domains":[]`

--- a/state/settings/settings_test.go
+++ b/state/settings/settings_test.go
@@ -52,6 +52,14 @@
 	}, texts(settings.CheckBody(doc)))
 }
 
+// TestRemovalOfTheLastFailureDomainDoesNotAllowAll guards against a team that may suddenly be served everywhere.
+func TestRemovalOfTheLastFailureDomainDoesNotAllowAll(t *testing.T) {
+	for list, allowed := range map[string]bool{``: true, `,"failure_domains":["a"]`: true, `,"failure_domains":[]`: false} {
+		problems := settings.CheckBody(team("litoral", hashA, list))
+		require.Equal(t, allowed, len(problems) == 0, "%s: %v", list, problems)
+	}
+}
+
 // TestDanglingReferencesAreRefused guards against a team that refers to a missing upstream or failure domain, and against the
 // removal of one that a team still refers to.
 func TestDanglingReferencesAreRefused(t *testing.T) {
--- a/state/settings/types.go
+++ b/state/settings/types.go
@@ -17,8 +17,9 @@
 	Weight   int               `json:"weight" validate:"min=1,max=1000"`
 	Models   []ModelSettings   `json:"models" validate:"dive"`
 	Services []ServiceSettings `json:"services" validate:"dive"`
-	// FailureDomains lists the failure domains that may serve the team; empty means all.
-	FailureDomains []core.FailureDomain `json:"failure_domains,omitempty" validate:"dive,required"`
+	// FailureDomains lists the failure domains that may serve the team; without the list all may. An empty list is rejected, since the removal
+	// of its last entry would otherwise allow all.
+	FailureDomains []core.FailureDomain `json:"failure_domains,omitempty" validate:"omitempty,min=1,dive,required"`
 }
 
 // hashes returns the hashes of all tokens of the team.
