Bound the log lines of incomplete manifests

The warning is written once for each way in which a manifest is incomplete, but a cached one and one of the origin in turns would be logged at each attempt, and an invalid digest, which may have a megabyte, was part of the line. The last one is now remembered for each source, and only the length of the digest is logged.

--- a/protocol/worker/worker.go
+++ b/protocol/worker/worker.go
@@ -83,8 +83,8 @@
 	}
 	for index, digest := range m.Digests {
 		if !digest.IsValid() {
-			return protocol.Errorf(protocol.CodeMalformed, "manifest of %s version %d has the invalid digest %q of piece %d",
-				m.Model, m.Version, digest, index)
+			return protocol.Errorf(protocol.CodeMalformed, "manifest of %s version %d has an invalid digest of piece %d, with %d characters",
+				m.Model, m.Version, index, len(digest))
 		}
 	}
 	return nil
--- a/transport/staging/agent.go
+++ b/transport/staging/agent.go
@@ -192,8 +192,8 @@
 	originTriedAt time.Time
 	// stagedPieces holds the pieces of each model that the worker's present process has accepted.
 	stagedPieces map[core.Model]stagedPieces
-	// lastIncomplete is the last manifest that was logged as incomplete.
-	lastIncomplete incompleteManifest
+	// lastIncomplete holds the last manifest of each source that was logged as incomplete.
+	lastIncomplete map[manifestSource]incompleteManifest
 	// running holds the fetches that run.
 	running map[target]*versionFetch
 	// fetching is the version whose pieces are being staged.
--- a/transport/staging/manifest.go
+++ b/transport/staging/manifest.go
@@ -212,18 +212,18 @@
 // incompleteManifest identifies manifests that are incomplete in the same way.
 type incompleteManifest struct {
 	target target
-	source manifestSource
 	reason string
 }
 
-// logIncomplete logs that a manifest is incomplete, unless the last one was so in the same way.
+// logIncomplete logs that a manifest is incomplete, unless the last one of the source was so in the same way.
 func (a *Agent) logIncomplete(manifest worker.Manifest, source manifestSource, err error) {
-	found := incompleteManifest{
-		target: target{model: manifest.Model, version: manifest.Version}, source: source, reason: err.Error(),
-	}
+	found := incompleteManifest{target: target{model: manifest.Model, version: manifest.Version}, reason: err.Error()}
 	a.mu.Lock()
-	logged := a.lastIncomplete == found
-	a.lastIncomplete = found
+	logged := a.lastIncomplete[source] == found
+	if a.lastIncomplete == nil {
+		a.lastIncomplete = make(map[manifestSource]incompleteManifest)
+	}
+	a.lastIncomplete[source] = found
 	a.mu.Unlock()
 	if !logged {
 		a.Log.WithError(err).WithField("source", source).Warn("manifest is incomplete")
